--- /dev/null
+++ b/src/model/mod.ts
@@ -0,0 +1,2 @@
+/** The model: immutable values of the domain, without I/O. */
+export {};
--- /dev/null
+++ b/tools/layers.ts
@@ -0,0 +1,80 @@
+/**
+ * The order of the layers below `src/` and the rule that a module imports only
+ * from its own layer and from the layers before it. The pure layers import no
+ * I/O: their clock, random source and transport are passed in.
+ */
+
+/** The layers, lowest first. A layer may import itself and those before it. */
+export const LAYERS: readonly string[] = [
+  "model",
+  "state",
+  "decision",
+  "wire",
+  "platform",
+  "filter",
+  "controller",
+  "report",
+  "command",
+  "bin",
+];
+
+const PURE_LAYERS: readonly string[] = ["model", "state", "decision"];
+
+const IO_PATTERN =
+  /\bnode:(net|http|https|dgram|fs|timers|child_process)|\bDate\.now\(|\bMath\.random\(|\bperformance\.now\(|\bset(Timeout|Interval)\(/;
+
+const IMPORT_PATTERN = /(?:from|import)\s*\(?\s*"([^"]+)"/g;
+
+/** One broken rule, with the file it was found in. */
+export interface LayerFault {
+  readonly file: string;
+  readonly rule: string;
+}
+
+/** Checks one file, given by its path from the repository root. */
+export function checkLayer(file: string, source: string): LayerFault[] {
+  const parts = file.split("/");
+  const layer = parts[1] ?? "";
+  const rank = LAYERS.indexOf(layer);
+  if (rank < 0) return [{ file, rule: `layer "${layer}" is not in the list` }];
+  const faults: LayerFault[] = [];
+  for (const match of source.matchAll(IMPORT_PATTERN)) {
+    const target = match[1] ?? "";
+    const rule = brokenImportRule({ layer, rank, parts, target });
+    if (rule !== undefined) faults.push({ file, rule });
+  }
+  const isTest = file.endsWith("_test.ts");
+  if (!isTest && PURE_LAYERS.includes(layer) && IO_PATTERN.test(source)) {
+    faults.push({
+      file,
+      rule: `layer "${layer}" uses I/O, a clock or a timer`,
+    });
+  }
+  return faults;
+}
+
+interface ImportSite {
+  readonly layer: string;
+  readonly rank: number;
+  readonly parts: readonly string[];
+  readonly target: string;
+}
+
+function brokenImportRule(site: ImportSite): string | undefined {
+  if (!site.target.startsWith(".")) return undefined;
+  const path = resolveFrom(site.parts.slice(0, -1), site.target);
+  if (path[0] !== "src") return `imports "${site.target}" from outside src`;
+  const rank = LAYERS.indexOf(path[1] ?? "");
+  if (rank < 0) return `imports "${site.target}" from no layer`;
+  if (rank <= site.rank) return undefined;
+  return `layer "${site.layer}" imports the later layer "${path[1]}"`;
+}
+
+function resolveFrom(folder: readonly string[], target: string): string[] {
+  const path = [...folder];
+  for (const step of target.split("/")) {
+    if (step === "..") path.pop();
+    else if (step !== ".") path.push(step);
+  }
+  return path;
+}
