--- /dev/null
+++ b/src/model/allowance.ts
@@ -0,0 +1,33 @@
+/**
+ * Which versions a path may use: its allowed list less every withdrawal on its
+ * lineage. Checked at dispatch and again at each retry, escalation and resume.
+ */
+import { type Settings, type Withdrawal } from "./settings.ts";
+import { type VersionName } from "./version.ts";
+
+/** The allowed versions that are not withdrawn, in the order of settings. */
+export function usableVersions(settings: Settings): VersionName[] {
+  return settings.allowed.filter((name) =>
+    withdrawalOf(settings, name) === undefined
+  );
+}
+
+/** Whether new work may run on `version` under these settings. */
+export function isUsable(settings: Settings, version: VersionName): boolean {
+  return settings.allowed.includes(version) &&
+    withdrawalOf(settings, version) === undefined;
+}
+
+/** The withdrawal of a version, if any node on the lineage withdrew it. */
+export function withdrawalOf(
+  settings: Settings,
+  version: VersionName,
+): Withdrawal | undefined {
+  let found: Withdrawal | undefined;
+  for (const withdrawal of settings.withdrawn) {
+    if (withdrawal.version !== version) continue;
+    if (withdrawal.running === "stop") return withdrawal;
+    found = withdrawal;
+  }
+  return found;
+}
--- a/src/model/mod.ts
+++ b/src/model/mod.ts
@@ -1,2 +1,11 @@
 /** The model: immutable values of the domain, without I/O. */
-export {};
+export * from "./allowance.ts";
+export * from "./effects.ts";
+export * from "./error.ts";
+export * from "./path.ts";
+export * from "./refusal.ts";
+export * from "./request.ts";
+export * from "./server.ts";
+export * from "./settings.ts";
+export * from "./tree.ts";
+export * from "./version.ts";
--- /dev/null
+++ b/src/model/version.ts
@@ -0,0 +1,37 @@
+/**
+ * A model version is named `model@version`, such as `tagger@3`. The name is one
+ * string so that it can stand in settings, records and map keys alike.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import { ModelError } from "./error.ts";
+
+/** A model and its version, as `model@version`. */
+export type VersionName = `${string}@${string}`;
+
+const VERSION_PATTERN = /^[a-z0-9][a-z0-9._-]{0,62}@[a-z0-9][a-z0-9._-]{0,30}$/;
+
+/** Accepts a well-formed version name. */
+export const versionNameSchema = z.custom<VersionName>(
+  (value) => typeof value === "string" && VERSION_PATTERN.test(value),
+  { error: "expected model@version in lower case" },
+);
+
+/** Reads a version name; fails with the text that broke the pattern. */
+export function parseVersionName(
+  text: string,
+): Result<VersionName, ModelError> {
+  const parsed = versionNameSchema.safeParse(text);
+  if (parsed.success) return ok(parsed.data);
+  return err(new ModelError(`"${text}" is not a model@version name`));
+}
+
+/** The model part of a version name. */
+export function modelOf(name: VersionName): string {
+  return name.slice(0, name.lastIndexOf("@"));
+}
+
+/** The version part of a version name. */
+export function versionOf(name: VersionName): string {
+  return name.slice(name.lastIndexOf("@") + 1);
+}
--- /dev/null
+++ b/src/state/mod.ts
@@ -0,0 +1,6 @@
+/** The state that every VM derives from the log by replay, without I/O. */
+export * from "./control.ts";
+export * from "./ledger.ts";
+export * from "./position.ts";
+export * from "./record.ts";
+export * from "./requests.ts";
