--- /dev/null
+++ b/src/decision/admission.ts
@@ -0,0 +1,223 @@
+/**
+ * Admission: how many requests run at once and in which order waiting ones are
+ * let in. Urgent classes go first, but every eighth grant goes to the least
+ * urgent class that waits, so that a review comes slowly but comes. Within a
+ * class the workspaces share by weight (start-time fair queueing). A request
+ * that cannot start before its deadline is refused at once.
+ */
+import { List, Map as PersistentMap } from "immutable";
+import { REQUEST_CLASSES, type RequestClass } from "../model/mod.ts";
+import {
+  type AdmissionState,
+  type Arrival,
+  nextArrival,
+  prunedShares,
+  startShare,
+} from "./admission_order.ts";
+
+/** Bounds of the admission of one VM. */
+export interface AdmissionLimits {
+  readonly queueLimit: number;
+  readonly workspaceQueueLimit: number;
+  /** Bounds of the time a refused caller is told to wait. */
+  readonly shortestRetryMs: number;
+  readonly longestRetryMs: number;
+}
+
+/** What happens to the admission of a VM. */
+export type AdmissionEvent =
+  | { readonly kind: "arrive"; readonly arrival: Arrival }
+  | { readonly kind: "leave"; readonly requestId: string }
+  | { readonly kind: "capacity"; readonly runningLimit: number }
+  | { readonly kind: "tick" };
+
+/** What is to be told to a request. */
+export type AdmissionEffect =
+  | { readonly kind: "admit"; readonly requestId: string }
+  | {
+    readonly kind: "refuse";
+    readonly requestId: string;
+    readonly reason: "overloaded" | "deadline_exceeded";
+    readonly retryAfterMs: number;
+  };
+
+/** The new state and what follows from it. */
+export interface AdmissionStep {
+  readonly state: AdmissionState;
+  readonly effects: readonly AdmissionEffect[];
+}
+
+/** The time of an event and the limits that apply to it. */
+export interface AdmissionOptions {
+  readonly nowMs: number;
+  readonly limits: AdmissionLimits;
+}
+
+const FIRST_MEAN_RUN_MS = 1000;
+const SMOOTHING_SHARE = 0.05;
+
+/** Limits of an entry VM. */
+export const DEFAULT_ADMISSION_LIMITS: AdmissionLimits = {
+  queueLimit: 1000,
+  workspaceQueueLimit: 300,
+  shortestRetryMs: 200,
+  longestRetryMs: 30_000,
+};
+
+/** An idle VM that may run `runningLimit` requests at once. */
+export function createAdmission(runningLimit: number): AdmissionState {
+  return {
+    runningLimit,
+    running: PersistentMap(),
+    waiting: List(),
+    usedShare: PersistentMap(),
+    virtualTime: 0,
+    grantCount: 0,
+    meanRunMs: FIRST_MEAN_RUN_MS,
+  };
+}
+
+/** Applies an event: refusals come at once, free room is granted in order. */
+export function applyAdmission(
+  state: AdmissionState,
+  event: AdmissionEvent,
+  options: AdmissionOptions,
+): AdmissionStep {
+  if (event.kind === "arrive") return arrive(state, event.arrival, options);
+  if (event.kind === "leave") {
+    return grant(leave(state, event.requestId, options.nowMs), options);
+  }
+  if (event.kind === "capacity") {
+    return grant({ ...state, runningLimit: event.runningLimit }, options);
+  }
+  return grant(state, options);
+}
+
+/** How long a request of this class would wait now. */
+export function expectedWaitMs(
+  state: AdmissionState,
+  requestClass: RequestClass,
+): number {
+  const rank = REQUEST_CLASSES.indexOf(requestClass);
+  const aheadCount = state.waiting.count((one) =>
+    REQUEST_CLASSES.indexOf(one.requestClass) <= rank
+  );
+  const freeCount = state.runningLimit - state.running.size;
+  const queuedCount = Math.max(0, aheadCount + 1 - Math.max(0, freeCount));
+  return queuedCount * state.meanRunMs / Math.max(1, state.runningLimit);
+}
+
+function arrive(
+  state: AdmissionState,
+  arrival: Arrival,
+  options: AdmissionOptions,
+): AdmissionStep {
+  const waitMs = expectedWaitMs(state, arrival.requestClass);
+  const refusal = refusalOf(state, arrival, { ...options, waitMs });
+  if (refusal !== undefined) {
+    const step = grant(state, options);
+    return { state: step.state, effects: [refusal, ...step.effects] };
+  }
+  return grant({ ...state, waiting: state.waiting.push(arrival) }, options);
+}
+
+function refusalOf(
+  state: AdmissionState,
+  arrival: Arrival,
+  options: AdmissionOptions & { readonly waitMs: number },
+): AdmissionEffect | undefined {
+  const { limits, nowMs, waitMs } = options;
+  const ownCount = state.waiting.count((one) =>
+    one.workspace === arrival.workspace
+  );
+  const isFull = state.waiting.size >= limits.queueLimit ||
+    ownCount >= limits.workspaceQueueLimit;
+  if (!isFull && nowMs + waitMs <= arrival.startByMs) return undefined;
+  return refuse(arrival, "overloaded", { limits, waitMs });
+}
+
+function refuse(
+  arrival: Arrival,
+  reason: "overloaded" | "deadline_exceeded",
+  options: { readonly limits: AdmissionLimits; readonly waitMs: number },
+): AdmissionEffect {
+  const { limits, waitMs } = options;
+  const retryAfterMs = Math.min(
+    limits.longestRetryMs,
+    Math.max(limits.shortestRetryMs, Math.ceil(waitMs)),
+  );
+  return { kind: "refuse", requestId: arrival.requestId, reason, retryAfterMs };
+}
+
+function leave(
+  state: AdmissionState,
+  requestId: string,
+  nowMs: number,
+): AdmissionState {
+  const run = state.running.get(requestId);
+  if (run === undefined) {
+    const waiting = state.waiting.filter((one) => one.requestId !== requestId);
+    return { ...state, waiting };
+  }
+  const ranMs = nowMs - run.startedAtMs;
+  return {
+    ...state,
+    running: state.running.delete(requestId),
+    meanRunMs: state.meanRunMs + SMOOTHING_SHARE * (ranMs - state.meanRunMs),
+  };
+}
+
+function grant(
+  start: AdmissionState,
+  options: AdmissionOptions,
+): AdmissionStep {
+  const expired = expire(start, options);
+  const effects: AdmissionEffect[] = [...expired.effects];
+  let state = expired.state;
+  while (state.running.size < state.runningLimit) {
+    const next = nextArrival(state);
+    if (next === undefined) break;
+    state = admit(state, next, options.nowMs);
+    effects.push({ kind: "admit", requestId: next.requestId });
+  }
+  return { state, effects };
+}
+
+function expire(
+  state: AdmissionState,
+  options: AdmissionOptions,
+): AdmissionStep {
+  const isLate = (one: Arrival): boolean => one.startByMs < options.nowMs;
+  const late = state.waiting.filter(isLate);
+  if (late.isEmpty()) return { state, effects: [] };
+  const effects = late.toArray().map((one) =>
+    refuse(one, "deadline_exceeded", {
+      limits: options.limits,
+      waitMs: expectedWaitMs(state, one.requestClass),
+    })
+  );
+  return {
+    state: { ...state, waiting: state.waiting.filterNot(isLate) },
+    effects,
+  };
+}
+
+function admit(
+  state: AdmissionState,
+  arrival: Arrival,
+  nowMs: number,
+): AdmissionState {
+  const start = startShare(state, arrival.workspace);
+  return {
+    ...state,
+    running: state.running.set(arrival.requestId, {
+      arrival,
+      startedAtMs: nowMs,
+    }),
+    waiting: state.waiting.filter((one) => one !== arrival),
+    usedShare: prunedShares(state, start)
+      .set(arrival.workspace, start + 1 / arrival.fairWeight),
+    virtualTime: start,
+    grantCount: state.grantCount + 1,
+  };
+}
--- /dev/null
+++ b/src/decision/route.ts
@@ -0,0 +1,167 @@
+/**
+ * Route choice: which backend server of a version takes a request. Candidates
+ * are filtered and scored in milliseconds of delay (money counts as delay by a
+ * rate of the class); a policy then picks among them.
+ */
+import {
+  type Random,
+  type RequestClass,
+  type VersionName,
+} from "../model/mod.ts";
+import { type BreakerState, isBreakerPassing } from "./breaker.ts";
+import {
+  estimateLoad,
+  type LatencyEstimate,
+  type LoadPrior,
+  type LoadView,
+} from "./load.ts";
+
+/** What is known of one backend server when a route is chosen. */
+export interface ServerView extends LoadView {
+  readonly server: string;
+  readonly place: string;
+  /** Versions loaded; `undefined` while the server has not been asked. */
+  readonly versions: ReadonlySet<VersionName> | undefined;
+  readonly isTakingWork: boolean;
+  readonly breaker: BreakerState;
+  /** Time to the first token on an idle slot, without the network. */
+  readonly firstToken: LatencyEstimate;
+  /** Time that one request holds a slot. */
+  readonly service: LatencyEstimate;
+  /** When this VM first sent work there; `undefined` before. */
+  readonly firstUsedAtMs: number | undefined;
+}
+
+/** What a route is chosen for. */
+export interface RouteRequest {
+  /** `undefined` for a plain service. */
+  readonly version: VersionName | undefined;
+  readonly requestClass: RequestClass;
+  /** Time left until the caller's deadline. */
+  readonly leftMs: number;
+  /** Servers already tried for this request. */
+  readonly excluded: ReadonlySet<string>;
+  /** Expected share of the prompt found in a server's prefix cache. */
+  readonly prefixShareOf: (server: string) => number;
+  /** Bytes expected over the link to the server, both ways. */
+  readonly transferBytes: number;
+}
+
+/** How unlike things are weighed against delay. */
+export interface RouteWeights {
+  /** Milliseconds of delay that one micro-euro is worth, by class. */
+  readonly msPerMicroEur: Readonly<Record<RequestClass, number>>;
+  /** Time over which a new server grows to its full share. */
+  readonly slowStartMs: number;
+  /** Delay added for each request in flight at first use of a new server. */
+  readonly slowStartPenaltyMs: number;
+  /** Candidates within this delay of the best are as good as it. */
+  readonly toleranceMs: number;
+}
+
+/** The surroundings of a choice. */
+export interface RouteContext {
+  readonly nowMs: number;
+  readonly random: Random;
+  readonly prior: LoadPrior;
+  /** One-way network delay to a place. */
+  readonly delayMsTo: (place: string) => number;
+  readonly egressMicroEurPerMbTo: (place: string) => number;
+  readonly weights: RouteWeights;
+}
+
+/** A candidate with its expected delay to the first token. */
+export interface ScoredServer {
+  readonly view: ServerView;
+  readonly firstTokenMs: number;
+  readonly scoreMs: number;
+}
+
+/** Picks one of the candidates, which are never empty. */
+export type RoutePolicy = (
+  candidates: readonly ScoredServer[],
+  context: RouteContext,
+) => ScoredServer;
+
+/** Why no server could be chosen. */
+export type NoRouteReason = "none_loaded" | "none_passing" | "too_late";
+
+/** A chosen server, or why there is none. */
+export type RouteChoice =
+  | { readonly kind: "server"; readonly chosen: ScoredServer }
+  | { readonly kind: "none"; readonly reason: NoRouteReason };
+
+/** The surroundings of a choice and who picks. */
+export interface RouteOptions {
+  readonly context: RouteContext;
+  readonly policy: RoutePolicy;
+}
+
+const BYTES_PER_MB = 1_000_000;
+
+/** Weights under which lookups buy speed and reviews save money. */
+export const DEFAULT_ROUTE_WEIGHTS: RouteWeights = {
+  msPerMicroEur: { lookup: 0.2, tagging: 2, drafting: 2, review: 20 },
+  slowStartMs: 10_000,
+  slowStartPenaltyMs: 50,
+  toleranceMs: 5,
+};
+
+/** Chooses a server for one attempt of a request. */
+export function chooseServer(
+  views: readonly ServerView[],
+  request: RouteRequest,
+  { context, policy }: RouteOptions,
+): RouteChoice {
+  const loaded = views.filter((view) => isCandidate(view, request));
+  if (loaded.length === 0) return { kind: "none", reason: "none_loaded" };
+  const passing = loaded.filter((view) =>
+    isBreakerPassing(view.breaker, context.nowMs)
+  );
+  if (passing.length === 0) return { kind: "none", reason: "none_passing" };
+  const scored = passing.map((view) => scoreServer(view, request, context));
+  const timely = scored.filter((one) => one.firstTokenMs <= request.leftMs);
+  if (timely.length === 0) return { kind: "none", reason: "too_late" };
+  return { kind: "server", chosen: policy(timely, context) };
+}
+
+function isCandidate(view: ServerView, request: RouteRequest): boolean {
+  if (!view.isTakingWork || request.excluded.has(view.server)) return false;
+  if (request.version === undefined) return true;
+  return view.versions?.has(request.version) ?? false;
+}
+
+/** The expected delay to the first token, and the score of one server. */
+export function scoreServer(
+  view: ServerView,
+  request: RouteRequest,
+  context: RouteContext,
+): ScoredServer {
+  const load = estimateLoad(view, context);
+  const aheadCount = Math.max(0, load.workCount - load.slotCount + 1);
+  const waitMs = aheadCount * view.service.meanMs / load.slotCount;
+  const missShare = 1 - request.prefixShareOf(view.server);
+  const networkMs = 2 * context.delayMsTo(view.place);
+  const firstTokenMs = networkMs + waitMs + view.firstToken.meanMs * missShare;
+  const crowdingMs = Math.min(1, load.loadShare) * view.firstToken.meanMs;
+  const scoreMs = firstTokenMs + crowdingMs +
+    moneyMs(view, request, context) + slowStartMs(view, context);
+  return { view, firstTokenMs, scoreMs };
+}
+
+function moneyMs(
+  view: ServerView,
+  request: RouteRequest,
+  context: RouteContext,
+): number {
+  const priceMicroEur = context.egressMicroEurPerMbTo(view.place) *
+    request.transferBytes / BYTES_PER_MB;
+  return priceMicroEur * context.weights.msPerMicroEur[request.requestClass];
+}
+
+function slowStartMs(view: ServerView, context: RouteContext): number {
+  if (view.firstUsedAtMs === undefined) return 0;
+  const usedMs = context.nowMs - view.firstUsedAtMs;
+  const leftShare = Math.max(0, 1 - usedMs / context.weights.slowStartMs);
+  return leftShare * context.weights.slowStartPenaltyMs * view.ownInFlightCount;
+}
--- /dev/null
+++ b/src/decision/route_policy.ts
@@ -0,0 +1,88 @@
+/**
+ * Policies that pick among scored servers: the one in use and the baselines it
+ * is measured against.
+ */
+import { estimateLoad } from "./load.ts";
+import {
+  type RouteContext,
+  type RoutePolicy,
+  type ScoredServer,
+} from "./route.ts";
+
+/**
+ * The less loaded of two random ones among the best, so that VMs with the same
+ * lagging reports do not all choose one server.
+ */
+export function twoChoices(
+  candidates: readonly ScoredServer[],
+  context: RouteContext,
+): ScoredServer {
+  const boundMs = lowest(candidates, scoreOf).scoreMs +
+    context.weights.toleranceMs;
+  const near = candidates.filter((one) => one.scoreMs <= boundMs);
+  const pair = [pickRandom(near, context), pickRandom(near, context)];
+  return lowest(pair, scoreOf);
+}
+
+/** Baseline: any candidate. */
+export function randomChoice(
+  candidates: readonly ScoredServer[],
+  context: RouteContext,
+): ScoredServer {
+  return pickRandom(candidates, context);
+}
+
+/** Baseline: the candidates in turn. */
+export function createRoundRobin(): RoutePolicy {
+  let turn = 0;
+  return (candidates) => {
+    const sorted = [...candidates].sort((a, b) =>
+      a.view.server < b.view.server ? -1 : 1
+    );
+    turn += 1;
+    return at(sorted, turn % sorted.length);
+  };
+}
+
+/** Baseline: the least load by report alone. */
+export function leastReportedLoad(
+  candidates: readonly ScoredServer[],
+  context: RouteContext,
+): ScoredServer {
+  return lowest(candidates, (one) => {
+    const view = { report: one.view.report, ownInFlightCount: 0 };
+    return estimateLoad(view, context).loadShare;
+  });
+}
+
+function scoreOf(one: ScoredServer): number {
+  return one.scoreMs;
+}
+
+function lowest(
+  candidates: readonly ScoredServer[],
+  valueOf: (one: ScoredServer) => number,
+): ScoredServer {
+  let best = at(candidates, 0);
+  let bestValue = valueOf(best);
+  for (const candidate of candidates) {
+    const value = valueOf(candidate);
+    if (value >= bestValue) continue;
+    best = candidate;
+    bestValue = value;
+  }
+  return best;
+}
+
+function pickRandom(
+  candidates: readonly ScoredServer[],
+  context: RouteContext,
+): ScoredServer {
+  return at(candidates, Math.floor(context.random() * candidates.length));
+}
+
+function at(candidates: readonly ScoredServer[], index: number): ScoredServer {
+  const found = candidates[index];
+  if (found === undefined) throw new RangeError("a policy needs a candidate");
+  return found;
+}
