Add stand-ins of the platform and of backend servers

Cause: every other part needs something that speaks the platform's protocols and can fail on demand.

--- /dev/null
+++ b/standin/engine_cache.ts
@@ -0,0 +1,105 @@
+/**
+ * The prompt cache of an engine: prefixes of conversations in limited memory,
+ * least recently used out first, with events that are published late and with
+ * gaps in their sequence.
+ */
+import { createHash } from "node:crypto";
+import { performance } from "node:perf_hooks";
+
+const MAX_EVENTS = 10_000;
+
+/** One message as an engine reads it. */
+export interface CachedMessage {
+  readonly role: string;
+  readonly content: string;
+}
+
+/** One published event. */
+export interface CacheEvent {
+  readonly sequence: number;
+  readonly kind: "stored" | "evicted";
+  readonly prefixHash: string;
+}
+
+interface TimedEvent extends CacheEvent {
+  readonly fromMs: number;
+}
+
+/** How the cache is set up. */
+export interface EngineCacheOptions {
+  readonly entryCount: number;
+  readonly eventLagMs: number;
+  readonly gapEvery: number;
+}
+
+/** Hash of a version and the first messages of a conversation. */
+export function prefixHashOf(
+  version: string,
+  messages: readonly CachedMessage[],
+): string {
+  const parts = messages.map((message) => [message.role, message.content]);
+  const text = JSON.stringify([version, parts]);
+  return createHash("sha256").update(text).digest("hex").slice(0, 16);
+}
+
+/** The cache of one engine. */
+export class EngineCache {
+  readonly #options: EngineCacheOptions;
+  readonly #entries = new Set<string>();
+  #events: TimedEvent[] = [];
+  #sequence = 0;
+
+  constructor(options: EngineCacheOptions) {
+    this.#options = options;
+  }
+
+  /** Stores a conversation; answers how many of its messages were cached. */
+  store(version: string, messages: readonly CachedMessage[]): number {
+    let cachedCount = 0;
+    for (let count = 1; count <= messages.length; count += 1) {
+      const hash = prefixHashOf(version, messages.slice(0, count));
+      if (this.#entries.delete(hash)) cachedCount = count;
+      else this.#publish("stored", hash);
+      this.#entries.add(hash);
+    }
+    this.#evict();
+    return cachedCount;
+  }
+
+  /** The events after a sequence number that the lag lets through. */
+  eventsAfter(sequence: number): { events: CacheEvent[]; next: number } {
+    const shownMs = performance.now() - this.#options.eventLagMs;
+    const events = this.#events
+      .filter((one) => one.sequence > sequence && one.fromMs <= shownMs)
+      .map(({ sequence, kind, prefixHash }) => ({
+        sequence,
+        kind,
+        prefixHash,
+      }));
+    return { events, next: events.at(-1)?.sequence ?? sequence };
+  }
+
+  #evict(): void {
+    for (const hash of this.#entries) {
+      if (this.#entries.size <= this.#options.entryCount) return;
+      this.#entries.delete(hash);
+      this.#publish("evicted", hash);
+    }
+  }
+
+  #publish(kind: CacheEvent["kind"], prefixHash: string): void {
+    this.#sequence += 1;
+    const sequence = this.#sequence;
+    const { gapEvery } = this.#options;
+    if (gapEvery > 0 && sequence % gapEvery === 0) return;
+    this.#events.push({
+      sequence,
+      kind,
+      prefixHash,
+      fromMs: performance.now(),
+    });
+    if (this.#events.length > MAX_EVENTS) {
+      this.#events = this.#events.slice(-MAX_EVENTS / 2);
+    }
+  }
+}
--- /dev/null
+++ b/standin/plain_service.ts
@@ -0,0 +1,153 @@
+/**
+ * A plain service, such as a register of submissions. It counts how often each
+ * idempotency key took effect, and can be slow or die after the effect.
+ */
+import { performance } from "node:perf_hooks";
+import {
+  type Call,
+  HttpHost,
+  type ListenOptions,
+  pause,
+  sendError,
+  sendJson,
+  type Standin,
+} from "./http_host.ts";
+
+const MAX_SEEN = 200_000;
+
+/** How the service is set up. */
+export interface PlainServiceOptions {
+  readonly server: string;
+  readonly slotCount?: number;
+  /** Time that one call takes. */
+  readonly workMs?: number;
+}
+
+/** Faults of the service, changed at any time. */
+export interface PlainServiceSwitches {
+  isDown: boolean;
+  isLeaving: boolean;
+  delayMs: number;
+  /** How many further calls take effect and then lose their connection. */
+  diesAfterEffectCount: number;
+  /** How many further calls take effect and are then never answered. */
+  silentAfterEffectCount: number;
+}
+
+/** One call that took effect. */
+export interface SeenRun {
+  readonly server: string;
+  readonly requestId: string;
+  readonly key: string;
+  readonly method: string;
+  readonly target: string;
+  readonly atMs: number;
+}
+
+/** The plain service's stand-in. */
+export class PlainServiceStandin implements Standin {
+  readonly switches: PlainServiceSwitches = {
+    isDown: false,
+    isLeaving: false,
+    delayMs: 0,
+    diesAfterEffectCount: 0,
+    silentAfterEffectCount: 0,
+  };
+  readonly seen: SeenRun[] = [];
+  readonly server: string;
+  readonly #host: HttpHost;
+  readonly #slotCount: number;
+  readonly #workMs: number;
+  #runningCount = 0;
+  #sequence = 0;
+
+  constructor(options: PlainServiceOptions) {
+    this.server = options.server;
+    this.#slotCount = options.slotCount ?? 16;
+    this.#workMs = options.workMs ?? 5;
+    this.#host = new HttpHost((call) => this.#serve(call));
+  }
+
+  listen(options?: ListenOptions): Promise<string> {
+    return this.#host.listen(options);
+  }
+
+  close(): Promise<void> {
+    return this.#host.close();
+  }
+
+  /** How often a key took effect here. */
+  runCountOf(key: string): number {
+    return this.seen.filter((run) => run.key === key).length;
+  }
+
+  async #serve(call: Call): Promise<void> {
+    if (this.switches.isDown) {
+      call.response.destroy();
+      return;
+    }
+    if (call.url.pathname === "/load") return this.#sendLoad(call);
+    if (this.switches.isLeaving) {
+      return sendError(call.response, 410, "leaving");
+    }
+    this.#runningCount += 1;
+    try {
+      await this.#run(call);
+    } finally {
+      this.#runningCount -= 1;
+    }
+  }
+
+  async #run(call: Call): Promise<void> {
+    const key = String(call.headers["idempotency-key"] ?? "");
+    const requestId = String(call.headers["x-request-id"] ?? "");
+    const target = `${call.url.pathname}${call.url.search}`;
+    if (this.seen.length < MAX_SEEN) {
+      const atMs = performance.now();
+      const { server } = this;
+      this.seen.push({
+        server,
+        requestId,
+        key,
+        method: call.method,
+        target,
+        atMs,
+      });
+    }
+    await pause(this.#workMs + this.switches.delayMs);
+    if (this.#takeFault("diesAfterEffectCount")) {
+      call.response.destroy();
+      return;
+    }
+    if (this.#takeFault("silentAfterEffectCount")) return;
+    const { server } = this;
+    sendJson(call.response, 200, { server, requestId, key, target });
+  }
+
+  #takeFault(
+    name: "diesAfterEffectCount" | "silentAfterEffectCount",
+  ): boolean {
+    if (this.switches[name] <= 0) return false;
+    this.switches[name] -= 1;
+    return true;
+  }
+
+  #sendLoad(call: Call): void {
+    this.#sequence += 1;
+    sendJson(call.response, 200, {
+      server: this.server,
+      sequence: this.#sequence,
+      runningCount: this.#runningCount,
+      queuedCount: Math.max(0, this.#runningCount - this.#slotCount),
+      slotCount: this.#slotCount,
+      isLeaving: this.switches.isLeaving,
+    });
+  }
+}
+
+/** Creates a plain service. */
+export function createPlainService(
+  options: PlainServiceOptions,
+): PlainServiceStandin {
+  return new PlainServiceStandin(options);
+}
