--- /dev/null
+++ b/src/bin/process_settings.ts
@@ -0,0 +1,168 @@
+/**
+ * Settings of one process, from a JSON file: its own addresses and place, the
+ * platform's addresses, keys and bounds. All faults are found in one pass, each
+ * with its path, what was expected and what was found; an unknown key is one.
+ */
+import { readFileSync } from "node:fs";
+import { err, ok, Result } from "neverthrow";
+import { z } from "zod";
+import { settingsPathSchema } from "../model/mod.ts";
+
+/** Exit status of a process whose settings are faulty. */
+export const BAD_SETTINGS_STATUS = 78;
+
+const nameSchema = z.string().regex(
+  /^[a-z0-9][a-z0-9._-]{0,63}$/,
+  "expected a name in lower case",
+);
+const hostSchema = z.string().min(1).max(253);
+const portSchema = z.number().int().min(0).max(65_535);
+const urlSchema = z.url({ protocol: /^https?$/ });
+const keySchema = z.string().min(16, "expected a key of 16 or more characters");
+const durationMsSchema = z.number().int().min(1).max(86_400_000);
+
+const listenSchema = z.strictObject({
+  host: hostSchema,
+  /** 0 lets the system choose. */
+  httpPort: portSchema,
+  peerPort: portSchema,
+});
+
+const platformSchema = z.strictObject({
+  logUrl: urlSchema,
+  vmListUrl: urlSchema,
+  ratingUrl: urlSchema,
+  weightStoreUrl: urlSchema,
+});
+
+const logSchema = z.strictObject({
+  requestShards: z.number().int().min(1).max(1024),
+  billShards: z.number().int().min(1).max(1024),
+  appendBudgetPerSecond: z.number().min(1).max(100_000),
+  queueLimit: z.number().int().min(1).max(1_000_000),
+  /** How long a request waits for an append before it is refused. */
+  appendTimeoutMs: durationMsSchema,
+  retentionMs: durationMsSchema,
+});
+
+const placeDelaySchema = z.strictObject({
+  place: nameSchema,
+  region: nameSchema,
+  /** One-way network delay from this VM. */
+  delayMs: z.number().min(0).max(10_000),
+});
+
+const accessSchema = z.strictObject({
+  /** Empty where operators are not checked. */
+  operatorToken: z.string(),
+  /** Empty where callers are not checked. */
+  workspaceTokens: z.array(
+    z.strictObject({ workspace: settingsPathSchema, token: keySchema }),
+  ),
+  /** Key of session tokens, the same on every VM. */
+  sessionTokenKey: keySchema,
+  /** Key of the handshake between VMs, the same on every VM. */
+  peerKey: keySchema,
+});
+
+const limitsSchema = z.strictObject({
+  bodyLimitBytes: z.number().int().min(1024).max(64 * 1024 * 1024),
+  runningLimit: z.number().int().min(1).max(100_000),
+  queueLimit: z.number().int().min(0).max(100_000),
+  keptAnswerCount: z.number().int().min(0).max(1_000_000),
+  keptAnswerBytes: z.number().int().min(0),
+  outboxLimit: z.number().int().min(1).max(1_000_000),
+  firstByteTimeoutMs: durationMsSchema,
+  betweenTokensTimeoutMs: durationMsSchema,
+});
+
+const timingSchema = z.strictObject({
+  probePeriodMs: durationMsSchema,
+  vmListPeriodMs: durationMsSchema,
+  loadPeriodMs: durationMsSchema,
+  /** How long a caller may keep the addresses it was given. */
+  entriesMaxAgeMs: durationMsSchema,
+  controllerPeriodMs: durationMsSchema,
+});
+
+const metricsSchema = z.strictObject({ host: hostSchema, port: portSchema });
+
+/** Codec of a process's settings. */
+export const processSettingsSchema = z.strictObject({
+  deployment: nameSchema,
+  vm: nameSchema,
+  place: nameSchema,
+  listen: listenSchema,
+  platform: platformSchema,
+  log: logSchema,
+  places: z.array(placeDelaySchema).min(1).max(64),
+  access: accessSchema,
+  limits: limitsSchema,
+  timing: timingSchema,
+  metrics: metricsSchema.optional(),
+});
+
+/** A process's settings. */
+export type ProcessSettings = Readonly<z.infer<typeof processSettingsSchema>>;
+
+/** Why a settings file was refused: one line for each fault. */
+export class SettingsFileError extends Error {
+  override readonly name = "SettingsFileError";
+
+  /** Each with its path, what was expected and what was found. */
+  readonly faults: readonly string[];
+
+  constructor(file: string, faults: readonly string[]) {
+    super(`${file}: ${faults.length} faults`);
+    this.faults = faults;
+  }
+}
+
+/** Reads and checks a settings file. */
+export function readProcessSettings(
+  file: string,
+): Result<ProcessSettings, SettingsFileError> {
+  return readJson(file).andThen((json) => checkProcessSettings(json, file));
+}
+
+/** Checks settings that were read from `file`. */
+export function checkProcessSettings(
+  json: unknown,
+  file: string,
+): Result<ProcessSettings, SettingsFileError> {
+  const parsed = processSettingsSchema.safeParse(json, { reportInput: true });
+  if (!parsed.success) {
+    return err(new SettingsFileError(file, parsed.error.issues.map(faultOf)));
+  }
+  const { place, places } = parsed.data;
+  if (places.some((one) => one.place === place)) return ok(parsed.data);
+  const fault = `places: expected an entry for "${place}", found none`;
+  return err(new SettingsFileError(file, [fault]));
+}
+
+function readJson(file: string): Result<unknown, SettingsFileError> {
+  const read = Result.fromThrowable(
+    () => JSON.parse(readFileSync(file, "utf8")) as unknown,
+    (error) => new SettingsFileError(file, [messageOf(error)]),
+  );
+  return read();
+}
+
+function messageOf(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
+}
+
+function faultOf(issue: z.core.$ZodIssue): string {
+  const path = issue.path.join(".") || "(top)";
+  if (issue.code === "unrecognized_keys") {
+    return `${path}: unknown keys ${issue.keys.join(", ")}`;
+  }
+  return `${path}: ${issue.message}, found ${describe(issue.input)}`;
+}
+
+function describe(value: unknown): string {
+  if (value === undefined) return "nothing";
+  if (typeof value === "string") return `a text of ${value.length} characters`;
+  if (typeof value === "number") return String(value);
+  return Array.isArray(value) ? "a list" : typeof value;
+}
--- a/src/platform/mod.ts
+++ b/src/platform/mod.ts
@@ -1,2 +1,4 @@
 /** Clients of the platform: log, VM list, engines, services and ratings. */
+export * from "./effects.ts";
 export * from "./journal.ts";
+export * from "./telemetry.ts";
