Bound the request and bill states by windows

A static private method beside a static field of the same class made the built modules fail on import ("undefined is not a constructor"), and pins, claims and bills grew without bound.

Both states are now plain fields moved on by functions. The oldest pins, claims and bills leave by number and size of the newer ones, so all VMs drop the same ones at the same record.

--- a/src/state/ledger.ts
+++ b/src/state/ledger.ts
@@ -1,83 +1,112 @@
-/** Bills, by replay of the bill streams; the first bill of a request wins. */
-import { Map as PersistentMap } from "immutable";
+/**
+ * Bills, by replay of the bill streams; the first bill of a request wins. Totals
+ * are kept for good, single bills for a window of the newest, so that a bill
+ * that is appended twice within the window counts once.
+ */
+import { List, Map as PersistentMap } from "immutable";
 import { type SettingsPath } from "../model/mod.ts";
 import { type Position, positionOf, START_POSITION } from "./position.ts";
 import { type LogEntry, type RecordOf } from "./record.ts";
 
+/** Bills of one stream that are kept singly; alike on every VM. */
+export const MAX_BILLS = 50_000;
+
 /** What a workspace has been billed. */
 export interface LedgerTotal {
   readonly billCount: number;
   readonly priceMicroEur: number;
 }
 
+/** The parts of a ledger. */
+export interface LedgerFields {
+  readonly position: Position;
+  readonly billCount: number;
+  readonly bills: PersistentMap<string, RecordOf<"bill">>;
+  /** Request ids of the bills kept, oldest first. */
+  readonly order: List<string>;
+  readonly totals: PersistentMap<SettingsPath, LedgerTotal>;
+}
+
 /** The bills of one stream. */
 export class LedgerState {
-  /** Position of the newest record applied. */
-  readonly position: Position;
-  readonly #bills: PersistentMap<string, RecordOf<"bill">>;
-  readonly #totals: PersistentMap<SettingsPath, LedgerTotal>;
+  /** The parts, for checkpoints. */
+  readonly fields: LedgerFields;
 
-  private constructor(
-    position: Position,
-    bills: PersistentMap<string, RecordOf<"bill">>,
-    totals: PersistentMap<SettingsPath, LedgerTotal>,
-  ) {
-    this.position = position;
-    this.#bills = bills;
-    this.#totals = totals;
+  private constructor(fields: LedgerFields) {
+    this.fields = fields;
   }
 
   /** The state before any record. */
-  static readonly empty: LedgerState = new LedgerState(
-    START_POSITION,
-    PersistentMap(),
-    PersistentMap(),
-  );
+  static readonly empty: LedgerState = LedgerState.of({
+    position: START_POSITION,
+    billCount: 0,
+    bills: PersistentMap(),
+    order: List(),
+    totals: PersistentMap(),
+  });
 
-  /** The bill that counts for a request. */
+  /** A ledger of these parts. */
+  static of(fields: LedgerFields): LedgerState {
+    return new LedgerState(fields);
+  }
+
+  /** Position of the newest record applied. */
+  get position(): Position {
+    return this.fields.position;
+  }
+
+  /** The bill that counts for a request, while it is kept. */
   billOf(requestId: string): RecordOf<"bill"> | undefined {
-    return this.#bills.get(requestId);
+    return this.fields.bills.get(requestId);
   }
 
   /** The number of requests billed. */
   get billCount(): number {
-    return this.#bills.size;
+    return this.fields.billCount;
   }
 
   /** What a workspace has been billed so far. */
   totalOf(workspace: SettingsPath): LedgerTotal {
-    return this.#totals.get(workspace) ?? { billCount: 0, priceMicroEur: 0 };
+    return this.fields.totals.get(workspace) ??
+      { billCount: 0, priceMicroEur: 0 };
   }
 
   /** The state after one log entry; entries at or before it change nothing. */
   apply(entry: LogEntry): LedgerState {
-    return LedgerState.#replay(this, entry);
-  }
-
-  static #replay(start: LedgerState, entry: LogEntry): LedgerState {
-    let state = start;
+    let fields = this.fields;
     for (const [index, record] of entry.records.entries()) {
       const position = positionOf(entry.offset, index);
-      if (position <= state.position) continue;
-      if (record.kind === "bill") state = state.#withBill(position, record);
-      else state = new LedgerState(position, state.#bills, state.#totals);
+      if (position <= fields.position) continue;
+      if (record.kind === "bill") fields = withBill(fields, record);
+      fields = { ...fields, position };
     }
-    return state;
+    return fields === this.fields ? this : new LedgerState(fields);
   }
+}
 
-  #withBill(position: Position, bill: RecordOf<"bill">): LedgerState {
-    if (this.#bills.has(bill.requestId)) {
-      return new LedgerState(position, this.#bills, this.#totals);
-    }
-    const before = this.totalOf(bill.workspace);
-    const total: LedgerTotal = {
-      billCount: before.billCount + 1,
-      priceMicroEur: before.priceMicroEur + bill.priceMicroEur,
-    };
-    return new LedgerState(
-      position,
-      this.#bills.set(bill.requestId, bill),
-      this.#totals.set(bill.workspace, total),
-    );
-  }
+function withBill(fields: LedgerFields, bill: RecordOf<"bill">): LedgerFields {
+  if (fields.bills.has(bill.requestId)) return fields;
+  const before = fields.totals.get(bill.workspace);
+  const total: LedgerTotal = {
+    billCount: (before?.billCount ?? 0) + 1,
+    priceMicroEur: (before?.priceMicroEur ?? 0) + bill.priceMicroEur,
+  };
+  return evict({
+    ...fields,
+    billCount: fields.billCount + 1,
+    bills: fields.bills.set(bill.requestId, bill),
+    order: fields.order.push(bill.requestId),
+    totals: fields.totals.set(bill.workspace, total),
+  });
+}
+
+function evict(fields: LedgerFields): LedgerFields {
+  if (fields.order.size <= MAX_BILLS) return fields;
+  const oldest = fields.order.first();
+  if (oldest === undefined) return fields;
+  return {
+    ...fields,
+    bills: fields.bills.delete(oldest),
+    order: fields.order.shift(),
+  };
 }
--- a/src/state/record.ts
+++ b/src/state/record.ts
@@ -190,6 +190,12 @@
   return "control";
 }
 
+/** One entry of the log before its payload is decoded. */
+export interface RawEntry {
+  readonly offset: number;
+  readonly payload: string;
+}
+
 /** One entry of the log as read: its offset and the records it carries. */
 export interface LogEntry {
   readonly offset: number;
--- a/src/state/requests.ts
+++ b/src/state/requests.ts
@@ -2,9 +2,14 @@
  * Pins and claims, by replay of the request streams. The first pin of a session
  * and the first claim of a key win; a key is free again only after an outcome
  * that says its claimed request was not run.
+ *
+ * The state is a window: the oldest pins and claims leave it by the number and
+ * size of newer ones, so that every VM drops the same ones at the same record.
+ * A key that has left the window cannot be claimed again.
  */
-import { Map as PersistentMap } from "immutable";
+import { List, Map as PersistentMap } from "immutable";
 import { type SettingsPath, type VersionName } from "../model/mod.ts";
+import { ExpiredKeys } from "./expired_keys.ts";
 import { type Position, positionOf, START_POSITION } from "./position.ts";
 import { type LogEntry, type RecordOf } from "./record.ts";
 
@@ -15,104 +20,218 @@
   readonly outcome: RecordOf<"outcome"> | undefined;
 }
 
+/** The pin of a session. */
+export interface PinState {
+  readonly position: Position;
+  readonly session: SettingsPath;
+  readonly version: VersionName;
+}
+
+/** Bounds of the window of one request stream. */
+export interface RequestWindow {
+  readonly maxPins: number;
+  readonly maxClaims: number;
+  /** Characters of all recorded answers together. */
+  readonly maxAnswerChars: number;
+}
+
+/** The window that every VM uses: replay must decide alike everywhere. */
+export const REQUEST_WINDOW: RequestWindow = {
+  maxPins: 20_000,
+  maxClaims: 20_000,
+  maxAnswerChars: 8 * 1024 * 1024,
+};
+
+/** The parts of a request state. */
+export interface RequestFields {
+  readonly position: Position;
+  readonly pins: PersistentMap<SettingsPath, PinState>;
+  readonly claims: PersistentMap<string, ClaimState>;
+  /** Pins and claims, oldest first; one replaced since stands twice. */
+  readonly pinOrder: List<PinState>;
+  readonly claimOrder: List<ClaimState>;
+  readonly answerChars: number;
+  readonly expired: ExpiredKeys;
+  readonly window: RequestWindow;
+}
+
 /** Pins and claims of one request stream. */
 export class RequestState {
-  /** Position of the newest record applied. */
-  readonly position: Position;
-  readonly #pins: PersistentMap<SettingsPath, VersionName>;
-  readonly #claims: PersistentMap<string, ClaimState>;
-
-  private constructor(
-    position: Position,
-    pins: PersistentMap<SettingsPath, VersionName>,
-    claims: PersistentMap<string, ClaimState>,
-  ) {
-    this.position = position;
-    this.#pins = pins;
-    this.#claims = claims;
+  /** The parts, for checkpoints. */
+  readonly fields: RequestFields;
+
+  private constructor(fields: RequestFields) {
+    this.fields = fields;
   }
 
   /** The state before any record. */
-  static readonly empty: RequestState = new RequestState(
-    START_POSITION,
-    PersistentMap(),
-    PersistentMap(),
-  );
+  static readonly empty: RequestState = RequestState.create(REQUEST_WINDOW);
+
+  /** The state before any record, with a window of its own. */
+  static create(window: RequestWindow): RequestState {
+    return RequestState.of({
+      position: START_POSITION,
+      pins: PersistentMap(),
+      claims: PersistentMap(),
+      pinOrder: List(),
+      claimOrder: List(),
+      answerChars: 0,
+      expired: ExpiredKeys.create(),
+      window,
+    });
+  }
+
+  /** A state of these parts. */
+  static of(fields: RequestFields): RequestState {
+    return new RequestState(fields);
+  }
+
+  /** Position of the newest record applied. */
+  get position(): Position {
+    return this.fields.position;
+  }
 
   /** The pinned version of a session. */
   pinOf(session: SettingsPath): VersionName | undefined {
-    return this.#pins.get(session);
+    return this.fields.pins.get(session)?.version;
   }
 
   /** The claim that holds a workspace's key. */
   claimOf(workspace: SettingsPath, key: string): ClaimState | undefined {
-    return this.#claims.get(claimKey(workspace, key));
+    return this.fields.claims.get(claimKey(workspace, key));
   }
 
-  /** The state after one log entry; entries at or before it change nothing. */
-  apply(entry: LogEntry): RequestState {
-    return RequestState.#replay(this, entry);
+  /** False for a key that has left the window and cannot be claimed again. */
+  isInWindow(workspace: SettingsPath, key: string): boolean {
+    return !this.fields.expired.has(claimKey(workspace, key));
   }
 
-  static #replay(start: RequestState, entry: LogEntry): RequestState {
-    let state = start;
+  /** The state after one log entry; entries at or before it change nothing. */
+  apply(entry: LogEntry): RequestState {
+    let fields = this.fields;
     for (const [index, record] of entry.records.entries()) {
       const position = positionOf(entry.offset, index);
-      if (position <= state.position) continue;
-      state = state.#applyRecord(position, record);
+      if (position <= fields.position) continue;
+      fields = { ...applyRecord(fields, position, record), position };
     }
-    return state;
+    return fields === this.fields ? this : new RequestState(fields);
   }
+}
 
-  #applyRecord(
-    position: Position,
-    record: LogEntry["records"][number],
-  ): RequestState {
-    const pins = record.kind === "pin" ? this.#withPin(record) : this.#pins;
-    const claims = this.#withClaims(position, record);
-    return new RequestState(position, pins, claims);
+function applyRecord(
+  fields: RequestFields,
+  position: Position,
+  record: LogEntry["records"][number],
+): RequestFields {
+  switch (record.kind) {
+    case "pin":
+      return withPin(fields, position, record);
+    case "claim":
+      return withClaim(fields, position, record);
+    case "outcome":
+      return withOutcome(fields, record);
+    default:
+      return fields;
   }
+}
 
-  #withPin(record: RecordOf<"pin">): PersistentMap<SettingsPath, VersionName> {
-    if (this.#pins.has(record.session)) return this.#pins;
-    return this.#pins.set(record.session, record.version);
-  }
+function withPin(
+  fields: RequestFields,
+  position: Position,
+  record: RecordOf<"pin">,
+): RequestFields {
+  const { session, version } = record;
+  if (fields.pins.has(session)) return fields;
+  const pin: PinState = { position, session, version };
+  return evictPins({
+    ...fields,
+    pins: fields.pins.set(session, pin),
+    pinOrder: fields.pinOrder.push(pin),
+  });
+}
 
-  #withClaims(
-    position: Position,
-    record: LogEntry["records"][number],
-  ): PersistentMap<string, ClaimState> {
-    if (record.kind === "claim") return this.#withClaim(position, record);
-    if (record.kind === "outcome") return this.#withOutcome(record);
-    return this.#claims;
-  }
+function evictPins(fields: RequestFields): RequestFields {
+  if (fields.pins.size <= fields.window.maxPins) return fields;
+  const oldest = fields.pinOrder.first();
+  if (oldest === undefined) return fields;
+  return {
+    ...fields,
+    pins: fields.pins.delete(oldest.session),
+    pinOrder: fields.pinOrder.shift(),
+  };
+}
 
-  #withClaim(
-    position: Position,
-    claim: RecordOf<"claim">,
-  ): PersistentMap<string, ClaimState> {
-    const key = claimKey(claim.workspace, claim.key);
-    const held = this.#claims.get(key);
-    if (held !== undefined && held.outcome?.result !== "not_run") {
-      return this.#claims;
-    }
-    if (held?.claim.id === claim.id) return this.#claims;
-    return this.#claims.set(key, { position, claim, outcome: undefined });
+function withClaim(
+  fields: RequestFields,
+  position: Position,
+  claim: RecordOf<"claim">,
+): RequestFields {
+  const key = claimKey(claim.workspace, claim.key);
+  const held = fields.claims.get(key);
+  if (held !== undefined && held.outcome?.result !== "not_run") return fields;
+  if (held?.claim.id === claim.id) return fields;
+  if (fields.expired.has(key)) return fields;
+  const next: ClaimState = { position, claim, outcome: undefined };
+  return evictClaims({
+    ...fields,
+    claims: fields.claims.set(key, next),
+    claimOrder: fields.claimOrder.push(next),
+    answerChars: fields.answerChars - answerCharsOf(held),
+  });
+}
+
+function withOutcome(
+  fields: RequestFields,
+  outcome: RecordOf<"outcome">,
+): RequestFields {
+  const key = claimKey(outcome.workspace, outcome.key);
+  const held = fields.claims.get(key);
+  if (held === undefined || held.claim.id !== outcome.claimId) return fields;
+  if (held.outcome !== undefined && held.outcome.result !== "unknown") {
+    return fields;
   }
+  const next: ClaimState = { ...held, outcome };
+  return evictClaims({
+    ...fields,
+    claims: fields.claims.set(key, next),
+    answerChars: fields.answerChars + answerCharsOf(next) -
+      answerCharsOf(held),
+  });
+}
 
-  #withOutcome(
-    outcome: RecordOf<"outcome">,
-  ): PersistentMap<string, ClaimState> {
-    const key = claimKey(outcome.workspace, outcome.key);
-    const held = this.#claims.get(key);
-    if (held === undefined || held.claim.id !== outcome.claimId) {
-      return this.#claims;
-    }
-    if (held.outcome !== undefined && held.outcome.result !== "unknown") {
-      return this.#claims;
-    }
-    return this.#claims.set(key, { ...held, outcome });
+function evictClaims(start: RequestFields): RequestFields {
+  let fields = start;
+  while (isOverBound(fields)) {
+    const oldest = fields.claimOrder.first();
+    if (oldest === undefined) return fields;
+    fields = evictClaim(fields, oldest);
   }
+  return fields;
+}
+
+function isOverBound(fields: RequestFields): boolean {
+  const { maxClaims, maxAnswerChars } = fields.window;
+  return fields.claimOrder.size > maxClaims ||
+    fields.answerChars > maxAnswerChars;
+}
+
+function evictClaim(fields: RequestFields, oldest: ClaimState): RequestFields {
+  const claimOrder = fields.claimOrder.shift();
+  const key = claimKey(oldest.claim.workspace, oldest.claim.key);
+  const held = fields.claims.get(key);
+  if (held?.position !== oldest.position) return { ...fields, claimOrder };
+  const isFree = held.outcome?.result === "not_run";
+  return {
+    ...fields,
+    claimOrder,
+    claims: fields.claims.delete(key),
+    answerChars: fields.answerChars - answerCharsOf(held),
+    expired: isFree ? fields.expired : fields.expired.add(key),
+  };
+}
+
+function answerCharsOf(claim: ClaimState | undefined): number {
+  return claim?.outcome?.bodyBase64.length ?? 0;
 }
 
 function claimKey(workspace: SettingsPath, key: string): string {
