--- /dev/null
+++ b/src/platform/log_tail.ts
@@ -0,0 +1,112 @@
+/**
+ * Reads one stream by long polls and hands over each page in order. A failed
+ * read halves the page size, so that a page too large for the connection or
+ * for this process's bounds is followed by a smaller one.
+ */
+import {
+  type Clock,
+  type Logger,
+  type Metrics,
+  type Random,
+  type Sleep,
+} from "../model/mod.ts";
+import { Backoff } from "./backoff.ts";
+import { type LogClient, type LogPage } from "./log_client.ts";
+
+/** What a tail needs. */
+export interface TailOptions {
+  readonly stream: string;
+  readonly client: LogClient;
+  /** The offset to read from. */
+  readonly nextOffset: () => number;
+  /** Takes a page; `startedMs` is when its read began. */
+  readonly deliver: (page: LogPage, startedMs: number) => Promise<void>;
+  /** How long one poll may wait for new records. */
+  readonly waitMs: number;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly sleep: Sleep;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+const MAX_PAGE_ENTRIES = 500;
+const RETRY_BASE_MS = 50;
+const RETRY_CAP_MS = 2000;
+
+/** The reader of one stream. */
+export class LogTail {
+  readonly #options: TailOptions;
+  readonly #backoff: Backoff;
+  readonly #closing = new AbortController();
+  #pageLimit = MAX_PAGE_ENTRIES;
+  #isReachable = false;
+  #loop: Promise<void> | undefined;
+
+  constructor(options: TailOptions) {
+    this.#options = options;
+    this.#backoff = new Backoff({
+      baseMs: RETRY_BASE_MS,
+      capMs: RETRY_CAP_MS,
+      random: options.random,
+    });
+  }
+
+  /** Whether the log answered the last read. */
+  get isReachable(): boolean {
+    return this.#isReachable;
+  }
+
+  /** Starts the long polls. */
+  start(): void {
+    this.#loop ??= this.#run();
+  }
+
+  /** Stops the long polls; resolves when none is left. */
+  async close(): Promise<void> {
+    this.#closing.abort();
+    await this.#loop;
+  }
+
+  /** Reads to the stream's end without waiting; false when a read failed. */
+  async readToEnd(): Promise<boolean> {
+    while (!this.#closing.signal.aborted) {
+      const page = await this.#read(0);
+      if (page === undefined) return false;
+      if (this.#options.nextOffset() >= page.next) return true;
+      if (page.entries.length === 0) return false;
+    }
+    return false;
+  }
+
+  async #run(): Promise<void> {
+    const { signal } = this.#closing;
+    while (!signal.aborted) {
+      const page = await this.#read(this.#options.waitMs);
+      if (page !== undefined) this.#backoff.reset();
+      else await this.#options.sleep(this.#backoff.next(), signal);
+    }
+  }
+
+  async #read(waitMs: number): Promise<LogPage | undefined> {
+    const { client, stream, clock, logger, metrics } = this.#options;
+    const startedMs = clock();
+    const page = await client.read(stream, {
+      from: this.#options.nextOffset(),
+      limit: this.#pageLimit,
+      waitMs,
+      signal: this.#closing.signal,
+    });
+    if (this.#closing.signal.aborted) return undefined;
+    this.#isReachable = page.isOk();
+    if (page.isErr()) {
+      this.#pageLimit = Math.max(1, Math.floor(this.#pageLimit / 2));
+      metrics.count("log.read_failed", 1, { stream });
+      logger.warn("read failed", { stream, reason: page.error.message });
+      return undefined;
+    }
+    this.#pageLimit = Math.min(MAX_PAGE_ENTRIES, this.#pageLimit * 2);
+    await this.#options.deliver(page.value, startedMs);
+    return page.value;
+  }
+}
--- /dev/null
+++ b/src/platform/log_writer.ts
@@ -0,0 +1,241 @@
+/**
+ * Group commit of one stream: records wait in a bounded queue and go out as one
+ * batch a turn, one batch in flight at a time. A record is confirmed when its
+ * id is replayed, never by the service's answer alone. After a lost answer the
+ * stream is read to its end before the records that are still missing are sent
+ * again, so that a duplicate arises only from an effect later than that.
+ */
+import { err, ok, type Result } from "neverthrow";
+import {
+  type Clock,
+  type Logger,
+  type Metrics,
+  type Random,
+  type Sleep,
+} from "../model/mod.ts";
+import {
+  encodeBatch,
+  type LogEntry,
+  type LogRecord,
+  MAX_BATCH_RECORDS,
+  type Position,
+  positionOf,
+  type RawEntry,
+} from "../state/mod.ts";
+import { Backoff } from "./backoff.ts";
+import { type JournalError, JournalError as Fault } from "./journal.ts";
+import { type LogClient, type LogFailure } from "./log_client.ts";
+import { type AppendPace } from "./log_pace.ts";
+
+/** What a writer needs. */
+export interface WriterOptions {
+  readonly stream: string;
+  readonly client: LogClient;
+  readonly pace: AppendPace;
+  /** The most records that may wait for their confirmation. */
+  readonly queueLimit: number;
+  /** Reads the stream to its end; false when the log did not answer. */
+  readonly readBack: () => Promise<boolean>;
+  /** Told of each entry that the log took. */
+  readonly onAppended: (entry: RawEntry) => void;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly sleep: Sleep;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+type Outcome = Result<Position, JournalError>;
+
+interface PendingRecord {
+  readonly record: LogRecord;
+  /** `unsent` until the first attempt whose effect is unknown or certain. */
+  send: "unsent" | "maybe" | "appended";
+  readonly waiters: Set<(outcome: Outcome) => void>;
+}
+
+const RETRY_BASE_MS = 50;
+const RETRY_CAP_MS = 2000;
+const MAX_BATCH_CHARS = 512 * 1024;
+
+/** Appends records to one stream and confirms them by replay. */
+export class LogWriter {
+  readonly #options: WriterOptions;
+  readonly #pending = new Map<string, PendingRecord>();
+  readonly #backoff: Backoff;
+  #inFlight: readonly PendingRecord[] = [];
+  #isRunning = false;
+  #isClosed = false;
+
+  constructor(options: WriterOptions) {
+    this.#options = options;
+    this.#backoff = new Backoff({
+      baseMs: RETRY_BASE_MS,
+      capMs: RETRY_CAP_MS,
+      random: options.random,
+    });
+  }
+
+  /** Records that wait for their confirmation. */
+  get pendingCount(): number {
+    return this.#pending.size;
+  }
+
+  /** Appends a record; resolves when it was replayed or the time is over. */
+  append(record: LogRecord, timeoutMs: number): Promise<Outcome> {
+    if (this.#isClosed) return Promise.resolve(unavailable("it is closed"));
+    const waiting = this.#pending.get(record.id);
+    if (waiting === undefined && this.#isFull()) {
+      return Promise.resolve(
+        err(new Fault("full", `the queue of ${this.#options.stream} is full`)),
+      );
+    }
+    const pending = waiting ?? create(record);
+    this.#pending.set(record.id, pending);
+    const outcome = this.#outcomeOf(pending, timeoutMs);
+    void this.#run();
+    return outcome;
+  }
+
+  /** Confirms the records of an entry that was replayed. */
+  confirm(entry: LogEntry): void {
+    if (this.#pending.size === 0) return;
+    for (const [index, record] of entry.records.entries()) {
+      if (record.kind === "skipped") continue;
+      const pending = this.#pending.get(record.id);
+      if (pending === undefined) continue;
+      this.#settle(pending, ok(positionOf(entry.offset, index)));
+    }
+  }
+
+  /** Stops; what was never sent is unavailable, the rest unknown. */
+  close(): void {
+    this.#isClosed = true;
+    for (const pending of this.#pending.values()) {
+      this.#settle(pending, this.#expiryOf(pending, "the process stopped"));
+    }
+  }
+
+  #isFull(): boolean {
+    return this.#pending.size >= this.#options.queueLimit;
+  }
+
+  #outcomeOf(pending: PendingRecord, timeoutMs: number): Promise<Outcome> {
+    const timer = new AbortController();
+    return new Promise((resolve) => {
+      const settle = (outcome: Outcome): void => {
+        timer.abort();
+        resolve(outcome);
+      };
+      pending.waiters.add(settle);
+      this.#options.sleep(timeoutMs, timer.signal).then(() => {
+        if (!pending.waiters.delete(settle)) return;
+        if (pending.waiters.size === 0) this.#forget(pending);
+        resolve(this.#expiryOf(pending, `no confirmation in ${timeoutMs} ms`));
+      });
+    });
+  }
+
+  #settle(pending: PendingRecord, outcome: Outcome): void {
+    this.#forget(pending);
+    const waiters = [...pending.waiters];
+    pending.waiters.clear();
+    for (const settle of waiters) settle(outcome);
+  }
+
+  #forget(pending: PendingRecord): void {
+    if (this.#pending.get(pending.record.id) !== pending) return;
+    this.#pending.delete(pending.record.id);
+  }
+
+  #expiryOf(pending: PendingRecord, cause: string): Outcome {
+    const isSent = pending.send !== "unsent" ||
+      this.#inFlight.includes(pending);
+    this.#options.metrics.count("log.append_expired", 1, {
+      fault: isSent ? "unknown" : "unavailable",
+    });
+    if (!isSent) return unavailable(cause);
+    return err(new Fault("unknown", `the record may be in the log: ${cause}`));
+  }
+
+  async #run(): Promise<void> {
+    if (this.#isRunning) return;
+    this.#isRunning = true;
+    while (!this.#isClosed && this.#hasQueued()) await this.#step();
+    this.#isRunning = false;
+  }
+
+  #hasQueued(): boolean {
+    for (const pending of this.#pending.values()) {
+      if (pending.send !== "appended") return true;
+    }
+    return false;
+  }
+
+  async #step(): Promise<void> {
+    await this.#options.pace.turn();
+    const batch = this.#nextBatch();
+    if (batch.length === 0 || this.#isClosed) return;
+    const payload = encodeBatch(batch.map((pending) => pending.record));
+    this.#inFlight = batch;
+    const reply = await this.#options.client.append(
+      this.#options.stream,
+      payload,
+    );
+    this.#inFlight = [];
+    this.#options.metrics.count("log.append_batch");
+    if (reply.isErr()) return await this.#retryLater(batch, reply.error);
+    this.#backoff.reset();
+    for (const pending of batch) pending.send = "appended";
+    this.#options.onAppended({ offset: reply.value, payload });
+  }
+
+  #nextBatch(): PendingRecord[] {
+    const batch: PendingRecord[] = [];
+    let sizeChars = 0;
+    for (const pending of this.#pending.values()) {
+      if (pending.send === "appended") continue;
+      sizeChars += sizeOf(pending.record);
+      if (batch.length > 0 && sizeChars > MAX_BATCH_CHARS) break;
+      batch.push(pending);
+      if (batch.length === MAX_BATCH_RECORDS) break;
+    }
+    return batch;
+  }
+
+  async #retryLater(
+    batch: readonly PendingRecord[],
+    failure: LogFailure,
+  ): Promise<void> {
+    const { stream, logger, metrics, sleep, readBack } = this.#options;
+    metrics.count("log.append_failed", 1, { kind: failure.kind });
+    logger.warn("append failed", { stream, reason: failure.message });
+    await sleep(this.#backoff.next(failure.retryAfterMs));
+    if (failure.kind === "refused") return;
+    for (const pending of batch) pending.send = "maybe";
+    while (!this.#isClosed && this.#hasQueued()) {
+      if (await readBack()) return;
+      await sleep(this.#backoff.next());
+    }
+  }
+}
+
+function create(record: LogRecord): PendingRecord {
+  return { record, send: "unsent", waiters: new Set() };
+}
+
+function unavailable(cause: string): Outcome {
+  return err(
+    new Fault("unavailable", `the record is not in the log: ${cause}`),
+  );
+}
+
+/** Characters of the record's parts that may be long. */
+function sizeOf(record: LogRecord): number {
+  const overheadChars = 512;
+  if (record.kind === "checkpoint") return overheadChars + record.data.length;
+  if (record.kind === "outcome") {
+    return overheadChars + record.bodyBase64.length;
+  }
+  return overheadChars;
+}
--- a/src/platform/mod.ts
+++ b/src/platform/mod.ts
@@ -2,3 +2,6 @@
 export * from "./effects.ts";
 export * from "./journal.ts";
 export * from "./telemetry.ts";
+export * from "./log_client.ts";
+export * from "./log_journal.ts";
+export * from "./shard.ts";
--- /dev/null
+++ b/test/state/journal_test.ts
@@ -0,0 +1,116 @@
+/** The journal against the faults of the log service. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { positionOf } from "../../src/state/mod.ts";
+import { billOf, claimOf, createLogFixture, editOf } from "./fixture.ts";
+
+const APPEND = { timeoutMs: 5000 };
+
+test("an append resolves after its record was replayed", async () => {
+  const { time, open } = createLogFixture();
+  const journal = open();
+  journal.start();
+  const edit = editOf("e1", { set: { maxConcurrent: 9 } });
+  const position = await time.run(journal.append(edit, "", APPEND));
+  assert.equal(position._unsafeUnwrap(), positionOf(0, 0));
+  assert.equal(journal.control().tree.resolve("/").values.maxConcurrent, 9);
+  await time.run(journal.close());
+});
+
+test("records that wait for a turn go out as one batch", async () => {
+  const { time, log, open } = createLogFixture();
+  const journal = open({ writerCount: () => 300, appendBudgetPerSecond: 100 });
+  journal.start();
+  const claims = Array.from(
+    { length: 60 },
+    (_, index) => claimOf(`c${index}`, `k${index}`),
+  );
+  const appends = claims.map((claim) => journal.append(claim, "k", APPEND));
+  const outcomes = await time.run(Promise.all(appends));
+  assert.ok(outcomes.every((outcome) => outcome.isOk()));
+  assert.ok(log.appendCount <= 2, `${log.appendCount} appends`);
+  await time.run(journal.close());
+});
+
+test("a lost answer is read back and not appended again", async () => {
+  const { time, log, open } = createLogFixture();
+  const journal = open();
+  journal.start();
+  log.faults.lostAppendAnswers = 1;
+  const outcome = await time.run(journal.append(editOf("e1"), "", APPEND));
+  assert.equal(outcome._unsafeUnwrap(), positionOf(0, 0));
+  await time.pass(10_000);
+  assert.equal(log.stream("control").payloads.length, 1);
+  await time.run(journal.close());
+});
+
+test("an append that was lost on its way is sent again", async () => {
+  const { time, log, open } = createLogFixture();
+  const journal = open();
+  journal.start();
+  log.faults.lostAppends = 2;
+  const outcome = await time.run(journal.append(editOf("e1"), "", APPEND));
+  assert.ok(outcome.isOk());
+  assert.equal(log.stream("control").payloads.length, 1);
+  await time.run(journal.close());
+});
+
+test("an outage makes an append unavailable, and it never shows up", async () => {
+  const { time, log, open } = createLogFixture();
+  const journal = open();
+  journal.start();
+  log.faults.isDown = true;
+  const outcome = await time.run(journal.append(editOf("e1"), "", APPEND));
+  assert.equal(outcome._unsafeUnwrapErr().fault, "unavailable");
+  assert.equal(journal.freshness().isLogReachable, false);
+  log.faults.isDown = false;
+  await time.pass(30_000);
+  assert.equal(log.stream("control").payloads.length, 0);
+  assert.ok(journal.freshness().ageMs < 5000);
+  await time.run(journal.close());
+});
+
+test("an append whose effect stays unknown says so", async () => {
+  const { time, log, open } = createLogFixture();
+  const journal = open();
+  journal.start();
+  log.faults.lostAppendAnswers = 1;
+  log.faults.isDownAfterLostAnswer = true;
+  const outcome = await time.run(journal.append(editOf("e1"), "", APPEND));
+  assert.equal(outcome._unsafeUnwrapErr().fault, "unknown");
+  log.faults.isDown = false;
+  await time.pass(30_000);
+  assert.notEqual(journal.control().editOf("e1"), undefined);
+  await time.run(journal.close());
+});
+
+test("the queue is bounded", async () => {
+  const { time, log, open } = createLogFixture();
+  const journal = open({ queueLimit: 2 });
+  journal.start();
+  log.faults.isDown = true;
+  const first = [
+    journal.append(claimOf("c1", "k1"), "k", APPEND),
+    journal.append(claimOf("c2", "k2"), "k", APPEND),
+  ];
+  const third = await journal.append(claimOf("c3", "k3"), "k", APPEND);
+  assert.equal(third._unsafeUnwrapErr().fault, "full");
+  await time.run(Promise.all(first));
+  await time.run(journal.close());
+});
+
+test("a process that reads no bills is told by the log's answer", async () => {
+  const { time, log, open } = createLogFixture();
+  const journal = open({ readsBills: false });
+  journal.start();
+  log.faults.lostAppendAnswers = 1;
+  const outcome = await time.run(
+    journal.append(billOf("b1", "r1"), "r1", APPEND),
+  );
+  assert.ok(outcome.isOk());
+  const reader = open();
+  reader.start();
+  assert.ok(await time.run(reader.whenCurrent(5000)));
+  assert.equal(reader.billOf("r1")?.id, "b1");
+  await time.run(Promise.all([journal.close(), reader.close()]));
+});
