--- /dev/null
+++ b/src/decision/exposure.ts
@@ -0,0 +1,56 @@
+/**
+ * Which keys a roll-out exposes to its new version. A key is a session's path,
+ * or a request's id outside sessions. The share is a hash of the key, so every
+ * VM that holds the same revision gives the same answer without asking, and a
+ * key that is exposed at one step stays exposed at the next.
+ */
+import { hashShare, type RolloutPlan, type VersionName } from "../model/mod.ts";
+import { type ControlState, type RolloutProgress } from "../state/mod.ts";
+import { type LocalStops } from "./local_stops.ts";
+
+/** The share of keys that a roll-out exposes now. */
+export function exposureShareOf(
+  plan: RolloutPlan,
+  progress: RolloutProgress | undefined,
+): number {
+  if (progress === undefined) return 0;
+  if (progress.step.version !== plan.version) return 0;
+  switch (progress.step.verdict) {
+    case "start":
+    case "advance":
+      return plan.stepShares[progress.step.stepIndex] ?? 0;
+    case "complete":
+      return 1;
+    case "withdraw":
+      return 0;
+  }
+}
+
+/** Whether a roll-out exposes this key at this share. */
+export function isExposed(
+  plan: RolloutPlan,
+  options: { readonly key: string; readonly exposureShare: number },
+): boolean {
+  const share = hashShare(`${plan.name} ${plan.version} ${options.key}`);
+  return share < options.exposureShare;
+}
+
+/**
+ * Whether the newest roll-out step of a version withdrew it, or this VM has
+ * stopped it.
+ */
+export function isFoundBad(
+  version: VersionName,
+  options: {
+    readonly control: ControlState;
+    readonly localStops: LocalStops;
+  },
+): boolean {
+  if (options.localStops.has(version)) return true;
+  let newest: RolloutProgress | undefined;
+  for (const progress of options.control.rollouts.values()) {
+    if (progress.step.version !== version) continue;
+    if (progress.position > (newest?.position ?? -1)) newest = progress;
+  }
+  return newest?.step.verdict === "withdraw";
+}
--- /dev/null
+++ b/src/decision/version_fixture.ts
@@ -0,0 +1,126 @@
+/** Fixtures of the tests about versions: settings, records and states. */
+import {
+  DEFAULT_SETTINGS,
+  type RequestClass,
+  type RolloutPlan,
+  type Settings,
+  type VersionName,
+} from "../model/mod.ts";
+import { ControlState, type LogRecord, type RecordOf } from "../state/mod.ts";
+import { LocalStops } from "./local_stops.ts";
+import { OwnRatings, QualityBook } from "./quality.ts";
+import { type SelectionInput } from "./selection.ts";
+
+/** Settings with a cheap, a middle and a dear version, and some replaced. */
+export function createSettings(changes: Partial<Settings> = {}): Settings {
+  return {
+    ...DEFAULT_SETTINGS,
+    allowed: ["small@1", "middle@1", "large@1"],
+    qualityTargetShare: 0.7,
+    catalogue: [
+      createEntry("small@1", 100, 0.55),
+      createEntry("middle@1", 1000, 0.82),
+      createEntry("middle@2", 900, 0.82),
+      createEntry("large@1", 5000, 0.95),
+    ],
+    ...changes,
+  };
+}
+
+/** A roll-out of middle@2 in place of middle@1. */
+export function createPlan(changes: Partial<RolloutPlan> = {}): RolloutPlan {
+  return {
+    name: "middle-2",
+    version: "middle@2",
+    baseline: "middle@1",
+    stepShares: [0.05, 0.25, 1],
+    minRatings: 30,
+    toleratedLossShare: 0.05,
+    falseStopShare: 0.01,
+    isPaused: false,
+    ...changes,
+  };
+}
+
+/** The control state after these records, each in an entry of its own. */
+export function createControl(records: readonly LogRecord[]): ControlState {
+  let state = ControlState.empty;
+  for (const record of records) {
+    const offset = Math.floor(state.position / 1024);
+    state = state.apply({ offset, records: [record] });
+  }
+  return state;
+}
+
+/** A step of the roll-out of middle@2. */
+export function createStep(
+  verdict: RecordOf<"rollout_step">["verdict"],
+  changes: Partial<RecordOf<"rollout_step">> = {},
+): RecordOf<"rollout_step"> {
+  return {
+    kind: "rollout_step",
+    id: `step-${verdict}-${changes.stepIndex ?? 0}`,
+    rollout: "middle-2",
+    version: "middle@2",
+    after: 0,
+    verdict,
+    stepIndex: 0,
+    reason: "",
+    ...changes,
+  };
+}
+
+/** A book with `count` ratings of one score for a version and class. */
+export function createBook(
+  ratings: readonly {
+    readonly version: VersionName;
+    readonly count: number;
+    readonly scoreShare: number;
+    readonly requestClass?: RequestClass;
+  }[],
+): QualityBook {
+  let own = OwnRatings.empty;
+  for (const { version, count, scoreShare, requestClass } of ratings) {
+    for (let index = 0; index < count; index += 1) {
+      own = own.add({
+        version,
+        requestClass: requestClass ?? "drafting",
+        scoreShare,
+      });
+    }
+  }
+  const records = ControlState.empty.quality;
+  return QualityBook.empty.refresh({ records, own, vm: "vm-1" });
+}
+
+/** What a request outside sessions is selected with. */
+export function createSelection(
+  changes: Partial<SelectionInput> = {},
+): SelectionInput {
+  return {
+    settings: createSettings(),
+    control: ControlState.empty,
+    quality: QualityBook.empty,
+    localStops: LocalStops.empty,
+    requestClass: "drafting",
+    key: "request-1",
+    isInSession: false,
+    pinned: undefined,
+    isRatingAvailable: true,
+    ...changes,
+  };
+}
+
+function createEntry(
+  version: VersionName,
+  price: number,
+  priorQualityShare: number,
+): Settings["catalogue"][number] {
+  return {
+    version,
+    inputPriceMicroEurPerMTok: price,
+    outputPriceMicroEurPerMTok: price * 4,
+    memoryMb: 1000,
+    priorQualityShare,
+  };
+}
