Add the clients of engines and plain services and the server directory

The data path needs calls whose errors tell whether anything can have run, and one table of what this VM knows of each backend server. Silence is bounded before the first frame and between frames; a silent connection is destroyed.

--- /dev/null
+++ b/src/platform/engine.ts
@@ -0,0 +1,259 @@
+/**
+ * Client of the model engines. A call ends in a stream of frames or in an error
+ * that says whether the engine can have run anything. Silence before the first
+ * frame and between frames is bounded, and a connection that went silent is
+ * destroyed, never used again.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { Agent, type Dispatcher } from "undici";
+import { z } from "zod";
+import {
+  type AnswerFrame,
+  type ChatMessage,
+  type VersionName,
+} from "../model/mod.ts";
+import { EventReader } from "./event_stream.ts";
+import { parseLoadReport, type ServerReport } from "./load_report.ts";
+import { isUnsent, readBounded } from "./transport.ts";
+import { Watchdog } from "./watchdog.ts";
+
+const MAX_ERROR_BYTES = 65_536;
+const CANCEL_TIMEOUT_MS = 1000;
+
+/** Why an engine gave no whole answer. */
+export type EngineFault =
+  /** No byte was written. */
+  | "unreachable"
+  /** The engine says that it ran nothing. */
+  | "not_loaded"
+  | "busy"
+  | "leaving"
+  /** Nothing came within the time allowed. */
+  | "silent"
+  /** The stream ended early or broke the protocol. */
+  | "broken"
+  /** The engine answered with another error. */
+  | "rejected"
+  /** The call was cancelled by its own signal. */
+  | "cancelled";
+
+/** An engine's failure to answer. */
+export class EngineError extends Error {
+  override readonly name = "EngineError";
+  /** What is known of the failure. */
+  readonly fault: EngineFault;
+
+  constructor(fault: EngineFault, message: string) {
+    super(message);
+    this.fault = fault;
+  }
+}
+
+/** Whether the engine certainly ran nothing. */
+export function isNothingRun(fault: EngineFault): boolean {
+  return fault === "unreachable" || fault === "not_loaded" ||
+    fault === "busy" || fault === "leaving";
+}
+
+/** One attempt to generate an answer. */
+export interface GenerateCall {
+  readonly address: string;
+  readonly requestId: string;
+  readonly attempt: number;
+  readonly version: VersionName;
+  readonly messages: readonly ChatMessage[];
+  readonly maxTokens: number;
+  readonly priority: number;
+  readonly fromIndex: number;
+  readonly prefix: string;
+}
+
+/** Bounds of one attempt. */
+export interface GenerateOptions {
+  readonly signal: AbortSignal;
+  readonly firstByteMs: number;
+  readonly betweenTokensMs: number;
+  /** Whether to open a connection of its own for this attempt. */
+  readonly isFresh: boolean;
+}
+
+/** A started answer. Frames end with an error unless the answer is whole. */
+export interface EngineStream {
+  readonly report: ServerReport | undefined;
+  readonly frames: AsyncIterable<Result<AnswerFrame, EngineError>>;
+}
+
+/** What the filters need of the engines. */
+export interface EngineTransport {
+  generate(
+    call: GenerateCall,
+    options: GenerateOptions,
+  ): Promise<Result<EngineStream, EngineError>>;
+  /** Cancels a request; gives the tokens produced, where the engine says so. */
+  cancel(address: string, requestId: string): Promise<number | undefined>;
+}
+
+const frameSchema = z.object({
+  requestId: z.string(),
+  attempt: z.number().int(),
+  index: z.number().int(),
+  text: z.string(),
+  isLast: z.boolean(),
+  usage: z.object({
+    inputTokens: z.number().int().min(0),
+    outputTokens: z.number().int().min(0),
+  }).nullish(),
+});
+
+/** Bounds of the connections to engines. */
+export interface EngineClientOptions {
+  readonly connectTimeoutMs: number;
+  readonly maxConnectionsPerServer: number;
+}
+
+/** Engines over HTTP. */
+export class EngineClient implements EngineTransport {
+  readonly #kept: Agent;
+  readonly #fresh: Agent;
+
+  constructor(options: EngineClientOptions) {
+    const shared = {
+      connect: { timeout: options.connectTimeoutMs },
+      connections: options.maxConnectionsPerServer,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    };
+    this.#kept = new Agent({ ...shared, pipelining: 1 });
+    this.#fresh = new Agent({ ...shared, pipelining: 0 });
+  }
+
+  async generate(
+    call: GenerateCall,
+    options: GenerateOptions,
+  ): Promise<Result<EngineStream, EngineError>> {
+    const { address, ...body } = call;
+    const watchdog = new Watchdog(options.firstByteMs, options.signal);
+    const agent = options.isFresh ? this.#fresh : this.#kept;
+    try {
+      const response = await agent.request({
+        origin: `http://${address}`,
+        path: "/v1/generate",
+        method: "POST",
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify(body),
+        signal: watchdog.signal,
+      });
+      if (response.statusCode !== 200) {
+        const error = await errorOf(response);
+        watchdog.stop();
+        return err(error);
+      }
+      return ok(openStream(response, watchdog, options));
+    } catch (cause) {
+      watchdog.stop();
+      return err(faultOf(cause, watchdog));
+    }
+  }
+
+  async cancel(
+    address: string,
+    requestId: string,
+  ): Promise<number | undefined> {
+    try {
+      const response = await this.#kept.request({
+        origin: `http://${address}`,
+        path: `/v1/requests/${encodeURIComponent(requestId)}`,
+        method: "DELETE",
+        signal: AbortSignal.timeout(CANCEL_TIMEOUT_MS),
+      });
+      const text = await readBounded(response.body, MAX_ERROR_BYTES);
+      const parsed = cancelSchema.safeParse(JSON.parse(text));
+      return parsed.success ? parsed.data.outputTokens : undefined;
+    } catch {
+      return undefined;
+    }
+  }
+
+  /** Closes all connections. */
+  async close(): Promise<void> {
+    await Promise.all([this.#kept.destroy(), this.#fresh.destroy()]);
+  }
+}
+
+const cancelSchema = z.object({ outputTokens: z.number().int().min(0) });
+
+async function errorOf(
+  response: Dispatcher.ResponseData,
+): Promise<EngineError> {
+  const status = response.statusCode;
+  const text = await readBounded(response.body, MAX_ERROR_BYTES);
+  if (status === 404 && text.includes("not_loaded")) {
+    return new EngineError("not_loaded", "the version is not loaded");
+  }
+  if (status === 503 && text.includes("busy")) {
+    return new EngineError("busy", "the engine's queue is full");
+  }
+  if (status === 410) return new EngineError("leaving", "the engine leaves");
+  return new EngineError("rejected", `the engine answered ${status}`);
+}
+
+function openStream(
+  response: Dispatcher.ResponseData,
+  watchdog: Watchdog,
+  options: GenerateOptions,
+): EngineStream {
+  const header = response.headers["x-load"];
+  return {
+    report: parseLoadReport(typeof header === "string" ? header : undefined),
+    frames: readFrames(response, watchdog, options),
+  };
+}
+
+async function* readFrames(
+  response: Dispatcher.ResponseData,
+  watchdog: Watchdog,
+  options: GenerateOptions,
+): AsyncGenerator<Result<AnswerFrame, EngineError>> {
+  const reader = new EventReader();
+  try {
+    for await (const chunk of response.body) {
+      for (const data of reader.push(chunk as Uint8Array)) {
+        const frame = parseFrame(data);
+        watchdog.pause();
+        yield frame;
+        if (frame.isErr()) return;
+        watchdog.resume(options.betweenTokensMs);
+      }
+    }
+    yield err(new EngineError("broken", "the stream ended"));
+  } catch (cause) {
+    yield err(faultOf(cause, watchdog));
+  } finally {
+    watchdog.stop();
+    response.body.destroy();
+  }
+}
+
+function parseFrame(data: string): Result<AnswerFrame, EngineError> {
+  try {
+    const parsed = frameSchema.safeParse(JSON.parse(data));
+    if (parsed.success) {
+      return ok({ ...parsed.data, usage: parsed.data.usage ?? undefined });
+    }
+  } catch {
+    // Reported below like any other malformed frame.
+  }
+  return err(new EngineError("broken", "a frame is malformed"));
+}
+
+function faultOf(cause: unknown, watchdog: Watchdog): EngineError {
+  if (watchdog.isSilent) {
+    return new EngineError("silent", "nothing came within the time allowed");
+  }
+  if (watchdog.signal.aborted) {
+    return new EngineError("cancelled", "the call was cancelled");
+  }
+  const message = cause instanceof Error ? cause.message : String(cause);
+  if (isUnsent(cause)) return new EngineError("unreachable", message);
+  return new EngineError("broken", message);
+}
--- a/src/platform/mod.ts
+++ b/src/platform/mod.ts
@@ -1,5 +1,5 @@
 /** Clients of the platform: log, VM list, engines, services and ratings. */
-export * from "./effects.ts";
+export * from "./engine.ts";
 export * from "./journal.ts";
 export * from "./log_client.ts";
 export * from "./log_journal.ts";
@@ -7,3 +7,9 @@
 export * from "./shard.ts";
 export * from "./telemetry.ts";
 export * from "./weight_store.ts";
+export * from "./load_poller.ts";
+export * from "./load_report.ts";
+export * from "./memory_journal.ts";
+export * from "./plain_service.ts";
+export * from "./server_directory.ts";
+export * from "./server_record.ts";
--- /dev/null
+++ b/src/platform/plain_service.ts
@@ -0,0 +1,139 @@
+/**
+ * Client of the plain services. A call is made once, on a connection of its own
+ * when it must not be repeated; the error says whether a byte can have left.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { Agent, type Dispatcher } from "undici";
+import { type ServiceRequest } from "../model/mod.ts";
+import { parseLoadReport, type ServerReport } from "./load_report.ts";
+import { isUnsent, readBytes } from "./transport.ts";
+
+/** Why a service gave no answer. */
+export type ServiceFault = "unreachable" | "silent" | "broken" | "cancelled";
+
+/** A plain service's failure to answer. */
+export class ServiceError extends Error {
+  override readonly name = "ServiceError";
+  /** What is known of the failure. */
+  readonly fault: ServiceFault;
+
+  constructor(fault: ServiceFault, message: string) {
+    super(message);
+    this.fault = fault;
+  }
+}
+
+/** A plain service's answer, as it is passed on. */
+export interface ServiceAnswer {
+  readonly status: number;
+  readonly contentType: string;
+  readonly body: Uint8Array;
+  readonly report: ServerReport | undefined;
+}
+
+/** Bounds of one call. */
+export interface ServiceCallOptions {
+  readonly address: string;
+  readonly signal: AbortSignal;
+  readonly timeoutMs: number;
+}
+
+/** What the filters need of the plain services. */
+export interface ServiceTransport {
+  call(
+    request: ServiceRequest,
+    options: ServiceCallOptions,
+  ): Promise<Result<ServiceAnswer, ServiceError>>;
+}
+
+/** Bounds of the connections to plain services. */
+export interface ServiceClientOptions {
+  readonly connectTimeoutMs: number;
+  readonly maxConnectionsPerServer: number;
+  readonly maxBodyBytes: number;
+}
+
+/** Plain services over HTTP. */
+export class ServiceClient implements ServiceTransport {
+  readonly #kept: Agent;
+  readonly #fresh: Agent;
+  readonly #maxBodyBytes: number;
+
+  constructor(options: ServiceClientOptions) {
+    const shared = {
+      connect: { timeout: options.connectTimeoutMs },
+      connections: options.maxConnectionsPerServer,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    };
+    this.#kept = new Agent({ ...shared, pipelining: 1 });
+    this.#fresh = new Agent({ ...shared, pipelining: 0 });
+    this.#maxBodyBytes = options.maxBodyBytes;
+  }
+
+  async call(
+    request: ServiceRequest,
+    options: ServiceCallOptions,
+  ): Promise<Result<ServiceAnswer, ServiceError>> {
+    const timeout = AbortSignal.timeout(Math.ceil(options.timeoutMs));
+    const signal = AbortSignal.any([options.signal, timeout]);
+    const agent = request.idempotencyKey === undefined
+      ? this.#kept
+      : this.#fresh;
+    try {
+      const response = await agent.request({
+        origin: `http://${options.address}`,
+        path: request.target,
+        method: request.method as Dispatcher.HttpMethod,
+        headers: headersOf(request),
+        body: request.body.byteLength === 0 ? null : request.body,
+        signal,
+      });
+      return ok(await this.#answerOf(response));
+    } catch (cause) {
+      return err(faultOf(cause, { timeout, outer: options.signal }));
+    }
+  }
+
+  async #answerOf(response: Dispatcher.ResponseData): Promise<ServiceAnswer> {
+    const load = response.headers["x-load"];
+    const contentType = response.headers["content-type"];
+    return {
+      status: response.statusCode,
+      contentType: typeof contentType === "string"
+        ? contentType
+        : "application/octet-stream",
+      body: await readBytes(response.body, this.#maxBodyBytes),
+      report: parseLoadReport(typeof load === "string" ? load : undefined),
+    };
+  }
+
+  /** Closes all connections. */
+  async close(): Promise<void> {
+    await Promise.all([this.#kept.destroy(), this.#fresh.destroy()]);
+  }
+}
+
+function headersOf(request: ServiceRequest): Record<string, string> {
+  const headers: Record<string, string> = {
+    "x-request-id": request.requestId,
+  };
+  if (request.body.byteLength > 0) {
+    headers["content-type"] = request.contentType;
+  }
+  if (request.idempotencyKey !== undefined) {
+    headers["idempotency-key"] = request.idempotencyKey;
+  }
+  return headers;
+}
+
+function faultOf(
+  cause: unknown,
+  signals: { readonly timeout: AbortSignal; readonly outer: AbortSignal },
+): ServiceError {
+  const message = cause instanceof Error ? cause.message : String(cause);
+  if (isUnsent(cause)) return new ServiceError("unreachable", message);
+  if (signals.outer.aborted) return new ServiceError("cancelled", message);
+  if (signals.timeout.aborted) return new ServiceError("silent", message);
+  return new ServiceError("broken", message);
+}
--- /dev/null
+++ b/src/platform/server_directory.ts
@@ -0,0 +1,224 @@
+/**
+ * The backend servers that this VM works with: rows of the VM list, cut to a
+ * subset by service, each with the newest load report, own work in flight,
+ * breaker and smoothed latencies. Reports come with answers and, for servers
+ * that answer nothing, by polling; each carries the time it was read.
+ */
+import {
+  applyBreaker,
+  type BreakerLimits,
+  chooseSubset,
+  CLOSED_BREAKER,
+  createLatency,
+  DEFAULT_BREAKER_LIMITS,
+  DEFAULT_SUBSET_LIMITS,
+  type ServerView,
+  type SubsetLimits,
+} from "../decision/mod.ts";
+import { type Clock, type Vm } from "../model/mod.ts";
+import { type ServerReport } from "./load_report.ts";
+import {
+  createServerRecord,
+  noteUse,
+  type ServerRecord,
+  toView,
+  type UseResult,
+} from "./server_record.ts";
+
+/** The rows of the platform's VM list, as last read. */
+export interface VmSource {
+  vms(): readonly Vm[];
+  ageMs(): number;
+}
+
+/** What the operators have drained. */
+export interface Drains {
+  readonly places: readonly string[];
+  readonly servers: readonly string[];
+}
+
+/** What a directory is made of. */
+export interface ServerDirectoryOptions {
+  /** Name of this VM. */
+  readonly self: string;
+  readonly source: VmSource;
+  /** Places from near to far, this VM's own first. */
+  readonly places: readonly string[];
+  readonly clock: Clock;
+  readonly drains: () => Drains;
+  readonly priorFirstTokenMs: number;
+  readonly priorServiceMs: number;
+  readonly breakerLimits?: BreakerLimits;
+  readonly subsetLimits?: SubsetLimits;
+}
+
+/** Work of this VM on one server, until it is finished. */
+export interface ServerUse {
+  /** Ends the use; a second call changes nothing. */
+  finish(result: UseResult): void;
+}
+
+/** Backend servers and what is known of them. */
+export class ServerDirectory {
+  readonly #options: ServerDirectoryOptions;
+  readonly #records = new Map<string, ServerRecord>();
+  #vms: readonly Vm[] = [];
+  #subsets = new Map<string, readonly ServerRecord[]>();
+
+  constructor(options: ServerDirectoryOptions) {
+    this.#options = options;
+  }
+
+  /** The servers of a service that this VM works with. */
+  views(service: string): ServerView[] {
+    const drains = this.#options.drains();
+    return this.#subsetOf(service).map((record) => toView(record, drains));
+  }
+
+  /** The address of a server, while the VM list names it. */
+  addressOf(server: string): string | undefined {
+    return this.#records.get(server)?.vm.address;
+  }
+
+  /** Counts work on a server from now until its end. */
+  begin(server: string): ServerUse {
+    const record = this.#records.get(server);
+    if (record === undefined) return { finish: () => {} };
+    const nowMs = this.#options.clock();
+    record.inFlightCount += 1;
+    record.firstUsedAtMs ??= nowMs;
+    if (record.breaker.phase !== "closed") this.#probe(record);
+    let isOpen = true;
+    return {
+      finish: (result) => {
+        if (!isOpen) return;
+        isOpen = false;
+        noteUse(record, result, this.#breakerOptions());
+      },
+    };
+  }
+
+  /** Takes a server's report, from an answer or a poll, if there was one. */
+  note(server: string, report: ServerReport | undefined): void {
+    const record = this.#records.get(server);
+    if (record === undefined) return;
+    record.askedAtMs = this.#options.clock();
+    if (report === undefined) return;
+    if (record.isReported && report.sequence < record.sequence) {
+      if (report.server === record.reportedAs) return;
+    }
+    record.isReported = true;
+    record.sequence = report.sequence;
+    record.reportedAs = report.server;
+    record.isLeaving = report.isLeaving;
+    record.versions = new Set(
+      report.versions.filter((one) => one.state === "loaded")
+        .map((one) => one.version),
+    );
+    record.report = {
+      runningCount: report.runningCount,
+      queuedCount: report.queuedCount,
+      slotCount: report.slotCount,
+      ownInFlightCount: record.inFlightCount,
+      readAtMs: this.#options.clock(),
+    };
+  }
+
+  /** Marks a server that says it leaves; it receives no new work. */
+  noteLeaving(server: string): void {
+    const record = this.#records.get(server);
+    if (record !== undefined) record.isLeaving = true;
+  }
+
+  /** Servers that were not heard or asked for `ageMs`, longest first. */
+  due(ageMs: number): Vm[] {
+    this.#refresh();
+    const beforeMs = this.#options.clock() - ageMs;
+    const known = [...this.#subsets.keys()].flatMap((service) =>
+      this.#subsetOf(service)
+    );
+    return known
+      .filter((one) => one.askedAtMs <= beforeMs)
+      .sort((a, b) => a.askedAtMs - b.askedAtMs)
+      .map((one) => one.vm);
+  }
+
+  /** The slots of a service's servers, as far as they are known. */
+  slotCount(service: string): number {
+    let count = 0;
+    for (const record of this.#subsetOf(service)) {
+      count += record.report?.slotCount ?? 0;
+    }
+    return count;
+  }
+
+  #probe(record: ServerRecord): void {
+    record.breaker = applyBreaker(
+      record.breaker,
+      "probe_sent",
+      this.#breakerOptions(),
+    );
+  }
+
+  #breakerOptions(): { nowMs: number; limits: BreakerLimits } {
+    return {
+      nowMs: this.#options.clock(),
+      limits: this.#options.breakerLimits ?? DEFAULT_BREAKER_LIMITS,
+    };
+  }
+
+  #subsetOf(service: string): readonly ServerRecord[] {
+    this.#refresh();
+    const known = this.#subsets.get(service);
+    if (known !== undefined) return known;
+    const chosen = chooseSubset({
+      self: this.#options.self,
+      servers: this.#vms.filter((vm) =>
+        vm.kind !== "entry" && vm.service === service
+      ),
+      vmCountOf: (place) =>
+        this.#vms.filter((vm) => vm.kind === "entry" && vm.place === place)
+          .length,
+      places: this.#options.places,
+      limits: this.#options.subsetLimits ?? DEFAULT_SUBSET_LIMITS,
+    });
+    const records = chosen.flatMap((vm) => this.#records.get(vm.vm) ?? []);
+    this.#subsets.set(service, records);
+    return records;
+  }
+
+  #refresh(): void {
+    const vms = this.#options.source.vms();
+    if (vms === this.#vms) return;
+    this.#vms = vms;
+    const services = [...this.#subsets.keys()];
+    this.#subsets = new Map();
+    const names = new Set<string>();
+    for (const vm of vms) {
+      if (vm.kind === "entry") continue;
+      names.add(vm.vm);
+      this.#place(vm);
+    }
+    for (const name of this.#records.keys()) {
+      if (!names.has(name)) this.#records.delete(name);
+    }
+    for (const service of services) this.#subsetOf(service);
+  }
+
+  #place(vm: Vm): void {
+    const known = this.#records.get(vm.vm);
+    if (known !== undefined && known.vm.address === vm.address) {
+      known.vm = vm;
+      return;
+    }
+    const { priorFirstTokenMs, priorServiceMs } = this.#options;
+    this.#records.set(
+      vm.vm,
+      createServerRecord(vm, {
+        breaker: CLOSED_BREAKER,
+        firstToken: createLatency(priorFirstTokenMs),
+        service: createLatency(priorServiceMs),
+      }),
+    );
+  }
+}
--- /dev/null
+++ b/src/platform/transport.ts
@@ -0,0 +1,52 @@
+/**
+ * What HTTP clients share: which errors prove that nothing was written, and
+ * bounded reads of a body.
+ */
+
+const UNSENT_CODES: readonly string[] = [
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "ENOTFOUND",
+  "EADDRNOTAVAIL",
+  "UND_ERR_CONNECT_TIMEOUT",
+];
+
+/** Whether an error proves that no byte of the request was written. */
+export function isUnsent(cause: unknown): boolean {
+  if (!(cause instanceof Error)) return false;
+  if (cause instanceof AggregateError) return cause.errors.every(isUnsent);
+  const code = (cause as NodeJS.ErrnoException).code ?? "";
+  return UNSENT_CODES.includes(code);
+}
+
+/** A body longer than its bound. */
+export class BodyTooLongError extends Error {
+  override readonly name = "BodyTooLongError";
+}
+
+/** Reads a whole body of at most `maxBytes` bytes. */
+export async function readBytes(
+  body: AsyncIterable<unknown>,
+  maxBytes: number,
+): Promise<Uint8Array> {
+  const chunks: Uint8Array[] = [];
+  let sizeBytes = 0;
+  for await (const chunk of body) {
+    const bytes = chunk as Uint8Array;
+    sizeBytes += bytes.byteLength;
+    if (sizeBytes > maxBytes) {
+      throw new BodyTooLongError(`the body exceeds ${maxBytes} bytes`);
+    }
+    chunks.push(bytes);
+  }
+  return Buffer.concat(chunks);
+}
+
+/** Reads a whole body of at most `maxBytes` bytes as text. */
+export async function readBounded(
+  body: AsyncIterable<unknown>,
+  maxBytes: number,
+): Promise<string> {
+  return new TextDecoder().decode(await readBytes(body, maxBytes));
+}
