Add the filter chain of requests and the callers' interface

Claims and pins are confirmed in log order before the first byte leaves, the bill before the end marker, and settings are checked before every attempt. Refusals take their outcome from what was really sent.

--- /dev/null
+++ b/src/filter/attempt.ts
@@ -0,0 +1,174 @@
+/**
+ * One attempt at an answer on one engine: opens the stream, relays the frames
+ * that are due, drops the others, and says how it ended.
+ */
+import {
+  type AnswerFrame,
+  type Clock,
+  type Metrics,
+  type ModelRequest,
+  REQUEST_CLASSES,
+  type VersionName,
+} from "../model/mod.ts";
+import {
+  EngineError,
+  type EngineStream,
+  type EngineTransport,
+  isNothingRun,
+  type ServerReport,
+} from "../platform/mod.ts";
+import { type AnswerProgress } from "./answer_progress.ts";
+import { type RequestContext } from "./context.ts";
+import { checkFrame } from "./frame_check.ts";
+import { type SilenceLimits } from "./limits.ts";
+import { type RouteTarget } from "./router.ts";
+
+/** What an attempt works with. */
+export interface AttemptOptions {
+  readonly engines: EngineTransport;
+  readonly noteReport: (
+    server: string,
+    report: ServerReport | undefined,
+  ) => void;
+  readonly noteLeaving: (server: string) => void;
+  readonly silence: Readonly<
+    Record<ModelRequest["requestClass"], SilenceLimits>
+  >;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+}
+
+/** What is attempted. */
+export interface AttemptInput {
+  readonly context: RequestContext;
+  readonly request: ModelRequest;
+  readonly version: VersionName;
+  readonly target: RouteTarget;
+  readonly progress: AnswerProgress;
+  readonly isFresh: boolean;
+  readonly relay: (frame: AnswerFrame) => Promise<void>;
+}
+
+interface Timing {
+  readonly startedAtMs: number;
+  firstTokenAtMs: number | undefined;
+}
+
+/** Makes one attempt; `undefined` when the answer is whole. */
+export async function attemptAnswer(
+  input: AttemptInput,
+  options: AttemptOptions,
+): Promise<EngineError | undefined> {
+  const { target } = input;
+  const timing: Timing = {
+    startedAtMs: options.clock(),
+    firstTokenAtMs: undefined,
+  };
+  const fault = await run(input, options, timing);
+  target.use.finish(resultOf(fault, timing, options.clock()));
+  if (fault?.fault === "leaving") options.noteLeaving(target.server);
+  if (fault !== undefined) {
+    options.metrics.count("attempt.failed", 1, { fault: fault.fault });
+  }
+  return fault;
+}
+
+async function run(
+  input: AttemptInput,
+  options: AttemptOptions,
+  timing: Timing,
+): Promise<EngineError | undefined> {
+  const { context, request, version, target, progress } = input;
+  const attempt = context.run.attemptCount;
+  context.run.attemptCount += 1;
+  progress.startAttempt();
+  const hadRun = context.run.hasRun;
+  context.run.hasRun = true;
+  const opened = await options.engines.generate({
+    address: target.address,
+    requestId: request.requestId,
+    attempt,
+    version,
+    messages: request.messages,
+    maxTokens: request.maxTokens,
+    priority: REQUEST_CLASSES.indexOf(request.requestClass),
+    fromIndex: progress.nextIndex,
+    prefix: progress.text,
+  }, {
+    ...options.silence[request.requestClass],
+    signal: context.life.signal,
+    isFresh: input.isFresh,
+  });
+  if (opened.isErr()) {
+    if (isNothingRun(opened.error.fault)) context.run.hasRun = hadRun;
+    return opened.error;
+  }
+  options.noteReport(target.server, opened.value.report);
+  return relayFrames(opened.value, attempt, { input, options, timing });
+}
+
+interface RelayState {
+  readonly input: AttemptInput;
+  readonly options: AttemptOptions;
+  readonly timing: Timing;
+}
+
+async function relayFrames(
+  stream: EngineStream,
+  attempt: number,
+  { input, options, timing }: RelayState,
+): Promise<EngineError | undefined> {
+  const { context, progress, request, relay } = input;
+  const { signal } = context.life;
+  for await (const read of stream.frames) {
+    if (signal.aborted) return new EngineError("cancelled", "ended");
+    if (read.isErr()) return read.error;
+    const frame = read.value;
+    const verdict = checkFrame(
+      { requestId: request.requestId, attempt, index: progress.nextIndex },
+      frame,
+    );
+    if (verdict !== "relay") {
+      options.metrics.count("frame.dropped", 1, { verdict });
+      if (verdict === "gap") return new EngineError("broken", "frames missing");
+      continue;
+    }
+    timing.firstTokenAtMs ??= options.clock();
+    progress.add(frame);
+    await relay(frame);
+    if (frame.isLast) return undefined;
+  }
+  return new EngineError("broken", "the stream ended");
+}
+
+function resultOf(
+  fault: EngineError | undefined,
+  timing: Timing,
+  nowMs: number,
+): Parameters<RouteTarget["use"]["finish"]>[0] {
+  const { startedAtMs, firstTokenAtMs } = timing;
+  const firstTokenMs = firstTokenAtMs === undefined
+    ? undefined
+    : firstTokenAtMs - startedAtMs;
+  const isWhole = fault === undefined;
+  return {
+    verdict: verdictOf(fault),
+    firstTokenMs,
+    serviceMs: isWhole ? nowMs - startedAtMs : undefined,
+  };
+}
+
+function verdictOf(
+  fault: EngineError | undefined,
+): "success" | "failure" | "neutral" {
+  if (fault === undefined) return "success";
+  switch (fault.fault) {
+    case "cancelled":
+    case "busy":
+    case "leaving":
+    case "not_loaded":
+      return "neutral";
+    default:
+      return "failure";
+  }
+}
--- /dev/null
+++ b/src/filter/call_service.ts
@@ -0,0 +1,189 @@
+/**
+ * The end of the chain for plain services. A GET or HEAD without a key may be
+ * tried on another server within the retry budget. Any other call is made once:
+ * it is sent to another server only when no byte of it was written.
+ */
+import { err, ok, type Result } from "neverthrow";
+import {
+  type Clock,
+  type Metrics,
+  type Refusal,
+  type ServiceRequest,
+} from "../model/mod.ts";
+import {
+  type ServerReport,
+  type ServiceAnswer,
+  type ServiceError,
+  type ServiceTransport,
+} from "../platform/mod.ts";
+import { type Next, type Outcome } from "./chain.ts";
+import {
+  type RequestContext,
+  settingsPathOf,
+  type SettingsReader,
+} from "./context.ts";
+import { endRefusal, truthful } from "./request_life.ts";
+import { type RetryGate } from "./retry_gate.ts";
+import { type Router, type RouteTarget } from "./router.ts";
+
+/** What service calls work with. */
+export interface CallServiceOptions {
+  readonly services: ServiceTransport;
+  readonly route: Router;
+  readonly settings: SettingsReader;
+  readonly staleRefusal: (context: RequestContext) => Refusal | undefined;
+  readonly noteReport: (
+    server: string,
+    report: ServerReport | undefined,
+  ) => void;
+  readonly retries: RetryGate;
+  readonly maxAttempts: number;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+}
+
+const RETRY_AFTER_MS = 1000;
+
+/** Whether a method promises to have no effect. */
+export function isSafeMethod(method: string): boolean {
+  return method === "GET" || method === "HEAD";
+}
+
+/** Creates the end of the chain. */
+export function createCallService(options: CallServiceOptions): Next {
+  return async (context) => {
+    const { request } = context;
+    if (request.kind !== "service") {
+      throw new TypeError("this end of the chain takes service calls only");
+    }
+    options.retries.earn();
+    return await callAny(context, request, options);
+  };
+}
+
+async function callAny(
+  context: RequestContext,
+  request: ServiceRequest,
+  options: CallServiceOptions,
+): Promise<Outcome> {
+  const excluded = new Set<string>();
+  let last: ServiceError | undefined;
+  for (let attempt = 0; attempt < options.maxAttempts; attempt += 1) {
+    const refusal = checkAgain(context, options);
+    if (refusal !== undefined) return err(refusal);
+    const target = options.route({
+      service: request.service,
+      version: undefined,
+      requestClass: "lookup",
+      leftMs: context.life.leftMs(),
+      excluded,
+      prefixKey: undefined,
+      transferBytes: request.body.byteLength,
+    });
+    if (target.isErr()) break;
+    const called = await callOne(context, request, target.value, options);
+    if (called.isOk()) return ok(toAnswer(called.value));
+    last = called.error;
+    excluded.add(target.value.server);
+    if (!mayRepeat(request, last) || !options.retries.trySpend()) break;
+  }
+  return err(finalRefusal(context, last));
+}
+
+async function callOne(
+  context: RequestContext,
+  request: ServiceRequest,
+  target: RouteTarget,
+  options: CallServiceOptions,
+): Promise<Result<ServiceAnswer, ServiceError>> {
+  const startedAtMs = options.clock();
+  const hadRun = context.run.hasRun;
+  context.run.hasRun = true;
+  context.run.attemptCount += 1;
+  const called = await options.services.call(request, {
+    address: target.address,
+    signal: context.life.signal,
+    timeoutMs: Math.max(1, context.life.leftMs()),
+  });
+  const serviceMs = options.clock() - startedAtMs;
+  if (called.isOk()) {
+    options.noteReport(target.server, called.value.report);
+    target.use.finish({
+      verdict: "success",
+      firstTokenMs: serviceMs,
+      serviceMs,
+    });
+    return called;
+  }
+  const { fault } = called.error;
+  if (fault === "unreachable") context.run.hasRun = hadRun;
+  options.metrics.count("service.failed", 1, { fault });
+  target.use.finish({
+    verdict: fault === "cancelled" ? "neutral" : "failure",
+    firstTokenMs: undefined,
+    serviceMs: undefined,
+  });
+  return called;
+}
+
+function checkAgain(
+  context: RequestContext,
+  options: CallServiceOptions,
+): Refusal | undefined {
+  const { request, life, run } = context;
+  const ended = endRefusal(life, knowledgeOf(context));
+  if (ended !== undefined) return ended;
+  const settings = options.settings(settingsPathOf(request));
+  const service = request.kind === "service" ? request.service : "";
+  if (!settings.services.includes(service)) {
+    return truthful("unauthorized", {
+      ...knowledgeOf(context),
+      detail: `service "${service}" is not allowed now`,
+    });
+  }
+  return run.hasRun ? undefined : options.staleRefusal(context);
+}
+
+function mayRepeat(request: ServiceRequest, error: ServiceError): boolean {
+  if (error.fault === "unreachable") return true;
+  return isSafeMethod(request.method) && request.idempotencyKey === undefined &&
+    error.fault === "broken";
+}
+
+function finalRefusal(
+  context: RequestContext,
+  last: ServiceError | undefined,
+): Refusal {
+  const ended = endRefusal(context.life, knowledgeOf(context));
+  if (ended !== undefined) return ended;
+  const reason = last === undefined || last.fault === "unreachable"
+    ? "no_backend_server"
+    : last.fault === "silent"
+    ? "backend_silent"
+    : "backend_failed";
+  return truthful(reason, {
+    ...knowledgeOf(context),
+    detail: last?.message ?? "no server of the service can be reached",
+    retryAfterMs: RETRY_AFTER_MS,
+  });
+}
+
+function knowledgeOf(
+  { request, run }: RequestContext,
+): { hasRun: boolean; isKeyed: boolean } {
+  const isSafe = request.kind === "service" && isSafeMethod(request.method);
+  return {
+    hasRun: run.hasRun,
+    isKeyed: request.idempotencyKey !== undefined || !isSafe,
+  };
+}
+
+function toAnswer(answer: ServiceAnswer): {
+  kind: "plain";
+  status: number;
+  contentType: string;
+  body: Uint8Array;
+} {
+  const { status, contentType, body } = answer;
+  return { kind: "plain", status, contentType, body };
+}
--- /dev/null
+++ b/src/filter/cascade.ts
@@ -0,0 +1,202 @@
+/**
+ * The end of the chain for model requests: runs the chosen version and, where
+ * the settings ask for it, rates the answer before it is relayed and escalates
+ * to the next version. A session and a request with an idempotency key keep to
+ * one version.
+ */
+import { err, ok, type Result } from "neverthrow";
+import {
+  type AnswerFrame,
+  type ModelRequest,
+  notRun,
+  type Refusal,
+  type VersionName,
+} from "../model/mod.ts";
+import { type Next } from "./chain.ts";
+import { BufferSink } from "./answer_sink.ts";
+import {
+  type ModelAnswer,
+  type RequestContext,
+  settingsPathOf,
+} from "./context.ts";
+import { dispatch, type DispatchOptions } from "./dispatch.ts";
+import { type RunningAnswers } from "./running_answers.ts";
+import { signSession } from "./session_token.ts";
+
+/** What is known of an answer when it is judged. */
+export interface RatingQuery {
+  readonly request: ModelRequest;
+  readonly answer: ModelAnswer;
+  readonly signal: AbortSignal;
+}
+
+/** Whether an answer falls short; `undefined` when it could not be rated. */
+export type FallsShort = (
+  query: RatingQuery,
+  targetShare: number,
+) => Promise<boolean | undefined>;
+
+/** Told of each whole answer, for rating in the background. */
+export type OnAnswer = (
+  request: ModelRequest,
+  answer: ModelAnswer,
+) => void;
+
+/** Whether an escalation is allowed now, by deadline and budget. */
+export type MayEscalate = (
+  context: RequestContext,
+  options: { readonly to: VersionName; readonly isRequired: boolean },
+) => boolean;
+
+/** What the cascade works with. */
+export interface CascadeOptions extends DispatchOptions {
+  readonly fallsShort: FallsShort;
+  readonly onAnswer: OnAnswer;
+  readonly mayEscalate: MayEscalate;
+  readonly tokenKeys: readonly string[];
+  readonly running: RunningAnswers;
+}
+
+/** Creates the end of the chain. */
+export function createCascade(options: CascadeOptions): Next {
+  return async (context) => {
+    const { request } = context;
+    if (request.kind !== "model") {
+      throw new TypeError("the cascade takes model requests only");
+    }
+    const versions = usable(context, options);
+    const outcome = isEscalating(context, versions)
+      ? await escalate(context, request, { versions, options })
+      : await runFirst(context, request, { versions, options });
+    if (outcome.isOk()) options.onAnswer(request, outcome.value);
+    return outcome;
+  };
+}
+
+function usable(
+  { request, plan }: RequestContext,
+  options: CascadeOptions,
+): VersionName[] {
+  if (plan === undefined) return [];
+  const settings = options.settings(settingsPathOf(request));
+  return [plan.first, ...plan.escalations].filter((version) =>
+    options.mayStart(version, settings)
+  );
+}
+
+function isEscalating(
+  { request, plan }: RequestContext,
+  versions: readonly VersionName[],
+): boolean {
+  return plan?.escalation !== "none" && versions.length > 1 &&
+    request.session === undefined && request.idempotencyKey === undefined;
+}
+
+function nothingUsable(): Refusal {
+  return notRun("version_withdrawn", {
+    detail: "every chosen version has been withdrawn",
+  });
+}
+
+interface RunOne {
+  readonly version: VersionName;
+  readonly options: CascadeOptions;
+}
+
+async function runOne(
+  context: RequestContext,
+  request: ModelRequest,
+  { version, options }: RunOne,
+): Promise<Result<ModelAnswer, Refusal>> {
+  const path = settingsPathOf(request);
+  const sessionToken = request.session === undefined
+    ? undefined
+    : signSession(path, version, options.tokenKeys);
+  const { sink } = context;
+  let hasBegun = false;
+  const relay = async (frame: AnswerFrame): Promise<void> => {
+    if (!hasBegun) {
+      hasBegun = true;
+      sink.begin({ requestId: request.requestId, version, sessionToken });
+    }
+    await sink.write(frame);
+  };
+  const stop = options.running.add({ path, version, life: context.life });
+  try {
+    return await dispatch({ context, request, version, relay }, options);
+  } finally {
+    stop();
+  }
+}
+
+interface RunMany {
+  readonly versions: readonly VersionName[];
+  readonly options: CascadeOptions;
+}
+
+/** Runs the first version that has a server; the others stand in for it. */
+async function runFirst(
+  context: RequestContext,
+  request: ModelRequest,
+  { versions, options }: RunMany,
+): Promise<Result<ModelAnswer, Refusal>> {
+  let refusal = nothingUsable();
+  for (const version of versions) {
+    const run = await runOne(context, request, { version, options });
+    if (run.isOk()) return run;
+    refusal = run.error;
+    if (!isVersionMissing(refusal)) break;
+  }
+  return err(refusal);
+}
+
+async function escalate(
+  context: RequestContext,
+  request: ModelRequest,
+  { versions, options }: RunMany,
+): Promise<Result<ModelAnswer, Refusal>> {
+  let refusal = nothingUsable();
+  let best: HeldAnswer | undefined;
+  for (const [index, version] of versions.entries()) {
+    const buffer = new BufferSink();
+    const held = { ...context, sink: buffer };
+    const run = await runOne(held, request, { version, options });
+    if (run.isOk()) best = { answer: run.value, buffer };
+    else refusal = run.error;
+    if (run.isErr() && !isVersionMissing(refusal)) break;
+    const next = versions[index + 1];
+    if (next === undefined) break;
+    const isRequired = context.plan?.escalation === "required";
+    if (!options.mayEscalate(context, { to: next, isRequired })) break;
+    if (best !== undefined && await isGoodEnough(best, context, options)) break;
+  }
+  if (best === undefined) return err(refusal);
+  await best.buffer.release(context.sink);
+  return ok(best.answer);
+}
+
+interface HeldAnswer {
+  readonly answer: ModelAnswer;
+  readonly buffer: BufferSink;
+}
+
+async function isGoodEnough(
+  { answer }: HeldAnswer,
+  context: RequestContext,
+  options: CascadeOptions,
+): Promise<boolean> {
+  const request = context.request as ModelRequest;
+  const settings = options.settings(settingsPathOf(request));
+  const { signal } = context.life;
+  const isShort = await options.fallsShort(
+    { request, answer, signal },
+    settings.qualityTargetShare,
+  );
+  if (isShort === undefined) return context.plan?.escalation !== "required";
+  return !isShort;
+}
+
+function isVersionMissing(refusal: Refusal): boolean {
+  return refusal.outcome === "not_run" &&
+    refusal.reason === "no_backend_server";
+}
--- /dev/null
+++ b/src/filter/claim.ts
@@ -0,0 +1,152 @@
+/**
+ * Runs a request with an idempotency key at most once. A claim is appended and
+ * confirmed in log order before dispatch, and the first claim of a key wins.
+ * Nobody dispatches a claimed key again: not another VM, and not this one after
+ * a pause. An outcome that says "not run" frees the key.
+ */
+import { err, type Result } from "neverthrow";
+import {
+  type CallerRequest,
+  type Metrics,
+  notRun,
+  type Refusal,
+} from "../model/mod.ts";
+import { type Journal, type JournalError } from "../platform/mod.ts";
+import { type ClaimState, type RecordOf } from "../state/mod.ts";
+import { type AbandonedClaims } from "./abandoned_claims.ts";
+import { type Filter, type Outcome } from "./chain.ts";
+import { type RequestContext } from "./context.ts";
+import { outcomeRecord, recordedOutcome } from "./claim_outcome.ts";
+import { hashBody } from "./record_id.ts";
+import { type RecordOutbox } from "./record_outbox.ts";
+
+/** What claims work with. */
+export interface ClaimOptions {
+  /** Name of this VM. */
+  readonly self: string;
+  readonly journal: Journal;
+  readonly makeId: () => string;
+  readonly outbox: RecordOutbox;
+  readonly abandoned: AbandonedClaims;
+  readonly claimTimeoutMs: number;
+  readonly outcomeTimeoutMs: number;
+  readonly maxOutcomeBytes: number;
+  readonly metrics: Metrics;
+}
+
+const LOG_RETRY_MS = 2000;
+
+/** Creates the filter. */
+export function createClaim(options: ClaimOptions): Filter {
+  return async (context, next) => {
+    const { request } = context;
+    const key = request.idempotencyKey;
+    if (key === undefined) return next(context);
+    const claim = claimOf(request, key, options);
+    const shardKey = shardKeyOf(claim);
+    const held = options.journal.requests(shardKey)
+      .claimOf(claim.workspace, key);
+    if (held !== undefined && held.outcome?.result !== "not_run") {
+      return repeat(held, claim, context);
+    }
+    const appended = await options.journal.append(claim, shardKey, {
+      timeoutMs: options.claimTimeoutMs,
+    });
+    if (appended.isErr()) return err(unclaimed(appended, claim, options));
+    const winner = options.journal.requests(shardKey)
+      .claimOf(claim.workspace, key);
+    if (winner === undefined || winner.claim.id !== claim.id) {
+      return winner === undefined
+        ? err(unreadRefusal())
+        : repeat(winner, claim, context);
+    }
+    const outcome = await next(context);
+    await recordOutcome(claim, outcome, options);
+    return outcome;
+  };
+}
+
+/** The shard that a claim and its outcome belong to. */
+export function shardKeyOf(
+  claim: Pick<RecordOf<"claim">, "workspace" | "key">,
+): string {
+  return `${claim.workspace} ${claim.key}`;
+}
+
+function claimOf(
+  request: CallerRequest,
+  key: string,
+  options: ClaimOptions,
+): RecordOf<"claim"> {
+  return {
+    id: options.makeId(),
+    kind: "claim",
+    workspace: request.workspace,
+    key,
+    requestId: request.requestId,
+    bodyHash: bodyHashOf(request),
+    vm: options.self,
+  };
+}
+
+function bodyHashOf(request: CallerRequest): string {
+  if (request.kind === "service") {
+    const { service, method, target, body } = request;
+    return hashBody(service, method, target, body);
+  }
+  const { requestClass, messages, maxTokens } = request;
+  return hashBody(JSON.stringify({ requestClass, messages, maxTokens }));
+}
+
+function repeat(
+  held: ClaimState,
+  claim: RecordOf<"claim">,
+  context: RequestContext,
+): Promise<Outcome> {
+  if (held.claim.bodyHash !== claim.bodyHash) {
+    const refusal = notRun("key_reused", {
+      detail: "the key came before with another body",
+    });
+    return Promise.resolve(err(refusal));
+  }
+  return recordedOutcome(held, context);
+}
+
+function unclaimed(
+  appended: Result<unknown, JournalError>,
+  claim: RecordOf<"claim">,
+  options: ClaimOptions,
+): Refusal {
+  const fault = appended.isErr() ? appended.error.fault : "unknown";
+  options.metrics.count("claim.unconfirmed", 1, { fault });
+  if (fault === "unknown") options.abandoned.add(claim);
+  return notRun("log_unavailable", {
+    detail: "the claim of the key could not be confirmed",
+    retryAfterMs: LOG_RETRY_MS,
+  });
+}
+
+function unreadRefusal(): Refusal {
+  return notRun("log_unavailable", {
+    detail: "the claim of the key is not readable yet",
+    retryAfterMs: LOG_RETRY_MS,
+  });
+}
+
+async function recordOutcome(
+  claim: RecordOf<"claim">,
+  outcome: Outcome,
+  options: ClaimOptions,
+): Promise<void> {
+  const record = outcomeRecord(claim, outcome, {
+    id: options.makeId(),
+    maxBytes: options.maxOutcomeBytes,
+  });
+  const shardKey = shardKeyOf(claim);
+  const appended = await options.journal.append(record, shardKey, {
+    timeoutMs: options.outcomeTimeoutMs,
+  });
+  if (appended.isOk()) return;
+  const isKept = options.outbox.offer({ record, shardKey });
+  options.metrics.count("claim.outcome_late", 1, { isKept });
+}
--- /dev/null
+++ b/src/filter/claim_outcome.ts
@@ -0,0 +1,133 @@
+/** Outcomes of claimed requests: how they are recorded and given out again. */
+import { err, ok } from "neverthrow";
+import { z } from "zod";
+import { mayHaveRun, type Refusal, versionNameSchema } from "../model/mod.ts";
+import { type ClaimState, type RecordOf } from "../state/mod.ts";
+import { type Outcome } from "./chain.ts";
+import {
+  type Answer,
+  type ModelAnswer,
+  type PlainAnswer,
+  type RequestContext,
+} from "./context.ts";
+
+const MODEL_CONTENT_TYPE = "application/vnd.goldcrestpost.answer+json";
+const OK_STATUS = 200;
+const REPEAT_AFTER_MS = 1000;
+
+const modelAnswerSchema = z.object({
+  version: versionNameSchema,
+  text: z.string(),
+  usage: z.object({
+    inputTokens: z.number().int(),
+    outputTokens: z.number().int(),
+  }),
+});
+
+/** The id and the bound of an outcome's record. */
+export interface OutcomeOptions {
+  readonly id: string;
+  readonly maxBytes: number;
+}
+
+/** The record of how a claimed request ended. */
+export function outcomeRecord(
+  claim: RecordOf<"claim">,
+  outcome: Outcome,
+  options: OutcomeOptions,
+): RecordOf<"outcome"> {
+  const head = {
+    id: options.id,
+    kind: "outcome" as const,
+    workspace: claim.workspace,
+    key: claim.key,
+    claimId: claim.id,
+  };
+  const none = { status: 0, contentType: "", bodyBase64: "" };
+  if (outcome.isErr()) {
+    const isNotRun = outcome.error.outcome === "not_run";
+    return { ...head, ...none, result: isNotRun ? "not_run" : "unknown" };
+  }
+  const plain = toPlain(outcome.value);
+  const isKept = plain.body.byteLength <= options.maxBytes;
+  if (!isKept) return { ...head, ...none, result: "done" };
+  return {
+    ...head,
+    result: "done",
+    status: plain.status,
+    contentType: plain.contentType,
+    bodyBase64: Buffer.from(plain.body).toString("base64"),
+  };
+}
+
+/** What a repeat of a claimed key is answered. */
+export async function recordedOutcome(
+  held: ClaimState,
+  context: RequestContext,
+): Promise<Outcome> {
+  const { outcome } = held;
+  if (outcome === undefined) {
+    return err(inUse("the key's request runs, or its VM was lost"));
+  }
+  if (outcome.result !== "done") {
+    return err(
+      inUse("the key's request was dispatched; its effect is unknown"),
+    );
+  }
+  if (outcome.status === 0) {
+    return err(mayHaveRun("answer_unknown", {
+      detail: "the key's request ran; its answer was too long to be kept",
+    }));
+  }
+  const body = Buffer.from(outcome.bodyBase64, "base64");
+  if (outcome.contentType !== MODEL_CONTENT_TYPE) {
+    const { status, contentType } = outcome;
+    return ok({ kind: "plain", status, contentType, body });
+  }
+  const answer = parseModelAnswer(body);
+  if (answer === undefined) return err(inUse("the recorded answer is damaged"));
+  await writeWhole(answer, context);
+  return ok(answer);
+}
+
+function inUse(detail: string): Refusal {
+  return mayHaveRun("key_in_use", { detail, retryAfterMs: REPEAT_AFTER_MS });
+}
+
+function toPlain(answer: Answer): PlainAnswer {
+  if (answer.kind === "plain") return answer;
+  const { version, text, usage } = answer;
+  return {
+    kind: "plain",
+    status: OK_STATUS,
+    contentType: MODEL_CONTENT_TYPE,
+    body: Buffer.from(JSON.stringify({ version, text, usage })),
+  };
+}
+
+function parseModelAnswer(body: Uint8Array): ModelAnswer | undefined {
+  try {
+    const parsed = modelAnswerSchema.safeParse(
+      JSON.parse(Buffer.from(body).toString("utf8")),
+    );
+    return parsed.success ? { kind: "model", ...parsed.data } : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+async function writeWhole(
+  answer: ModelAnswer,
+  { request, sink }: RequestContext,
+): Promise<void> {
+  const { requestId } = request;
+  sink.begin({ requestId, version: answer.version, sessionToken: undefined });
+  await sink.write({
+    requestId,
+    attempt: 0,
+    index: 0,
+    text: answer.text,
+    isLast: true,
+    usage: answer.usage,
+  });
+}
--- /dev/null
+++ b/src/filter/fixture_test.ts
@@ -0,0 +1,401 @@
+/**
+ * Fixtures of the filters' tests: handlers over a log in memory, engines and
+ * services that follow a script, and time that moves only when it is told to.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { type VersionPlan } from "../decision/mod.ts";
+import {
+  type AnswerFrame,
+  isUsable,
+  type ModelRequest,
+  type NodeSettings,
+  noMetrics,
+  type Refusal,
+  ROOT_PATH,
+  type ServiceRequest,
+  type Settings,
+  type SettingsPath,
+  silentLogger,
+  usableVersions,
+  type VersionName,
+  type Vm,
+} from "../model/mod.ts";
+import {
+  EngineError,
+  type EngineStream,
+  type EngineTransport,
+  type GenerateCall,
+  type GenerateOptions,
+  MemoryJournal,
+  MemoryLog,
+  ServerDirectory,
+  type ServiceAnswer,
+  type ServiceCallOptions,
+  type ServiceError,
+  type ServiceTransport,
+} from "../platform/mod.ts";
+import { START_POSITION } from "../state/mod.ts";
+import { type AnswerSink } from "./answer_sink.ts";
+import { type Answer } from "./context.ts";
+import { DEFAULT_FILTER_LIMITS } from "./limits.ts";
+import {
+  createRequestHandler,
+  type RequestHandler,
+  type RequestHandlerOptions,
+} from "./request_handler.ts";
+
+export const WORKSPACE: SettingsPath = "/khomas/heritage";
+export const CHEAP: VersionName = "tagger@1";
+export const BEST: VersionName = "writer@1";
+
+/** One call that an engine received. */
+export interface SeenCall extends GenerateCall {
+  readonly isFresh: boolean;
+}
+
+/** Answers one call. */
+export type EngineScript = (
+  call: SeenCall,
+  signal: AbortSignal,
+) => AsyncIterable<Result<AnswerFrame, EngineError>> | EngineError;
+
+/** Engines that follow a script. */
+export class FakeEngines implements EngineTransport {
+  script: EngineScript = (call) => framesOf(call, ["a", "b", "c"]);
+  readonly calls: SeenCall[] = [];
+  readonly cancelled: string[] = [];
+
+  async generate(
+    call: GenerateCall,
+    options: GenerateOptions,
+  ): Promise<Result<EngineStream, EngineError>> {
+    await Promise.resolve();
+    const seen = { ...call, isFresh: options.isFresh };
+    this.calls.push(seen);
+    const answer = this.script(seen, options.signal);
+    if (answer instanceof EngineError) return err(answer);
+    return ok({ report: undefined, frames: answer });
+  }
+
+  cancel(_address: string, requestId: string): Promise<undefined> {
+    this.cancelled.push(requestId);
+    return Promise.resolve(undefined);
+  }
+}
+
+/** The frames of an answer's words, from the index that the call asks for. */
+export async function* framesOf(
+  call: SeenCall,
+  words: readonly string[],
+): AsyncGenerator<Result<AnswerFrame, EngineError>> {
+  for (const [index, text] of words.entries()) {
+    await Promise.resolve();
+    if (index < call.fromIndex) continue;
+    yield ok(frameOf(call, { index, text, count: words.length }));
+  }
+}
+
+/** One frame of an answer of `count` frames. */
+export function frameOf(
+  call: SeenCall,
+  { index, text, count }: { index: number; text: string; count: number },
+): AnswerFrame {
+  const { requestId, attempt, fromIndex } = call;
+  const isLast = index === count - 1;
+  const usage = isLast
+    ? { inputTokens: 10 + fromIndex, outputTokens: count - fromIndex }
+    : undefined;
+  return { requestId, attempt, index, text, isLast, usage };
+}
+
+/** A service that answers 200, or what a test puts in its place. */
+export class FakeServices implements ServiceTransport {
+  readonly calls: ServiceCallOptions[] = [];
+  script: () => Result<ServiceAnswer, ServiceError> = () =>
+    ok({
+      status: 200,
+      contentType: "text/plain",
+      body: Buffer.from("registered"),
+      report: undefined,
+    });
+
+  async call(
+    _request: ServiceRequest,
+    options: ServiceCallOptions,
+  ): Promise<Result<ServiceAnswer, ServiceError>> {
+    await Promise.resolve();
+    this.calls.push(options);
+    return this.script();
+  }
+}
+
+interface Timer {
+  readonly dueMs: number;
+  readonly fire: () => void;
+}
+
+/** Time that a test moves. */
+export class FakeTime {
+  nowMs = 0;
+  #timers: Timer[] = [];
+
+  readonly clock = (): number => this.nowMs;
+
+  readonly sleep = (durationMs: number, signal?: AbortSignal): Promise<void> =>
+    new Promise((resolve) => {
+      if (durationMs <= 0) return resolve();
+      this.#timers.push({ dueMs: this.nowMs + durationMs, fire: resolve });
+      signal?.addEventListener("abort", () => resolve(), { once: true });
+    });
+
+  /** Moves time and lets what follows from it happen. */
+  async advance(durationMs: number): Promise<void> {
+    this.nowMs += durationMs;
+    const due = this.#timers.filter((timer) => timer.dueMs <= this.nowMs);
+    this.#timers = this.#timers.filter((timer) => timer.dueMs > this.nowMs);
+    for (const timer of due) timer.fire();
+    await settle();
+  }
+}
+
+/** Lets all promises that can go on do so. */
+export async function settle(): Promise<void> {
+  for (let turn = 0; turn < 5; turn += 1) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
+/** What one caller has received. */
+export class Received implements AnswerSink {
+  text = "";
+  readonly indices: number[] = [];
+  version: VersionName | undefined;
+  sessionToken: string | undefined;
+
+  begin(head: Parameters<AnswerSink["begin"]>[0]): void {
+    this.version = head.version;
+    this.sessionToken = head.sessionToken;
+  }
+
+  write(frame: AnswerFrame): Promise<void> {
+    this.text += frame.text;
+    this.indices.push(frame.index);
+    return Promise.resolve();
+  }
+}
+
+/** One entry under test. */
+export interface Entry {
+  readonly journal: MemoryJournal;
+  readonly handler: RequestHandler;
+}
+
+/** Everything around the entries under test. */
+export class Fixture {
+  readonly log = new MemoryLog();
+  readonly time = new FakeTime();
+  readonly engines = new FakeEngines();
+  readonly services = new FakeServices();
+  #idCount = 0;
+
+  constructor(settings: NodeSettings = {}) {
+    this.edit(ROOT_PATH, {
+      allowed: [CHEAP, BEST],
+      services: ["records"],
+      catalogue: [price(CHEAP, 1), price(BEST, 10)],
+      ...settings,
+    });
+  }
+
+  /** Publishes settings of one node. */
+  edit(path: SettingsPath, set: NodeSettings): void {
+    this.log.push({
+      id: `edit-${this.#idCount++}`,
+      kind: "edit",
+      path,
+      change: { set, clear: [] },
+      base: START_POSITION + Number.MAX_SAFE_INTEGER,
+      author: "test",
+      note: "",
+    });
+  }
+
+  /** Starts an entry on the shared log. */
+  entry(self = "vm-1", options: Partial<RequestHandlerOptions> = {}): Entry {
+    const journal = new MemoryJournal(this.log);
+    const directory = directoryOf(this.time);
+    const handler = createRequestHandler({
+      self,
+      journal,
+      directory,
+      engines: this.engines,
+      services: this.services,
+      chooseVersions: ({ settings }) => ok(planOf(settings)),
+      mayStart: (version, settings) => isUsable(settings, version),
+      fallsShort: () => Promise.resolve(false),
+      mayEscalate: () => true,
+      onAnswer: () => {},
+      holdAtPeer: () => Promise.resolve(false),
+      tokenOf: () => undefined,
+      tokenKeys: ["key-1"],
+      distanceTo: () => ({ delayMs: 1, egressMicroEurPerMb: 0 }),
+      runningLimit: () => 8,
+      clock: this.time.clock,
+      sleep: this.time.sleep,
+      random: () => 0,
+      makeId: () => `id-${self}-${this.#idCount++}`,
+      logger: silentLogger,
+      metrics: noMetrics,
+      limits: DEFAULT_FILTER_LIMITS,
+      ...options,
+    });
+    return { journal, handler };
+  }
+}
+
+function planOf(settings: Settings): VersionPlan {
+  const [first = CHEAP, ...escalations] = usableVersions(settings);
+  const escalation = settings.cascade === "off" ? "none" : "required";
+  return { first, escalations, escalation, meetsTarget: true };
+}
+
+function price(
+  version: VersionName,
+  microEur: number,
+): NonNullable<NodeSettings["catalogue"]>[number] {
+  return {
+    version,
+    inputPriceMicroEurPerMTok: microEur * 1_000_000,
+    outputPriceMicroEurPerMTok: microEur * 1_000_000,
+    memoryMb: 1000,
+    priorQualityShare: 0.8,
+  };
+}
+
+function directoryOf(time: FakeTime): ServerDirectory {
+  const vms: readonly Vm[] = [
+    vmOf("e-1", "engine", "models"),
+    vmOf("e-2", "engine", "models"),
+    vmOf("s-1", "service", "records"),
+    vmOf("s-2", "service", "records"),
+  ];
+  const directory = new ServerDirectory({
+    self: "vm-1",
+    source: { vms: () => vms, ageMs: () => 0 },
+    places: ["khomas-a"],
+    clock: time.clock,
+    drains: () => ({ places: [], servers: [] }),
+    priorFirstTokenMs: 100,
+    priorServiceMs: 1000,
+  });
+  directory.views("models");
+  for (const server of ["e-1", "e-2"]) {
+    directory.note(server, reportOf(server));
+  }
+  return directory;
+}
+
+function vmOf(vm: string, kind: Vm["kind"], service: string): Vm {
+  return {
+    vm,
+    kind,
+    service,
+    place: "khomas-a",
+    address: `${vm}:80`,
+    peerAddress: "",
+    status: "live",
+  };
+}
+
+function reportOf(
+  server: string,
+): NonNullable<Parameters<ServerDirectory["note"]>[1]> {
+  return {
+    server,
+    sequence: 1,
+    versions: [CHEAP, BEST].map((version) => ({
+      version,
+      state: "loaded",
+      adapters: [],
+    })),
+    runningCount: 0,
+    queuedCount: 0,
+    slotCount: 8,
+    memoryMb: 0,
+    usedMemoryMb: 0,
+    role: "both",
+    isLeaving: false,
+  };
+}
+
+let requestCount = 0;
+
+/** A model request. */
+export function modelRequest(
+  fields: Partial<ModelRequest> = {},
+): ModelRequest {
+  requestCount += 1;
+  return {
+    kind: "model",
+    requestId: `r-${requestCount}`,
+    workspace: WORKSPACE,
+    session: undefined,
+    idempotencyKey: undefined,
+    deadlineMs: 60_000,
+    requestClass: "drafting",
+    messages: [{ role: "user", content: "summarise the testimony" }],
+    maxTokens: 100,
+    isStreaming: true,
+    ...fields,
+  };
+}
+
+/** A registration at a plain service. */
+export function serviceRequest(
+  fields: Partial<ServiceRequest> = {},
+): ServiceRequest {
+  requestCount += 1;
+  return {
+    kind: "service",
+    requestId: `r-${requestCount}`,
+    workspace: WORKSPACE,
+    session: undefined,
+    idempotencyKey: "key-1",
+    deadlineMs: 10_000,
+    service: "records",
+    method: "POST",
+    target: "/submissions",
+    contentType: "text/plain",
+    body: Buffer.from("a submission"),
+    ...fields,
+  };
+}
+
+/** How a sent request went. */
+export interface Sent {
+  readonly received: Received;
+  readonly gone: AbortController;
+  readonly result: Promise<Result<Answer, Refusal>>;
+}
+
+/** Sends a request to an entry. */
+export function send(
+  entry: Entry,
+  request: ModelRequest | ServiceRequest,
+  sessionToken?: string,
+): Sent {
+  const received = new Received();
+  const gone = new AbortController();
+  const result = entry.handler.handle(
+    { request, bearer: undefined, sessionToken },
+    { sink: received, callerGone: gone.signal },
+  );
+  return { received, gone, result };
+}
+
+/** The refusal of a request that was refused. */
+export async function refusalOf(sent: Sent): Promise<Refusal> {
+  const result = await sent.result;
+  if (result.isErr()) return result.error;
+  throw new Error("the request was answered, not refused");
+}
--- /dev/null
+++ b/src/filter/kept_answers.ts
@@ -0,0 +1,151 @@
+/**
+ * Answers kept for callers that lost their connection. Each is followed from
+ * any index, also while it still runs. Bounded in number and bytes; the oldest
+ * finished answer is forgotten first.
+ */
+import { type AnswerFrame, type Refusal } from "../model/mod.ts";
+import { type AnswerHead, type AnswerSink } from "./answer_sink.ts";
+
+/** The bounds of the kept answers. */
+export interface KeptAnswersOptions {
+  readonly maxAnswers: number;
+  readonly maxBytes: number;
+}
+
+/** How a kept answer ended. */
+export type KeptEnd = "whole" | Refusal;
+
+/** One kept answer. */
+export interface KeptAnswer {
+  readonly workspace: string;
+  readonly head: AnswerHead | undefined;
+  readonly frames: readonly AnswerFrame[];
+  readonly end: KeptEnd | undefined;
+  /** Whether it was too long to be kept whole. */
+  readonly isTruncated: boolean;
+}
+
+class Entry implements KeptAnswer {
+  readonly workspace: string;
+  head: AnswerHead | undefined;
+  readonly frames: AnswerFrame[] = [];
+  end: KeptEnd | undefined;
+  isTruncated = false;
+  sizeBytes = 0;
+  readonly waiting = new Set<() => void>();
+
+  constructor(workspace: string) {
+    this.workspace = workspace;
+  }
+
+  wake(): void {
+    for (const resolve of this.waiting) resolve();
+    this.waiting.clear();
+  }
+}
+
+const FRAME_OVERHEAD_BYTES = 96;
+
+/** A bounded store of answers by request id. */
+export class KeptAnswers {
+  readonly #options: KeptAnswersOptions;
+  readonly #entries = new Map<string, Entry>();
+  #sizeBytes = 0;
+
+  constructor(options: KeptAnswersOptions) {
+    this.#options = options;
+  }
+
+  /** Answers kept now. */
+  get count(): number {
+    return this.#entries.size;
+  }
+
+  /** Estimated size of the answers kept now. */
+  get sizeBytes(): number {
+    return this.#sizeBytes;
+  }
+
+  /** A sink that keeps what it passes on to `sink`. */
+  keep(
+    requestId: string,
+    options: { readonly workspace: string; readonly sink: AnswerSink },
+  ): AnswerSink {
+    const entry = new Entry(options.workspace);
+    this.#forget(requestId);
+    this.#entries.set(requestId, entry);
+    this.#evict();
+    return {
+      begin: (head) => {
+        entry.head = head;
+        options.sink.begin(head);
+      },
+      write: (frame) => {
+        this.#add(requestId, entry, frame);
+        return options.sink.write(frame);
+      },
+    };
+  }
+
+  /** Notes how an answer ended; one without frames is not kept. */
+  finish(requestId: string, end: KeptEnd): void {
+    const entry = this.#entries.get(requestId);
+    if (entry === undefined) return;
+    entry.end = end;
+    entry.wake();
+    if (entry.frames.length === 0) this.#forget(requestId);
+  }
+
+  /** The kept answer of a request. */
+  find(requestId: string): KeptAnswer | undefined {
+    const entry = this.#entries.get(requestId);
+    return entry === undefined || entry.isTruncated ? undefined : entry;
+  }
+
+  /** Resolves when a running answer has grown or ended. */
+  async change(requestId: string, signal: AbortSignal): Promise<void> {
+    const entry = this.#entries.get(requestId);
+    if (entry === undefined || entry.end !== undefined) return;
+    await new Promise<void>((resolve) => {
+      entry.waiting.add(resolve);
+      signal.addEventListener("abort", () => resolve(), { once: true });
+    });
+  }
+
+  #add(requestId: string, entry: Entry, frame: AnswerFrame): void {
+    if (this.#entries.get(requestId) !== entry || entry.isTruncated) return;
+    const sizeBytes = frame.text.length * 2 + FRAME_OVERHEAD_BYTES;
+    entry.frames.push(frame);
+    entry.sizeBytes += sizeBytes;
+    this.#sizeBytes += sizeBytes;
+    entry.wake();
+    this.#evict();
+    if (this.#sizeBytes > this.#options.maxBytes) this.#truncate(entry);
+  }
+
+  #truncate(entry: Entry): void {
+    entry.isTruncated = true;
+    this.#sizeBytes -= entry.sizeBytes;
+    entry.sizeBytes = 0;
+    entry.frames.length = 0;
+    entry.wake();
+  }
+
+  #evict(): void {
+    const { maxAnswers, maxBytes } = this.#options;
+    for (const [requestId, entry] of this.#entries) {
+      const isOver = this.#entries.size > maxAnswers ||
+        this.#sizeBytes > maxBytes;
+      if (!isOver) return;
+      if (entry.end !== undefined) this.#forget(requestId);
+    }
+  }
+
+  #forget(requestId: string): void {
+    const entry = this.#entries.get(requestId);
+    if (entry === undefined) return;
+    this.#sizeBytes -= entry.sizeBytes;
+    this.#entries.delete(requestId);
+    entry.wake();
+  }
+}
--- /dev/null
+++ b/src/filter/limits.ts
@@ -0,0 +1,63 @@
+/** Bounds of an entry's filters, each with its unit. */
+import {
+  type AdmissionLimits,
+  DEFAULT_ADMISSION_LIMITS,
+  DEFAULT_RETRY_LIMITS,
+  type RetryBudgetLimits,
+} from "../decision/mod.ts";
+import { type RequestClass } from "../model/mod.ts";
+
+/** How long a class waits for a sign of life from an engine. */
+export interface SilenceLimits {
+  readonly firstByteMs: number;
+  readonly betweenTokensMs: number;
+}
+
+/** Bounds of the filters of one entry. */
+export interface FilterLimits {
+  readonly admission: AdmissionLimits;
+  readonly retry: RetryBudgetLimits;
+  readonly silence: Readonly<Record<RequestClass, SilenceLimits>>;
+  readonly maxAttempts: number;
+  readonly firstRetryPauseMs: number;
+  readonly longestRetryPauseMs: number;
+  /** Wait for a claim or pin to be confirmed. */
+  readonly claimTimeoutMs: number;
+  /** Wait for a bill or outcome to be confirmed. */
+  readonly billTimeoutMs: number;
+  readonly maxBodyBytes: number;
+  readonly maxMessages: number;
+  readonly maxTokens: number;
+  /** Requests that may be running or waiting for their bill. */
+  readonly maxOutboxRecords: number;
+  /** Longest answer kept in the record of an idempotency key. */
+  readonly maxOutcomeBytes: number;
+  readonly maxKeptAnswers: number;
+  readonly maxKeptBytes: number;
+  readonly outboxRetryMs: number;
+}
+
+/** Bounds of a small entry VM. */
+export const DEFAULT_FILTER_LIMITS: FilterLimits = {
+  admission: DEFAULT_ADMISSION_LIMITS,
+  retry: DEFAULT_RETRY_LIMITS,
+  silence: {
+    lookup: { firstByteMs: 1500, betweenTokensMs: 1000 },
+    tagging: { firstByteMs: 5000, betweenTokensMs: 2000 },
+    drafting: { firstByteMs: 10_000, betweenTokensMs: 3000 },
+    review: { firstByteMs: 30_000, betweenTokensMs: 5000 },
+  },
+  maxAttempts: 4,
+  firstRetryPauseMs: 20,
+  longestRetryPauseMs: 1000,
+  claimTimeoutMs: 3000,
+  billTimeoutMs: 3000,
+  maxBodyBytes: 1_048_576,
+  maxMessages: 512,
+  maxTokens: 32_768,
+  maxOutboxRecords: 4096,
+  maxOutcomeBytes: 65_536,
+  maxKeptAnswers: 512,
+  maxKeptBytes: 16_777_216,
+  outboxRetryMs: 500,
+};
--- /dev/null
+++ b/src/filter/request_handler.ts
@@ -0,0 +1,268 @@
+/**
+ * Builds the filter chains of one entry from its effects and bounds, and runs
+ * requests through them. A program wires it; nothing here opens a socket.
+ */
+import { type Result } from "neverthrow";
+import {
+  type CallerRequest,
+  type Clock,
+  type Logger,
+  type Metrics,
+  notRun,
+  type Random,
+  type Refusal,
+  type SettingsPath,
+  type Sleep,
+} from "../model/mod.ts";
+import {
+  type EngineTransport,
+  type Journal,
+  type ServerDirectory,
+  type ServiceTransport,
+} from "../platform/mod.ts";
+import { type RecordOf } from "../state/mod.ts";
+import { AbandonedClaims } from "./abandoned_claims.ts";
+import { AdmissionQueue } from "./admit.ts";
+import { type AnswerSink } from "./answer_sink.ts";
+import { staleRefusal, type TokenOf } from "./authorise.ts";
+import { type BillHolder } from "./bill.ts";
+import { type FallsShort, type MayEscalate, type OnAnswer } from "./cascade.ts";
+import { type Answer, RunRecord, type SettingsReader } from "./context.ts";
+import { type Identified } from "./identify.ts";
+import { KeptAnswers } from "./kept_answers.ts";
+import { type FilterLimits } from "./limits.ts";
+import { type ChooseVersions, type MayStart } from "./pin.ts";
+import { PrefixMemory } from "./prefix_memory.ts";
+import { RecordOutbox } from "./record_outbox.ts";
+import { createChains } from "./request_chains.ts";
+import { RequestLife } from "./request_life.ts";
+import { RetryGate } from "./retry_gate.ts";
+import { createRouter, type Distance, type RouterOptions } from "./router.ts";
+import { RunningAnswers } from "./running_answers.ts";
+import { createSettingsReader } from "./settings_cache.ts";
+import { TokenMeter } from "./token_meter.ts";
+
+/** Everything that the filters of one entry need. */
+export interface RequestHandlerOptions {
+  /** Name of this VM. */
+  readonly self: string;
+  readonly journal: Journal;
+  readonly directory: ServerDirectory;
+  readonly engines: EngineTransport;
+  readonly services: ServiceTransport;
+  readonly chooseVersions: ChooseVersions;
+  readonly mayStart: MayStart;
+  readonly fallsShort: FallsShort;
+  readonly mayEscalate: MayEscalate;
+  readonly onAnswer: OnAnswer;
+  readonly holdAtPeer: BillHolder;
+  readonly tokenOf: TokenOf;
+  readonly tokenKeys: readonly string[];
+  readonly distanceTo: (place: string) => Distance;
+  /** Requests that this VM may run at once. */
+  readonly runningLimit: () => number;
+  readonly routePolicy?: RouterOptions["policy"];
+  readonly clock: Clock;
+  readonly sleep: Sleep;
+  readonly random: Random;
+  /** Makes an id that no VM makes twice. */
+  readonly makeId: () => string;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly limits: FilterLimits;
+}
+
+/** What an entry is doing now. */
+export interface HandlerStatus {
+  readonly runningCount: number;
+  readonly waitingCount: number;
+  readonly heldBillCount: number;
+  readonly lateRecordCount: number;
+  readonly keptAnswerCount: number;
+  readonly isAccepting: boolean;
+}
+
+/** Where a request's frames go, and what ends it early. */
+export interface HandleOptions {
+  readonly sink: AnswerSink;
+  /** Aborts when the caller has gone. */
+  readonly callerGone: AbortSignal;
+}
+
+/** Runs requests through the filters. */
+export interface RequestHandler {
+  readonly settings: SettingsReader;
+  readonly kept: KeptAnswers;
+  readonly limits: FilterLimits;
+  readonly makeId: () => string;
+  handle(
+    identified: Identified<CallerRequest>,
+    options: HandleOptions,
+  ): Promise<Result<Answer, Refusal>>;
+  /** Whether a workspace's token is shown. */
+  isAuthorised(workspace: SettingsPath, bearer: string | undefined): boolean;
+  /** Holds a bill for a peer; false when there is no room. */
+  holdForPeer(bill: RecordOf<"bill">): boolean;
+  /** Refuses new requests from now on; those in progress finish. */
+  stopAccepting(): void;
+  status(): HandlerStatus;
+  /** Appends what waits for the log, until `signal` aborts. */
+  run(signal: AbortSignal): Promise<void>;
+  /** Appends what waits for the log once. */
+  flush(): Promise<void>;
+}
+
+const SHUTDOWN_RETRY_MS = 1000;
+
+/** Creates the handler of one entry. */
+export function createRequestHandler(
+  options: RequestHandlerOptions,
+): RequestHandler {
+  return new Handler(options);
+}
+
+class Handler implements RequestHandler {
+  readonly settings: SettingsReader;
+  readonly kept: KeptAnswers;
+  readonly limits: FilterLimits;
+  readonly makeId: () => string;
+  readonly #options: RequestHandlerOptions;
+  readonly #chains: ReturnType<typeof createChains>;
+  readonly #bills: RecordOutbox;
+  readonly #late: RecordOutbox;
+  readonly #abandoned = new AbandonedClaims();
+  readonly #running = new RunningAnswers();
+  readonly #admission: AdmissionQueue;
+  #isAccepting = true;
+
+  constructor(options: RequestHandlerOptions) {
+    const { journal, limits } = options;
+    this.#options = options;
+    this.limits = limits;
+    this.makeId = options.makeId;
+    this.settings = createSettingsReader(journal);
+    this.kept = new KeptAnswers({
+      maxAnswers: limits.maxKeptAnswers,
+      maxBytes: limits.maxKeptBytes,
+    });
+    const outbox = {
+      journal,
+      maxRecords: limits.maxOutboxRecords,
+      appendTimeoutMs: limits.billTimeoutMs,
+    };
+    this.#bills = new RecordOutbox(outbox);
+    this.#late = new RecordOutbox(outbox);
+    const admit = {
+      ...options,
+      settings: this.settings,
+      limits: limits.admission,
+      meter: new TokenMeter(options.clock),
+    };
+    this.#admission = new AdmissionQueue(admit);
+    this.#chains = createChains({
+      ...options,
+      settings: this.settings,
+      kept: this.kept,
+      bills: this.#bills,
+      late: this.#late,
+      abandoned: this.#abandoned,
+      running: this.#running,
+      admission: this.#admission,
+      admit,
+      retries: new RetryGate(options.clock, limits.retry),
+      route: createRouter({
+        table: options.directory,
+        prefixes: new PrefixMemory(),
+        distanceTo: options.distanceTo,
+        clock: options.clock,
+        random: options.random,
+        ...(options.routePolicy === undefined
+          ? {}
+          : { policy: options.routePolicy }),
+      }),
+      staleRefusal: (context) =>
+        staleRefusal(context, { journal, settings: this.settings }),
+    });
+    journal.onChange(() => this.#onChange());
+  }
+
+  async handle(
+    identified: Identified<CallerRequest>,
+    { sink, callerGone }: HandleOptions,
+  ): Promise<Result<Answer, Refusal>> {
+    const { request } = identified;
+    const { clock, sleep } = this.#options;
+    const life = new RequestLife({
+      clock,
+      sleep,
+      deadlineMs: request.deadlineMs,
+    });
+    const onGone = (): void => life.end("caller_gone");
+    if (callerGone.aborted) onGone();
+    else callerGone.addEventListener("abort", onGone, { once: true });
+    try {
+      const chain = this.#chains[request.kind];
+      return await chain({
+        ...identified,
+        life,
+        sink,
+        run: new RunRecord(),
+        plan: undefined,
+        entryRefusal: this.#entryRefusal(),
+      });
+    } finally {
+      callerGone.removeEventListener("abort", onGone);
+      life.close();
+    }
+  }
+
+  isAuthorised(workspace: SettingsPath, bearer: string | undefined): boolean {
+    const token = this.#options.tokenOf(workspace);
+    return token === undefined || token === bearer;
+  }
+
+  holdForPeer(bill: RecordOf<"bill">): boolean {
+    return this.#bills.offer({ record: bill, shardKey: bill.requestId });
+  }
+
+  stopAccepting(): void {
+    this.#isAccepting = false;
+  }
+
+  status(): HandlerStatus {
+    return {
+      runningCount: this.#admission.runningCount,
+      waitingCount: this.#admission.waitingCount,
+      heldBillCount: this.#bills.size,
+      lateRecordCount: this.#late.size,
+      keptAnswerCount: this.kept.count,
+      isAccepting: this.#isAccepting,
+    };
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    const { sleep, limits } = this.#options;
+    while (!signal.aborted) {
+      await sleep(limits.outboxRetryMs, signal).catch(() => {});
+      await this.flush();
+    }
+  }
+
+  async flush(): Promise<void> {
+    this.#abandoned.sweep(this.#options.journal, this.#late);
+    if (this.#late.size > 0) await this.#late.flush();
+    if (this.#bills.size > 0) await this.#bills.flush();
+  }
+
+  #onChange(): void {
+    this.#running.stopWithdrawn(this.settings);
+  }
+
+  #entryRefusal(): Refusal | undefined {
+    if (this.#isAccepting) return undefined;
+    return notRun("shutting_down", {
+      detail: "this VM is leaving; use another address",
+      retryAfterMs: SHUTDOWN_RETRY_MS,
+    });
+  }
+}
