--- /dev/null
+++ b/test/cluster.ts
@@ -0,0 +1,246 @@
+/**
+ * A whole deployment on loopback: stand-ins, proxies on every link, and an
+ * entry and a controller process for each VM. Faults are set on the site's
+ * switches and links, processes are stopped by signals.
+ */
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { performance } from "node:perf_hooks";
+import { type SettingsTree, type Vm } from "../src/model/mod.ts";
+import { type Position } from "../src/state/mod.ts";
+import { type Evidence, type RevisionSample } from "./evidence.ts";
+import { processSettingsOf, type SettingsOverrides } from "./process_config.ts";
+import {
+  type ClusterVm,
+  isReady,
+  listeningAddresses,
+  outputOf,
+  statusOf,
+} from "./cluster_vm.ts";
+import { Program } from "./program.ts";
+import { FaultProxy } from "./proxy.ts";
+import { seedTree } from "./seed_log.ts";
+import { Site } from "./site.ts";
+import { type SitePlan } from "./site_plan.ts";
+import { waitFor } from "./wait.ts";
+
+const ENTRY_SCRIPT = "dist/src/bin/entry.js";
+const CONTROLLER_SCRIPT = "dist/src/bin/controller.js";
+const START_TIMEOUT_MS = 20_000;
+const IN_FORCE_TIMEOUT_MS = 15_000;
+
+/** How a cluster is started. */
+export interface ClusterOptions {
+  readonly plan: SitePlan;
+  readonly tree: SettingsTree;
+  readonly seed: number;
+  readonly hasControllers: boolean;
+  readonly overrides?: SettingsOverrides;
+}
+
+/** A running deployment. */
+export class Cluster {
+  readonly site: Site;
+  readonly vms = new Map<string, ClusterVm>();
+  readonly revisions: RevisionSample[] = [];
+  readonly #options: ClusterOptions;
+  readonly #folder: string;
+  readonly #peerLinks = new Map<string, FaultProxy>();
+  readonly #peerAddresses = new Map<string, string>();
+  #startCount = 0;
+  #revision: Position = 0;
+
+  private constructor(site: Site, options: ClusterOptions) {
+    this.site = site;
+    this.#options = options;
+    this.#folder = mkdtempSync(join(tmpdir(), "goldcrestpost-"));
+  }
+
+  /** Starts a deployment and waits until every entry VM is ready. */
+  static async start(options: ClusterOptions): Promise<Cluster> {
+    const site = await Site.start(options);
+    const cluster = new Cluster(site, options);
+    try {
+      cluster.#revision = seedTree(site.log, options.tree);
+      const starts: Promise<ClusterVm>[] = [];
+      for (const { place, entryCount } of options.plan.places) {
+        for (let index = 1; index <= entryCount; index += 1) {
+          starts.push(cluster.startVm(`${place}-${index}`, place));
+        }
+      }
+      await Promise.all(starts);
+      for (const vm of cluster.vms.values()) await cluster.waitReady(vm);
+      return cluster;
+    } catch (error) {
+      await cluster.close();
+      throw error;
+    }
+  }
+
+  /** The revision of the settings that the log was seeded with. */
+  get seededRevision(): Position {
+    return this.#revision;
+  }
+
+  /** Starts the processes of one VM and lists it. */
+  async startVm(name: string, place: string): Promise<ClusterVm> {
+    const logLink = new FaultProxy({
+      target: this.site.logAddress,
+      delayMs: this.site.delayMs(place, this.site.plan.places[0]?.place ?? ""),
+    });
+    const logAddress = await logLink.listen();
+    const settings = processSettingsOf({
+      site: this.site,
+      vm: name,
+      place,
+      logAddress,
+      overrides: this.#options.overrides ?? {},
+    });
+    const entry = this.#run(ENTRY_SCRIPT, settings);
+    const { hasControllers } = this.#options;
+    const controller = hasControllers
+      ? this.#run(CONTROLLER_SCRIPT, settings)
+      : undefined;
+    const addresses = await listeningAddresses(entry);
+    const callerLink = new FaultProxy({
+      target: addresses.http,
+      delayMs: this.site.plan.clientDelayMs,
+    });
+    const vm: ClusterVm = {
+      name,
+      place,
+      entry,
+      controller,
+      callerLink,
+      callerAddress: await callerLink.listen(),
+      logLink,
+      peerAddress: addresses.peer,
+      httpAddress: addresses.http,
+    };
+    this.vms.set(name, vm);
+    await this.#linkPeers(vm);
+    this.#publish();
+    return vm;
+  }
+
+  /** Kills both processes of a VM, as a failing machine would. */
+  async killVm(name: string): Promise<void> {
+    const vm = this.vm(name);
+    await Promise.all([vm.entry.kill(), vm.controller?.kill()]);
+  }
+
+  /** The VM with this name; it must exist. */
+  vm(name: string): ClusterVm {
+    const vm = this.vms.get(name);
+    if (vm === undefined) throw new Error(`no VM is named ${name}`);
+    return vm;
+  }
+
+  /** VMs whose entry process runs. */
+  live(): ClusterVm[] {
+    return [...this.vms.values()].filter((vm) => !vm.entry.hasExited);
+  }
+
+  /** The link between two entry VMs of a place and a VM. */
+  peerLink(place: string, vm: string): FaultProxy {
+    const link = this.#peerLinks.get(`${place}>${vm}`);
+    if (link === undefined) throw new Error(`no link ${place}>${vm}`);
+    return link;
+  }
+
+  /** Waits until an entry VM may be handed out. */
+  async waitReady(vm: ClusterVm): Promise<void> {
+    await waitFor(() => isReady(vm), {
+      what: `readiness of ${vm.name}`,
+      timeoutMs: START_TIMEOUT_MS,
+    }).catch((error) => {
+      throw new Error(`${error}; ${outputOf(vm.entry)}`);
+    });
+  }
+
+  /** Waits until every live VM has a revision; answers the time it had. */
+  async waitInForce(revision: Position): Promise<number> {
+    for (const vm of this.live()) {
+      await waitFor(async () => {
+        const held = await this.readRevision(vm);
+        return held !== undefined && held >= revision ? true : undefined;
+      }, { what: `${revision} on ${vm.name}`, timeoutMs: IN_FORCE_TIMEOUT_MS });
+    }
+    return performance.now();
+  }
+
+  /** Reads and keeps the revision that an entry VM has in force. */
+  async readRevision(vm: ClusterVm): Promise<number | undefined> {
+    const status = await statusOf(vm);
+    if (status === undefined) return undefined;
+    const process = `${vm.name}:${vm.httpAddress}`;
+    this.revisions.push({ process, revision: status.revision });
+    return status.revision;
+  }
+
+  /** What the stand-ins have seen so far. */
+  seen(): Pick<Evidence, "attempts" | "runs" | "appends" | "revisions"> {
+    return {
+      attempts: this.site.engines.flatMap((engine) => engine.seen.attempts),
+      runs: this.site.services.flatMap((service) => service.seen),
+      appends: this.site.log.seen.appends,
+      revisions: this.revisions,
+    };
+  }
+
+  /** Ends all processes and stand-ins. */
+  async close(): Promise<void> {
+    for (const vm of this.vms.values()) {
+      for (const program of [vm.entry, vm.controller]) {
+        program?.signal("SIGCONT");
+        await program?.kill();
+      }
+      await vm.callerLink.close();
+      await vm.logLink.close();
+    }
+    for (const link of this.#peerLinks.values()) await link.close();
+    await this.site.close();
+    rmSync(this.#folder, { recursive: true, force: true });
+  }
+
+  #run(script: string, settings: unknown): Program {
+    this.#startCount += 1;
+    return new Program({
+      script,
+      settings,
+      settingsFile: join(this.#folder, `${this.#startCount}.json`),
+    });
+  }
+
+  async #linkPeers(vm: ClusterVm): Promise<void> {
+    for (const { place } of this.site.plan.places) {
+      const link = new FaultProxy({
+        target: vm.peerAddress,
+        delayMs: this.site.delayMs(place, vm.place),
+      });
+      await this.#peerLinks.get(`${place}>${vm.name}`)?.close();
+      this.#peerLinks.set(`${place}>${vm.name}`, link);
+      this.#peerAddresses.set(`${place}>${vm.name}`, await link.listen());
+    }
+  }
+
+  #publish(): void {
+    const entries = new Map<string, Vm[]>();
+    for (const { place } of this.site.plan.places) {
+      entries.set(
+        place,
+        [...this.vms.values()].map((vm): Vm => ({
+          vm: vm.name,
+          kind: "entry",
+          service: "",
+          place: vm.place,
+          address: vm.callerAddress,
+          peerAddress: this.#peerAddresses.get(`${place}>${vm.name}`) ?? "",
+          status: "live",
+        })),
+      );
+    }
+    this.site.setEntries(entries);
+  }
+}
--- /dev/null
+++ b/test/seed_log.ts
@@ -0,0 +1,45 @@
+/** Writes a settings tree to the log's stand-in, as operators have published. */
+import {
+  type NodeSettings,
+  type SettingsPath,
+  type SettingsTree,
+} from "../src/model/mod.ts";
+import {
+  encodeBatch,
+  type Position,
+  positionOf,
+  START_POSITION,
+} from "../src/state/mod.ts";
+import { type LogStandin } from "../standin/mod.ts";
+
+const CONTROL_STREAM = "control";
+
+/** Appends one accepted edit for each node; answers the newest revision. */
+export function seedTree(log: LogStandin, tree: SettingsTree): Position {
+  let base = START_POSITION;
+  for (const [path, set] of Object.entries(tree.toJson())) {
+    base = seedEdit(log, { path: path as SettingsPath, set, base });
+  }
+  return base;
+}
+
+/** An edit to append. */
+export interface SeedEdit {
+  readonly path: SettingsPath;
+  readonly set: NodeSettings;
+  readonly base: Position;
+}
+
+/** Appends one edit; answers its position. */
+export function seedEdit(log: LogStandin, edit: SeedEdit): Position {
+  const payload = encodeBatch([{
+    id: `seed:${log.seen.appends.length}`,
+    kind: "edit",
+    path: edit.path,
+    change: { set: edit.set, clear: [] },
+    base: edit.base,
+    author: "seed",
+    note: "",
+  }]);
+  return positionOf(log.append(CONTROL_STREAM, payload), 0);
+}
