--- a/src/filter/answer_progress.ts
+++ b/src/filter/answer_progress.ts
@@ -17,6 +17,7 @@
   #nextIndex = 0;
   #startIndex = 0;
   #last: AnswerFrame | undefined;
+  #producedCount = 0;
 
   /** The text of all frames so far. */
   get text(): string {
@@ -45,13 +46,19 @@
     if (frame.isLast) this.#last = frame;
   }
 
+  /** Notes the tokens that a cancelled attempt had produced. */
+  noteProduced(outputTokens: number | undefined): void {
+    if (outputTokens === undefined) return;
+    this.#producedCount = this.#startIndex + outputTokens;
+  }
+
   /** The tokens of the answer, however many attempts it took. */
   usage(messages: readonly ChatMessage[]): TokenUsage {
     const reported = this.#last?.usage;
     if (reported === undefined) {
       return {
         inputTokens: estimateTokens(messages),
-        outputTokens: this.#nextIndex,
+        outputTokens: Math.max(this.#nextIndex, this.#producedCount),
       };
     }
     const earlier = this.#startIndex;
--- /dev/null
+++ b/src/filter/call_service_test.ts
@@ -0,0 +1,79 @@
+/** Tests of plain services: calls that must not be repeated are not. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { err, ok } from "neverthrow";
+import { ServiceError, type ServiceFault } from "../platform/mod.ts";
+import { Fixture, refusalOf, send, serviceRequest } from "./fixture_test.ts";
+
+function failFirst(fixture: Fixture, fault: ServiceFault): void {
+  const answer = fixture.services.script;
+  let count = 0;
+  fixture.services.script = () => {
+    count += 1;
+    return count === 1 ? err(new ServiceError(fault, fault)) : answer();
+  };
+}
+
+for (const fault of ["broken", "silent"] as const) {
+  test(`a registration that ends "${fault}" is not repeated`, async () => {
+    const fixture = new Fixture();
+    failFirst(fixture, fault);
+    const entry = fixture.entry();
+    const refusal = await refusalOf(send(entry, serviceRequest()));
+    assert.equal(refusal.outcome, "may_have_run");
+    const repeat = await refusalOf(send(entry, serviceRequest()));
+    assert.equal(repeat.outcome, "may_have_run");
+    assert.equal(fixture.services.calls.length, 1);
+  });
+}
+
+test("a registration of which no byte left goes to another server", async () => {
+  const fixture = new Fixture();
+  failFirst(fixture, "unreachable");
+  const result = await send(fixture.entry(), serviceRequest()).result;
+  assert.ok(result.isOk());
+  const [first, second] = fixture.services.calls;
+  assert.notEqual(first?.address, second?.address);
+});
+
+test("a lookup that breaks is tried on another server", async () => {
+  const fixture = new Fixture();
+  failFirst(fixture, "broken");
+  const lookup = serviceRequest({ method: "GET", idempotencyKey: undefined });
+  assert.ok((await send(fixture.entry(), lookup).result).isOk());
+  assert.equal(fixture.services.calls.length, 2);
+});
+
+test("services that cannot be reached refuse not run", async () => {
+  const fixture = new Fixture();
+  fixture.services.script = () => err(new ServiceError("unreachable", "down"));
+  const refusal = await refusalOf(send(fixture.entry(), serviceRequest()));
+  assert.equal(refusal.reason, "no_backend_server");
+  assert.equal(refusal.outcome, "not_run");
+});
+
+test("a service that a workspace may not call is refused", async () => {
+  const fixture = new Fixture();
+  const other = serviceRequest({ service: "ledger" });
+  const refusal = await refusalOf(send(fixture.entry(), other));
+  assert.equal(refusal.reason, "unauthorized");
+  assert.equal(fixture.services.calls.length, 0);
+});
+
+test("a service's own error is passed on and recorded", async () => {
+  const fixture = new Fixture();
+  fixture.services.script = () =>
+    ok({
+      status: 500,
+      contentType: "text/plain",
+      body: Buffer.from("no"),
+      report: undefined,
+    });
+  const entry = fixture.entry();
+  for (const _ of [1, 2]) {
+    const answer = (await send(entry, serviceRequest()).result)
+      ._unsafeUnwrap();
+    assert.equal(answer.kind === "plain" && answer.status, 500);
+  }
+  assert.equal(fixture.services.calls.length, 1);
+});
--- a/src/filter/cascade.ts
+++ b/src/filter/cascade.ts
@@ -20,6 +20,7 @@
   settingsPathOf,
 } from "./context.ts";
 import { dispatch, type DispatchOptions } from "./dispatch.ts";
+import { type ChooseVersions } from "./pin.ts";
 import { type RunningAnswers } from "./running_answers.ts";
 import { signSession } from "./session_token.ts";
 
@@ -53,6 +54,7 @@
   readonly fallsShort: FallsShort;
   readonly onAnswer: OnAnswer;
   readonly mayEscalate: MayEscalate;
+  readonly chooseVersions: ChooseVersions;
   readonly tokenKeys: readonly string[];
   readonly running: RunningAnswers;
 }
@@ -67,7 +69,7 @@
     const versions = usable(context, options);
     const outcome = isEscalating(context, versions)
       ? await escalate(context, request, { versions, options })
-      : await runFirst(context, request, { versions, options });
+      : await runInstead(context, request, { versions, options });
     if (outcome.isOk()) options.onAnswer(request, outcome.value);
     return outcome;
   };
@@ -134,6 +136,31 @@
   readonly options: CascadeOptions;
 }
 
+/** Runs the plan; when no server has its versions, the next best plan. */
+async function runInstead(
+  context: RequestContext,
+  request: ModelRequest,
+  { versions, options }: RunMany,
+): Promise<Result<ModelAnswer, Refusal>> {
+  const run = await runFirst(context, request, { versions, options });
+  const isMissing = run.isErr() && isVersionMissing(run.error);
+  if (!isMissing || request.session !== undefined) return run;
+  const path = settingsPathOf(request);
+  const settings = options.settings(path);
+  const allowed = settings.allowed.filter((one) => !versions.includes(one));
+  const plan = options.chooseVersions({
+    request,
+    path,
+    settings: { ...settings, allowed },
+    leftMs: context.life.leftMs(),
+  });
+  if (plan.isErr()) return run;
+  const others = usable({ ...context, plan: plan.value }, options)
+    .filter((one) => allowed.includes(one));
+  if (others.length === 0) return run;
+  return await runFirst(context, request, { versions: others, options });
+}
+
 /** Runs the first version that has a server; the others stand in for it. */
 async function runFirst(
   context: RequestContext,
--- a/src/filter/dispatch.ts
+++ b/src/filter/dispatch.ts
@@ -64,9 +64,9 @@
   const progress = new AnswerProgress();
   const result = await new Dispatch(input, options, progress).run();
   const { context, request, version } = input;
-  if (progress.nextIndex > 0) {
+  const usage = progress.usage(request.messages);
+  if (usage.outputTokens > 0) {
     const { catalogue } = options.settings("/");
-    const usage = progress.usage(request.messages);
     context.run.lines.push(billLine(version, usage, catalogue));
   }
   return result.map(() => ({
@@ -107,6 +107,7 @@
       if (target.isErr()) return err(this.#noRoute(target.error, last));
       last = await this.#attempt(target.value);
       if (last === undefined) return ok(undefined);
+      await this.#cancelIfEnded(target.value);
       const final = this.#finalRefusal(last);
       if (final !== undefined) return err(final);
       this.#plan(last, target.value);
@@ -159,6 +160,16 @@
     }
   }
 
+  /** Stops the engine's work; once the caller is gone, counts it as well. */
+  async #cancelIfEnded({ address }: RouteTarget): Promise<void> {
+    const { context, request } = this.#input;
+    const { ending } = context.life;
+    if (ending === undefined) return;
+    const cancelled = this.#options.engines.cancel(address, request.requestId);
+    if (ending !== "caller_gone") return;
+    this.#progress.noteProduced(await cancelled);
+  }
+
   #mayRetry(): boolean {
     if (this.#progress.nextIndex > 0) return true;
     return this.#options.retries.trySpend();
--- a/src/filter/fixture_test.ts
+++ b/src/filter/fixture_test.ts
@@ -53,11 +53,14 @@
   readonly isFresh: boolean;
 }
 
+/** The frames of one attempt. */
+export type Frames = AsyncGenerator<Result<AnswerFrame, EngineError>>;
+
 /** Answers one call. */
 export type EngineScript = (
   call: SeenCall,
   signal: AbortSignal,
-) => AsyncIterable<Result<AnswerFrame, EngineError>> | EngineError;
+) => Frames | EngineError;
 
 /** Engines that follow a script. */
 export class FakeEngines implements EngineTransport {
@@ -87,7 +90,7 @@
 export async function* framesOf(
   call: SeenCall,
   words: readonly string[],
-): AsyncGenerator<Result<AnswerFrame, EngineError>> {
+): Frames {
   for (const [index, text] of words.entries()) {
     await Promise.resolve();
     if (index < call.fromIndex) continue;
@@ -95,6 +98,14 @@
   }
 }
 
+/** A stream that stays silent until it is cancelled. */
+export async function* silentUntil(signal: AbortSignal): Frames {
+  await new Promise<void>((resolve) =>
+    signal.addEventListener("abort", () => resolve())
+  );
+  yield err(new EngineError("cancelled", "cancelled"));
+}
+
 /** One frame of an answer of `count` frames. */
 export function frameOf(
   call: SeenCall,
@@ -254,8 +265,10 @@
 }
 
 function planOf(settings: Settings): VersionPlan {
-  const [first = CHEAP, ...escalations] = usableVersions(settings);
-  const escalation = settings.cascade === "off" ? "none" : "required";
+  const [first = CHEAP, ...others] = usableVersions(settings);
+  const isCascade = settings.cascade !== "off";
+  const escalations = isCascade ? others : [];
+  const escalation = isCascade ? "required" : "none";
   return { first, escalations, escalation, meetsTarget: true };
 }
 
