Bound the lines of one server-sent event

Change: the collected lines count too. test/fuzz drives records, events, load reports, trees and paths with random, truncated and oversize input.

Conclusion: 'an endless event is refused at its bound' failed before the change and passes after it; the other eight passed at once.

--- a/src/platform/event_stream.ts
+++ b/src/platform/event_stream.ts
@@ -17,27 +17,31 @@
   readonly #decoder = new StringDecoder("utf8");
   #rest = "";
   #data: string[] = [];
+  #dataLength = 0;
 
   /** The data of the events that `chunk` completes, in order. */
   push(chunk: Uint8Array): string[] {
     const lines = (this.#rest + this.#decoder.write(chunk)).split("\n");
     this.#rest = lines.pop() ?? "";
-    if (this.#rest.length > MAX_EVENT_LENGTH) {
-      throw new EventStreamError("an event is longer than the bound");
-    }
     const events: string[] = [];
     for (const line of lines) this.#readLine(line, events);
+    if (this.#rest.length + this.#dataLength > MAX_EVENT_LENGTH) {
+      throw new EventStreamError("an event is longer than the bound");
+    }
     return events;
   }
 
   #readLine(line: string, events: string[]): void {
     const text = line.endsWith("\r") ? line.slice(0, -1) : line;
     if (text.startsWith("data:")) {
-      this.#data.push(text.slice(text[5] === " " ? 6 : 5));
+      const data = text.slice(text[5] === " " ? 6 : 5);
+      this.#data.push(data);
+      this.#dataLength += data.length + 1;
       return;
     }
     if (text !== "" || this.#data.length === 0) return;
     events.push(this.#data.join("\n"));
     this.#data = [];
+    this.#dataLength = 0;
   }
 }
