--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,157 @@
+/**
+ * `npm run measure -- --deployment kavango|tullagh --seconds N --seed S
+ * [--fault NAME,...] [--policy NAME] [--rate N] [--entries N]`: one run of a
+ * whole deployment with real processes. The last line is its summary as JSON;
+ * the exit status is 1 when a promise was broken.
+ */
+import process from "node:process";
+import { parseArgs } from "node:util";
+import { type RunSummary } from "../src/report/run_summary.ts";
+import { Cluster } from "../test/cluster.ts";
+import { FAULT_NAMES, type FaultName } from "../test/faults.ts";
+import { type ProgramUsage } from "../test/program.ts";
+import { runScenario } from "../test/scenario.ts";
+import {
+  type Deployment,
+  DEPLOYMENTS,
+  readSitePlan,
+  readTree,
+  type SitePlan,
+  withEntryCount,
+} from "../test/site_plan.ts";
+import { Workload } from "../test/workload.ts";
+import { summarise } from "./summarise.ts";
+
+const BAD_USAGE_STATUS = 2;
+const DEADLINE_MS = 60_000;
+
+interface MeasureOptions {
+  readonly deployment: Deployment;
+  readonly seconds: number;
+  readonly seed: number;
+  readonly faults: readonly FaultName[];
+  readonly policy: string;
+  readonly plan: SitePlan;
+}
+
+function parseOptions(): MeasureOptions | string {
+  const { values } = parseArgs({
+    options: {
+      deployment: { type: "string", default: "kavango" },
+      seconds: { type: "string", default: "20" },
+      seed: { type: "string", default: "1" },
+      fault: { type: "string", default: "none" },
+      policy: { type: "string", default: "default" },
+      rate: { type: "string" },
+      entries: { type: "string" },
+    },
+  });
+  const deployment = DEPLOYMENTS.find((name) => name === values.deployment);
+  if (deployment === undefined) {
+    return `deployment: ${DEPLOYMENTS.join(" or ")}`;
+  }
+  const faults = values.fault.split(",");
+  const unknown = faults.find((name) => !isFault(name));
+  if (unknown !== undefined) return `fault: one of ${FAULT_NAMES.join(", ")}`;
+  const plan = readSitePlan(deployment);
+  const sized = values.entries === undefined
+    ? plan
+    : withEntryCount(plan, Number(values.entries));
+  const requestsPerSecond = Number(values.rate ?? plan.requestsPerSecond);
+  return {
+    deployment,
+    seconds: Number(values.seconds),
+    seed: Number(values.seed),
+    faults: faults as FaultName[],
+    policy: values.policy,
+    plan: { ...sized, requestsPerSecond },
+  };
+}
+
+function isFault(name: string): name is FaultName {
+  return FAULT_NAMES.some((known) => known === name);
+}
+
+async function measure(options: MeasureOptions): Promise<RunSummary> {
+  const { plan, seed, deployment } = options;
+  const cluster = await Cluster.start({
+    plan,
+    tree: readTree(deployment),
+    seed,
+    hasControllers: true,
+    policy: options.policy,
+  });
+  try {
+    const before = usageOf(cluster);
+    const run = await runScenario({
+      cluster,
+      workload: new Workload({
+        plan,
+        seed,
+        deadlineMs: DEADLINE_MS,
+        name: `m${seed}`,
+      }),
+      requestsPerSecond: plan.requestsPerSecond,
+      durationMs: options.seconds * 1000,
+      faults: options.faults,
+    });
+    const vms = usageBetween(before, usageOf(cluster), run.elapsedMs);
+    const { qualityShares } = cluster.site.plan;
+    const qualityOf = (version: string): number => qualityShares[version] ?? 0;
+    return summarise(run, { ...options, qualityOf, vms });
+  } finally {
+    await cluster.close();
+  }
+}
+
+interface VmUsage {
+  readonly vm: string;
+  readonly entry: ProgramUsage;
+  readonly controller: ProgramUsage;
+  readonly controlBytes: number;
+}
+
+function usageOf(cluster: Cluster): VmUsage[] {
+  return cluster.live().map((vm) => ({
+    vm: vm.name,
+    entry: vm.entry.usage(),
+    controller: vm.controller?.usage() ?? { cpuMs: 0, memoryMb: 0 },
+    controlBytes: vm.logLink.carriedBytes + cluster.peerBytesOf(vm.name),
+  }));
+}
+
+function usageBetween(
+  before: readonly VmUsage[],
+  after: readonly VmUsage[],
+  elapsedMs: number,
+): RunSummary["vms"] {
+  return after.map((end) => {
+    const start = before.find((one) => one.vm === end.vm);
+    const controlBytes = end.controlBytes - (start?.controlBytes ?? 0);
+    const entryCpuMs = end.entry.cpuMs - (start?.entry.cpuMs ?? 0);
+    const controlCpuMs = end.controller.cpuMs -
+      (start?.controller.cpuMs ?? 0);
+    return {
+      vm: end.vm,
+      entryCpuShare: round(entryCpuMs / elapsedMs),
+      controlCpuShare: round(controlCpuMs / elapsedMs),
+      controlBytesPerSecond: Math.round(controlBytes * 1000 / elapsedMs),
+      entryMemoryMb: Math.round(end.entry.memoryMb),
+      controllerMemoryMb: Math.round(end.controller.memoryMb),
+    };
+  });
+}
+
+function round(share: number): number {
+  return Math.round(share * 10_000) / 10_000;
+}
+
+const options = parseOptions();
+if (typeof options === "string") {
+  console.error(options);
+  process.exitCode = BAD_USAGE_STATUS;
+} else {
+  const summary = await measure(options);
+  console.log(JSON.stringify(summary));
+  process.exitCode = Object.keys(summary.violations).length === 0 ? 0 : 1;
+}
--- a/test/cluster.ts
+++ b/test/cluster.ts
@@ -37,6 +37,8 @@
   readonly seed: number;
   readonly hasControllers: boolean;
   readonly overrides?: SettingsOverrides;
+  /** Name of the route policy; absent for the product's own. */
+  readonly policy?: string;
 }
 
 /** A running deployment. */
@@ -78,6 +80,11 @@
     }
   }
 
+  /** The settings tree that the log was seeded with. */
+  get tree(): SettingsTree {
+    return this.#options.tree;
+  }
+
   /** The revision of the settings that the log was seeded with. */
   get seededRevision(): Position {
     return this.#revision;
@@ -97,10 +104,15 @@
       logAddress,
       overrides: this.#options.overrides ?? {},
     });
-    const entry = this.#run(ENTRY_SCRIPT, settings);
+    const settingsFile = this.#nextFile();
+    const entry = new Program({ script: ENTRY_SCRIPT, settings, settingsFile });
     const { hasControllers } = this.#options;
     const controller = hasControllers
-      ? this.#run(CONTROLLER_SCRIPT, settings)
+      ? new Program({
+        script: CONTROLLER_SCRIPT,
+        settings,
+        settingsFile: this.#nextFile(),
+      })
       : undefined;
     const addresses = await listeningAddresses(entry);
     const callerLink = new FaultProxy({
@@ -110,6 +122,7 @@
     const vm: ClusterVm = {
       name,
       place,
+      settingsFile,
       entry,
       controller,
       callerLink,
@@ -149,6 +162,20 @@
     return link;
   }
 
+  /** All links between entry VMs. */
+  peerLinks(): FaultProxy[] {
+    return [...this.#peerLinks.values()];
+  }
+
+  /** Bytes that other places' entry VMs exchanged with a VM. */
+  peerBytesOf(vm: string): number {
+    let sum = 0;
+    for (const { place } of this.site.plan.places) {
+      sum += this.peerLink(place, vm).carriedBytes;
+    }
+    return sum;
+  }
+
   /** Waits until an entry VM may be handed out. */
   async waitReady(vm: ClusterVm): Promise<void> {
     await waitFor(() => isReady(vm), {
@@ -159,6 +186,13 @@
     });
   }
 
+  /** A settings file of a live VM, as the command line reads it. */
+  operatorSettingsFile(): string {
+    const vm = this.live().at(-1);
+    if (vm === undefined) throw new Error("no VM is left");
+    return vm.settingsFile;
+  }
+
   /** Waits until every live VM has a revision; answers the time it had. */
   async waitInForce(revision: Position): Promise<number> {
     for (const vm of this.live()) {
@@ -204,13 +238,9 @@
     rmSync(this.#folder, { recursive: true, force: true });
   }
 
-  #run(script: string, settings: unknown): Program {
+  #nextFile(): string {
     this.#startCount += 1;
-    return new Program({
-      script,
-      settings,
-      settingsFile: join(this.#folder, `${this.#startCount}.json`),
-    });
+    return join(this.#folder, `${this.#startCount}.json`);
   }
 
   async #linkPeers(vm: ClusterVm): Promise<void> {
--- a/test/proxy.ts
+++ b/test/proxy.ts
@@ -43,6 +43,8 @@
 /** A proxy for one link. */
 export class FaultProxy {
   readonly switches: ProxySwitches;
+  /** Bytes carried in both directions since the start. */
+  carriedBytes = 0;
   #target: string;
   readonly #server: Server;
   readonly #links = new Set<Link>();
@@ -116,6 +118,9 @@
     const link = new Link(client, {
       target: this.#target,
       switches: this.switches,
+      onBytes: (count) => {
+        this.carriedBytes += count;
+      },
     });
     this.#links.add(link);
     link.onClose(() => this.#links.delete(link));
@@ -125,6 +130,7 @@
 interface LinkOptions {
   readonly target: string;
   readonly switches: ProxySwitches;
+  readonly onBytes: (count: number) => void;
 }
 
 /** One proxied connection. */
@@ -133,9 +139,11 @@
   readonly #client: Socket;
   readonly #server: Socket;
   readonly #switches: ProxySwitches;
+  readonly #onBytes: (count: number) => void;
   #isReplyDropped = false;
 
   constructor(client: Socket, options: LinkOptions) {
+    this.#onBytes = options.onBytes;
     const colon = options.target.lastIndexOf(":");
     const host = options.target.slice(0, colon);
     this.#client = client;
@@ -175,6 +183,7 @@
     const pipe = new DelayedPipe(to, this.#switches);
     from.on("data", (chunk: Buffer) => {
       if (!this.#admits(direction)) return;
+      this.#onBytes(chunk.length);
       pipe.push(chunk);
       if (pipe.queuedBytes < MAX_QUEUED_BYTES) return;
       from.pause();
--- /dev/null
+++ b/test/scenario.ts
@@ -0,0 +1,106 @@
+/**
+ * One run of a cluster under load with faults in its middle part: brings them
+ * about, ends them, waits for the log to catch up, and answers the evidence.
+ */
+import { performance } from "node:perf_hooks";
+import { type Cluster } from "./cluster.ts";
+import {
+  type CallRecord,
+  type Evidence,
+  type LeavingFact,
+} from "./evidence.ts";
+import { applyFault, type FaultName, type Heal } from "./faults.ts";
+import { billsOf } from "./invariants.ts";
+import { type Asked, runLoad } from "./load.ts";
+import { WaitError, waitFor } from "./wait.ts";
+import { type Workload } from "./workload.ts";
+
+const FAULT_START_SHARE = 0.3;
+const FAULT_END_SHARE = 0.7;
+const SAMPLE_MS = 500;
+const BILL_TIMEOUT_MS = 15_000;
+/** After this time a leaving server must receive no new work. */
+const LEAVING_BOUND_MS = 3000;
+
+/** How a run is made. */
+export interface ScenarioOptions {
+  readonly cluster: Cluster;
+  readonly workload: Workload;
+  readonly requestsPerSecond: number;
+  readonly durationMs: number;
+  readonly faults: readonly FaultName[];
+}
+
+/** What a run left behind. */
+export interface ScenarioResult {
+  readonly evidence: Evidence;
+  readonly asked: readonly Asked[];
+  /** From the first request until the last has ended. */
+  readonly elapsedMs: number;
+}
+
+/** Runs load with faults. */
+export async function runScenario(
+  options: ScenarioOptions,
+): Promise<ScenarioResult> {
+  const { cluster } = options;
+  const startMs = performance.now();
+  const leavings: LeavingFact[] = [];
+  const sampler = setInterval(() => {
+    for (const vm of cluster.live()) void cluster.readRevision(vm);
+  }, SAMPLE_MS);
+  const faults = runFaults(options, leavings);
+  try {
+    const load = await runLoad(options);
+    await faults;
+    const elapsedMs = performance.now() - startMs;
+    await waitForBills(cluster, load.calls);
+    const evidence: Evidence = {
+      ...cluster.seen(),
+      calls: load.calls.toSorted((a, b) => a.sentMs - b.sentMs),
+      tree: cluster.tree,
+      withdrawals: [],
+      leavings,
+    };
+    return { evidence, asked: load.asked, elapsedMs };
+  } finally {
+    clearInterval(sampler);
+  }
+}
+
+async function runFaults(
+  options: ScenarioOptions,
+  leavings: LeavingFact[],
+): Promise<void> {
+  const { cluster, durationMs } = options;
+  await pause(durationMs * FAULT_START_SHARE);
+  const heals: Heal[] = [];
+  for (const name of options.faults) {
+    heals.push(await applyFault(cluster, name));
+    if (name !== "server_leaves") continue;
+    const server = cluster.site.engines[0]?.server ?? "";
+    leavings.push({ server, fromMs: performance.now() + LEAVING_BOUND_MS });
+  }
+  await pause(durationMs * (FAULT_END_SHARE - FAULT_START_SHARE));
+  for (const heal of heals) await heal();
+}
+
+async function waitForBills(
+  cluster: Cluster,
+  calls: readonly CallRecord[],
+): Promise<void> {
+  const whole = calls.filter((call) => call.end === "whole");
+  try {
+    await waitFor(() => {
+      const bills = billsOf(cluster.site.log.seen.appends);
+      const isBilled = whole.every((call) => bills.has(call.requestId));
+      return isBilled ? true : undefined;
+    }, { what: "bills of all answers", timeoutMs: BILL_TIMEOUT_MS });
+  } catch (error) {
+    if (!(error instanceof WaitError)) throw error;
+  }
+}
+
+function pause(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
