--- /dev/null
+++ b/src/report/trace_replay.ts
@@ -0,0 +1,239 @@
+/**
+ * Replays a trace: entries of the log build the states, every other line asks
+ * the code that decides the same question again. The first answer that differs
+ * from the stated outcome is reported; nothing is taken from the recorded run.
+ */
+import {
+  candidateVersions,
+  LocalStops,
+  mayStart,
+  NO_SIGNS,
+  noteSign,
+  QualityBook,
+  serverStatus,
+  takesNewWork,
+} from "../decision/mod.ts";
+import { AnswerProgress } from "../filter/answer_progress.ts";
+import { checkFrame } from "../filter/frame_check.ts";
+import { truthful } from "../filter/request_life.ts";
+import {
+  ROOT_PATH,
+  type Settings,
+  type SettingsPath,
+  type VersionName,
+} from "../model/mod.ts";
+import {
+  ControlState,
+  decodeEntry,
+  LedgerState,
+  RequestState,
+} from "../state/mod.ts";
+import {
+  parseTraceEvent,
+  type TraceEvent,
+  type TraceEventOf,
+} from "./trace_event.ts";
+import { allowedRoutes } from "./trace_route.ts";
+
+/** The states that a trace has built so far. */
+export interface TraceState {
+  readonly control: ControlState;
+  readonly requests: ReadonlyMap<string, RequestState>;
+  readonly ledgers: ReadonlyMap<string, LedgerState>;
+}
+
+/** A line whose outcome is not the stated one. */
+export interface TraceDifference {
+  /** Counted from 1. */
+  readonly lineNumber: number;
+  readonly event: string;
+  readonly stated: string;
+  readonly found: string;
+}
+
+/** How a replay went. */
+export interface ReplayResult {
+  readonly checkedCount: number;
+  readonly difference: TraceDifference | undefined;
+}
+
+const EMPTY_STATE: TraceState = {
+  control: ControlState.empty,
+  requests: new Map(),
+  ledgers: new Map(),
+};
+
+/** Replays the lines of a trace up to the first difference. */
+export function replayTrace(text: string): ReplayResult {
+  let state = EMPTY_STATE;
+  let checkedCount = 0;
+  for (const [index, line] of text.split("\n").entries()) {
+    if (line.trim() === "") continue;
+    const lineNumber = index + 1;
+    const parsed = parseTraceEvent(line);
+    if (parsed.isErr()) {
+      const difference = {
+        lineNumber,
+        event: "unreadable",
+        stated: "an event",
+        found: parsed.error.message,
+      };
+      return { checkedCount, difference };
+    }
+    const event = parsed.value;
+    if (event.event === "entry") {
+      state = applyEntry(state, event);
+      continue;
+    }
+    checkedCount += 1;
+    const stated = JSON.stringify(event.stated);
+    const found = JSON.stringify(answerOf(state, event));
+    if (stated === found) continue;
+    const difference = { lineNumber, event: event.event, stated, found };
+    return { checkedCount, difference };
+  }
+  return { checkedCount, difference: undefined };
+}
+
+function applyEntry(
+  state: TraceState,
+  { stream, offset, payload }: TraceEventOf<"entry">,
+): TraceState {
+  const entry = decodeEntry(offset, payload);
+  if (stream.startsWith("requests")) {
+    const before = state.requests.get(stream) ?? RequestState.empty;
+    const requests = new Map(state.requests).set(stream, before.apply(entry));
+    return { ...state, requests };
+  }
+  if (stream.startsWith("bills")) {
+    const before = state.ledgers.get(stream) ?? LedgerState.empty;
+    const ledgers = new Map(state.ledgers).set(stream, before.apply(entry));
+    return { ...state, ledgers };
+  }
+  return { ...state, control: state.control.apply(entry) };
+}
+
+type Question = Exclude<TraceEvent, { event: "entry" }>;
+
+function answerOf(state: TraceState, event: Question): unknown {
+  switch (event.event) {
+    case "edit":
+      return state.control.editOf(event.id)?.verdict ?? "unknown";
+    case "revision":
+      return state.control.revision;
+    case "may_start":
+      return mayStart(event.version, selectionOf(state, event.path));
+    case "choose":
+      return firstVersion(state, event);
+    case "pin":
+      return requestsOf(state, event.stream).pinOf(event.session) ?? "";
+    case "claim":
+      return holderOf(state, event);
+    case "bill":
+      return billOf(state, event);
+    case "frames":
+      return relayed(event);
+    case "server_status":
+      return isTakingWork(state, event);
+    case "route":
+      return allowedRoutes(event);
+    case "refusal":
+      return truthful("backend_failed", { ...event, detail: "" }).outcome;
+  }
+}
+
+function settingsAt(state: TraceState, path: SettingsPath): Settings {
+  return state.control.tree.resolve(path).values;
+}
+
+function selectionOf(
+  state: TraceState,
+  path: SettingsPath,
+): Parameters<typeof mayStart>[1] {
+  return {
+    settings: settingsAt(state, path),
+    control: state.control,
+    localStops: LocalStops.empty,
+  };
+}
+
+function firstVersion(
+  state: TraceState,
+  event: TraceEventOf<"choose">,
+): string {
+  const path = event.path;
+  return candidateVersions({
+    ...selectionOf(state, path),
+    quality: QualityBook.empty,
+    requestClass: event.requestClass,
+    key: event.key,
+    isInSession: event.isInSession,
+    pinned: event.isInSession ? pinAnywhere(state, path) : undefined,
+    isRatingAvailable: true,
+  }).match((plan): string => plan.first, (refusal) => refusal.reason);
+}
+
+function pinAnywhere(
+  state: TraceState,
+  session: SettingsPath,
+): VersionName | undefined {
+  for (const requests of state.requests.values()) {
+    const pinned = requests.pinOf(session);
+    if (pinned !== undefined) return pinned;
+  }
+  return undefined;
+}
+
+function requestsOf(state: TraceState, stream: string): RequestState {
+  return state.requests.get(stream) ?? RequestState.empty;
+}
+
+function holderOf(
+  state: TraceState,
+  event: TraceEventOf<"claim">,
+): TraceEventOf<"claim">["stated"] {
+  const held = requestsOf(state, event.stream)
+    .claimOf(event.workspace, event.key);
+  return {
+    requestId: held?.claim.requestId ?? "",
+    result: held?.outcome?.result ?? "",
+  };
+}
+
+function billOf(
+  state: TraceState,
+  event: TraceEventOf<"bill">,
+): TraceEventOf<"bill">["stated"] {
+  const ledger = state.ledgers.get(event.stream) ?? LedgerState.empty;
+  return {
+    priceMicroEur: ledger.billOf(event.requestId)?.priceMicroEur ?? 0,
+    billCount: ledger.totalOf(event.workspace).billCount,
+  };
+}
+
+function relayed(
+  event: TraceEventOf<"frames">,
+): TraceEventOf<"frames">["stated"] {
+  const progress = new AnswerProgress();
+  for (const frame of event.frames) {
+    const { requestId, attempt } = event;
+    const expected = { requestId, attempt, index: progress.nextIndex };
+    const verdict = checkFrame(expected, { ...frame, usage: undefined });
+    if (verdict === "gap") break;
+    if (verdict === "relay") progress.add({ ...frame, usage: undefined });
+  }
+  return { text: progress.text, isWhole: progress.isWhole };
+}
+
+function isTakingWork(
+  state: TraceState,
+  event: TraceEventOf<"server_status">,
+): boolean {
+  let signs = NO_SIGNS;
+  for (const { atMs, sign } of event.signs) {
+    signs = noteSign(signs, sign, atMs);
+  }
+  const settings = settingsAt(state, ROOT_PATH);
+  const { server: vm, place, nowMs } = event;
+  return takesNewWork(serverStatus(signs, { vm, place, settings, nowMs }));
+}
