--- a/standin/engine.ts
+++ b/standin/engine.ts
@@ -274,7 +274,7 @@
 
 function inputTokensOf(asked: Generate): number {
   const text = asked.messages.map((message) => message.content).join("");
-  return tokenCount(text) + tokenCount(asked.prefix);
+  return tokenCount(text) + asked.fromIndex;
 }
 
 /** Creates a model engine. */
