--- a/src/filter/bill.ts
+++ b/src/filter/bill.ts
@@ -15,6 +15,7 @@
 } from "../model/mod.ts";
 import { type Journal } from "../platform/mod.ts";
 import { type RecordOf } from "../state/mod.ts";
+import { appendPatienceMs } from "./append_patience.ts";
 import { type Filter } from "./chain.ts";
 import { type RequestContext } from "./context.ts";
 import { contentId } from "./record_id.ts";
@@ -93,7 +94,7 @@
 ): Promise<void> {
   const shardKey = bill.requestId;
   const appended = await options.journal.append(bill, shardKey, {
-    timeoutMs: options.appendTimeoutMs,
+    timeoutMs: appendPatienceMs(options.journal, options.appendTimeoutMs),
   });
   if (appended.isOk()) return;
   options.outbox.put({ record: bill, shardKey });
--- a/src/filter/claim.ts
+++ b/src/filter/claim.ts
@@ -7,6 +7,7 @@
 import { err, type Result } from "neverthrow";
 import {
   type CallerRequest,
+  mayHaveRun,
   type Metrics,
   notRun,
   type Refusal,
@@ -44,22 +45,20 @@
     if (key === undefined) return next(context);
     const claim = claimOf(request, key, options);
     const shardKey = shardKeyOf(claim);
-    const held = options.journal.requests(shardKey)
-      .claimOf(claim.workspace, key);
+    const state = options.journal.requests(shardKey);
+    if (!state.isInWindow(claim.workspace, key)) return err(expiredRefusal());
+    const held = state.claimOf(claim.workspace, key);
     if (held !== undefined && held.outcome?.result !== "not_run") {
       return repeat(held, claim, context);
     }
     const appended = await options.journal.append(claim, shardKey, {
-      timeoutMs: options.claimTimeoutMs,
+      timeoutMs: Math.min(options.claimTimeoutMs, context.life.leftMs()),
     });
     if (appended.isErr()) return err(unclaimed(appended, claim, options));
     const winner = options.journal.requests(shardKey)
       .claimOf(claim.workspace, key);
-    if (winner === undefined || winner.claim.id !== claim.id) {
-      return winner === undefined
-        ? err(unreadRefusal())
-        : repeat(winner, claim, context);
-    }
+    if (winner === undefined) return err(expiredRefusal());
+    if (winner.claim.id !== claim.id) return repeat(winner, claim, context);
     const outcome = await next(context);
     await recordOutcome(claim, outcome, options);
     return outcome;
@@ -126,10 +125,9 @@
   });
 }
 
-function unreadRefusal(): Refusal {
-  return notRun("log_unavailable", {
-    detail: "the claim of the key is not readable yet",
-    retryAfterMs: LOG_RETRY_MS,
+function expiredRefusal(): Refusal {
+  return mayHaveRun("key_expired", {
+    detail: "the key is older than the window in which keys are known",
   });
 }
 
--- a/src/filter/pin.ts
+++ b/src/filter/pin.ts
@@ -17,6 +17,7 @@
 } from "../model/mod.ts";
 import { type Journal } from "../platform/mod.ts";
 import { type RecordOf } from "../state/mod.ts";
+import { appendPatienceMs } from "./append_patience.ts";
 import { type Filter } from "./chain.ts";
 import { settingsPathOf, type SettingsReader } from "./context.ts";
 import { contentId } from "./record_id.ts";
@@ -124,7 +125,7 @@
     version,
   };
   const appended = await options.journal.append(record, session, {
-    timeoutMs: options.appendTimeoutMs,
+    timeoutMs: appendPatienceMs(options.journal, options.appendTimeoutMs),
   });
   const winner = options.journal.requests(session).pinOf(session);
   if (appended.isOk()) return winner ?? version;
