Replay edits in constant time and bound the control state

Each edit copied the whole node map and searched the history of up to 2,000 edits twice, and quality and burn figures grew with every VM that ever ran.

The tree and the history are persistent maps with an index by path and setting; an edit against a revision older than the history is refused as a conflict, since what it conflicts with may be forgotten. Figures, leases, pins and bills are kept in a bounded map that drops the oldest writes. A tree keeps its resolved paths.

--- a/src/model/path.ts
+++ b/src/model/path.ts
@@ -47,6 +47,13 @@
   return lineage;
 }
 
+/** The path one step up; the root has none. */
+export function parentOf(path: SettingsPath): SettingsPath | undefined {
+  if (path === ROOT_PATH) return undefined;
+  const end = path.lastIndexOf("/");
+  return end === 0 ? ROOT_PATH : path.slice(0, end) as SettingsPath;
+}
+
 /** Whether one path is the other, above it or below it. */
 export function isSameLineage(a: SettingsPath, b: SettingsPath): boolean {
   return isBelow(a, b) || isBelow(b, a);
--- a/src/model/tree.ts
+++ b/src/model/tree.ts
@@ -2,13 +2,14 @@
  * The settings tree: an immutable map from path to what that node sets itself.
  * `resolve` gives the values in force at a path and the node each came from.
  */
+import { Map as PersistentMap } from "immutable";
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
 import { ModelError } from "./error.ts";
 import {
   depthOf,
-  lineageOf,
   MAX_PATH_DEPTH,
+  parentOf,
   parsePath,
   ROOT_PATH,
   type SettingsPath,
@@ -20,7 +21,6 @@
   ROOT_ONLY,
   type SettingName,
   type Settings,
-  type Withdrawal,
 } from "./settings.ts";
 
 /** The node a resolved value came from; `default` where no node sets it. */
@@ -39,6 +39,9 @@
   readonly clear: readonly SettingName[];
 }
 
+/** Resolved paths that one tree keeps. */
+const MAX_RESOLVED = 10_000;
+
 const SETTING_NAMES = Object.keys(DEFAULT_SETTINGS) as SettingName[];
 
 /** Codec of a {@link SettingsChange}. */
@@ -49,14 +52,16 @@
 
 /** An immutable settings tree. */
 export class SettingsTree {
-  readonly #nodes: ReadonlyMap<SettingsPath, NodeSettings>;
+  readonly #nodes: PersistentMap<SettingsPath, NodeSettings>;
+  /** Resolved paths, a cache: a tree never changes. */
+  readonly #resolved = new Map<SettingsPath, ResolvedSettings>();
 
-  private constructor(nodes: ReadonlyMap<SettingsPath, NodeSettings>) {
+  private constructor(nodes: PersistentMap<SettingsPath, NodeSettings>) {
     this.#nodes = nodes;
   }
 
   /** The tree in which no node sets anything. */
-  static readonly empty: SettingsTree = new SettingsTree(new Map());
+  static readonly empty: SettingsTree = new SettingsTree(PersistentMap());
 
   /** Builds a tree from its JSON form, an object of path to settings. */
   static fromJson(json: unknown): Result<SettingsTree, ModelError> {
@@ -105,36 +110,58 @@
       ...change.set,
     };
     for (const name of change.clear) delete node[name];
-    const nodes = new Map(this.#nodes);
-    if (Object.keys(node).length === 0) nodes.delete(path);
-    else nodes.set(path, node as NodeSettings);
+    const isEmpty = Object.keys(node).length === 0;
+    const nodes = isEmpty
+      ? this.#nodes.delete(path)
+      : this.#nodes.set(path, node as NodeSettings);
     return ok(new SettingsTree(nodes));
   }
 
   /** The values in force at `path`, whether or not a node stands there. */
   resolve(path: SettingsPath): ResolvedSettings {
-    const values: Record<string, unknown> = { ...DEFAULT_SETTINGS };
-    const origins = Object.fromEntries(
-      SETTING_NAMES.map((name) => [name, "default" as SettingOrigin]),
-    );
-    let withdrawn: readonly Withdrawal[] = [];
-    for (const step of lineageOf(path)) {
-      const node = this.nodeAt(step);
-      for (const [name, value] of Object.entries(node)) {
-        values[name] = value;
-        origins[name] = step;
-      }
-      withdrawn = [...withdrawn, ...(node.withdrawn ?? [])];
+    const known = this.#resolved.get(path);
+    if (known !== undefined) return known;
+    const parent = parentOf(path);
+    if (parent !== undefined && !this.#nodes.has(path)) {
+      return { ...this.resolve(parent), path };
     }
-    values.withdrawn = withdrawn;
-    return {
+    const resolved = resolveNode({
       path,
-      values: values as unknown as Settings,
-      origins: origins as Record<SettingName, SettingOrigin>,
-    };
+      node: this.nodeAt(path),
+      inherited: parent === undefined ? INHERITED : this.resolve(parent),
+    });
+    if (this.#resolved.size >= MAX_RESOLVED) this.#resolved.clear();
+    this.#resolved.set(path, resolved);
+    return resolved;
   }
 }
 
+const INHERITED: ResolvedSettings = {
+  path: ROOT_PATH,
+  values: DEFAULT_SETTINGS,
+  origins: Object.fromEntries(
+    SETTING_NAMES.map((name) => [name, "default"]),
+  ) as Record<SettingName, SettingOrigin>,
+};
+
+interface NodeOptions {
+  readonly path: SettingsPath;
+  readonly node: NodeSettings;
+  readonly inherited: ResolvedSettings;
+}
+
+function resolveNode(options: NodeOptions): ResolvedSettings {
+  const { path, node, inherited } = options;
+  const origins: Record<string, SettingOrigin> = { ...inherited.origins };
+  for (const name of Object.keys(node)) origins[name] = path;
+  const withdrawn = [...inherited.values.withdrawn, ...(node.withdrawn ?? [])];
+  return {
+    path,
+    values: { ...inherited.values, ...node, withdrawn } as Settings,
+    origins: origins as Record<SettingName, SettingOrigin>,
+  };
+}
+
 function brokenRule(
   path: SettingsPath,
   change: SettingsChange,
--- a/src/state/control.ts
+++ b/src/state/control.ts
@@ -3,25 +3,13 @@
  * replay of the control stream. `apply` is pure and deterministic, so every VM
  * that has read the same records holds the same state.
  */
-import { List, Map as PersistentMap } from "immutable";
-import { isSameLineage, type SettingName, SettingsTree } from "../model/mod.ts";
+import { type List, type Map as PersistentMap } from "immutable";
+import { SettingsTree } from "../model/mod.ts";
+import { BoundedMap } from "./bounded_map.ts";
+import { type DecidedEdit, EditHistory } from "./edit_history.ts";
 import { type Position, positionOf, START_POSITION } from "./position.ts";
 import { type LogEntry, type LogRecord, type RecordOf } from "./record.ts";
 
-/** How many decided edits are kept for `history` and for conflict checks. */
-export const MAX_HISTORY = 2000;
-
-/** How replay decided one edit. */
-export interface DecidedEdit {
-  readonly position: Position;
-  readonly edit: RecordOf<"edit">;
-  readonly verdict: "accepted" | "conflict" | "invalid";
-  /** The position of the edit that won, for a conflict. */
-  readonly wonBy: Position | undefined;
-  /** The broken rule, for an invalid edit. */
-  readonly reason: string;
-}
-
 /** A lease as acquired; its position is the fencing number. */
 export interface Lease {
   readonly name: string;
@@ -40,185 +28,182 @@
   readonly step: RecordOf<"rollout_step">;
 }
 
-interface ControlFields {
+/** Bounds of the control state's maps; alike on every VM. */
+export const CONTROL_LIMITS = {
+  leases: 10_000,
+  rollouts: 1000,
+  quality: 10_000,
+  burn: 20_000,
+} as const;
+
+/** The parts of a control state. */
+export interface ControlFields {
   readonly revision: Position;
   readonly position: Position;
   readonly tree: SettingsTree;
-  readonly history: List<DecidedEdit>;
-  readonly leases: PersistentMap<string, Lease>;
-  readonly rollouts: PersistentMap<string, RolloutProgress>;
-  readonly quality: PersistentMap<string, RecordOf<"quality">>;
-  readonly burn: PersistentMap<string, RecordOf<"burn">>;
+  readonly edits: EditHistory;
+  readonly leases: BoundedMap<string, Lease>;
+  readonly rollouts: BoundedMap<string, RolloutProgress>;
+  readonly quality: BoundedMap<string, RecordOf<"quality">>;
+  readonly burn: BoundedMap<string, RecordOf<"burn">>;
   readonly skippedCount: number;
 }
 
 /** An immutable control state. */
-export class ControlState implements ControlFields {
-  /** Position of the newest accepted edit: the revision in force. */
-  readonly revision: Position;
-  /** Position of the newest record applied. */
-  readonly position: Position;
-  readonly tree: SettingsTree;
-  /** Decided edits, oldest first, the newest {@link MAX_HISTORY}. */
-  readonly history: List<DecidedEdit>;
-  readonly leases: PersistentMap<string, Lease>;
-  readonly rollouts: PersistentMap<string, RolloutProgress>;
-  /** Newest figures by `vm version class`. */
-  readonly quality: PersistentMap<string, RecordOf<"quality">>;
-  /** Counts of the burn report by `vm workspace class window`. */
-  readonly burn: PersistentMap<string, RecordOf<"burn">>;
-  readonly skippedCount: number;
+export class ControlState {
+  /** The parts, for checkpoints. */
+  readonly fields: ControlFields;
 
   private constructor(fields: ControlFields) {
-    this.revision = fields.revision;
-    this.position = fields.position;
-    this.tree = fields.tree;
-    this.history = fields.history;
-    this.leases = fields.leases;
-    this.rollouts = fields.rollouts;
-    this.quality = fields.quality;
-    this.burn = fields.burn;
-    this.skippedCount = fields.skippedCount;
+    this.fields = fields;
   }
 
   /** The state before any record. */
-  static readonly empty: ControlState = new ControlState({
+  static readonly empty: ControlState = ControlState.of({
     revision: START_POSITION,
     position: START_POSITION,
     tree: SettingsTree.empty,
-    history: List(),
-    leases: PersistentMap(),
-    rollouts: PersistentMap(),
-    quality: PersistentMap(),
-    burn: PersistentMap(),
+    edits: EditHistory.create(),
+    leases: BoundedMap.create(CONTROL_LIMITS.leases),
+    rollouts: BoundedMap.create(CONTROL_LIMITS.rollouts),
+    quality: BoundedMap.create(CONTROL_LIMITS.quality),
+    burn: BoundedMap.create(CONTROL_LIMITS.burn),
     skippedCount: 0,
   });
 
-  /** A state with some fields replaced. */
+  /** A state of these parts. */
+  static of(fields: ControlFields): ControlState {
+    return new ControlState(fields);
+  }
+
+  /** Position of the newest accepted edit: the revision in force. */
+  get revision(): Position {
+    return this.fields.revision;
+  }
+
+  /** Position of the newest record applied. */
+  get position(): Position {
+    return this.fields.position;
+  }
+
+  /** The settings tree in force. */
+  get tree(): SettingsTree {
+    return this.fields.tree;
+  }
+
+  /** Decided edits, oldest first, the newest of them. */
+  get history(): List<DecidedEdit> {
+    return this.fields.edits.decided;
+  }
+
+  /** Leases by name. */
+  get leases(): PersistentMap<string, Lease> {
+    return this.fields.leases.entries;
+  }
+
+  /** Newest steps by roll-out. */
+  get rollouts(): PersistentMap<string, RolloutProgress> {
+    return this.fields.rollouts.entries;
+  }
+
+  /** Newest figures by `vm version class`. */
+  get quality(): PersistentMap<string, RecordOf<"quality">> {
+    return this.fields.quality.entries;
+  }
+
+  /** Counts of the burn report by `vm workspace class window`. */
+  get burn(): PersistentMap<string, RecordOf<"burn">> {
+    return this.fields.burn.entries;
+  }
+
+  /** Records that this release could not read. */
+  get skippedCount(): number {
+    return this.fields.skippedCount;
+  }
+
+  /** A state with some parts replaced. */
   with(fields: Partial<ControlFields>): ControlState {
-    return new ControlState({ ...this, ...fields });
+    return new ControlState({ ...this.fields, ...fields });
   }
 
   /** The state after one log entry; entries at or before it change nothing. */
   apply(entry: LogEntry): ControlState {
-    return applyEntry(this, entry);
+    let { fields } = this;
+    for (const [index, record] of entry.records.entries()) {
+      const position = positionOf(entry.offset, index);
+      if (position <= fields.position) continue;
+      fields = { ...applyRecord(fields, position, record), position };
+    }
+    return fields === this.fields ? this : new ControlState(fields);
   }
 
   /** How the edit with this id was decided, if it is still in the history. */
   editOf(id: string): DecidedEdit | undefined {
-    return this.history.findLast((decided) => decided.edit.id === id);
-  }
-}
-
-function applyEntry(start: ControlState, entry: LogEntry): ControlState {
-  let state = start;
-  for (const [index, record] of entry.records.entries()) {
-    const position = positionOf(entry.offset, index);
-    if (position <= state.position) continue;
-    state = applyRecord(state, position, record).with({ position });
+    return this.fields.edits.find(id);
   }
-  return state;
 }
 
 function applyRecord(
-  state: ControlState,
+  fields: ControlFields,
   position: Position,
   record: LogEntry["records"][number],
-): ControlState {
+): ControlFields {
   switch (record.kind) {
     case "edit":
-      return applyEdit(state, position, record);
+      return applyEdit(fields, position, record);
     case "lease":
-      return applyLease(state, position, record);
+      return applyLease(fields, position, record);
     case "lease_release":
-      return applyRelease(state, position, record);
+      return applyRelease(fields, position, record);
     case "rollout_step":
-      return applyRolloutStep(state, position, record);
+      return applyRolloutStep(fields, position, record);
     case "quality":
-      return state.with({ quality: state.quality.set(keyOf(record), record) });
+      return {
+        ...fields,
+        quality: fields.quality.set(qualityKeyOf(record), record),
+      };
     case "burn":
-      return state.with({ burn: state.burn.set(burnKeyOf(record), record) });
+      return { ...fields, burn: fields.burn.set(burnKeyOf(record), record) };
     case "skipped":
-      return state.with({ skippedCount: state.skippedCount + 1 });
+      return { ...fields, skippedCount: fields.skippedCount + 1 };
     default:
-      return state;
+      return fields;
   }
 }
 
 function applyEdit(
-  state: ControlState,
+  fields: ControlFields,
   position: Position,
   edit: RecordOf<"edit">,
-): ControlState {
-  if (state.editOf(edit.id) !== undefined) return state;
-  const winner = conflictOf(state, edit);
-  if (winner !== undefined) {
-    return remember(state, {
-      position,
-      edit,
-      verdict: "conflict",
-      wonBy: winner.position,
-      reason: `${winner.edit.path} was edited since revision ${edit.base}`,
-    });
+): ControlFields {
+  if (fields.edits.find(edit.id) !== undefined) return fields;
+  const decided = { position, edit, wonBy: undefined, reason: "" };
+  const conflict = fields.edits.conflictOf(edit);
+  if (conflict !== undefined) {
+    return remember(fields, { ...decided, ...conflict, verdict: "conflict" });
   }
-  return state.tree.apply(edit.path, edit.change).match(
+  return fields.tree.apply(edit.path, edit.change).match(
     (tree) =>
-      remember(state.with({ tree, revision: position }), {
-        position,
-        edit,
+      remember({ ...fields, tree, revision: position }, {
+        ...decided,
         verdict: "accepted",
-        wonBy: undefined,
-        reason: "",
-      }),
-    (error) =>
-      remember(state, {
-        position,
-        edit,
-        verdict: "invalid",
-        wonBy: undefined,
-        reason: error.message,
       }),
+    ({ message }) =>
+      remember(fields, { ...decided, verdict: "invalid", reason: message }),
   );
 }
 
-function remember(state: ControlState, decided: DecidedEdit): ControlState {
-  return state.with({
-    history: state.history.push(decided).takeLast(MAX_HISTORY),
-  });
-}
-
-function conflictOf(
-  state: ControlState,
-  edit: RecordOf<"edit">,
-): DecidedEdit | undefined {
-  for (const decided of state.history.reverse()) {
-    if (decided.position <= edit.base) return undefined;
-    if (decided.verdict === "accepted" && isConflict(decided.edit, edit)) {
-      return decided;
-    }
-  }
-  return undefined;
-}
-
-function isConflict(a: RecordOf<"edit">, b: RecordOf<"edit">): boolean {
-  if (a.path === b.path) return true;
-  if (!isSameLineage(a.path, b.path)) return false;
-  const names = namesOf(a);
-  return namesOf(b).some((name) => names.includes(name));
-}
-
-function namesOf(edit: RecordOf<"edit">): SettingName[] {
-  const set = Object.keys(edit.change.set) as SettingName[];
-  return [...set, ...edit.change.clear];
+function remember(fields: ControlFields, decided: DecidedEdit): ControlFields {
+  return { ...fields, edits: fields.edits.push(decided) };
 }
 
 function applyLease(
-  state: ControlState,
+  fields: ControlFields,
   position: Position,
   record: RecordOf<"lease">,
-): ControlState {
-  const current = state.leases.get(record.name);
-  if ((current?.position ?? START_POSITION) !== record.after) return state;
+): ControlFields {
+  const current = fields.leases.get(record.name);
+  if ((current?.position ?? START_POSITION) !== record.after) return fields;
   const isRenewal = current !== undefined && !current.isReleased &&
     current.holder === record.holder;
   const lease: Lease = {
@@ -229,33 +214,34 @@
     position,
     isReleased: false,
   };
-  return state.with({ leases: state.leases.set(record.name, lease) });
+  return { ...fields, leases: fields.leases.set(record.name, lease) };
 }
 
 function applyRelease(
-  state: ControlState,
+  fields: ControlFields,
   position: Position,
   record: RecordOf<"lease_release">,
-): ControlState {
-  const current = state.leases.get(record.name);
-  if (current?.position !== record.after) return state;
+): ControlFields {
+  const current = fields.leases.get(record.name);
+  if (current?.position !== record.after) return fields;
   const lease: Lease = { ...current, position, isReleased: true };
-  return state.with({ leases: state.leases.set(record.name, lease) });
+  return { ...fields, leases: fields.leases.set(record.name, lease) };
 }
 
 function applyRolloutStep(
-  state: ControlState,
+  fields: ControlFields,
   position: Position,
   step: RecordOf<"rollout_step">,
-): ControlState {
-  const last = state.rollouts.get(step.rollout)?.position ?? START_POSITION;
-  if (last !== step.after) return state;
-  return state.with({
-    rollouts: state.rollouts.set(step.rollout, { position, step }),
-  });
+): ControlFields {
+  const last = fields.rollouts.get(step.rollout)?.position ?? START_POSITION;
+  if (last !== step.after) return fields;
+  return {
+    ...fields,
+    rollouts: fields.rollouts.set(step.rollout, { position, step }),
+  };
 }
 
-function keyOf(record: RecordOf<"quality">): string {
+function qualityKeyOf(record: RecordOf<"quality">): string {
   return `${record.vm} ${record.version} ${record.requestClass}`;
 }
 
--- a/src/state/expired_keys.ts
+++ b/src/state/expired_keys.ts
@@ -6,6 +6,7 @@
  */
 import { List, Set as PersistentSet } from "immutable";
 import { z } from "zod";
+import { hash32 } from "../model/mod.ts";
 
 /** Keys in one generation. */
 export const GENERATION_KEYS = 4096;
@@ -102,21 +103,10 @@
 
 /** Bits of a key by double hashing; the step is odd, so never 0. */
 function bitsOf(key: string): number[] {
-  const start = hashOf(key, 0x811c9dc5);
-  const step = hashOf(key, 0x2f0b4a87) | 1;
+  const start = hash32(key);
+  const step = hash32(`${key} step`) | 1;
   return Array.from(
     { length: HASH_COUNT },
     (_, index) => ((start + Math.imul(step, index)) >>> 0) % FILTER_BITS,
   );
 }
-
-/** FNV-1a with a final mix, so that near keys differ in all bits. */
-function hashOf(key: string, seed: number): number {
-  let hash = seed;
-  for (let index = 0; index < key.length; index += 1) {
-    hash = Math.imul(hash ^ key.charCodeAt(index), 0x01000193);
-  }
-  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
-  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
-  return (hash ^ (hash >>> 16)) >>> 0;
-}
--- a/src/state/ledger.ts
+++ b/src/state/ledger.ts
@@ -3,8 +3,9 @@
  * are kept for good, single bills for a window of the newest, so that a bill
  * that is appended twice within the window counts once.
  */
-import { List, Map as PersistentMap } from "immutable";
+import { Map as PersistentMap } from "immutable";
 import { type SettingsPath } from "../model/mod.ts";
+import { BoundedMap } from "./bounded_map.ts";
 import { type Position, positionOf, START_POSITION } from "./position.ts";
 import { type LogEntry, type RecordOf } from "./record.ts";
 
@@ -21,9 +22,7 @@
 export interface LedgerFields {
   readonly position: Position;
   readonly billCount: number;
-  readonly bills: PersistentMap<string, RecordOf<"bill">>;
-  /** Request ids of the bills kept, oldest first. */
-  readonly order: List<string>;
+  readonly bills: BoundedMap<string, RecordOf<"bill">>;
   readonly totals: PersistentMap<SettingsPath, LedgerTotal>;
 }
 
@@ -40,8 +39,7 @@
   static readonly empty: LedgerState = LedgerState.of({
     position: START_POSITION,
     billCount: 0,
-    bills: PersistentMap(),
-    order: List(),
+    bills: BoundedMap.create(MAX_BILLS),
     totals: PersistentMap(),
   });
 
@@ -91,22 +89,10 @@
     billCount: (before?.billCount ?? 0) + 1,
     priceMicroEur: (before?.priceMicroEur ?? 0) + bill.priceMicroEur,
   };
-  return evict({
+  return {
     ...fields,
     billCount: fields.billCount + 1,
     bills: fields.bills.set(bill.requestId, bill),
-    order: fields.order.push(bill.requestId),
     totals: fields.totals.set(bill.workspace, total),
-  });
-}
-
-function evict(fields: LedgerFields): LedgerFields {
-  if (fields.order.size <= MAX_BILLS) return fields;
-  const oldest = fields.order.first();
-  if (oldest === undefined) return fields;
-  return {
-    ...fields,
-    bills: fields.bills.delete(oldest),
-    order: fields.order.shift(),
   };
 }
--- a/src/state/mod.ts
+++ b/src/state/mod.ts
@@ -1,5 +1,8 @@
 /** The state that every VM derives from the log by replay, without I/O. */
+export * from "./bounded_map.ts";
 export * from "./control.ts";
+export * from "./edit_history.ts";
+export * from "./expired_keys.ts";
 export * from "./ledger.ts";
 export * from "./position.ts";
 export * from "./record.ts";
--- a/src/state/requests.ts
+++ b/src/state/requests.ts
@@ -9,6 +9,7 @@
  */
 import { List, Map as PersistentMap } from "immutable";
 import { type SettingsPath, type VersionName } from "../model/mod.ts";
+import { BoundedMap } from "./bounded_map.ts";
 import { ExpiredKeys } from "./expired_keys.ts";
 import { type Position, positionOf, START_POSITION } from "./position.ts";
 import { type LogEntry, type RecordOf } from "./record.ts";
@@ -45,11 +46,10 @@
 /** The parts of a request state. */
 export interface RequestFields {
   readonly position: Position;
-  readonly pins: PersistentMap<SettingsPath, PinState>;
+  readonly pins: BoundedMap<SettingsPath, PinState>;
   readonly claims: PersistentMap<string, ClaimState>;
-  /** Pins and claims, oldest first; one replaced since stands twice. */
-  readonly pinOrder: List<PinState>;
-  readonly claimOrder: List<ClaimState>;
+  /** Keys and positions of claims, oldest first, with those replaced. */
+  readonly claimOrder: List<[string, Position]>;
   readonly answerChars: number;
   readonly expired: ExpiredKeys;
   readonly window: RequestWindow;
@@ -71,9 +71,8 @@
   static create(window: RequestWindow): RequestState {
     return RequestState.of({
       position: START_POSITION,
-      pins: PersistentMap(),
+      pins: BoundedMap.create(window.maxPins),
       claims: PersistentMap(),
-      pinOrder: List(),
       claimOrder: List(),
       answerChars: 0,
       expired: ExpiredKeys.create(),
@@ -143,22 +142,7 @@
   const { session, version } = record;
   if (fields.pins.has(session)) return fields;
   const pin: PinState = { position, session, version };
-  return evictPins({
-    ...fields,
-    pins: fields.pins.set(session, pin),
-    pinOrder: fields.pinOrder.push(pin),
-  });
-}
-
-function evictPins(fields: RequestFields): RequestFields {
-  if (fields.pins.size <= fields.window.maxPins) return fields;
-  const oldest = fields.pinOrder.first();
-  if (oldest === undefined) return fields;
-  return {
-    ...fields,
-    pins: fields.pins.delete(oldest.session),
-    pinOrder: fields.pinOrder.shift(),
-  };
+  return { ...fields, pins: fields.pins.set(session, pin) };
 }
 
 function withClaim(
@@ -175,7 +159,7 @@
   return evictClaims({
     ...fields,
     claims: fields.claims.set(key, next),
-    claimOrder: fields.claimOrder.push(next),
+    claimOrder: fields.claimOrder.push([key, position]),
     answerChars: fields.answerChars - answerCharsOf(held),
   });
 }
@@ -215,11 +199,13 @@
     fields.answerChars > maxAnswerChars;
 }
 
-function evictClaim(fields: RequestFields, oldest: ClaimState): RequestFields {
+function evictClaim(
+  fields: RequestFields,
+  [key, position]: [string, Position],
+): RequestFields {
   const claimOrder = fields.claimOrder.shift();
-  const key = claimKey(oldest.claim.workspace, oldest.claim.key);
   const held = fields.claims.get(key);
-  if (held?.position !== oldest.position) return { ...fields, claimOrder };
+  if (held?.position !== position) return { ...fields, claimOrder };
   const isFree = held.outcome?.result === "not_run";
   return {
     ...fields,
