Write checkpoints, recover from them and pass records to peers

The log keeps records for a limited time, so each stream's state is written again as records well before retention ends, by whichever process is first after a jitter. A process that starts, or wakes behind the oldest record kept, looks back from the stream's end for the newest whole checkpoint and reads on from there. Entries are applied only when they directly follow and checkpoints only when they cover more, so no source moves a state back.

Peers get entries undecoded, so that an older release passes on records it cannot read itself; one far behind gets a checkpoint.

--- a/src/platform/log_stream.ts
+++ b/src/platform/log_stream.ts
@@ -1,20 +1,25 @@
 /**
  * One stream of the log as a process holds it: the state by replay, the tail
  * that reads it and the writer that appends to it. An entry is applied only
- * when it directly follows the last one, so the state never has a gap and
- * never moves back.
+ * when it directly follows the last one, and a checkpoint only when it covers
+ * more than the state, so the state never has a gap and never moves back.
  */
 import { type Result } from "neverthrow";
-import { type Clock, type Logger, type Metrics } from "../model/mod.ts";
 import {
+  CheckpointCollector,
+  type CheckpointText,
   decodeEntry,
   type LogEntry,
   type LogRecord,
+  offsetOf,
   type Position,
   type RawEntry,
+  type StateCodec,
 } from "../state/mod.ts";
+import { CheckpointTimer } from "./checkpoint_timer.ts";
 import { type JournalError } from "./journal.ts";
-import { type LogPage } from "./log_client.ts";
+import { type LogClient, type LogPage } from "./log_client.ts";
+import { findCheckpoint } from "./log_recovery.ts";
 import { LogTail, type TailOptions } from "./log_tail.ts";
 import { LogWriter, type WriterOptions } from "./log_writer.ts";
 
@@ -24,41 +29,56 @@
   apply(entry: LogEntry): State;
 }
 
+/** What is particular to one family of streams. */
+export interface StreamFamilyOptions<State> {
+  readonly empty: State;
+  readonly codec: StateCodec<State>;
+  /** Whether the stream is replayed; else the log's answer confirms. */
+  readonly isRead: boolean;
+}
+
 type OwnTail = "nextOffset" | "deliver";
 type OwnWriter = "readBack" | "onAppended";
 
 /** What a stream needs. */
-export interface StreamOptions<State> {
-  readonly empty: State;
-  /** Whether the stream is replayed; else the log's answer confirms. */
-  readonly isRead: boolean;
+export interface StreamOptions<State>
+  extends
+    StreamFamilyOptions<State>,
+    Omit<TailOptions, OwnTail>,
+    Omit<WriterOptions, OwnWriter> {
+  readonly client: LogClient;
+  readonly retentionMs: number;
+  /** Told of each entry applied. */
+  readonly onApplied: (entry: RawEntry) => void;
   readonly onChange: () => void;
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly metrics: Metrics;
-  readonly tail: Omit<TailOptions, OwnTail>;
-  readonly writer: Omit<WriterOptions, OwnWriter>;
 }
 
+/** Entries behind the end from which a checkpoint is looked for. */
+const SEARCH_ENTRIES = 1000;
+
 /** One stream's state, tail and writer. */
 export class LogStream<State extends Replayable<State>> {
   readonly #options: StreamOptions<State>;
   readonly #tail: LogTail;
   readonly #writer: LogWriter;
+  readonly #collector = new CheckpointCollector();
+  readonly #checkpointTimer: CheckpointTimer;
   #state: State;
   #nextOffset = 0;
   #currentMs = Number.NEGATIVE_INFINITY;
+  #hasSearched = false;
 
   constructor(options: StreamOptions<State>) {
     this.#options = options;
     this.#state = options.empty;
+    this.#checkpointTimer = new CheckpointTimer(options);
     this.#tail = new LogTail({
-      ...options.tail,
+      ...options,
       nextOffset: () => this.#nextOffset,
       deliver: (page, startedMs) => this.#deliver(page, startedMs),
     });
     this.#writer = new LogWriter({
-      ...options.writer,
+      ...options,
       readBack: () =>
         options.isRead ? this.#tail.readToEnd() : Promise.resolve(true),
       onAppended: (entry) => this.#onAppended(entry),
@@ -75,6 +95,11 @@
     return this.#state;
   }
 
+  /** The offset of the entry that follows the state. */
+  get nextOffset(): number {
+    return this.#nextOffset;
+  }
+
   /** Since the stream was last read to its end. */
   get ageMs(): number {
     return this.#options.clock() - this.#currentMs;
@@ -124,6 +149,40 @@
     if (this.#nextOffset !== before) this.#options.onChange();
   }
 
+  /** Notes that the state held all records `ageMs` ago. */
+  confirmCurrent(ageMs: number): void {
+    const currentMs = this.#options.clock() - ageMs;
+    this.#currentMs = Math.max(this.#currentMs, currentMs);
+  }
+
+  /** Takes a checkpoint over if it covers more than the state. */
+  adopt(checkpoint: CheckpointText): boolean {
+    if (checkpoint.covers <= this.#state.position) return false;
+    const decoded = this.#options.codec.decode(checkpoint.text);
+    if (decoded.isErr() || decoded.value.position !== checkpoint.covers) {
+      this.#options.logger.error("checkpoint is faulty", {
+        stream: this.#options.stream,
+        reason: decoded.isErr() ? decoded.error : "it covers another position",
+      });
+      return false;
+    }
+    this.#state = decoded.value;
+    this.#nextOffset = offsetOf(checkpoint.covers) + 1;
+    this.#options.onChange();
+    return true;
+  }
+
+  /** Whether this process is to write a checkpoint of the stream now. */
+  isCheckpointDue(): boolean {
+    if (!this.isRead || this.#state.position === 0) return false;
+    return this.wasCurrent && this.#checkpointTimer.isDue(this.#nextOffset);
+  }
+
+  /** Notes that this process wrote a checkpoint or failed to. */
+  onCheckpointWritten(isWhole: boolean): void {
+    if (!isWhole) this.#checkpointTimer.retryLater();
+  }
+
   #onAppended(raw: RawEntry): void {
     if (this.isRead) this.offer([raw]);
     else this.#writer.confirm(decodeEntry(raw.offset, raw.payload));
@@ -133,12 +192,47 @@
     const entry = decodeEntry(raw.offset, raw.payload);
     this.#state = this.#state.apply(entry);
     this.#nextOffset += 1;
+    const checkpoint = this.#collector.collect(entry);
+    if (checkpoint !== undefined) {
+      this.#checkpointTimer.seen(checkpoint.covers, this.wasCurrent);
+    }
+    this.#options.onApplied(raw);
     this.#writer.confirm(entry);
   }
 
-  async #deliver(page: LogPage, startedMs: number): Promise<void> {
+  async #deliver(page: LogPage, startedMs: number): Promise<boolean> {
+    if (page.next < this.#nextOffset) return this.#refuseOlderLog(page);
+    const isBehind = page.next - this.#nextOffset > SEARCH_ENTRIES;
+    if (page.first > this.#nextOffset || (isBehind && !this.#hasSearched)) {
+      if (!await this.#recover(page)) return false;
+    }
     this.offer(page.entries);
-    if (this.#nextOffset >= page.next) this.#currentMs = startedMs;
-    await Promise.resolve();
+    if (this.#nextOffset < page.next) return true;
+    this.#currentMs = Math.max(this.#currentMs, startedMs);
+    this.#hasSearched = false;
+    return true;
+  }
+
+  #refuseOlderLog(page: LogPage): boolean {
+    const { logger, stream } = this.#options;
+    logger.error("the log ends before the state", {
+      stream,
+      logNext: page.next,
+      ownNext: this.#nextOffset,
+    });
+    return false;
+  }
+
+  async #recover(page: LogPage): Promise<boolean> {
+    const { client, stream, logger } = this.#options;
+    const found = await findCheckpoint({ ...page, client, stream });
+    if (found.isErr()) return false;
+    this.#hasSearched = true;
+    if (found.value !== undefined && this.adopt(found.value)) {
+      this.#checkpointTimer.seen(found.value.covers, false);
+    }
+    if (page.first <= this.#nextOffset) return true;
+    logger.error("no checkpoint reaches the oldest record", { stream });
+    return false;
   }
 }
--- a/src/platform/log_tail.ts
+++ b/src/platform/log_tail.ts
@@ -19,8 +19,8 @@
   readonly client: LogClient;
   /** The offset to read from. */
   readonly nextOffset: () => number;
-  /** Takes a page; `startedMs` is when its read began. */
-  readonly deliver: (page: LogPage, startedMs: number) => Promise<void>;
+  /** Takes a page whose read began at `startedMs`; false if it is no use. */
+  readonly deliver: (page: LogPage, startedMs: number) => Promise<boolean>;
   /** How long one poll may wait for new records. */
   readonly waitMs: number;
   readonly clock: Clock;
@@ -106,7 +106,7 @@
       return undefined;
     }
     this.#pageLimit = Math.min(MAX_PAGE_ENTRIES, this.#pageLimit * 2);
-    await this.#options.deliver(page.value, startedMs);
-    return page.value;
+    const isOfUse = await this.#options.deliver(page.value, startedMs);
+    return isOfUse ? page.value : undefined;
   }
 }
--- a/src/platform/mod.ts
+++ b/src/platform/mod.ts
@@ -5,6 +5,7 @@
 export * from "./log_journal.ts";
 export * from "./rating.ts";
 export * from "./shard.ts";
+export * from "./stream_journal.ts";
 export * from "./telemetry.ts";
 export * from "./weight_store.ts";
 export * from "./load_poller.ts";
--- /dev/null
+++ b/src/platform/stream_journal.ts
@@ -0,0 +1,260 @@
+/**
+ * The journal over the platform's log service: one stream for control, and
+ * shards of requests and bills. In an outage of the log every append waits
+ * until its own timeout and then says what is known of the record; reads go on
+ * from the states replayed so far.
+ */
+import { err, type Result } from "neverthrow";
+import {
+  controlCodec,
+  ControlState,
+  familyOf,
+  ledgerCodec,
+  LedgerState,
+  type LogRecord,
+  type Position,
+  type RawEntry,
+  type RecordOf,
+  recordSchema,
+  requestCodec,
+  RequestState,
+} from "../state/mod.ts";
+import { ControlFeed } from "./control_feed.ts";
+import { type AppendOptions, type Freshness, JournalError } from "./journal.ts";
+import { createLogTransport, LogClient } from "./log_client.ts";
+import {
+  type LogJournal,
+  type LogJournalOptions,
+  type PeerFreshness,
+} from "./log_journal.ts";
+import { runCheckpoints, writeIfDue } from "./log_checkpoints.ts";
+import { AppendPace } from "./log_pace.ts";
+import {
+  LogStream,
+  type Replayable,
+  type StreamFamilyOptions,
+} from "./log_stream.ts";
+import { shardOf } from "./shard.ts";
+
+const POLL_WAIT_MS = 2000;
+const WAIT_STEP_MS = 20;
+
+/** Creates a journal; it reads nothing before `start`. */
+export function createLogJournal(options: LogJournalOptions): LogJournal {
+  return new StreamJournal(options);
+}
+
+class StreamJournal implements LogJournal {
+  readonly #options: LogJournalOptions;
+  readonly #client: LogClient;
+  readonly #pace: AppendPace;
+  readonly #feed = new ControlFeed();
+  readonly #control: LogStream<ControlState>;
+  readonly #requests: readonly LogStream<RequestState>[];
+  readonly #bills: readonly LogStream<LedgerState>[];
+  readonly #listeners = new Set<() => void>();
+  readonly #closing = new AbortController();
+  readonly #closeTransport: () => Promise<void>;
+  #checkpoints: Promise<void> | undefined;
+
+  constructor(options: LogJournalOptions) {
+    this.#options = options;
+    const http = options.transport === undefined
+      ? createLogTransport(options.logUrl)
+      : { send: options.transport, close: () => Promise.resolve() };
+    this.#closeTransport = http.close;
+    this.#client = new LogClient(http.send);
+    this.#pace = new AppendPace(options);
+    this.#control = this.#open("control", {
+      empty: ControlState.empty,
+      codec: controlCodec,
+      isRead: true,
+    }, (entry) => this.#feed.push(entry));
+    this.#requests = shards(options.requestShards).map((shard) =>
+      this.#open(`requests-${shard}`, {
+        empty: RequestState.empty,
+        codec: requestCodec,
+        isRead: true,
+      })
+    );
+    this.#bills = shards(options.billShards).map((shard) =>
+      this.#open(`bills-${shard}`, {
+        empty: LedgerState.empty,
+        codec: ledgerCodec,
+        isRead: options.readsBills,
+      })
+    );
+  }
+
+  control(): ControlState {
+    return this.#control.state;
+  }
+
+  requests(shardKey: string): RequestState {
+    return pick(this.#requests, shardKey).state;
+  }
+
+  billOf(requestId: string): RecordOf<"bill"> | undefined {
+    return pick(this.#bills, requestId).state.billOf(requestId);
+  }
+
+  freshness(): Freshness {
+    return {
+      ageMs: this.#control.ageMs,
+      isLogReachable: this.#control.isReachable,
+    };
+  }
+
+  append(
+    record: LogRecord,
+    shardKey: string,
+    options: AppendOptions,
+  ): Promise<Result<Position, JournalError>> {
+    const fault = brokenRule(record);
+    if (fault !== undefined) {
+      return Promise.resolve(err(new JournalError("unavailable", fault)));
+    }
+    return this.#streamOf(record, shardKey).append(record, options.timeoutMs);
+  }
+
+  onChange(listener: () => void): () => void {
+    this.#listeners.add(listener);
+    return () => void this.#listeners.delete(listener);
+  }
+
+  start(): void {
+    for (const stream of this.#streams()) stream.start();
+    this.#checkpoints ??= runCheckpoints(() => this.#writeCheckpoints(), {
+      ...this.#options,
+      signal: this.#closing.signal,
+    });
+  }
+
+  whenCurrent(timeoutMs: number): Promise<boolean> {
+    return this.#until(timeoutMs, () => {
+      for (const stream of this.#streams()) {
+        if (stream.isRead && !stream.wasCurrent) return false;
+      }
+      return true;
+    });
+  }
+
+  flush(timeoutMs: number): Promise<boolean> {
+    return this.#until(timeoutMs, () => {
+      for (const stream of this.#streams()) {
+        if (stream.pendingCount > 0) return false;
+      }
+      return true;
+    });
+  }
+
+  async close(): Promise<void> {
+    this.#closing.abort();
+    await Promise.all(this.#streams().map((stream) => stream.close()));
+    await this.#checkpoints;
+    await this.#closeTransport();
+  }
+
+  recordsAfter(position: Position, limit: number): RawEntry[] {
+    const { state, nextOffset } = this.#control;
+    return this.#feed.after(position, { state, nextOffset, limit });
+  }
+
+  offer(entries: readonly RawEntry[], peer?: PeerFreshness): void {
+    const checkpoint = this.#feed.collect(entries);
+    if (checkpoint !== undefined) this.#control.adopt(checkpoint);
+    this.#control.offer(entries);
+    if (peer === undefined || peer.position > this.control().position) return;
+    this.#control.confirmCurrent(peer.ageMs);
+  }
+
+  #open<State extends Replayable<State>>(
+    stream: string,
+    family: StreamFamilyOptions<State>,
+    onApplied: (entry: RawEntry) => void = () => {},
+  ): LogStream<State> {
+    return new LogStream({
+      ...this.#options,
+      ...family,
+      stream,
+      client: this.#client,
+      pace: this.#pace,
+      waitMs: this.#options.pollWaitMs ?? POLL_WAIT_MS,
+      onApplied,
+      onChange: () => this.#notify(),
+    });
+  }
+
+  async #writeCheckpoints(): Promise<void> {
+    const options = this.#options;
+    await writeIfDue({
+      name: "control",
+      stream: this.#control,
+      codec: controlCodec,
+    }, options);
+    for (const [shard, stream] of this.#requests.entries()) {
+      const name = `requests-${shard}`;
+      await writeIfDue({ name, stream, codec: requestCodec }, options);
+    }
+    for (const [shard, stream] of this.#bills.entries()) {
+      const name = `bills-${shard}`;
+      await writeIfDue({ name, stream, codec: ledgerCodec }, options);
+    }
+  }
+
+  #notify(): void {
+    for (const listener of this.#listeners) listener();
+  }
+
+  #streams(): LogStream<ControlState | RequestState | LedgerState>[] {
+    return [this.#control, ...this.#requests, ...this.#bills] as LogStream<
+      ControlState | RequestState | LedgerState
+    >[];
+  }
+
+  #streamOf(
+    record: LogRecord,
+    shardKey: string,
+  ):
+    | LogStream<ControlState>
+    | LogStream<RequestState>
+    | LogStream<
+      LedgerState
+    > {
+    switch (familyOf(record.kind)) {
+      case "control":
+        return this.#control;
+      case "requests":
+        return pick(this.#requests, shardKey);
+      case "bills":
+        return pick(this.#bills, shardKey);
+    }
+  }
+
+  async #until(timeoutMs: number, isTrue: () => boolean): Promise<boolean> {
+    const { clock, sleep } = this.#options;
+    const deadlineMs = clock() + timeoutMs;
+    while (!isTrue()) {
+      if (clock() >= deadlineMs) return false;
+      await sleep(WAIT_STEP_MS);
+    }
+    return true;
+  }
+}
+
+function shards(count: number): number[] {
+  return Array.from({ length: count }, (_, shard) => shard);
+}
+
+function pick<T>(streams: readonly T[], shardKey: string): T {
+  const stream = streams[shardOf(shardKey, streams.length)];
+  if (stream === undefined) throw new Error("a journal has no shard");
+  return stream;
+}
+
+function brokenRule(record: LogRecord): string | undefined {
+  const parsed = recordSchema.safeParse(record);
+  if (parsed.success) return undefined;
+  const issue = parsed.error.issues[0];
+  return `${record.kind}.${issue?.path.join(".")}: ${issue?.message}`;
+}
--- /dev/null
+++ b/src/state/checkpoint_test.ts
@@ -0,0 +1,173 @@
+/** Checkpoints: a state read back is the state, and goes on alike. */
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { CheckpointCollector, splitCheckpoint } from "./checkpoint.ts";
+import {
+  ageAtStartOf,
+  checkpointIntervalOf,
+  isCheckpointDue,
+} from "./checkpoint_due.ts";
+import { ControlState } from "./control.ts";
+import {
+  type LogEntry,
+  type LogRecord,
+  MAX_PART_CHARS,
+  type RecordOf,
+} from "./record.ts";
+import { RequestState } from "./requests.ts";
+import { controlCodec, requestCodec, type StateCodec } from "./state_codec.ts";
+
+const SEED = 20_261_203;
+const VERSION = "tagger@3";
+
+function partsOf(text: string, id = "c"): RecordOf<"checkpoint">[] {
+  return splitCheckpoint({ covers: 2048, text }, id)._unsafeUnwrap();
+}
+
+function controlRecordOf(kind: number, index: number): LogRecord {
+  const id = `r${index}`;
+  if (kind === 0) {
+    const change = { set: { maxConcurrent: index }, clear: [] };
+    const head = { id, kind: "edit", author: "a", note: "" } as const;
+    return { ...head, path: "/a", change, base: 1024 * index };
+  }
+  if (kind === 1) {
+    const lease = { id, kind: "lease", name: `l${index % 2}` } as const;
+    return { ...lease, holder: `h${index % 3}`, ttlMs: 5, after: 0 };
+  }
+  if (kind === 2) {
+    const step = { id, kind: "rollout_step", rollout: "r" } as const;
+    const verdict = "start" as const;
+    return {
+      ...step,
+      version: VERSION,
+      after: 0,
+      verdict,
+      stepIndex: 0,
+      reason: "",
+    };
+  }
+  const figures = { count: 1, scoreSum: 1, scoreSquareSum: 1 };
+  const vm = `vm-${index % 3}`;
+  const requestClass = "lookup" as const;
+  return {
+    id,
+    kind: "quality",
+    vm,
+    version: VERSION,
+    requestClass,
+    ...figures,
+  };
+}
+
+function requestRecordOf(kind: number, index: number): LogRecord {
+  const id = `r${index}`;
+  const key = `k${index % 4}`;
+  const workspace = "/khomas/heritage";
+  if (kind === 0) {
+    const session = `${workspace}/s${index % 5}` as const;
+    return { id, kind: "pin", session, version: VERSION };
+  }
+  const base = { id, workspace, key } as const;
+  if (kind === 1) {
+    const claim = { ...base, kind: "claim", requestId: id } as const;
+    return { ...claim, bodyHash: "h", vm: "vm" };
+  }
+  const result = kind === 2 ? "not_run" as const : "done" as const;
+  const answer = { status: 200, contentType: "", bodyBase64: "aGk=" };
+  const claimId = `r${index - 1}`;
+  return { ...base, kind: "outcome", claimId, result, ...answer };
+}
+
+function logOf(
+  kinds: readonly number[],
+  recordOf: (kind: number, index: number) => LogRecord,
+): LogEntry[] {
+  return kinds.map((kind, offset) => ({
+    offset,
+    records: [recordOf(kind, offset)],
+  }));
+}
+
+function jsonOf<State>(codec: StateCodec<State>, state: State): unknown {
+  return JSON.parse(codec.encode(state));
+}
+
+const kindsArbitrary = fc.array(fc.nat(3), { minLength: 1, maxLength: 30 });
+
+test("a control state read from a checkpoint goes on alike", () => {
+  fc.assert(
+    fc.property(kindsArbitrary, fc.nat(30), (kinds, cut) => {
+      const log = logOf(kinds, controlRecordOf);
+      let whole = ControlState.empty;
+      let resumed = ControlState.empty;
+      for (const entry of log) {
+        whole = whole.apply(entry);
+        resumed = resumed.apply(entry);
+        if (entry.offset !== cut) continue;
+        resumed = controlCodec.decode(controlCodec.encode(resumed))
+          ._unsafeUnwrap();
+      }
+      assert.deepEqual(
+        jsonOf(controlCodec, resumed),
+        jsonOf(controlCodec, whole),
+      );
+    }),
+    { seed: SEED, numRuns: 300 },
+  );
+});
+
+test("a request state read from a checkpoint goes on alike", () => {
+  fc.assert(
+    fc.property(kindsArbitrary, fc.nat(30), (kinds, cut) => {
+      const log = logOf(kinds, requestRecordOf);
+      let whole = RequestState.empty;
+      let resumed = RequestState.empty;
+      for (const entry of log) {
+        whole = whole.apply(entry);
+        resumed = resumed.apply(entry);
+        if (entry.offset !== cut) continue;
+        resumed = requestCodec.decode(requestCodec.encode(resumed))
+          ._unsafeUnwrap();
+      }
+      assert.deepEqual(
+        jsonOf(requestCodec, resumed),
+        jsonOf(requestCodec, whole),
+      );
+    }),
+    { seed: SEED, numRuns: 300 },
+  );
+});
+
+test("parts in any order, twice and mixed with others make one whole", () => {
+  const text = "x".repeat(2 * MAX_PART_CHARS) + "end";
+  const parts = partsOf(text);
+  const [first, second, third] = parts as [
+    RecordOf<"checkpoint">,
+    RecordOf<"checkpoint">,
+    RecordOf<"checkpoint">,
+  ];
+  const collector = new CheckpointCollector();
+  const other = partsOf(text, "other")[0] as RecordOf<"checkpoint">;
+  const before = collector.collect({
+    offset: 1,
+    records: [third, other, first, first],
+  });
+  assert.equal(before, undefined);
+  const whole = collector.collect({ offset: 2, records: [second] });
+  assert.deepEqual(whole, { covers: 2048, text });
+});
+
+test("a checkpoint is due before retention ends, at any jitter", () => {
+  const retentionMs = 3_600_000;
+  for (const jitterShare of [0, 0.5, 0.999]) {
+    const view = { retentionMs, tailEntries: 1, jitterShare };
+    const intervalMs = checkpointIntervalOf(retentionMs);
+    assert.ok(intervalMs <= retentionMs / 2);
+    assert.ok(isCheckpointDue({ ...view, ageMs: intervalMs }));
+    const freshMs = ageAtStartOf(retentionMs) - 1;
+    assert.equal(isCheckpointDue({ ...view, ageMs: freshMs }), false);
+    assert.ok(isCheckpointDue({ ...view, ageMs: 0, tailEntries: 8000 }));
+  }
+});
--- a/src/state/record.ts
+++ b/src/state/record.ts
@@ -91,14 +91,22 @@
   badVersion: countSchema,
 });
 
-/** One part of a checkpoint of the control state up to `covers`. */
+/** The most characters of state in one part of a checkpoint. */
+export const MAX_PART_CHARS = 65_536;
+
+/** The most parts of one checkpoint. */
+export const MAX_PARTS = 1024;
+
+/** One part of a checkpoint of its own stream's state up to `covers`. */
 export const checkpointSchema = z.strictObject({
   ...head,
   kind: z.literal("checkpoint"),
+  /** The same in all parts of one checkpoint. */
+  checkpointId: identifierSchema,
   covers: positionSchema,
   part: countSchema,
-  parts: z.number().int().min(1),
-  data: z.string(),
+  parts: z.number().int().min(1).max(MAX_PARTS),
+  data: z.string().max(MAX_PART_CHARS),
 });
 
 /** The version of a session; the first record for a session wins. */
--- a/test/state/fixture.ts
+++ b/test/state/fixture.ts
@@ -30,6 +30,7 @@
     appendBudgetPerSecond: 300,
     writerCount: () => 1,
     queueLimit: 100,
+    retentionMs: 3_600_000,
     clock: time.clock,
     random: () => 0.5,
     sleep: time.sleep,
--- /dev/null
+++ b/test/state/recovery_test.ts
@@ -0,0 +1,181 @@
+/** Start, retention, checkpoints and peers: the state never moves back. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type LogJournal } from "../../src/platform/mod.ts";
+import { controlCodec, positionOf } from "../../src/state/mod.ts";
+import {
+  claimOf,
+  createLogFixture,
+  editOf,
+  type LogFixture,
+} from "./fixture.ts";
+
+const APPEND = { timeoutMs: 5000 };
+const RETENTION_MS = 3_600_000;
+
+function putEdits(
+  fixture: LogFixture,
+  range: { readonly from: number; readonly to: number },
+): void {
+  for (let index = range.from; index < range.to; index += 1) {
+    const base = index === 0 ? 0 : positionOf(index - 1, 0);
+    const set = { maxConcurrent: index };
+    fixture.log.put("control", [editOf(`e${index}`, { set, base })]);
+  }
+}
+
+async function start(
+  fixture: LogFixture,
+  journal: LogJournal = fixture.open(),
+): Promise<LogJournal> {
+  journal.start();
+  assert.ok(await fixture.time.run(journal.whenCurrent(60_000)));
+  return journal;
+}
+
+function stateOf(journal: LogJournal): unknown {
+  return JSON.parse(controlCodec.encode(journal.control()));
+}
+
+function copyRecent(from: LogJournal, to: LogJournal): void {
+  to.offer(from.recordsAfter(to.control().position, 100));
+}
+
+test("a checkpoint is written before retention ends and starts others", async () => {
+  const fixture = createLogFixture();
+  const { time, log } = fixture;
+  putEdits(fixture, { from: 0, to: 20 });
+  const old = await start(fixture);
+  await time.run(old.append(claimOf("c1", "k1"), "k1", APPEND));
+  await time.pass(RETENTION_MS / 2);
+  for (const stream of ["control", "requests-0", "requests-1"]) {
+    const { payloads } = log.stream(stream);
+    log.retain(stream, Math.max(0, payloads.length - 1));
+  }
+  const young = await start(fixture);
+  assert.equal(young.control().revision, old.control().revision);
+  assert.deepEqual(young.control().tree, old.control().tree);
+  const claim = young.requests("k1").claimOf("/khomas/heritage", "k1");
+  assert.equal(claim?.claim.id, "c1");
+  await time.run(Promise.all([old.close(), young.close()]));
+});
+
+test("few checkpoints are written by many processes", async () => {
+  const fixture = createLogFixture();
+  putEdits(fixture, { from: 0, to: 3 });
+  const journals: LogJournal[] = [];
+  for (let index = 0; index < 8; index += 1) {
+    const random = (): number => (index * 0.37 + 0.1) % 1;
+    journals.push(await start(fixture, fixture.open({ random })));
+  }
+  await fixture.time.pass(RETENTION_MS);
+  const { length } = fixture.log.stream("control").payloads;
+  assert.ok(length > 3 + 2, `${length} entries`);
+  assert.ok(length <= 3 + 16, `${length} entries`);
+  await fixture.time.run(Promise.all(journals.map((one) => one.close())));
+});
+
+test("a paused process whose tail was dropped goes on from a checkpoint", async () => {
+  const fixture = createLogFixture();
+  const { time, log } = fixture;
+  putEdits(fixture, { from: 0, to: 5 });
+  let wake = (): void => {};
+  let pause = Promise.resolve();
+  const paused = await start(
+    fixture,
+    fixture.open({
+      transport: async (call) => {
+        await pause;
+        return await log.transport(call);
+      },
+    }),
+  );
+  const other = await start(fixture);
+  pause = new Promise((resolve) => void (wake = resolve));
+  await time.pass(5000);
+  putEdits(fixture, { from: 5, to: 30 });
+  await time.pass(RETENTION_MS / 2);
+  const seen = paused.control().revision;
+  log.retain("control", log.stream("control").payloads.length - 1);
+  assert.ok(seen < other.control().revision);
+  wake();
+  await time.pass(60_000);
+  assert.deepEqual(stateOf(paused), stateOf(other));
+  await time.run(Promise.all([other.close(), paused.close()]));
+});
+
+test("a checkpoint written twice changes nothing", async () => {
+  const fixture = createLogFixture();
+  const { time, log } = fixture;
+  putEdits(fixture, { from: 0, to: 10 });
+  const journal = await start(fixture);
+  await time.pass(RETENTION_MS / 2);
+  const before = journal.control().tree.toJson();
+  const { payloads } = log.stream("control");
+  payloads.push(...payloads.slice(10));
+  putEdits(fixture, { from: 0, to: 0 });
+  const young = await start(fixture);
+  assert.deepEqual(young.control().tree.toJson(), before);
+  assert.equal(young.control().revision, journal.control().revision);
+  await time.run(Promise.all([journal.close(), young.close()]));
+});
+
+test("without a checkpoint a cut log is not taken for the whole", async () => {
+  const fixture = createLogFixture();
+  putEdits(fixture, { from: 0, to: 10 });
+  fixture.log.retain("control", 5);
+  const journal = fixture.open();
+  journal.start();
+  assert.equal(await fixture.time.run(journal.whenCurrent(30_000)), false);
+  assert.equal(journal.control().revision, 0);
+  await fixture.time.run(journal.close());
+});
+
+test("a log that lost its end does not move the state back", async () => {
+  const fixture = createLogFixture();
+  const { time, log } = fixture;
+  putEdits(fixture, { from: 0, to: 10 });
+  const journal = await start(fixture);
+  const { revision } = journal.control();
+  log.stream("control").payloads.length = 4;
+  putEdits(fixture, { from: 4, to: 6 });
+  await time.pass(60_000);
+  assert.equal(journal.control().revision, revision);
+  assert.ok(journal.freshness().ageMs >= 50_000);
+  await time.run(journal.close());
+});
+
+test("peers pass on entries; gaps and older ones are dropped", async () => {
+  const fixture = createLogFixture();
+  putEdits(fixture, { from: 0, to: 10 });
+  const full = await start(fixture);
+  const cut = fixture.open();
+  cut.offer(full.recordsAfter(positionOf(4, 0), 100));
+  assert.equal(cut.control().position, 0);
+  const fresh = { position: full.control().position, ageMs: 40 };
+  cut.offer(full.recordsAfter(0, 4), fresh);
+  assert.equal(cut.control().revision, positionOf(3, 0));
+  assert.equal(cut.freshness().ageMs, Number.POSITIVE_INFINITY);
+  cut.offer(full.recordsAfter(positionOf(3, 0), 100), fresh);
+  assert.deepEqual(stateOf(cut), stateOf(full));
+  assert.equal(cut.freshness().ageMs, 40);
+  cut.offer(full.recordsAfter(0, 100));
+  assert.deepEqual(stateOf(cut), stateOf(full));
+  await fixture.time.run(full.close());
+});
+
+test("a peer far behind gets a checkpoint, an older one is refused", async () => {
+  const fixture = createLogFixture();
+  putEdits(fixture, { from: 0, to: 1500 });
+  const old = await start(fixture);
+  putEdits(fixture, { from: 1500, to: 4000 });
+  const isolated = fixture.open();
+  copyRecent(old, isolated);
+  await fixture.time.pass(5000);
+  const late = fixture.open();
+  copyRecent(old, late);
+  assert.deepEqual(stateOf(late), stateOf(old));
+  late.offer(isolated.recordsAfter(0, 100));
+  assert.equal(late.control().revision, positionOf(3999, 0));
+  await fixture.time.run(old.close());
+});
