--- /dev/null
+++ b/src/bin/entry_limits.ts
@@ -0,0 +1,53 @@
+/** The bounds of an entry's filters, from its settings. */
+import { DEFAULT_FILTER_LIMITS, type FilterLimits } from "../filter/mod.ts";
+import { type ProcessSettings } from "./process_settings.ts";
+
+/** Slots of the known servers that one VM may fill, over its even share. */
+const SHARE_HEADROOM = 2;
+const LEAST_RUNNING = 8;
+
+/** The bounds of the filters. */
+export function filterLimitsOf(settings: ProcessSettings): FilterLimits {
+  const { limits, log } = settings;
+  const silence = Object.fromEntries(
+    Object.entries(DEFAULT_FILTER_LIMITS.silence).map(([name, bound]) => [
+      name,
+      {
+        firstByteMs: Math.min(bound.firstByteMs, limits.firstByteTimeoutMs),
+        betweenTokensMs: Math.min(
+          bound.betweenTokensMs,
+          limits.betweenTokensTimeoutMs,
+        ),
+      },
+    ]),
+  ) as unknown as FilterLimits["silence"];
+  return {
+    ...DEFAULT_FILTER_LIMITS,
+    silence,
+    admission: {
+      ...DEFAULT_FILTER_LIMITS.admission,
+      queueLimit: limits.queueLimit,
+    },
+    claimTimeoutMs: log.appendTimeoutMs,
+    billTimeoutMs: log.appendTimeoutMs,
+    maxBodyBytes: limits.bodyLimitBytes,
+    maxOutboxRecords: limits.outboxLimit,
+    maxKeptAnswers: limits.keptAnswerCount,
+    maxKeptBytes: limits.keptAnswerBytes,
+  };
+}
+
+/**
+ * Requests that one VM may run at once: twice its even share of the slots it
+ * knows of, so that requests wait here, where urgent ones pass, and not in the
+ * engines' queues.
+ */
+export function runningLimitOf(options: {
+  readonly slotCount: number;
+  readonly vmCount: number;
+  readonly bound: number;
+}): number {
+  const share = options.slotCount / Math.max(1, options.vmCount);
+  const wanted = Math.ceil(SHARE_HEADROOM * share);
+  return Math.min(options.bound, Math.max(LEAST_RUNNING, wanted));
+}
--- /dev/null
+++ b/src/bin/entry_program.ts
@@ -0,0 +1,254 @@
+/**
+ * The entry of one VM: wires journal, VM list, server directory, filters, peers
+ * and HTTP server together, and ends them in order.
+ */
+import { randomUUID } from "node:crypto";
+import { presentMembers } from "../decision/mod.ts";
+import {
+  createHttpApp,
+  createRequestHandler,
+  type RequestHandler,
+  VersionDesk,
+} from "../filter/mod.ts";
+import { ROOT_PATH, type Settings } from "../model/mod.ts";
+import {
+  type LogJournal,
+  runLoadPoller,
+  type ServerDirectory,
+} from "../platform/mod.ts";
+import { processEffects } from "../platform/effects.ts";
+import { type PeerNode } from "../wire/mod.ts";
+import { isOperatorOf, tokenOfWorkspaces } from "./access.ts";
+import { filterLimitsOf, runningLimitOf } from "./entry_limits.ts";
+import { endEntry } from "./entry_shutdown.ts";
+import { statusRoute } from "./entry_status.ts";
+import { listenHttp } from "./http_server.ts";
+import { openJournal } from "./journal_setup.ts";
+import { holdBillAtPeer, listEntries, openPeers } from "./peers_setup.ts";
+import { runPeriodic } from "./periodic.ts";
+import {
+  openDirectory,
+  openEngines,
+  openRating,
+  openServices,
+  openVmList,
+  pollingOf,
+  vmSourceOf,
+} from "./platform_setup.ts";
+import { type ProgramContext, type RunningProgram } from "./program.ts";
+
+/** Entry and controller of each VM append. */
+const WRITERS_PER_VM = 2;
+const RATED_SAMPLE_SHARE = 0.2;
+const DESK_PERIOD_MS = 1000;
+const PUBLISH_TIMEOUT_MS = 3000;
+const LOAD_PERIOD_MS = 1000;
+
+/** Starts the entry of one VM. */
+export async function startEntry(
+  context: ProgramContext,
+): Promise<RunningProgram> {
+  const parts = openParts(context);
+  const { journal, handler } = parts;
+  journal.start();
+  const app = createHttpApp({
+    handler,
+    listEntries: (place) => entriesOf(parts, place),
+    isReady: () => parts.isReady(),
+    adminRoutes: [statusRoute(parts)],
+    isOperator: isOperatorOf(context.settings),
+    logger: context.logger,
+  });
+  const { host, httpPort } = context.settings.listen;
+  const http = await listenHttp((request) => app.fetch(request), {
+    host,
+    port: httpPort,
+  });
+  const peers = openPeers({ ...parts, httpAddress: http.address });
+  parts.peers = peers;
+  const peerAddress = (await peers.start()).match(
+    (address) => address,
+    (error) => {
+      throw error;
+    },
+  );
+  const ending = new AbortController();
+  const tasks = runTasks(parts, ending.signal);
+  context.logger.info("listening", { httpAddress: http.address, peerAddress });
+  return endEntry({ ...parts, peers, http, ending, tasks });
+}
+
+/** The parts of a running entry. */
+export interface EntryParts {
+  readonly context: ProgramContext;
+  readonly journal: LogJournal;
+  readonly handler: RequestHandler;
+  readonly desk: VersionDesk;
+  readonly directory: ServerDirectory;
+  readonly vmList: ReturnType<typeof openVmList>;
+  /** Absent until the entry listens. */
+  peers: PeerNode | undefined;
+  /** Whether this VM may be handed out. */
+  isReady(): boolean;
+}
+
+function openParts(context: ProgramContext): EntryParts {
+  const { settings } = context;
+  const vmList = openVmList(settings);
+  const journal = openJournal(context, {
+    readsBills: false,
+    writerCount: () => WRITERS_PER_VM * vmCountOf(parts),
+  });
+  const directory = openDirectory(settings, {
+    source: vmSourceOf(vmList),
+    drains: () => {
+      const root = rootOf(journal);
+      return { places: root.drainedPlaces, servers: root.drainedServers };
+    },
+  });
+  const desk = new VersionDesk({
+    ...processEffects,
+    self: settings.vm,
+    journal,
+    rating: openRating(settings),
+    budgetPressureOf: () => 0,
+    sampleShare: RATED_SAMPLE_SHARE,
+    publishTimeoutMs: PUBLISH_TIMEOUT_MS,
+    makeId: randomUUID,
+  });
+  const handler = openHandler(context, {
+    journal,
+    directory,
+    desk,
+    peers: () => parts.peers,
+  });
+  let wasCurrent = false;
+  const parts: EntryParts = {
+    context,
+    journal,
+    handler,
+    desk,
+    directory,
+    vmList,
+    peers: undefined,
+    isReady: () => {
+      wasCurrent ||= journal.freshness().ageMs < Infinity;
+      return wasCurrent && handler.status().isAccepting;
+    },
+  };
+  return parts;
+}
+
+interface HandlerSetup {
+  readonly journal: LogJournal;
+  readonly directory: ServerDirectory;
+  readonly desk: VersionDesk;
+  readonly peers: () => PeerNode | undefined;
+}
+
+function openHandler(
+  context: ProgramContext,
+  { journal, directory, desk, peers }: HandlerSetup,
+): RequestHandler {
+  const { settings, logger, metrics } = context;
+  return createRequestHandler({
+    ...processEffects,
+    self: settings.vm,
+    journal,
+    directory,
+    engines: openEngines(),
+    services: openServices(),
+    chooseVersions: (query) => desk.choose(query),
+    mayStart: (version, values) => desk.mayStart(version, values),
+    fallsShort: (query, targetShare) => desk.fallsShort(query, targetShare),
+    mayEscalate: (request, options) => desk.mayEscalate(request, options),
+    onAnswer: (request, answer) => desk.noteAnswer(request, answer),
+    holdAtPeer: async (bill) => {
+      const node = peers();
+      return node !== undefined && await holdBillAtPeer(node, bill);
+    },
+    tokenOf: tokenOfWorkspaces(settings),
+    tokenKeys: [settings.access.sessionTokenKey],
+    distanceTo: (place) => distanceOf(context, { journal, place }),
+    runningLimit: () =>
+      runningLimitOf({
+        slotCount: directory.slotCount(rootOf(journal).modelService),
+        vmCount: 1 + presentCountOf(peers()),
+        bound: settings.limits.runningLimit,
+      }),
+    makeId: randomUUID,
+    logger,
+    metrics,
+    limits: filterLimitsOf(settings),
+  });
+}
+
+function distanceOf(
+  { settings }: ProgramContext,
+  options: { readonly journal: LogJournal; readonly place: string },
+): { delayMs: number; egressMicroEurPerMb: number } {
+  const own = settings.places.find((one) => one.place === settings.place);
+  const other = settings.places.find((one) => one.place === options.place);
+  const isFar = other === undefined || other.region !== own?.region;
+  const { egressPriceMicroEurPerMb } = rootOf(options.journal);
+  return {
+    delayMs: other?.delayMs ?? 0,
+    egressMicroEurPerMb: isFar ? egressPriceMicroEurPerMb : 0,
+  };
+}
+
+function runTasks(parts: EntryParts, signal: AbortSignal): Promise<void[]> {
+  const { context, desk, directory, handler, vmList } = parts;
+  const { settings, logger } = context;
+  const periodic = runPeriodic([
+    {
+      name: "vm list",
+      periodMs: settings.timing.vmListPeriodMs,
+      run: async () => {
+        const read = await vmList.refresh();
+        if (read.isOk()) parts.peers?.noteList(read.value.vms);
+      },
+    },
+    {
+      name: "ratings",
+      periodMs: DESK_PERIOD_MS,
+      run: async () => {
+        desk.observe();
+        await desk.publish();
+      },
+    },
+    {
+      name: "load",
+      periodMs: LOAD_PERIOD_MS,
+      run: () => parts.peers?.setLoad(loadShareOf(handler)),
+    },
+  ], { logger, signal });
+  const polling = runLoadPoller(pollingOf(settings, directory), signal);
+  return Promise.all([periodic, polling, handler.run(signal)]);
+}
+
+function loadShareOf(handler: RequestHandler): number {
+  const { runningCount, waitingCount, runningLimit } = handler.status();
+  return (runningCount + waitingCount) / Math.max(1, runningLimit);
+}
+
+function entriesOf(
+  parts: EntryParts,
+  place: string | undefined,
+): ReturnType<typeof listEntries> {
+  const { peers, context, journal } = parts;
+  if (peers === undefined) return { entries: [], maxAgeMs: 0 };
+  return listEntries(peers, { context, journal, place });
+}
+
+function rootOf(journal: LogJournal): Settings {
+  return journal.control().tree.resolve(ROOT_PATH).values;
+}
+
+function vmCountOf(parts: EntryParts): number {
+  return 1 + presentCountOf(parts.peers);
+}
+
+function presentCountOf(peers: PeerNode | undefined): number {
+  return peers === undefined ? 0 : presentMembers(peers.membership()).length;
+}
--- /dev/null
+++ b/src/bin/entry_status.ts
@@ -0,0 +1,37 @@
+/** What an entry tells its operators of itself. */
+import { presentMembers } from "../decision/mod.ts";
+import { type AdminRoute } from "../filter/mod.ts";
+import { type EntryParts } from "./entry_program.ts";
+
+/** The route of `GET /v1/admin/status`. */
+export function statusRoute(parts: EntryParts): AdminRoute {
+  return {
+    method: "GET",
+    path: "/status",
+    handle: () => Promise.resolve(statusOf(parts)),
+  };
+}
+
+function statusOf(parts: EntryParts): unknown {
+  const { context, journal, handler, peers, vmList, desk } = parts;
+  const control = journal.control();
+  const { ageMs, isLogReachable } = journal.freshness();
+  const members = peers === undefined
+    ? []
+    : presentMembers(peers.membership()).map((member) => member.update);
+  return {
+    vm: context.settings.vm,
+    place: context.settings.place,
+    isReady: parts.isReady(),
+    revision: control.revision,
+    position: control.position,
+    settingsAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : null,
+    isLogReachable,
+    vmListAgeMs: vmList.last()?.ageMs ?? null,
+    skippedRecordCount: control.skippedCount,
+    handler: handler.status(),
+    peers: peers?.counts() ?? null,
+    members: members.map(({ vm, place, status }) => ({ vm, place, status })),
+    stoppedVersions: desk.watch.stops.list().map((stop) => stop.version),
+  };
+}
--- /dev/null
+++ b/src/bin/peers_setup.ts
@@ -0,0 +1,95 @@
+/** The node of an entry among its peers, and what it does for the filters. */
+import { chooseEntries, presentMembers } from "../decision/mod.ts";
+import { type EntryList, type RequestHandler } from "../filter/mod.ts";
+import { ROOT_PATH } from "../model/mod.ts";
+import { type LogJournal, recordSourceOf } from "../platform/mod.ts";
+import { processEffects } from "../platform/effects.ts";
+import { type RecordOf } from "../state/mod.ts";
+import { createPeerNode, type PeerNode } from "../wire/mod.ts";
+import { type ProgramContext } from "./program.ts";
+
+const HOLD_TIMEOUT_MS = 1500;
+const MAX_HOLD_TRIES = 3;
+const MAX_ENTRIES = 3;
+const LOAD_MAX_AGE_MS = 10_000;
+
+/** What the node is made from. */
+export interface PeersSetup {
+  readonly context: ProgramContext;
+  readonly journal: LogJournal;
+  readonly handler: RequestHandler;
+  /** Host and port at which callers reach this VM. */
+  readonly httpAddress: string;
+}
+
+/** Creates the node; it does nothing before `start`. */
+export function openPeers(setup: PeersSetup): PeerNode {
+  const { settings, logger, metrics } = setup.context;
+  return createPeerNode({
+    ...processEffects,
+    vm: settings.vm,
+    place: settings.place,
+    address: setup.httpAddress,
+    listenHost: settings.listen.host,
+    listenPort: settings.listen.peerPort,
+    deployment: settings.deployment,
+    sharedKey: settings.access.peerKey,
+    seeds: [],
+    membership: { periodMs: settings.timing.probePeriodMs },
+    records: recordSourceOf(setup.journal),
+    bills: {
+      hold: (_vm, bill) => setup.handler.holdForPeer(bill),
+      drop: () => {},
+    },
+    logger,
+    metrics,
+  });
+}
+
+/** Has a peer hold a bill, one in another place if there is one. */
+export async function holdBillAtPeer(
+  node: PeerNode,
+  bill: RecordOf<"bill">,
+): Promise<boolean> {
+  for (const vm of holdersOf(node).slice(0, MAX_HOLD_TRIES)) {
+    const answer = await node.ask(vm, { kind: "hold_bill", bill }, {
+      timeoutMs: HOLD_TIMEOUT_MS,
+    });
+    if (answer.isErr() || answer.value.kind !== "held") continue;
+    if (answer.value.isHeld) return true;
+  }
+  return false;
+}
+
+function holdersOf(node: PeerNode): string[] {
+  const { self } = node.membership();
+  const alive = presentMembers(node.membership())
+    .map((member) => member.update)
+    .filter((update) => update.status === "alive");
+  const near = alive.filter((update) => update.place === self.place);
+  const far = alive.filter((update) => update.place !== self.place);
+  return [...far, ...near].map((update) => update.vm);
+}
+
+/** The addresses that a caller may use. */
+export function listEntries(
+  node: PeerNode,
+  options: {
+    readonly context: ProgramContext;
+    readonly journal: LogJournal;
+    readonly place: string | undefined;
+  },
+): EntryList {
+  const { settings } = options.context;
+  const root = options.journal.control().tree.resolve(ROOT_PATH).values;
+  return chooseEntries(node.membership(), {
+    place: options.place ?? settings.place,
+    places: settings.places,
+    drainedPlaces: root.drainedPlaces,
+    maxCount: MAX_ENTRIES,
+    maxAgeMs: settings.timing.entriesMaxAgeMs,
+    loadMaxAgeMs: LOAD_MAX_AGE_MS,
+    nowMs: processEffects.clock(),
+    random: processEffects.random,
+  });
+}
--- /dev/null
+++ b/src/bin/platform_setup.ts
@@ -0,0 +1,98 @@
+/** Clients of the platform and of backend servers, from a process's settings. */
+import {
+  createRatingClient,
+  createReportFetch,
+  EngineClient,
+  type LoadPollerOptions,
+  type RatingClient,
+  ServerDirectory,
+  ServiceClient,
+  VmListClient,
+} from "../platform/mod.ts";
+import { processEffects } from "../platform/effects.ts";
+import { type Drains, type VmSource } from "../platform/mod.ts";
+import { type ProcessSettings } from "./process_settings.ts";
+
+const RATING_TIMEOUT_MS = 2000;
+const RATING_CONCURRENCY = 16;
+const CONNECT_TIMEOUT_MS = 1000;
+const REPORT_TIMEOUT_MS = 1000;
+const MAX_CONNECTIONS_PER_SERVER = 128;
+const MAX_SERVICE_BODY_BYTES = 8 * 1024 * 1024;
+const MAX_POLLS_PER_PERIOD = 32;
+const PRIOR_FIRST_TOKEN_MS = 200;
+const PRIOR_SERVICE_MS = 1000;
+
+/** Opens the client of the rating service. */
+export function openRating(settings: ProcessSettings): RatingClient {
+  return createRatingClient({
+    origin: settings.platform.ratingUrl,
+    timeoutMs: RATING_TIMEOUT_MS,
+    maxConcurrent: RATING_CONCURRENCY,
+    clock: processEffects.clock,
+  });
+}
+
+/** Opens the client of the VM list. */
+export function openVmList(settings: ProcessSettings): VmListClient {
+  return new VmListClient({
+    baseUrl: settings.platform.vmListUrl,
+    clock: processEffects.clock,
+  });
+}
+
+/** The rows of the VM list as the directory reads them. */
+export function vmSourceOf(list: VmListClient): VmSource {
+  return {
+    vms: () => list.last()?.vms ?? [],
+    ageMs: () => list.last()?.ageMs ?? Infinity,
+  };
+}
+
+/** Opens the client of the model engines. */
+export function openEngines(): EngineClient {
+  return new EngineClient({
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    maxConnectionsPerServer: MAX_CONNECTIONS_PER_SERVER,
+  });
+}
+
+/** Opens the client of the plain services. */
+export function openServices(): ServiceClient {
+  return new ServiceClient({
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    maxConnectionsPerServer: MAX_CONNECTIONS_PER_SERVER,
+    maxBodyBytes: MAX_SERVICE_BODY_BYTES,
+  });
+}
+
+/** The directory of backend servers of one entry. */
+export function openDirectory(
+  settings: ProcessSettings,
+  options: { readonly source: VmSource; readonly drains: () => Drains },
+): ServerDirectory {
+  const places = [...settings.places].sort((a, b) => a.delayMs - b.delayMs);
+  return new ServerDirectory({
+    ...options,
+    self: settings.vm,
+    places: places.map((one) => one.place),
+    clock: processEffects.clock,
+    priorFirstTokenMs: PRIOR_FIRST_TOKEN_MS,
+    priorServiceMs: PRIOR_SERVICE_MS,
+  });
+}
+
+/** How the directory's load reports are kept fresh. */
+export function pollingOf(
+  settings: ProcessSettings,
+  directory: ServerDirectory,
+): LoadPollerOptions {
+  return {
+    directory,
+    fetchReport: createReportFetch(REPORT_TIMEOUT_MS),
+    sleep: processEffects.sleep,
+    periodMs: settings.timing.loadPeriodMs,
+    reportAgeMs: settings.timing.loadPeriodMs,
+    maxPollsPerPeriod: MAX_POLLS_PER_PERIOD,
+  };
+}
--- /dev/null
+++ b/src/decision/entry_addresses_test.ts
@@ -0,0 +1,112 @@
+/** Tests of which entry addresses a caller gets. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { chooseEntries, type EntryQuery } from "./entry_addresses.ts";
+import { type MemberUpdate } from "./member.ts";
+import { applyMembership, type MembershipEvent } from "./membership.ts";
+import { entryVm, entryVms, seededRandom } from "./membership_fixture.ts";
+import { createMembership, type MembershipState } from "./membership_state.ts";
+
+const PLACES = [
+  { place: "north-a", region: "north" },
+  { place: "north-b", region: "north" },
+  { place: "south-a", region: "south" },
+];
+const VMS = entryVms(9, PLACES.map(({ place }) => place));
+
+function queryOf(fields: Partial<EntryQuery> = {}): EntryQuery {
+  return {
+    place: "north-a",
+    places: PLACES,
+    drainedPlaces: [],
+    maxCount: 3,
+    maxAgeMs: 15_000,
+    loadMaxAgeMs: 10_000,
+    nowMs: 0,
+    random: seededRandom(1),
+    ...fields,
+  };
+}
+
+function stateOf(updates: readonly Partial<MemberUpdate>[]): MembershipState {
+  const context = { nowMs: 0, random: seededRandom(2) };
+  const self = entryVm("self", { place: "south-a" });
+  let state = createMembership(self, { nowMs: 0 });
+  const events = [
+    { kind: "listed", vms: VMS } as const,
+    ...updates.map((update, index) => heardFrom(index, update)),
+  ];
+  for (const event of events) {
+    state = applyMembership(state, event, context).state;
+  }
+  return state;
+}
+
+function heardFrom(
+  index: number,
+  update: Partial<MemberUpdate>,
+): MembershipEvent {
+  const vm = VMS[index] ?? entryVm("unknown");
+  const { place, address, peerAddress } = vm;
+  const from: MemberUpdate = {
+    vm: vm.vm,
+    place,
+    address,
+    peerAddress,
+    incarnation: 1,
+    status: "alive",
+    ...update,
+  };
+  const head = { sequence: 1, from, loadShare: 0.1, updates: [] };
+  return { kind: "message", message: { kind: "ack", ...head } };
+}
+
+test("near entries come first, and one of another place is a spare", () => {
+  const answer = chooseEntries(stateOf([]), queryOf());
+  const places = answer.entries.map(({ place }) => place);
+  assert.deepEqual(places, ["north-a", "north-a", "north-b"]);
+  assert.equal(answer.maxAgeMs, 15_000);
+});
+
+test("no leaving, suspected or dead VM is handed out", () => {
+  const statuses = ["leaving", "suspect", "dead"] as const;
+  const state = stateOf(
+    statuses.flatMap((status) => Array(3).fill({ status })).slice(0, 8),
+  );
+  const query = queryOf({ maxCount: 20, place: undefined });
+  const names = chooseEntries(state, query).entries.map(({ vm }) => vm);
+  assert.deepEqual(names.sort(), ["self", "vm-8"]);
+});
+
+test("no VM that the list calls leaving is handed out", () => {
+  const vms = VMS.map((vm) => ({ ...vm, status: "leaving" as const }));
+  const context = { nowMs: 0, random: seededRandom(3) };
+  const listed = { kind: "listed", vms } as const;
+  const { state } = applyMembership(stateOf([]), listed, context);
+  const { entries } = chooseEntries(state, queryOf());
+  assert.deepEqual(entries.map(({ vm }) => vm), ["self"]);
+});
+
+test("drained places are not handed out", () => {
+  const query = queryOf({ drainedPlaces: ["north-a"] });
+  const { entries } = chooseEntries(stateOf([]), query);
+  const places = entries.map(({ place }) => place);
+  assert.equal(places[0], "north-b");
+  assert.equal(places.includes("north-a"), false);
+});
+
+test("callers are spread by load over the VMs of a place", () => {
+  const state = stateOf([{}]);
+  const random = seededRandom(4);
+  const counts = new Map<string, number>();
+  for (let caller = 0; caller < 3000; caller++) {
+    const query = queryOf({ random, maxCount: 1 });
+    const vm = chooseEntries(state, query).entries[0]?.vm ?? "";
+    counts.set(vm, (counts.get(vm) ?? 0) + 1);
+  }
+  const idle = counts.get("vm-0") ?? 0;
+  const unknown = counts.get("vm-3") ?? 0;
+  assert.equal(counts.size, 3);
+  assert.ok(idle > 1.4 * unknown, `${idle} against ${unknown}`);
+  assert.ok(unknown > 500);
+});
--- /dev/null
+++ b/src/decision/evidence.ts
@@ -0,0 +1,138 @@
+/**
+ * Sequential evidence that a version is worse than its baseline, or that it is
+ * not. The evidence is a likelihood ratio averaged over a half-normal prior of
+ * the effect (a mixture sequential probability ratio test): under the
+ * hypothesis that it speaks against, the chance that it ever reaches 1 / a is
+ * at most a, however often it is looked at. Means are taken as normal, with
+ * variances that a prior keeps from vanishing while ratings are few.
+ */
+import { meanOf, type RatingSum, varianceOf } from "./rating_sum.ts";
+
+/** Scale of the effects looked for, as a loss of mean score. */
+const EFFECT_SCALE_SHARE = 0.1;
+/** Weight of the prior variance, in ratings. */
+const VARIANCE_PRIOR_RATINGS = 8;
+const VARIANCE_PRIOR = 0.04;
+/** Largest exponent kept, so that evidence stays finite. */
+const MAX_EXPONENT = 600;
+
+/** The ratings of one class of a version and of its baseline. */
+export interface ClassComparison {
+  readonly version: RatingSum;
+  readonly baseline: RatingSum;
+}
+
+/** Difference of the means of a version and its baseline. */
+export interface Difference {
+  /** Positive where the version scores better. */
+  readonly meanShare: number;
+  readonly variance: number;
+}
+
+/** The difference of one class; absent without ratings of either side. */
+export function differenceOf(
+  comparison: ClassComparison,
+): Difference | undefined {
+  const { version, baseline } = comparison;
+  if (version.count === 0 || baseline.count === 0) return undefined;
+  return {
+    meanShare: meanOf(version) - meanOf(baseline),
+    variance: meanVarianceOf(version) + meanVarianceOf(baseline),
+  };
+}
+
+/** The differences of all classes weighted by their precision. */
+export function pooledDifference(
+  differences: readonly Difference[],
+): Difference | undefined {
+  let precision = 0;
+  let weighted = 0;
+  for (const { meanShare, variance } of differences) {
+    precision += 1 / variance;
+    weighted += meanShare / variance;
+  }
+  if (precision === 0) return undefined;
+  return { meanShare: weighted / precision, variance: 1 / precision };
+}
+
+/** Evidence that the version loses more than the tolerated share. */
+export function lossEvidence(
+  difference: Difference,
+  toleratedLossShare: number,
+): number {
+  const excess = difference.meanShare + toleratedLossShare;
+  return mixtureRatio(-excess, difference.variance);
+}
+
+/** Evidence that the version loses less than the tolerated share. */
+export function soundEvidence(
+  difference: Difference,
+  toleratedLossShare: number,
+): number {
+  const excess = difference.meanShare + toleratedLossShare;
+  return mixtureRatio(excess, difference.variance);
+}
+
+/**
+ * Evidence of loss over all classes: half of it on the pooled difference, for a
+ * version that is worse everywhere, and half on the single classes, for one
+ * that is worse in one of them.
+ */
+export function lossEvidenceOf(
+  comparisons: readonly ClassComparison[],
+  toleratedLossShare: number,
+): number {
+  const differences = differencesOf(comparisons);
+  const pooled = pooledDifference(differences);
+  if (pooled === undefined) return 0;
+  let single = 0;
+  for (const difference of differences) {
+    single += lossEvidence(difference, toleratedLossShare) / differences.length;
+  }
+  return (lossEvidence(pooled, toleratedLossShare) + single) / 2;
+}
+
+/** Evidence of soundness over all classes, on the pooled difference. */
+export function soundEvidenceOf(
+  comparisons: readonly ClassComparison[],
+  toleratedLossShare: number,
+): number {
+  const pooled = pooledDifference(differencesOf(comparisons));
+  return pooled === undefined ? 0 : soundEvidence(pooled, toleratedLossShare);
+}
+
+function differencesOf(
+  comparisons: readonly ClassComparison[],
+): Difference[] {
+  return comparisons.map(differenceOf)
+    .filter((difference) => difference !== undefined);
+}
+
+/** Ratio of "mean is positive" to "mean is zero" for a normal observation. */
+function mixtureRatio(observed: number, variance: number): number {
+  const priorVariance = EFFECT_SCALE_SHARE * EFFECT_SCALE_SHARE;
+  const total = variance + priorVariance;
+  const exponent = priorVariance * observed * observed /
+    (2 * variance * total);
+  const z = observed * Math.sqrt(priorVariance / (variance * total));
+  const scale = 2 * Math.sqrt(variance / total) * normalShare(z);
+  return scale * Math.exp(Math.min(MAX_EXPONENT, exponent));
+}
+
+function meanVarianceOf(sum: RatingSum): number {
+  const spread = varianceOf(sum) * sum.count;
+  const count = sum.count + VARIANCE_PRIOR_RATINGS;
+  const variance = (spread + VARIANCE_PRIOR * VARIANCE_PRIOR_RATINGS) / count;
+  return variance / sum.count;
+}
+
+/** Normal distribution function by a rational approximation; error < 1e-7. */
+function normalShare(z: number): number {
+  const t = 1 / (1 + 0.2316419 * Math.abs(z));
+  const poly = t *
+    (0.319381530 + t *
+        (-0.356563782 + t *
+            (1.781477937 + t * (-1.821255978 + t * 1.330274429))));
+  const tail = Math.exp(-z * z / 2) / Math.sqrt(2 * Math.PI) * poly;
+  return z < 0 ? tail : 1 - tail;
+}
--- a/src/decision/local_stops.ts
+++ b/src/decision/local_stops.ts
@@ -30,7 +30,12 @@
 
   /** Whether this VM gives the version no new work. */
   has(version: VersionName): boolean {
-    return this.#stops.some((stop) => stop.version === version);
+    return this.of(version) !== undefined;
+  }
+
+  /** The stop of a version. */
+  of(version: VersionName): LocalStop | undefined {
+    return this.#stops.find((stop) => stop.version === version);
   }
 
   /** All stops, oldest first. */
--- /dev/null
+++ b/src/decision/membership_fixture.ts
@@ -0,0 +1,247 @@
+/**
+ * A network in memory for tests of the membership protocol: virtual time, one
+ * seed for all chance, and loss, delay, cuts and pauses that a test sets.
+ */
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { type Random, type Vm } from "../model/mod.ts";
+import { type MemberStatus } from "./member.ts";
+import { applyMembership, type MembershipEvent } from "./membership.ts";
+import { nextTickAtMs } from "./membership_probe.ts";
+import {
+  createMembership,
+  type MembershipMessage,
+  type MembershipOptions,
+  type MembershipState,
+} from "./membership_state.ts";
+
+const UINT32 = 2 ** 32;
+
+/** A random source that a seed determines. */
+export function seededRandom(seed: number): Random {
+  const generator = xoroshiro128plus(seed);
+  return () => (generator.next() >>> 0) / UINT32;
+}
+
+/** What a test sets of the network. */
+export interface NetworkOptions {
+  readonly seed: number;
+  readonly lossShare?: number;
+  readonly delayMs?: number;
+  readonly membership?: Partial<MembershipOptions>;
+  readonly onSend?: (from: string, message: MembershipMessage) => void;
+}
+
+interface Host {
+  state: MembershipState;
+  isRunning: boolean;
+  isPaused: boolean;
+  wakeAtMs: number;
+  /** What arrived during a pause. */
+  readonly held: MembershipEvent[];
+}
+
+/** Hosts that run the protocol among themselves. */
+export class SimulatedNetwork {
+  nowMs = 0;
+  lossShare: number;
+  /** Whether nothing passes between two hosts. */
+  isCut: (from: string, to: string) => boolean = () => false;
+  readonly #options: NetworkOptions;
+  readonly #random: Random;
+  readonly #hosts = new Map<string, Host>();
+  readonly #agenda = new Map<number, (() => void)[]>();
+  /** Every status that any host gave to any other: `seenBy vm status`. */
+  readonly changes: {
+    readonly atMs: number;
+    readonly seenBy: string;
+    readonly vm: string;
+    readonly status: MemberStatus;
+  }[] = [];
+
+  constructor(options: NetworkOptions) {
+    this.#options = options;
+    this.#random = seededRandom(options.seed);
+    this.lossShare = options.lossShare ?? 0;
+  }
+
+  /** Starts a host that knows the given list. */
+  start(vm: Vm, list: readonly Vm[]): void {
+    const { place, address, peerAddress } = vm;
+    const self = { vm: vm.vm, place, address, peerAddress };
+    const options = { ...this.#options.membership, nowMs: this.nowMs };
+    const host: Host = {
+      state: createMembership(self, options),
+      isRunning: true,
+      isPaused: false,
+      wakeAtMs: Number.POSITIVE_INFINITY,
+      held: [],
+    };
+    this.#hosts.set(vm.vm, host);
+    this.apply(vm.vm, { kind: "listed", vms: list });
+  }
+
+  /** Stops a host at once, without a word. */
+  kill(vm: string): void {
+    const host = this.#hosts.get(vm);
+    if (host !== undefined) host.isRunning = false;
+    this.#hosts.delete(vm);
+  }
+
+  /** Stops a host from doing anything, until `wake`. */
+  pause(vm: string): void {
+    this.#hostOf(vm).isPaused = true;
+  }
+
+  /** Lets a host go on, first with its overdue tick, then with what came. */
+  wake(vm: string): void {
+    const host = this.#hostOf(vm);
+    host.isPaused = false;
+    this.apply(vm, { kind: "tick" });
+    for (const event of host.held.splice(0)) this.apply(vm, event);
+  }
+
+  /** Applies an event at a host now. */
+  apply(vm: string, event: MembershipEvent): void {
+    const host = this.#hosts.get(vm);
+    if (host === undefined) return;
+    if (host.isPaused) {
+      host.held.push(event);
+      return;
+    }
+    const step = applyMembership(host.state, event, {
+      nowMs: this.nowMs,
+      random: this.#random,
+    });
+    host.state = step.state;
+    for (const effect of step.effects) {
+      if (effect.kind === "changed") {
+        const { vm: other, status } = effect.update;
+        this.changes.push({
+          atMs: this.nowMs,
+          seenBy: vm,
+          vm: other,
+          status,
+        });
+      } else this.#send(vm, effect.to.peerAddress, effect.message);
+    }
+    this.#scheduleTick(vm, host);
+  }
+
+  /** Lets time pass. */
+  run(durationMs: number): void {
+    const endMs = this.nowMs + durationMs;
+    while (this.nowMs < endMs) {
+      this.nowMs += 1;
+      const due = this.#agenda.get(this.nowMs);
+      this.#agenda.delete(this.nowMs);
+      for (const action of due ?? []) action();
+    }
+  }
+
+  /** Lets time pass until `isDone`; the time it took, or `undefined`. */
+  runUntil(isDone: () => boolean, limitMs: number): number | undefined {
+    const STEP_MS = 50;
+    const startMs = this.nowMs;
+    while (!isDone()) {
+      if (this.nowMs - startMs >= limitMs) return undefined;
+      this.run(STEP_MS);
+    }
+    return this.nowMs - startMs;
+  }
+
+  /** The state of a host. */
+  stateOf(vm: string): MembershipState {
+    return this.#hostOf(vm).state;
+  }
+
+  /** The status that one host gives to another. */
+  statusOf(seenBy: string, vm: string): MemberStatus | undefined {
+    return this.stateOf(seenBy).members.get(vm)?.update.status;
+  }
+
+  /** Whether every running host holds exactly the others as alive. */
+  isSettled(): boolean {
+    const names = [...this.#hosts.keys()];
+    for (const [name, host] of this.#hosts) {
+      for (const other of names) {
+        if (other === name) continue;
+        if (host.state.members.get(other)?.update.status !== "alive") {
+          return false;
+        }
+      }
+      for (const [other, member] of host.state.members) {
+        if (member.update.status === "alive" && !this.#hosts.has(other)) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+
+  #send(from: string, peerAddress: string, message: MembershipMessage): void {
+    this.#options.onSend?.(from, message);
+    const to = this.#hostAt(peerAddress);
+    const isLost = this.#random() < this.lossShare;
+    if (to === undefined || isLost || this.isCut(from, to)) return;
+    const delayMs = this.#options.delayMs ?? 1;
+    this.#at(this.nowMs + delayMs, () => {
+      const isReached = this.#hostAt(peerAddress) === to;
+      if (isReached) this.apply(to, { kind: "message", message });
+    });
+  }
+
+  #scheduleTick(vm: string, host: Host): void {
+    const atMs = Math.max(this.nowMs + 1, Math.ceil(nextTickAtMs(host.state)));
+    if (host.wakeAtMs <= atMs && host.wakeAtMs > this.nowMs) return;
+    host.wakeAtMs = atMs;
+    this.#at(atMs, () => {
+      const isDue = host.wakeAtMs === atMs && host.isRunning;
+      if (isDue && !host.isPaused) this.apply(vm, { kind: "tick" });
+    });
+  }
+
+  #at(atMs: number, action: () => void): void {
+    const actions = this.#agenda.get(atMs) ?? [];
+    actions.push(action);
+    this.#agenda.set(atMs, actions);
+  }
+
+  #hostAt(peerAddress: string): string | undefined {
+    const vm = peerAddress.split(":")[0] ?? "";
+    const state = this.#hosts.get(vm)?.state;
+    return state?.self.peerAddress === peerAddress ? vm : undefined;
+  }
+
+  #hostOf(vm: string): Host {
+    const host = this.#hosts.get(vm);
+    if (host === undefined) throw new Error(`no host ${vm}`);
+    return host;
+  }
+}
+
+/** An entry VM of a list. */
+export function entryVm(
+  vm: string,
+  fields: { readonly place?: string; readonly port?: number } = {},
+): Vm {
+  const { place = "khomas-a", port = 1 } = fields;
+  return {
+    vm,
+    kind: "entry",
+    service: "",
+    place,
+    address: `${vm}:80`,
+    peerAddress: `${vm}:${port}`,
+    status: "live",
+  };
+}
+
+/** A list of entry VMs named `vm-0` and on, spread over places in turn. */
+export function entryVms(count: number, places: readonly string[]): Vm[] {
+  const vms: Vm[] = [];
+  for (let index = 0; index < count; index++) {
+    const place = places[index % places.length] ?? "khomas-a";
+    vms.push(entryVm(`vm-${index}`, { place }));
+  }
+  return vms;
+}
--- /dev/null
+++ b/src/decision/membership_gossip.ts
@@ -0,0 +1,166 @@
+/**
+ * How updates spread: merging what others say into the table, answering what
+ * they say of this VM itself, and choosing what the next message carries. Each
+ * message carries a bounded number of updates whatever the group's size.
+ */
+import { type Member, type MemberUpdate, supersedes } from "./member.ts";
+import { type Draft, groupSize, shuffle } from "./membership_state.ts";
+
+/** Merges one update into the draft. */
+export function mergeUpdate(draft: Draft, update: MemberUpdate): void {
+  if (update.vm === draft.self.vm) {
+    refute(draft, update);
+    return;
+  }
+  const current = draft.members.get(update.vm);
+  if (current === undefined) {
+    if (update.status === "dead" || update.status === "left") return;
+    if (!hasRoom(draft)) return;
+  } else if (!supersedes(update, current.update)) return;
+  store(draft, update, current);
+}
+
+/** Merges what a member says of itself, and notes that it was heard. */
+export function mergeSender(
+  draft: Draft,
+  from: MemberUpdate,
+  loadShare: number | undefined,
+): void {
+  if (from.vm === draft.self.vm) return;
+  mergeUpdate(draft, from);
+  const member = draft.members.get(from.vm);
+  if (member === undefined) return;
+  draft.members = draft.members.set(from.vm, {
+    ...member,
+    heardAtMs: draft.nowMs,
+    loadShare: loadShare ?? member.loadShare,
+    isDisputed: from.incarnation !== member.update.incarnation ||
+      from.peerAddress !== member.update.peerAddress,
+  });
+}
+
+/** Raises this VM's incarnation, so that its own word supersedes all others. */
+export function restateSelf(draft: Draft, self: Partial<MemberUpdate>): void {
+  draft.self = {
+    ...draft.self,
+    incarnation: draft.self.incarnation + 1,
+    ...self,
+  };
+  draft.spreading = draft.spreading.set(draft.self.vm, 0);
+}
+
+/** Sets a member's status as this VM itself has found it. */
+export function declare(
+  draft: Draft,
+  member: Member,
+  status: MemberUpdate["status"],
+): void {
+  store(draft, { ...member.update, status }, member);
+}
+
+/** Chooses the updates of a message and counts them as sent. */
+export function takeUpdates(draft: Draft, to: string): MemberUpdate[] {
+  const chosen = new Map<string, MemberUpdate>();
+  const held = draft.members.get(to);
+  if (held !== undefined && mustHearOf(held)) chosen.set(to, held.update);
+  takeSpreading(draft, chosen);
+  takeRepair(draft, chosen);
+  return [...chosen.values()];
+}
+
+/** Forgets a member. */
+export function forget(draft: Draft, vm: string): void {
+  draft.members = draft.members.delete(vm);
+  draft.spreading = draft.spreading.delete(vm);
+}
+
+function mustHearOf(member: Member): boolean {
+  return member.isDisputed || member.update.status !== "alive";
+}
+
+function refute(draft: Draft, update: MemberUpdate): void {
+  const { self } = draft;
+  if (update.incarnation < self.incarnation) return;
+  const isSame = update.incarnation === self.incarnation &&
+    update.status === self.status && update.peerAddress === self.peerAddress;
+  if (isSame) return;
+  restateSelf(draft, { incarnation: update.incarnation + 1 });
+}
+
+function store(
+  draft: Draft,
+  update: MemberUpdate,
+  current: Member | undefined,
+): void {
+  const isSuspect = update.status === "suspect";
+  draft.members = draft.members.set(update.vm, {
+    update,
+    changedAtMs: draft.nowMs,
+    heardAtMs: current?.heardAtMs,
+    loadShare: current?.loadShare,
+    suspectUntilMs: isSuspect ? draft.nowMs + suspicionMs(draft) : undefined,
+    listed: current?.listed ?? "unknown",
+    isDisputed: false,
+  });
+  draft.spreading = draft.spreading.set(update.vm, 0);
+  if (current?.update.status === update.status) return;
+  draft.effects.push({
+    kind: "changed",
+    update,
+    before: current?.update.status,
+  });
+}
+
+function suspicionMs(draft: Draft): number {
+  const { periodMs, suspicionPeriods } = draft.options;
+  const scale = Math.max(1, Math.log10(groupSize(draft)));
+  return Math.ceil(periodMs * suspicionPeriods * scale);
+}
+
+function hasRoom(draft: Draft): boolean {
+  if (draft.members.size < draft.options.maxMembers) return true;
+  const gone = draft.members.findKey(({ update }) =>
+    update.status === "dead" || update.status === "left"
+  );
+  if (gone === undefined) return false;
+  forget(draft, gone);
+  return true;
+}
+
+function takeSpreading(draft: Draft, chosen: Map<string, MemberUpdate>): void {
+  const { maxUpdates, spreadFactor } = draft.options;
+  const limit = spreadFactor * Math.ceil(Math.log2(groupSize(draft) + 1));
+  const waiting = [...draft.spreading].sort(([, a], [, b]) => a - b);
+  for (const [vm, sentCount] of waiting) {
+    if (chosen.size >= maxUpdates) return;
+    const update = updateOf(draft, vm);
+    if (update !== undefined) chosen.set(vm, update);
+    draft.spreading = sentCount + 1 < limit && update !== undefined
+      ? draft.spreading.set(vm, sentCount + 1)
+      : draft.spreading.delete(vm);
+  }
+}
+
+function takeRepair(draft: Draft, chosen: Map<string, MemberUpdate>): void {
+  const { maxUpdates, repairCount } = draft.options;
+  const limit = Math.min(maxUpdates, chosen.size + repairCount);
+  for (let turn = 0; turn < repairCount; turn++) {
+    if (chosen.size >= limit) return;
+    const member = nextRepair(draft);
+    if (member !== undefined) chosen.set(member.update.vm, member.update);
+  }
+}
+
+function nextRepair(draft: Draft): Member | undefined {
+  if (draft.repairIndex >= draft.repairOrder.length) {
+    draft.repairOrder = shuffle([...draft.members.keys()], draft.random);
+    draft.repairIndex = 0;
+  }
+  const vm = draft.repairOrder[draft.repairIndex];
+  draft.repairIndex += 1;
+  return vm === undefined ? undefined : draft.members.get(vm);
+}
+
+function updateOf(draft: Draft, vm: string): MemberUpdate | undefined {
+  return vm === draft.self.vm ? draft.self : draft.members.get(vm)?.update;
+}
--- a/src/decision/quality.ts
+++ b/src/decision/quality.ts
@@ -189,7 +189,8 @@
   return addSums(capSum(aged, MEMORY_RATINGS - fresh.count), fresh);
 }
 
-function priorOf(settings: Settings, version: VersionName): RatingSum {
+/** The catalogue's expectation of a version, as ratings of its own weight. */
+export function priorOf(settings: Settings, version: VersionName): RatingSum {
   const entry = settings.catalogue.find((item) => item.version === version);
   const mean = entry?.priorQualityShare ?? UNLISTED_PRIOR_SHARE;
   const square = mean * mean + PRIOR_DEVIATION_SHARE * PRIOR_DEVIATION_SHARE;
--- /dev/null
+++ b/src/decision/rollout.ts
@@ -0,0 +1,164 @@
+/**
+ * Steps of a roll-out. At each step the version's ratings since the step began
+ * are compared with its baseline's: evidence that it loses more than the plan
+ * tolerates withdraws it, evidence that it does not, with enough ratings,
+ * advances it, and without either the step holds. The plan's bound on stopping
+ * a good version is shared out over the steps and the time after completion,
+ * which is watched in the same way. Each record names the step it follows, so
+ * of two controllers that decide at once one has no effect, and a controller
+ * that starts anew goes on from the records.
+ */
+import {
+  REQUEST_CLASSES,
+  type RequestClass,
+  type RolloutPlan,
+  type Settings,
+} from "../model/mod.ts";
+import {
+  type RecordOf,
+  type RolloutProgress,
+  START_POSITION,
+} from "../state/mod.ts";
+import {
+  changeEvidence,
+  type ChangeWatch,
+  classSumsOf,
+  comparisonsSince,
+  countOf,
+  stepSumsOf,
+} from "./change_watch.ts";
+import { soundEvidenceOf } from "./evidence.ts";
+import { PRIOR_RATINGS, priorOf, type QualityBook } from "./quality.ts";
+import { addSums, type RatingSum } from "./rating_sum.ts";
+
+/** Bound on the chance that one step advances a version that is bad. */
+export const PASS_ERROR_SHARE = 0.05;
+
+/** What a roll-out does next. */
+export type RolloutVerdict =
+  | { readonly kind: "start" }
+  | { readonly kind: "hold"; readonly reason: HoldReason }
+  | { readonly kind: "advance"; readonly stepIndex: number }
+  | { readonly kind: "complete" }
+  | { readonly kind: "withdraw"; readonly reason: string }
+  | { readonly kind: "ended" };
+
+/** Why a step holds. */
+export type HoldReason = "paused" | "few_ratings" | "undecided" | "completed";
+
+/** What the next move of a roll-out depends on. */
+export interface RolloutInput {
+  readonly plan: RolloutPlan;
+  readonly progress: RolloutProgress | undefined;
+  /** The watch since the newest step; absent before the first. */
+  readonly watch: ChangeWatch | undefined;
+  readonly quality: QualityBook;
+  /** The root's settings. */
+  readonly settings: Settings;
+}
+
+/** The next move of a roll-out. */
+export function judgeRollout(input: RolloutInput): RolloutVerdict {
+  const { plan, progress, watch } = input;
+  if (progress === undefined || progress.step.version !== plan.version) {
+    return plan.isPaused ? hold("paused") : { kind: "start" };
+  }
+  if (progress.step.verdict === "withdraw") return { kind: "ended" };
+  if (watch !== undefined) {
+    const evidence = changeEvidence(watch, {
+      ...input,
+      ...comparisonOf(input),
+    });
+    if (evidence >= 1 / stepErrorShareOf(plan)) {
+      return { kind: "withdraw", reason: reasonOf(evidence, input) };
+    }
+  }
+  if (progress.step.verdict === "complete") return hold("completed");
+  if (plan.isPaused) return hold("paused");
+  return judgeAdvance(input, progress);
+}
+
+/** The bound on a false stop at each step and after completion. */
+export function stepErrorShareOf(plan: RolloutPlan): number {
+  return plan.falseStopShare / (plan.stepShares.length + 1);
+}
+
+/** The record of a verdict; nothing for one that leaves the step as it is. */
+export function stepRecordOf(
+  verdict: RolloutVerdict,
+  input: RolloutInput,
+): RecordOf<"rollout_step"> | undefined {
+  if (verdict.kind === "hold" || verdict.kind === "ended") return undefined;
+  const { plan, progress } = input;
+  const after = progress?.position ?? START_POSITION;
+  return {
+    kind: "rollout_step",
+    id: `rollout-${plan.name}-${after}-${verdict.kind}`,
+    rollout: plan.name,
+    version: plan.version,
+    after,
+    verdict: verdict.kind,
+    stepIndex: stepIndexOf(verdict, progress),
+    reason: verdict.kind === "withdraw" ? verdict.reason : "",
+    ratings: REQUEST_CLASSES.map((requestClass) => ({
+      requestClass,
+      ...input.quality.totalOf(plan.version, requestClass),
+    })),
+  };
+}
+
+function judgeAdvance(
+  input: RolloutInput,
+  progress: RolloutProgress,
+): RolloutVerdict {
+  const { plan, quality } = input;
+  const now = classSumsOf(quality, plan.version);
+  const start = stepSumsOf(progress);
+  const { baselineOf } = comparisonOf(input);
+  if (countOf(now) - countOf(start) < plan.minRatings) {
+    return hold("few_ratings");
+  }
+  const comparisons = comparisonsSince(now, start, baselineOf);
+  const evidence = soundEvidenceOf(comparisons, plan.toleratedLossShare);
+  if (evidence < 1 / PASS_ERROR_SHARE) return hold("undecided");
+  const stepIndex = progress.step.stepIndex + 1;
+  if (stepIndex >= plan.stepShares.length) return { kind: "complete" };
+  return { kind: "advance", stepIndex };
+}
+
+function comparisonOf(input: RolloutInput): {
+  readonly version: RolloutPlan["version"];
+  readonly toleratedLossShare: number;
+  readonly baselineOf: (requestClass: RequestClass) => RatingSum;
+} {
+  const { plan, quality, settings } = input;
+  const prior = priorOf(settings, plan.baseline);
+  return {
+    version: plan.version,
+    toleratedLossShare: plan.toleratedLossShare,
+    baselineOf: (requestClass) => {
+      const rated = quality.agedOf(plan.baseline, requestClass);
+      return rated.count < PRIOR_RATINGS ? addSums(rated, prior) : rated;
+    },
+  };
+}
+
+function stepIndexOf(
+  verdict: RolloutVerdict,
+  progress: RolloutProgress | undefined,
+): number {
+  if (verdict.kind === "advance") return verdict.stepIndex;
+  if (verdict.kind === "start") return 0;
+  return progress?.step.stepIndex ?? 0;
+}
+
+function hold(reason: HoldReason): RolloutVerdict {
+  return { kind: "hold", reason };
+}
+
+function reasonOf(evidence: number, input: RolloutInput): string {
+  const { plan } = input;
+  const lossPercent = plan.toleratedLossShare * 100;
+  return `ratings show a loss above ${lossPercent.toFixed(1)} % against ` +
+    `${plan.baseline} (evidence ${evidence.toExponential(1)})`;
+}
--- a/src/decision/version_fixture.ts
+++ b/src/decision/version_fixture.ts
@@ -1,6 +1,7 @@
 /** Fixtures of the tests about versions: settings, records and states. */
 import {
   DEFAULT_SETTINGS,
+  hashShare,
   type RequestClass,
   type RolloutPlan,
   type Settings,
@@ -124,3 +125,29 @@
     priorQualityShare,
   };
 }
+
+/** The edit that puts these settings at the root. */
+export function createTreeRecord(settings: Settings): RecordOf<"edit"> {
+  return {
+    kind: "edit",
+    id: "tree",
+    path: "/",
+    change: { set: settings, clear: [] },
+    base: 1_000_000_000,
+    author: "test",
+    note: "",
+  };
+}
+
+/** The n-th score of a fixed sequence with this mean and deviation. */
+export function drawScore(
+  nth: number,
+  options: { readonly meanShare: number; readonly deviationShare?: number },
+): number {
+  const uniform = (salt: string): number => hashShare(`${salt} ${nth}`);
+  const radius = Math.sqrt(-2 * Math.log(1 - uniform("radius")));
+  const normal = radius * Math.cos(2 * Math.PI * uniform("angle"));
+  const deviationShare = options.deviationShare ?? 0.15;
+  const score = options.meanShare + deviationShare * normal;
+  return Math.min(1, Math.max(0, score));
+}
--- a/src/filter/mod.ts
+++ b/src/filter/mod.ts
@@ -14,3 +14,4 @@
 export * from "./request_life.ts";
 export * from "./router.ts";
 export * from "./session_token.ts";
+export * from "./version_desk.ts";
--- a/src/filter/request_handler.ts
+++ b/src/filter/request_handler.ts
@@ -76,6 +76,8 @@
 export interface HandlerStatus {
   readonly runningCount: number;
   readonly waitingCount: number;
+  /** Requests that this VM may run at once. */
+  readonly runningLimit: number;
   readonly heldBillCount: number;
   readonly lateRecordCount: number;
   readonly keptAnswerCount: number;
@@ -233,6 +235,7 @@
     return {
       runningCount: this.#admission.runningCount,
       waitingCount: this.#admission.waitingCount,
+      runningLimit: this.#options.runningLimit(),
       heldBillCount: this.#bills.size,
       lateRecordCount: this.#late.size,
       keptAnswerCount: this.kept.count,
--- /dev/null
+++ b/src/filter/version_desk.ts
@@ -0,0 +1,183 @@
+/**
+ * The version desk of one entry: chooses versions by the quality known here,
+ * has answers rated, and publishes its ratings to the other VMs. The rating
+ * service may be slow or down: an answer then counts as not rated, and none
+ * waits for it longer than the client's own timeout. A version that the ratings
+ * show to be bad gets no new work here at once, before any record says so.
+ */
+import { type Result } from "neverthrow";
+import {
+  candidateVersions,
+  mayStart,
+  shouldEscalate,
+  type VersionPlan,
+  VersionWatch,
+} from "../decision/mod.ts";
+import {
+  type ModelRequest,
+  type Random,
+  type Refusal,
+  type Settings,
+  type SettingsPath,
+  type VersionName,
+} from "../model/mod.ts";
+import { type Journal, type RatingClient } from "../platform/mod.ts";
+import { type RecordOf } from "../state/mod.ts";
+import { type MayEscalate, type RatingQuery } from "./cascade.ts";
+import { type ModelAnswer, type RequestContext } from "./context.ts";
+import { type VersionQuery } from "./pin.ts";
+
+/** Expected time of a whole answer from the next version. */
+const EXPECTED_ESCALATION_MS = 2000;
+
+/** What a desk works with. */
+export interface VersionDeskOptions {
+  /** Name of this VM. */
+  readonly self: string;
+  readonly journal: Journal;
+  readonly rating: RatingClient;
+  /** Spend over what the budget allows of a workspace, from 0 to 1. */
+  readonly budgetPressureOf: (workspace: SettingsPath) => number;
+  /** Share of answers that are rated in the background. */
+  readonly sampleShare: number;
+  readonly publishTimeoutMs: number;
+  /** Makes an id that no VM makes twice. */
+  readonly makeId: () => string;
+  readonly random: Random;
+}
+
+/** Chooses versions and keeps their ratings. */
+export class VersionDesk {
+  readonly #options: VersionDeskOptions;
+  readonly #published = new Map<string, number>();
+  readonly #rated = new WeakSet<ModelAnswer>();
+  #watch: VersionWatch;
+
+  constructor(options: VersionDeskOptions) {
+    this.#options = options;
+    this.#watch = VersionWatch.create(
+      options.self,
+      options.journal.control(),
+    );
+  }
+
+  /** What this VM knows of versions now. */
+  get watch(): VersionWatch {
+    return this.#watch;
+  }
+
+  /** The versions that may answer a request. */
+  choose(query: VersionQuery): Result<VersionPlan, Refusal> {
+    const { request, path, settings } = query;
+    return candidateVersions({
+      settings,
+      control: this.#options.journal.control(),
+      quality: this.#watch.quality,
+      localStops: this.#watch.stops,
+      requestClass: request.requestClass,
+      key: request.session === undefined ? request.requestId : path,
+      isInSession: request.session !== undefined,
+      pinned: undefined,
+      isRatingAvailable: this.#options.rating.isAvailable(),
+    });
+  }
+
+  /** Whether new work may run on a version now. */
+  mayStart(version: VersionName, settings: Settings): boolean {
+    return mayStart(version, {
+      settings,
+      control: this.#options.journal.control(),
+      localStops: this.#watch.stops,
+    });
+  }
+
+  /** Whether an answer falls short; `undefined` when it was not rated. */
+  async fallsShort(
+    query: RatingQuery,
+    targetShare: number,
+  ): Promise<boolean | undefined> {
+    const scoreShare = await this.#rate(query.request, query.answer);
+    return scoreShare === undefined ? undefined : scoreShare < targetShare;
+  }
+
+  /** Whether deadline and budget allow one more version. */
+  mayEscalate(
+    context: RequestContext,
+    options: Parameters<MayEscalate>[1],
+  ): boolean {
+    const { workspace } = context.request;
+    return shouldEscalate({
+      scoreShare: 0,
+      targetShare: 1,
+      escalation: options.isRequired ? "required" : "optional",
+      deadlineLeftMs: context.life.leftMs(),
+      expectedMs: EXPECTED_ESCALATION_MS,
+      budgetPressureShare: this.#options.budgetPressureOf(workspace),
+    });
+  }
+
+  /** Rates a sample of whole answers in the background. */
+  noteAnswer(request: ModelRequest, answer: ModelAnswer): void {
+    if (this.#rated.has(answer)) return;
+    if (!this.#isSampled(answer.version)) return;
+    void this.#rate(request, answer);
+  }
+
+  /** Reads the control state again. */
+  observe(): void {
+    this.#watch = this.#watch.observe(this.#options.journal.control());
+  }
+
+  /** Appends the ratings that have grown since they were last published. */
+  async publish(): Promise<void> {
+    for (const own of this.#watch.own.sums()) {
+      const key = `${own.version} ${own.requestClass}`;
+      const { sum } = own;
+      if ((this.#published.get(key) ?? 0) >= sum.count) continue;
+      const record: RecordOf<"quality"> = {
+        id: this.#options.makeId(),
+        kind: "quality",
+        vm: this.#options.self,
+        version: own.version,
+        requestClass: own.requestClass,
+        ...sum,
+      };
+      const appended = await this.#options.journal.append(record, "", {
+        timeoutMs: this.#options.publishTimeoutMs,
+      });
+      if (appended.isErr()) return;
+      this.#published.set(key, sum.count);
+    }
+  }
+
+  /** Versions of a running roll-out are always rated, others by sample. */
+  #isSampled(version: VersionName): boolean {
+    for (const { input } of this.#watch.moves) {
+      if (input.plan.version === version) return true;
+    }
+    return this.#options.random() < this.#options.sampleShare;
+  }
+
+  async #rate(
+    request: ModelRequest,
+    answer: ModelAnswer,
+  ): Promise<number | undefined> {
+    this.#rated.add(answer);
+    const rated = await this.#options.rating.rate({
+      requestId: request.requestId,
+      version: answer.version,
+      requestClass: request.requestClass,
+      prompt: request.messages.map((message) => message.content).join("\n"),
+      answer: answer.text,
+    });
+    if (rated.isErr()) return undefined;
+    const rating = {
+      version: answer.version,
+      requestClass: request.requestClass,
+      scoreShare: rated.value,
+    };
+    const control = this.#options.journal.control();
+    this.#watch = this.#watch.addRating(rating, control);
+    return rated.value;
+  }
+}
--- /dev/null
+++ b/src/platform/peer_records.ts
@@ -0,0 +1,15 @@
+/** The journal as a source of records for the peers. */
+import { type RecordSource } from "../wire/mod.ts";
+import { type LogJournal } from "./log_journal.ts";
+
+/** Lets peers read the journal's control stream and offer to it. */
+export function recordSourceOf(journal: LogJournal): RecordSource {
+  return {
+    freshness: () => ({
+      position: journal.control().position,
+      ageMs: journal.freshness().ageMs,
+    }),
+    recordsAfter: (position, limit) => journal.recordsAfter(position, limit),
+    offer: (entries, peer) => journal.offer(entries, peer),
+  };
+}
--- a/src/state/record.ts
+++ b/src/state/record.ts
@@ -6,6 +6,7 @@
 import { z } from "zod";
 import {
   identifierSchema,
+  REQUEST_CLASSES,
   requestClassSchema,
   settingsChangeSchema,
   settingsPathSchema,
@@ -51,6 +52,14 @@
   after: positionSchema,
 });
 
+/** Sums of the ratings of one class. */
+export const classRatingsSchema = z.strictObject({
+  requestClass: requestClassSchema,
+  count: countSchema,
+  scoreSum: z.number().min(0),
+  scoreSquareSum: z.number().min(0),
+});
+
 /** One step of a roll-out; it counts only when `after` is the last one. */
 export const rolloutStepSchema = z.strictObject({
   ...head,
@@ -61,6 +70,8 @@
   verdict: z.enum(["start", "advance", "withdraw", "complete"]),
   stepIndex: countSchema,
   reason: textSchema,
+  /** The version's ratings by class when the step was taken. */
+  ratings: z.array(classRatingsSchema).max(REQUEST_CLASSES.length).optional(),
 });
 
 /** One VM's ratings of a version so far; the newest of each VM counts. */
--- /dev/null
+++ b/src/wire/greeting.ts
@@ -0,0 +1,186 @@
+/**
+ * Carries the handshake over a socket, with a timeout and with the small frame
+ * bound that holds until the peer has proved itself.
+ */
+import { randomBytes } from "node:crypto";
+import { type Socket } from "node:net";
+import { err, ok, type Result } from "neverthrow";
+import { type Sleep } from "../model/mod.ts";
+import { WireError } from "./error.ts";
+import {
+  encodeFrame,
+  FrameDecoder,
+  MAX_HANDSHAKE_FRAME_BYTES,
+} from "./frame.ts";
+import {
+  answerChallenge,
+  answerHello,
+  checkProof,
+  helloOf,
+  type Identity,
+  type PeerIdentity,
+  peerOf,
+} from "./handshake.ts";
+import { type HandshakeMessage, parseHandshake } from "./message.ts";
+
+const NONCE_BYTES = 16;
+
+/** A socket whose peer has proved itself. */
+export interface Greeted {
+  readonly peer: PeerIdentity;
+  readonly decoder: FrameDecoder;
+}
+
+/** Bounds of a handshake. */
+export interface GreetingOptions {
+  readonly identity: Identity;
+  readonly timeoutMs: number;
+  readonly sleep: Sleep;
+}
+
+/** The handshake of the side that connected. */
+export function greet(
+  socket: Socket,
+  options: GreetingOptions,
+): Promise<Result<Greeted, WireError>> {
+  return withDeadline(socket, options, async (channel) => {
+    const { identity } = options;
+    const hello = helloOf(identity, newNonce());
+    channel.send(hello);
+    const challenge = await channel.receive("challenge");
+    if (challenge.isErr()) return err(challenge.error);
+    const proof = answerChallenge(identity, hello, challenge.value);
+    if (proof.isErr()) return err(proof.error);
+    channel.send({ kind: "proof", proof: proof.value });
+    return ok(peerOf(challenge.value));
+  });
+}
+
+/** The handshake of the side that was connected to. */
+export function receiveGreeting(
+  socket: Socket,
+  options: GreetingOptions,
+): Promise<Result<Greeted, WireError>> {
+  return withDeadline(socket, options, async (channel) => {
+    const { identity } = options;
+    const hello = await channel.receive("hello");
+    if (hello.isErr()) return err(hello.error);
+    const challenge = answerHello(identity, hello.value, newNonce());
+    if (challenge.isErr()) return refuse(channel, challenge.error);
+    channel.send(challenge.value);
+    const proof = await channel.receive("proof");
+    if (proof.isErr()) return err(proof.error);
+    const transcript = [hello.value, challenge.value] as const;
+    const checked = checkProof(identity, transcript, proof.value.proof);
+    if (checked.isErr()) return refuse(channel, checked.error);
+    return ok(peerOf(hello.value));
+  });
+}
+
+type MessageOf<Kind extends HandshakeMessage["kind"]> = Extract<
+  HandshakeMessage,
+  { kind: Kind }
+>;
+
+/** The handshake's messages over one socket. */
+class GreetingChannel {
+  readonly decoder = new FrameDecoder(MAX_HANDSHAKE_FRAME_BYTES);
+  readonly #socket: Socket;
+  #wake: () => void = () => {};
+  #fault: WireError | undefined;
+
+  constructor(socket: Socket) {
+    this.#socket = socket;
+    socket.on("data", this.#onData);
+    socket.on("error", this.#onError);
+    socket.on("close", this.#onClose);
+  }
+
+  send(message: HandshakeMessage): void {
+    encodeFrame(message).map((frame) => this.#socket.write(frame));
+  }
+
+  async receive<Kind extends HandshakeMessage["kind"]>(
+    kind: Kind,
+  ): Promise<Result<MessageOf<Kind>, WireError>> {
+    while (this.#fault === undefined) {
+      const frame = this.decoder.next();
+      if (frame.isErr()) return err(frame.error);
+      if (frame.value !== undefined) return expect(frame.value, kind);
+      await new Promise<void>((resolve) => this.#wake = resolve);
+    }
+    return err(this.#fault);
+  }
+
+  fail(fault: WireError): void {
+    this.#fault ??= fault;
+    this.#wake();
+  }
+
+  release(): void {
+    this.#socket.off("data", this.#onData);
+    this.#socket.off("error", this.#onError);
+    this.#socket.off("close", this.#onClose);
+    this.#socket.pause();
+  }
+
+  readonly #onData = (chunk: Uint8Array): void => {
+    this.decoder.push(chunk);
+    this.#wake();
+  };
+
+  readonly #onError = (error: Error): void =>
+    this.fail(new WireError("unreachable", error.message));
+
+  readonly #onClose = (): void =>
+    this.fail(new WireError("closed", "closed during the handshake"));
+}
+
+async function withDeadline(
+  socket: Socket,
+  options: GreetingOptions,
+  exchange: (
+    channel: GreetingChannel,
+  ) => Promise<Result<PeerIdentity, WireError>>,
+): Promise<Result<Greeted, WireError>> {
+  const channel = new GreetingChannel(socket);
+  const timer = new AbortController();
+  void options.sleep(options.timeoutMs, timer.signal).then(() =>
+    channel.fail(new WireError("timeout", "the handshake took too long"))
+  );
+  const peer = await exchange(channel);
+  channel.release();
+  timer.abort();
+  if (peer.isOk()) return ok({ peer: peer.value, decoder: channel.decoder });
+  socket.on("error", () => {});
+  socket.destroySoon();
+  return err(peer.error);
+}
+
+function expect<Kind extends HandshakeMessage["kind"]>(
+  value: unknown,
+  kind: Kind,
+): Result<MessageOf<Kind>, WireError> {
+  return parseHandshake(value).andThen((message) => {
+    if (message.kind === kind) return ok(message as MessageOf<Kind>);
+    if (message.kind === "refused") {
+      return err(new WireError("refused", message.reason));
+    }
+    return err(
+      new WireError("frame_malformed", `expected ${kind}, got ${message.kind}`),
+    );
+  });
+}
+
+function refuse(
+  channel: GreetingChannel,
+  error: WireError,
+): Result<never, WireError> {
+  const reason = parseHandshake({ kind: "refused", reason: error.message });
+  if (reason.isOk()) channel.send(reason.value);
+  return err(error);
+}
+
+function newNonce(): string {
+  return randomBytes(NONCE_BYTES).toString("hex");
+}
--- /dev/null
+++ b/src/wire/message.ts
@@ -0,0 +1,186 @@
+/**
+ * The messages between the system's own processes and their codecs. Every frame
+ * that arrives is checked against them before anything else sees it.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import { memberUpdateSchema } from "../decision/mod.ts";
+import { identifierSchema } from "../model/mod.ts";
+import { billSchema, type RawEntry } from "../state/mod.ts";
+import { WireError } from "./error.ts";
+
+/** The version of this protocol; peers of another one are refused. */
+export const PROTOCOL_VERSION = 1;
+
+/** The most entries that one answer carries. */
+export const MAX_ENTRIES_PER_ANSWER = 256;
+
+/** The longest age that is told; a peer that never read is that old. */
+export const MAX_AGE_MS = 2 ** 31;
+
+const MAX_UPDATES = 32;
+const MAX_MEMBERS = 2048;
+/** Room for a checkpoint's parts beside the entries asked for. */
+const MAX_ENTRIES = 4096;
+const NONCE_PATTERN = /^[0-9a-f]{32}$/;
+const PROOF_PATTERN = /^[0-9a-f]{64}$/;
+
+const nameSchema = z.string().min(1).max(64);
+const countSchema = z.number().int().min(0);
+const sequenceSchema = countSchema;
+const nonceSchema = z.string().regex(NONCE_PATTERN);
+const proofSchema = z.string().regex(PROOF_PATTERN);
+
+const identity = {
+  protocol: countSchema,
+  recordFormat: countSchema,
+  deployment: nameSchema,
+  vm: nameSchema,
+  role: z.enum(["member", "subscriber"]),
+  member: memberUpdateSchema.nullable(),
+  nonce: nonceSchema,
+};
+
+/** The first message of the side that connects. */
+export const helloSchema = z.object({
+  kind: z.literal("hello"),
+  ...identity,
+});
+
+/** The answer, which proves that the other side holds the key. */
+export const challengeSchema = z.object({
+  kind: z.literal("challenge"),
+  ...identity,
+  proof: proofSchema,
+});
+
+/** The proof of the side that connected. */
+export const proofMessageSchema = z.object({
+  kind: z.literal("proof"),
+  proof: proofSchema,
+});
+
+/** Why a handshake ends without a connection. */
+export const refusedSchema = z.object({
+  kind: z.literal("refused"),
+  reason: z.enum(["protocol", "deployment", "proof", "same_vm", "full"]),
+});
+
+/** Codec of the handshake. */
+export const handshakeSchema = z.discriminatedUnion("kind", [
+  helloSchema,
+  challengeSchema,
+  proofMessageSchema,
+  refusedSchema,
+]);
+
+const head = {
+  sequence: sequenceSchema,
+  from: memberUpdateSchema,
+  loadShare: z.number().min(0).max(1000),
+  updates: z.array(memberUpdateSchema).max(MAX_UPDATES).readonly(),
+};
+
+const membershipMessageSchema = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("probe"), ...head }),
+  z.object({ kind: z.literal("ack"), ...head }),
+  z.object({
+    kind: z.literal("probe_request"),
+    target: nameSchema,
+    ...head,
+  }),
+]);
+
+const entrySchema: z.ZodType<RawEntry> = z.object({
+  /** -1 for a part of a checkpoint, which stands before every record. */
+  offset: z.number().int().min(-1),
+  payload: z.string(),
+});
+
+const freshness = {
+  /** The sender's position in the control stream. */
+  position: countSchema,
+  /** Since the sender knew the stream's end, in milliseconds. */
+  ageMs: z.number().min(0).max(MAX_AGE_MS),
+};
+
+const askSchema = z.discriminatedUnion("kind", [
+  z.object({
+    kind: z.literal("entries_after"),
+    position: countSchema,
+    limit: z.number().int().min(1).max(MAX_ENTRIES_PER_ANSWER),
+  }),
+  z.object({ kind: z.literal("hold_bill"), bill: billSchema }),
+  z.object({ kind: z.literal("drop_bill"), requestId: identifierSchema }),
+  z.object({ kind: z.literal("members") }),
+]);
+
+const answerSchema = z.discriminatedUnion("kind", [
+  z.object({
+    kind: z.literal("entries"),
+    ...freshness,
+    entries: z.array(entrySchema).max(MAX_ENTRIES).readonly(),
+  }),
+  z.object({ kind: z.literal("held"), isHeld: z.boolean() }),
+  z.object({ kind: z.literal("dropped") }),
+  z.object({
+    kind: z.literal("members"),
+    members: z.array(memberUpdateSchema).max(MAX_MEMBERS).readonly(),
+  }),
+  z.object({ kind: z.literal("unfit"), reason: z.string().max(256) }),
+]);
+
+/** Codec of every message after the handshake. */
+export const peerMessageSchema = z.discriminatedUnion("kind", [
+  z.object({
+    kind: z.literal("membership"),
+    ...freshness,
+    message: membershipMessageSchema,
+  }),
+  z.object({ kind: z.literal("ask"), id: sequenceSchema, ask: askSchema }),
+  z.object({
+    kind: z.literal("answer"),
+    id: sequenceSchema,
+    answer: answerSchema,
+  }),
+]);
+
+/** The first message of the side that connects. */
+export type Hello = Readonly<z.infer<typeof helloSchema>>;
+/** The answer to a hello. */
+export type Challenge = Readonly<z.infer<typeof challengeSchema>>;
+/** Any message of the handshake. */
+export type HandshakeMessage = Readonly<z.infer<typeof handshakeSchema>>;
+/** Any message after the handshake. */
+export type PeerMessage = Readonly<z.infer<typeof peerMessageSchema>>;
+/** What one process asks of another. */
+export type Ask = Readonly<z.infer<typeof askSchema>>;
+/** What it is answered. */
+export type Answer = Readonly<z.infer<typeof answerSchema>>;
+
+/** Checks a decoded frame of the handshake. */
+export function parseHandshake(
+  value: unknown,
+): Result<HandshakeMessage, WireError> {
+  return parse(handshakeSchema, value);
+}
+
+/** Checks a decoded frame after the handshake. */
+export function parsePeerMessage(
+  value: unknown,
+): Result<PeerMessage, WireError> {
+  return parse(peerMessageSchema, value);
+}
+
+function parse<Message>(
+  schema: z.ZodType<Message>,
+  value: unknown,
+): Result<Message, WireError> {
+  const parsed = schema.safeParse(value);
+  if (parsed.success) return ok(parsed.data);
+  const issue = parsed.error.issues[0];
+  const where = issue?.path.join(".") ?? "";
+  return err(
+    new WireError("frame_malformed", `${where}: ${issue?.message ?? ""}`),
+  );
+}
--- /dev/null
+++ b/src/wire/peer_node_test.ts
@@ -0,0 +1,145 @@
+/** Tests of nodes over real sockets: meeting, refusals, records and silence. */
+import assert from "node:assert/strict";
+import { type Socket } from "node:net";
+import { test } from "node:test";
+import { type RecordOf } from "../state/mod.ts";
+import {
+  editEntry,
+  listener,
+  MemoryBills,
+  MemoryRecords,
+  nodeOf,
+  sees,
+  socketTo,
+  started,
+  until,
+} from "./peer_fixture.ts";
+import { type PeerNode } from "./peer_node.ts";
+
+async function closeAll(nodes: readonly PeerNode[]): Promise<void> {
+  for (const node of nodes) await node.close();
+}
+
+const bill: RecordOf<"bill"> = {
+  kind: "bill",
+  id: "bill-1",
+  requestId: "request-1",
+  workspace: "/khomas/heritage",
+  requestClass: "lookup",
+  lines: [],
+  priceMicroEur: 7,
+  vm: "vm-a",
+};
+
+test("nodes meet through a seed and through one another", async () => {
+  const a = nodeOf("vm-a");
+  const seed = await started(a);
+  const b = nodeOf("vm-b", { seeds: [seed] });
+  const c = nodeOf("vm-c", { seeds: [seed] });
+  await started(b);
+  await started(c);
+  await until(() => sees(b, "vm-c") && sees(c, "vm-b") && sees(a, "vm-b"));
+  await closeAll([a, b, c]);
+});
+
+for (
+  const [name, fields] of [
+    ["a wrong key", { sharedKey: "another key" }],
+    ["another deployment", { deployment: "tullagh" }],
+  ] as const
+) {
+  test(`a peer with ${name} is refused by both sides`, async () => {
+    let refusedCount = 0;
+    const metrics = {
+      count: (metric: string): void => {
+        if (metric === "wire.refused") refusedCount += 1;
+      },
+      gauge: (): void => {},
+      timing: (): void => {},
+    };
+    const a = nodeOf("vm-a", { metrics });
+    const seed = await started(a);
+    const b = nodeOf("vm-b", { seeds: [seed], ...fields });
+    await started(b);
+    await until(() => refusedCount >= 2);
+    assert.equal(a.membership().members.size, 0);
+    assert.equal(b.membership().members.size, 0);
+    await closeAll([a, b]);
+  });
+}
+
+test("a node cut from the log learns from its peers", async () => {
+  const ahead = new MemoryRecords();
+  const behind = new MemoryRecords();
+  const ENTRIES = 700;
+  for (let offset = 0; offset < ENTRIES; offset++) {
+    ahead.entries.push(editEntry(offset));
+  }
+  const a = nodeOf("vm-a", { records: ahead });
+  const b = nodeOf("vm-b", { records: behind, seeds: [await started(a)] });
+  await started(b);
+  await until(() => behind.entries.length === ENTRIES);
+  assert.deepEqual(behind.entries, ahead.entries);
+  await closeAll([a, b]);
+});
+
+test("a bill is held by a peer up to its room, and dropped", async () => {
+  const bills = new MemoryBills(1);
+  const a = nodeOf("vm-a");
+  const b = nodeOf("vm-b", { bills, seeds: [await started(a)] });
+  await started(b);
+  await until(() => sees(a, "vm-b"));
+  const options = { timeoutMs: 2000 };
+  const first = await a.ask("vm-b", { kind: "hold_bill", bill }, options);
+  assert.deepEqual(first._unsafeUnwrap(), { kind: "held", isHeld: true });
+  const next = { ...bill, requestId: "request-2" };
+  const second = await a.ask(
+    "vm-b",
+    { kind: "hold_bill", bill: next },
+    options,
+  );
+  assert.deepEqual(second._unsafeUnwrap(), { kind: "held", isHeld: false });
+  const drop = { kind: "drop_bill", requestId: "request-1" } as const;
+  await a.ask("vm-b", drop, options);
+  assert.equal(bills.held.size, 0);
+  const unknown = await a.ask("vm-z", drop, options);
+  assert.equal(unknown._unsafeUnwrapErr().fault, "unknown_peer");
+  await closeAll([a, b]);
+});
+
+test("connections that went silent are replaced before suspicion", async () => {
+  let target = "";
+  let isSilent = false;
+  const pipes: { socket: Socket; isDead: boolean }[] = [];
+  const proxy = await listener((socket) => {
+    void (async () => {
+      const pipe = { socket, isDead: false };
+      pipes.push(pipe);
+      const onward = await socketTo(target);
+      socket.on("data", (chunk) => pipe.isDead || onward.write(chunk));
+      onward.on("data", (chunk) => pipe.isDead || socket.write(chunk));
+      socket.on("close", () => onward.destroy());
+    })();
+  });
+  const a = nodeOf("vm-a", { advertisedPeerAddress: proxy.address });
+  target = await started(a);
+  const statuses: string[] = [];
+  const logger = {
+    info: (_event: string, fields?: Record<string, unknown>): void => {
+      if (isSilent) statuses.push(String(fields?.["status"]));
+    },
+    warn: (): void => {},
+    error: (): void => {},
+  };
+  const b = nodeOf("vm-b", { seeds: [proxy.address], logger });
+  await started(b);
+  await until(() => sees(b, "vm-a") && sees(a, "vm-b"));
+  isSilent = true;
+  for (const pipe of pipes) pipe.isDead = true;
+  const before = pipes.length;
+  await until(() => pipes.length > before);
+  await until(() => sees(b, "vm-a") && sees(a, "vm-b"));
+  assert.equal(statuses.includes("dead"), false);
+  await closeAll([a, b]);
+  proxy.close();
+});
