--- /dev/null
+++ b/bench/policies/main.ts
@@ -0,0 +1,124 @@
+/**
+ * Measures the policies of the data path in virtual time: `node
+ * dist/bench/policies/main.js [--seconds N] [--seed S] [--policies a,b]
+ * [--loads 50,80] [--slow 0,5] [--strategies]`. Prints tables in Markdown.
+ */
+import process from "node:process";
+import { parseArgs } from "node:util";
+import { runSite, type SiteRunOptions } from "./site_run.ts";
+import { ENGINE_COUNT, SLOT_COUNT, versionModel, VM_COUNT } from "./site.ts";
+import { createStrategies, type VersionStrategy } from "./strategies.ts";
+import { figuresOf, type RunFigures } from "./summary.ts";
+import { CLASS_MIX, createRandom, createWorkload } from "./workload.ts";
+
+const POLICIES = "two choices,random,round robin,least reported load";
+const SLOW_FACTOR = 4;
+
+const { values } = parseArgs({
+  options: {
+    seconds: { type: "string", default: "120" },
+    seed: { type: "string", default: "1" },
+    policies: { type: "string", default: POLICIES },
+    loads: { type: "string", default: "50,80,100,150" },
+    slow: { type: "string", default: "0,5" },
+    strategies: { type: "boolean", default: false },
+  },
+});
+
+const seed = Number(values.seed);
+const durationMs = Number(values.seconds) * 1000;
+const strategies = createStrategies(createRandom(seed + 7));
+
+/** Requests a second that fill every slot, when nothing is slow or cached. */
+function capacityPerSecond(): number {
+  let slotMs = 0;
+  for (const one of CLASS_MIX) {
+    const name = one.requestClass === "lookup" || one.requestClass === "tagging"
+      ? "small@1"
+      : "middle@1";
+    const model = versionModel(name);
+    const prefillMs = model.prefillMs * (0.5 + one.inputTokens * 4 / 8000);
+    slotMs += one.share *
+      (prefillMs + one.outputTokens * model.tokenMs * 1.3);
+  }
+  return ENGINE_COUNT * SLOT_COUNT * 1000 / slotMs;
+}
+
+async function measure(
+  loadShare: number,
+  fields: Pick<SiteRunOptions, "policy" | "strategy" | "slowEvery">,
+): Promise<RunFigures> {
+  const arrivals = createWorkload({
+    random: createRandom(seed),
+    ratePerSecond: loadShare * capacityPerSecond(),
+    durationMs,
+    vmCount: VM_COUNT,
+  });
+  const result = await runSite({
+    seed,
+    arrivals,
+    durationMs,
+    slowFactor: SLOW_FACTOR,
+    ...fields,
+  });
+  if (result.records.length !== arrivals.length) {
+    throw new Error(`${arrivals.length - result.records.length} not ended`);
+  }
+  return figuresOf(result);
+}
+
+function row(head: string, figures: RunFigures): string {
+  const cells = figures.classes.map((one) =>
+    `${one.firstTokenMs.join("/")} · ${one.wholeMs.join("/")} · ${
+      percent(one.refusedShare)
+    }`
+  );
+  return `| ${head} | ${cells.join(" | ")} | ${
+    percent(figures.refusedShare)
+  } | ${figures.attemptsPerRequest.toFixed(3)} | ${
+    figures.priceMicroEurPerAnswer.toFixed(0)
+  } | ${figures.qualityShare.toFixed(3)} |`;
+}
+
+function percent(share: number): string {
+  return `${(100 * share).toFixed(1)}%`;
+}
+
+function listOf(text: string): number[] {
+  return text.split(",").map(Number);
+}
+
+function strategyAt(index: number): VersionStrategy {
+  const found = strategies[index];
+  if (found === undefined) throw new RangeError("no such strategy");
+  return found;
+}
+
+console.log(
+  `capacity ${capacityPerSecond().toFixed(1)}/s, seed ${seed}, ` +
+    `${values.seconds} s; each class: first token p50/p95/p99 ms · whole ` +
+    "p50/p95/p99 ms · refused",
+);
+console.log(
+  "| run | lookup | tagging | drafting | review | refused | attempts | µ€ | quality |",
+);
+console.log("|---|---|---|---|---|---|---|---|---|");
+for (const slowEvery of listOf(values.slow)) {
+  for (const load of listOf(values.loads)) {
+    const chosen = values.strategies ? strategies : [strategyAt(0)];
+    for (const strategy of chosen) {
+      for (const policy of values.policies.split(",")) {
+        const figures = await measure(load / 100, {
+          policy,
+          strategy,
+          slowEvery,
+        });
+        const name = values.strategies ? strategy.name : policy;
+        const slow = slowEvery > 0 ? ", 1 in 5 slow" : "";
+        console.log(row(`${load}%${slow}: ${name}`, figures));
+        if (figures.reasons !== "") console.error(`  ${figures.reasons}`);
+      }
+    }
+  }
+}
+process.exit(0);
--- /dev/null
+++ b/bench/policies/site_run.ts
@@ -0,0 +1,309 @@
+/**
+ * One run of a site in virtual time: the product's own request handlers, one
+ * for each entry VM, before engine models.
+ */
+import {
+  createRoundRobin,
+  leastReportedLoad,
+  randomChoice,
+  type RoutePolicy,
+  twoChoices,
+} from "../../src/decision/mod.ts";
+import {
+  type AnswerSink,
+  createRequestHandler,
+  DEFAULT_FILTER_LIMITS,
+  type RequestHandler,
+} from "../../src/filter/mod.ts";
+import {
+  type AnswerFrame,
+  noMetrics,
+  type RefusalOutcome,
+  type RequestClass,
+  ROOT_PATH,
+  silentLogger,
+  type VersionName,
+  type Vm,
+} from "../../src/model/mod.ts";
+import {
+  MemoryJournal,
+  MemoryLog,
+  runLoadPoller,
+  ServerDirectory,
+} from "../../src/platform/mod.ts";
+import { EngineModel } from "./engine_model.ts";
+import { SimulatedEngines } from "./simulated_engines.ts";
+import {
+  delayMsBetween,
+  EGRESS_MICRO_EUR_PER_MB,
+  placeOf,
+  PLACES,
+  rootSettings,
+  siteVms,
+  SLOT_COUNT,
+  VERSIONS,
+  VM_COUNT,
+} from "./site.ts";
+import { createRating, type VersionStrategy } from "./strategies.ts";
+import { VirtualTime } from "./virtual_time.ts";
+import { type Arrival, createRandom } from "./workload.ts";
+
+/** What a run is made of. */
+export interface SiteRunOptions {
+  readonly seed: number;
+  readonly arrivals: readonly Arrival[];
+  readonly policy: string;
+  readonly strategy: VersionStrategy;
+  /** Every which engine is slow; 0 for none. */
+  readonly slowEvery: number;
+  readonly slowFactor: number;
+  readonly durationMs: number;
+}
+
+/** How one request went. */
+export interface RequestRecord {
+  readonly requestClass: RequestClass;
+  readonly isInSession: boolean;
+  readonly version: VersionName | undefined;
+  readonly firstTokenMs: number | undefined;
+  readonly wholeMs: number;
+  readonly refusal: { reason: string; outcome: RefusalOutcome } | undefined;
+}
+
+/** What a run measured. */
+export interface SiteRunResult {
+  readonly records: readonly RequestRecord[];
+  readonly attemptCount: number;
+  readonly priceMicroEur: number;
+}
+
+const QUEUE_LIMIT = 16;
+const APPEND_MS = 4;
+const POLL_PERIOD_MS = 500;
+const REPORT_AGE_MS = 1000;
+const MAX_POLLS = 8;
+const DRAIN_MS = 700_000;
+
+/** The policies by name. */
+export function policyOf(name: string): RoutePolicy {
+  switch (name) {
+    case "random":
+      return randomChoice;
+    case "round robin":
+      return createRoundRobin();
+    case "least reported load":
+      return leastReportedLoad;
+    default:
+      return twoChoices;
+  }
+}
+
+/** Runs a site and collects what became of every request. */
+export async function runSite(options: SiteRunOptions): Promise<SiteRunResult> {
+  const site = new Site(options);
+  return await site.run();
+}
+
+class Site {
+  readonly #options: SiteRunOptions;
+  readonly #time = new VirtualTime();
+  readonly #log = new MemoryLog();
+  readonly #vms: readonly Vm[] = siteVms();
+  readonly #engines = new Map<string, EngineModel>();
+  readonly #transports: SimulatedEngines[] = [];
+  readonly #records: RequestRecord[] = [];
+
+  constructor(options: SiteRunOptions) {
+    this.#options = options;
+    this.#log.beforeAppend = () => this.#time.sleep(APPEND_MS);
+    this.#log.push({
+      id: "root",
+      kind: "edit",
+      path: ROOT_PATH,
+      change: { set: rootSettings(), clear: [] },
+      base: 0,
+      author: "bench",
+      note: "",
+    });
+    let index = 0;
+    for (const vm of this.#vms) {
+      if (vm.kind !== "engine") continue;
+      const { slowEvery, slowFactor } = options;
+      const isSlow = slowEvery > 0 && index % slowEvery === 0;
+      this.#engines.set(vm.address, this.#engine(vm, isSlow ? slowFactor : 1));
+      index += 1;
+    }
+  }
+
+  async run(): Promise<SiteRunResult> {
+    const stop = new AbortController();
+    const handlers: RequestHandler[] = [];
+    for (let index = 0; index < VM_COUNT; index += 1) {
+      handlers.push(this.#entry(index, stop.signal));
+    }
+    for (const arrival of this.#options.arrivals) {
+      const handler = handlers[arrival.vmIndex];
+      if (handler === undefined) continue;
+      this.#time.at(arrival.atMs, () => void this.#send(handler, arrival));
+    }
+    await this.#time.runUntil(this.#options.durationMs);
+    const endMs = this.#options.durationMs + DRAIN_MS;
+    while (
+      this.#records.length < this.#options.arrivals.length &&
+      this.#time.clock() < endMs
+    ) {
+      await this.#time.runUntil(this.#time.clock() + 1000);
+    }
+    stop.abort();
+    return this.#result();
+  }
+
+  #result(): SiteRunResult {
+    let attemptCount = 0;
+    for (const one of this.#transports) attemptCount += one.attemptCount;
+    let priceMicroEur = 0;
+    for (const record of this.#log.records) {
+      if (record.kind === "bill") priceMicroEur += record.priceMicroEur;
+    }
+    return { records: this.#records, attemptCount, priceMicroEur };
+  }
+
+  async #send(handler: RequestHandler, arrival: Arrival): Promise<void> {
+    const { request } = arrival;
+    const sink = new TimingSink(this.#time);
+    const result = await handler.handle(
+      { request, bearer: undefined, sessionToken: undefined },
+      { sink, callerGone: new AbortController().signal },
+    );
+    this.#records.push({
+      requestClass: request.requestClass,
+      isInSession: request.session !== undefined,
+      version: sink.version,
+      firstTokenMs: sink.firstAtMs === undefined
+        ? undefined
+        : sink.firstAtMs - arrival.atMs,
+      wholeMs: this.#time.clock() - arrival.atMs,
+      refusal: result.isErr()
+        ? { reason: result.error.reason, outcome: result.error.outcome }
+        : undefined,
+    });
+  }
+
+  #engine(vm: Vm, slowFactor: number): EngineModel {
+    return new EngineModel({
+      time: this.#time,
+      name: vm.vm,
+      versions: VERSIONS.map((one) => one.version),
+      slotCount: SLOT_COUNT,
+      queueLimit: QUEUE_LIMIT,
+      slowFactor,
+    });
+  }
+
+  #entry(index: number, stop: AbortSignal): RequestHandler {
+    const { seed, strategy, policy } = this.#options;
+    const place = placeOf(index);
+    const random = createRandom(seed * 1000 + index);
+    const directory = this.#directory(index, place);
+    const engines = new SimulatedEngines({
+      time: this.#time,
+      engineAt: (address) => this.#engineAt(address),
+      delayMsTo: (address) => delayMsBetween(place, this.#placeAt(address)),
+    });
+    this.#transports.push(engines);
+    let idCount = 0;
+    const limits = DEFAULT_FILTER_LIMITS;
+    void runLoadPoller({
+      directory,
+      fetchReport: async (vm) => {
+        await this.#time.sleep(2 * delayMsBetween(place, vm.place));
+        return this.#engineAt(vm.address).published;
+      },
+      sleep: this.#time.sleep,
+      periodMs: POLL_PERIOD_MS,
+      reportAgeMs: REPORT_AGE_MS,
+      maxPollsPerPeriod: MAX_POLLS,
+    }, stop);
+    return createRequestHandler({
+      self: `entry-${index}`,
+      journal: new MemoryJournal(this.#log),
+      directory,
+      engines,
+      services: { call: () => Promise.reject(new Error("no service")) },
+      chooseVersions: strategy.choose,
+      mayStart: () => true,
+      fallsShort: createRating(random),
+      mayEscalate: () => true,
+      onAnswer: () => {},
+      holdAtPeer: () => Promise.resolve(false),
+      tokenOf: () => undefined,
+      tokenKeys: [],
+      distanceTo: (to) => ({
+        delayMs: delayMsBetween(place, to),
+        egressMicroEurPerMb: place === to ? 0 : EGRESS_MICRO_EUR_PER_MB,
+      }),
+      runningLimit: () => runningLimit(directory),
+      routePolicy: policyOf(policy),
+      clock: this.#time.clock,
+      sleep: this.#time.sleep,
+      random,
+      makeId: () => `id-${index}-${idCount++}`,
+      logger: silentLogger,
+      metrics: noMetrics,
+      limits,
+    });
+  }
+
+  #directory(index: number, place: string): ServerDirectory {
+    const others = PLACES.filter((one) => one !== place);
+    const directory = new ServerDirectory({
+      self: `entry-${index}`,
+      source: { vms: () => this.#vms, ageMs: () => 0 },
+      places: [place, ...others],
+      clock: this.#time.clock,
+      drains: () => ({ places: [], servers: [] }),
+      priorFirstTokenMs: 200,
+      priorServiceMs: 2000,
+    });
+    directory.views("models");
+    for (const vm of this.#vms) {
+      if (vm.kind !== "engine") continue;
+      directory.note(vm.vm, this.#engineAt(vm.address).published);
+    }
+    return directory;
+  }
+
+  #engineAt(address: string): EngineModel {
+    const engine = this.#engines.get(address);
+    if (engine === undefined) throw new RangeError(`no engine at ${address}`);
+    return engine;
+  }
+
+  #placeAt(address: string): string {
+    return this.#vms.find((vm) => vm.address === address)?.place ?? "";
+  }
+}
+
+/** The VM's share of the slots it knows, with room for uneven arrivals. */
+function runningLimit(directory: ServerDirectory): number {
+  return Math.max(8, Math.ceil(2 * directory.slotCount("models") / VM_COUNT));
+}
+
+class TimingSink implements AnswerSink {
+  readonly #time: VirtualTime;
+  version: VersionName | undefined;
+  firstAtMs: number | undefined;
+
+  constructor(time: VirtualTime) {
+    this.#time = time;
+  }
+
+  begin(head: { readonly version: VersionName }): void {
+    this.version = head.version;
+  }
+
+  write(_frame: AnswerFrame): Promise<void> {
+    this.firstAtMs ??= this.#time.clock();
+    return Promise.resolve();
+  }
+}
