Let the entry's parts refer to the peers before these exist

Cause: the filters ask for the running limit when they are created, before the parts of the entry are. The node among the peers is now held in a slot.

--- a/src/bin/entry_program.ts
+++ b/src/bin/entry_program.ts
@@ -65,7 +65,7 @@
     port: httpPort,
   });
   const peers = openPeers({ ...parts, httpAddress: http.address });
-  parts.peers = peers;
+  parts.peers.node = peers;
   const peerAddress = (await peers.start()).match(
     (address) => address,
     (error) => {
@@ -75,7 +75,12 @@
   const ending = new AbortController();
   const tasks = runTasks(parts, ending.signal);
   context.logger.info("listening", { httpAddress: http.address, peerAddress });
-  return endEntry({ ...parts, peers, http, ending, tasks });
+  return endEntry({ ...parts, node: peers, http, ending, tasks });
+}
+
+/** Holds the node among the peers; absent until the entry listens. */
+export interface PeerSlot {
+  node: PeerNode | undefined;
 }
 
 /** The parts of a running entry. */
@@ -86,8 +91,7 @@
   readonly desk: VersionDesk;
   readonly directory: ServerDirectory;
   readonly vmList: ReturnType<typeof openVmList>;
-  /** Absent until the entry listens. */
-  peers: PeerNode | undefined;
+  readonly peers: PeerSlot;
   /** Whether this VM may be handed out. */
   isReady(): boolean;
 }
@@ -95,9 +99,10 @@
 function openParts(context: ProgramContext): EntryParts {
   const { settings } = context;
   const vmList = openVmList(settings);
+  const peers: PeerSlot = { node: undefined };
   const journal = openJournal(context, {
     readsBills: false,
-    writerCount: () => WRITERS_PER_VM * vmCountOf(parts),
+    writerCount: () => WRITERS_PER_VM * vmCountOf(peers),
   });
   const directory = openDirectory(settings, {
     source: vmSourceOf(vmList),
@@ -120,30 +125,29 @@
     journal,
     directory,
     desk,
-    peers: () => parts.peers,
+    peers,
   });
   let wasCurrent = false;
-  const parts: EntryParts = {
+  return {
     context,
     journal,
     handler,
     desk,
     directory,
     vmList,
-    peers: undefined,
+    peers,
     isReady: () => {
       wasCurrent ||= journal.freshness().ageMs < Infinity;
       return wasCurrent && handler.status().isAccepting;
     },
   };
-  return parts;
 }
 
 interface HandlerSetup {
   readonly journal: LogJournal;
   readonly directory: ServerDirectory;
   readonly desk: VersionDesk;
-  readonly peers: () => PeerNode | undefined;
+  readonly peers: PeerSlot;
 }
 
 function openHandler(
@@ -164,7 +168,7 @@
     mayEscalate: (request, options) => desk.mayEscalate(request, options),
     onAnswer: (request, answer) => desk.noteAnswer(request, answer),
     holdAtPeer: async (bill) => {
-      const node = peers();
+      const { node } = peers;
       return node !== undefined && await holdBillAtPeer(node, bill);
     },
     tokenOf: tokenOfWorkspaces(settings),
@@ -173,7 +177,7 @@
     runningLimit: () =>
       runningLimitOf({
         slotCount: directory.slotCount(rootOf(journal).modelService),
-        vmCount: 1 + presentCountOf(peers()),
+        vmCount: vmCountOf(peers),
         bound: settings.limits.runningLimit,
       }),
     makeId: randomUUID,
@@ -206,7 +210,7 @@
       periodMs: settings.timing.vmListPeriodMs,
       run: async () => {
         const read = await vmList.refresh();
-        if (read.isOk()) parts.peers?.noteList(read.value.vms);
+        if (read.isOk()) parts.peers.node?.noteList(read.value.vms);
       },
     },
     {
@@ -220,7 +224,7 @@
     {
       name: "load",
       periodMs: LOAD_PERIOD_MS,
-      run: () => parts.peers?.setLoad(loadShareOf(handler)),
+      run: () => parts.peers.node?.setLoad(loadShareOf(handler)),
     },
   ], { logger, signal });
   const polling = runLoadPoller(pollingOf(settings, directory), signal);
@@ -236,19 +240,17 @@
   parts: EntryParts,
   place: string | undefined,
 ): ReturnType<typeof listEntries> {
-  const { peers, context, journal } = parts;
-  if (peers === undefined) return { entries: [], maxAgeMs: 0 };
-  return listEntries(peers, { context, journal, place });
+  const { context, journal } = parts;
+  const { node } = parts.peers;
+  if (node === undefined) return { entries: [], maxAgeMs: 0 };
+  return listEntries(node, { context, journal, place });
 }
 
 function rootOf(journal: LogJournal): Settings {
   return journal.control().tree.resolve(ROOT_PATH).values;
 }
 
-function vmCountOf(parts: EntryParts): number {
-  return 1 + presentCountOf(parts.peers);
-}
-
-function presentCountOf(peers: PeerNode | undefined): number {
-  return peers === undefined ? 0 : presentMembers(peers.membership()).length;
+function vmCountOf({ node }: PeerSlot): number {
+  if (node === undefined) return 1;
+  return 1 + presentMembers(node.membership()).length;
 }
--- a/src/bin/entry_shutdown.ts
+++ b/src/bin/entry_shutdown.ts
@@ -15,7 +15,7 @@
 
 /** What is ended, beside the parts of the entry. */
 export interface EntryEnding extends EntryParts {
-  readonly peers: PeerNode;
+  readonly node: PeerNode;
   readonly http: HttpServer;
   readonly ending: AbortController;
   readonly tasks: Promise<unknown>;
@@ -33,20 +33,20 @@
 }
 
 async function shutDown(entry: EntryEnding): Promise<void> {
-  const { context, handler, journal, peers, http } = entry;
+  const { context, handler, journal, node, http } = entry;
   const { logger, settings } = context;
   logger.info("shutdown began");
-  peers.announce("leaving");
+  node.announce("leaving");
   await processEffects.sleep(settings.timing.entriesMaxAgeMs);
   handler.stopAccepting();
   logger.info("new work is refused");
   await drained(entry);
   await flushed(entry);
-  peers.announce("left");
+  node.announce("left");
   await processEffects.sleep(FAREWELL_MS);
   entry.ending.abort();
   await Promise.all([http.close(), entry.tasks]);
-  await peers.close();
+  await node.close();
   await journal.close();
   logger.info("shutdown ended");
 }
--- a/src/bin/entry_status.ts
+++ b/src/bin/entry_status.ts
@@ -13,12 +13,13 @@
 }
 
 function statusOf(parts: EntryParts): unknown {
-  const { context, journal, handler, peers, vmList, desk } = parts;
+  const { context, journal, handler, vmList, desk } = parts;
+  const { node } = parts.peers;
   const control = journal.control();
   const { ageMs, isLogReachable } = journal.freshness();
-  const members = peers === undefined
+  const members = node === undefined
     ? []
-    : presentMembers(peers.membership()).map((member) => member.update);
+    : presentMembers(node.membership()).map((member) => member.update);
   return {
     vm: context.settings.vm,
     place: context.settings.place,
@@ -30,7 +31,7 @@
     vmListAgeMs: vmList.last()?.ageMs ?? null,
     skippedRecordCount: control.skippedCount,
     handler: handler.status(),
-    peers: peers?.counts() ?? null,
+    peers: node?.counts() ?? null,
     members: members.map(({ vm, place, status }) => ({ vm, place, status })),
     stoppedVersions: desk.watch.stops.list().map((stop) => stop.version),
   };
