Add the commands on settings

check, show, explain, set, withdraw, drain, history, wait and load. An edit is checked, appended with the revision it was made against, decided by replay as on every VM, and then waited for on every live entry VM, naming those that have it not. A conflict prints who won and what differs. Exit statuses tell conflict, time-out, doubt, outage and faults apart.

The words for a schema's fault moved to the model, where the process settings use them too.

--- a/src/bin/process_settings.ts
+++ b/src/bin/process_settings.ts
@@ -6,7 +6,7 @@
 import { readFileSync } from "node:fs";
 import { err, ok, Result } from "neverthrow";
 import { z } from "zod";
-import { settingsPathSchema } from "../model/mod.ts";
+import { describeIssue, settingsPathSchema } from "../model/mod.ts";
 
 /** Exit status of a process whose settings are faulty. */
 export const BAD_SETTINGS_STATUS = 78;
@@ -132,7 +132,9 @@
 ): Result<ProcessSettings, SettingsFileError> {
   const parsed = processSettingsSchema.safeParse(json, { reportInput: true });
   if (!parsed.success) {
-    return err(new SettingsFileError(file, parsed.error.issues.map(faultOf)));
+    return err(
+      new SettingsFileError(file, parsed.error.issues.map(describeIssue)),
+    );
   }
   const { place, places } = parsed.data;
   if (places.some((one) => one.place === place)) return ok(parsed.data);
@@ -151,18 +153,3 @@
 function messageOf(error: unknown): string {
   return error instanceof Error ? error.message : String(error);
 }
-
-function faultOf(issue: z.core.$ZodIssue): string {
-  const path = issue.path.join(".") || "(top)";
-  if (issue.code === "unrecognized_keys") {
-    return `${path}: unknown keys ${issue.keys.join(", ")}`;
-  }
-  return `${path}: ${issue.message}, found ${describe(issue.input)}`;
-}
-
-function describe(value: unknown): string {
-  if (value === undefined) return "nothing";
-  if (typeof value === "string") return `a text of ${value.length} characters`;
-  if (typeof value === "number") return String(value);
-  return Array.isArray(value) ? "a list" : typeof value;
-}
--- /dev/null
+++ b/src/command/base.ts
@@ -0,0 +1,186 @@
+/**
+ * What all commands on settings share: their flags, the session with the log,
+ * and the wait until an edit is in force on every live entry VM.
+ */
+import { userInfo } from "node:os";
+import process from "node:process";
+import { Command, Flags } from "@oclif/core";
+import { type Result } from "ts-results-es";
+import {
+  parsePath,
+  type SettingsChange,
+  type SettingsPath,
+} from "../model/mod.ts";
+import { processEffects } from "../platform/effects.ts";
+import { type Position } from "../state/mod.ts";
+import { type CommandFault, EXIT_STATUS, faultOf } from "./exit_status.ts";
+import { laggingOf, readJsonByHttp, waitInForce } from "./in_force.ts";
+import {
+  type OperatorFlags,
+  type OperatorSettings,
+  readOperatorSettings,
+} from "./operator_settings.ts";
+import { OperatorSession } from "./operator_session.ts";
+import { fromLayer } from "./result_adapter.ts";
+
+const MS_PER_S = 1000;
+const DEFAULT_TIMEOUT_S = 30;
+
+/** Flags of every command on settings. */
+export const operatorFlags = {
+  settings: Flags.file({
+    description: "JSON file with logUrl, vmListUrl, entries, operatorToken",
+    env: "GOLDCRESTPOST_SETTINGS",
+  }),
+  "log-url": Flags.string({ description: "address of the log service" }),
+  "vm-list-url": Flags.string({ description: "address of the VM list" }),
+  entry: Flags.string({
+    description: "host:port of an entry VM; may be given more than once",
+    multiple: true,
+  }),
+  token: Flags.string({
+    description: "operator token",
+    env: "GOLDCRESTPOST_TOKEN",
+  }),
+  timeout: Flags.integer({
+    description: "seconds to wait for the log and for the VMs",
+    default: DEFAULT_TIMEOUT_S,
+    min: 1,
+  }),
+};
+
+/** Flags of the commands that publish an edit. */
+export const editFlags = {
+  ...operatorFlags,
+  base: Flags.integer({
+    description: "revision the edit is made against; the newest by default",
+    min: 0,
+  }),
+  author: Flags.string({ description: "who edits; the user by default" }),
+  note: Flags.string({ description: "why, for the history", default: "" }),
+  "no-wait": Flags.boolean({
+    description: "do not wait until the edit is in force everywhere",
+  }),
+};
+
+/** Values of {@link operatorFlags}. */
+export interface OperatorFlagValues extends OperatorFlags {
+  readonly timeout: number;
+}
+
+/** Values of {@link editFlags}. */
+export interface EditFlagValues extends OperatorFlagValues {
+  readonly base?: number | undefined;
+  readonly author?: string | undefined;
+  readonly note: string;
+  readonly "no-wait": boolean;
+}
+
+/** A session and the settings it was opened with. */
+export interface OpenSession {
+  readonly operator: OperatorSettings;
+  readonly session: OperatorSession;
+}
+
+/** A command on settings. */
+export abstract class SettingsCommand extends Command {
+  /** The value, or the end of the command with its fault. */
+  protected need<T>(result: Result<T, CommandFault>): T {
+    if (result.isOk()) return result.value;
+    return this.fail(result.error);
+  }
+
+  /** Prints a fault and ends the command with its status. */
+  protected fail(fault: CommandFault): never {
+    for (const line of fault.lines) this.logToStderr(line);
+    return this.exit(fault.status);
+  }
+
+  /** A path given as an argument. */
+  protected pathOf(text: string): SettingsPath {
+    return this.need(
+      fromLayer(parsePath(text)).mapErr((error) =>
+        faultOf("faultySettings", error.message)
+      ),
+    );
+  }
+
+  /** Runs `work` in a session, which is closed however it ends. */
+  protected async inSession<T>(
+    flags: OperatorFlagValues,
+    work: (open: OpenSession) => Promise<T>,
+  ): Promise<T> {
+    const operator = this.need(readOperatorSettings(flags));
+    const session = this.need(
+      await OperatorSession.open({
+        logUrl: operator.logUrl,
+        timeoutMs: flags.timeout * MS_PER_S,
+        effects: processEffects,
+      }),
+    );
+    try {
+      return await work({ operator, session });
+    } finally {
+      await session.close();
+    }
+  }
+
+  /** Publishes one edit and waits until it is in force. */
+  protected async publish(
+    flags: EditFlagValues,
+    editOf: (open: OpenSession) => {
+      readonly path: SettingsPath;
+      readonly change: SettingsChange;
+    },
+  ): Promise<void> {
+    await this.inSession(flags, async (open) => {
+      const decided = this.need(
+        await open.session.publish({
+          ...editOf(open),
+          base: flags.base,
+          author: flags.author ?? userInfo().username,
+          note: flags.note,
+        }),
+      );
+      this.log(`revision ${decided.position} accepted`);
+      if (flags["no-wait"]) return;
+      await this.waitFor(decided.position, { operator: open.operator, flags });
+    });
+  }
+
+  /** Waits until a revision is in force; names the VMs that have it not. */
+  protected async waitFor(
+    revision: Position,
+    options: {
+      readonly operator: OperatorSettings;
+      readonly flags: OperatorFlagValues;
+    },
+  ): Promise<void> {
+    const { operator, flags } = options;
+    const startedMs = processEffects.clock();
+    const reports = await waitInForce({
+      operator,
+      revision,
+      timeoutMs: flags.timeout * MS_PER_S,
+      readJson: readJsonByHttp,
+      ...processEffects,
+    });
+    const lagging = laggingOf(reports, revision);
+    const tookMs = Math.round(processEffects.clock() - startedMs);
+    if (reports.length > 0 && lagging.length === 0) {
+      this.log(`in force on ${reports.length} entry VMs after ${tookMs} ms`);
+      return;
+    }
+    const lines = lagging.map(({ vm, address, reason }) =>
+      `${vm} (${address}): ${reason}`
+    );
+    if (reports.length === 0) lines.push("no entry VM is known");
+    this.logToStderr(`revision ${revision} is not in force everywhere:`);
+    this.fail({ status: EXIT_STATUS.notInForce, lines });
+  }
+
+  /** Prints a JSON value. */
+  protected print(value: unknown): void {
+    process.stdout.write(`${JSON.stringify(value, undefined, 2)}\n`);
+  }
+}
--- /dev/null
+++ b/src/command/in_force.ts
@@ -0,0 +1,112 @@
+/**
+ * Waits until a revision is in force on every live entry VM. The VMs come from
+ * the platform's list, which lags, and from the operator; each tells its own
+ * revision. One that does not answer is not taken to have it.
+ */
+import { request } from "undici";
+import { z } from "zod";
+import { type Clock, type Sleep, vmSchema } from "../model/mod.ts";
+import { type Position } from "../state/mod.ts";
+import { type OperatorSettings } from "./operator_settings.ts";
+
+/** What one entry VM said when it was asked last. */
+export interface EntryReport {
+  readonly address: string;
+  readonly vm: string;
+  readonly revision: Position | undefined;
+  readonly reason: string;
+}
+
+/** Reads JSON by HTTP; fails by throwing. */
+export type ReadJson = (url: string, token: string) => Promise<unknown>;
+
+/** What the wait needs. */
+export interface InForceOptions {
+  readonly operator: OperatorSettings;
+  readonly revision: Position;
+  readonly timeoutMs: number;
+  readonly readJson: ReadJson;
+  readonly clock: Clock;
+  readonly sleep: Sleep;
+}
+
+const POLL_MS = 200;
+const CALL_TIMEOUT_MS = 2000;
+
+const vmListSchema = z.object({ vms: z.array(vmSchema) });
+const statusSchema = z.object({
+  vm: z.string(),
+  revision: z.number().int().min(0),
+});
+
+/** Reads JSON over HTTP with the operators' token. */
+export async function readJsonByHttp(
+  url: string,
+  token: string,
+): Promise<unknown> {
+  const answer = await request(url, {
+    headers: token === "" ? {} : { authorization: `Bearer ${token}` },
+    headersTimeout: CALL_TIMEOUT_MS,
+    bodyTimeout: CALL_TIMEOUT_MS,
+  });
+  const body = await answer.body.text();
+  if (answer.statusCode === 200) return JSON.parse(body);
+  throw new Error(`${url} answered ${answer.statusCode}`);
+}
+
+/** Reports of all entry VMs once all have the revision or time is over. */
+export async function waitInForce(
+  options: InForceOptions,
+): Promise<EntryReport[]> {
+  const { clock, sleep, revision, timeoutMs } = options;
+  const deadlineMs = clock() + timeoutMs;
+  while (true) {
+    const addresses = await liveEntries(options);
+    const reports = await Promise.all(
+      addresses.map((address) => reportOf(address, options)),
+    );
+    const isInForce = reports.length > 0 &&
+      laggingOf(reports, revision).length === 0;
+    if (isInForce || clock() >= deadlineMs) return reports;
+    await sleep(POLL_MS);
+  }
+}
+
+/** The reports that do not show the revision. */
+export function laggingOf(
+  reports: readonly EntryReport[],
+  revision: Position,
+): EntryReport[] {
+  return reports.filter((report) => (report.revision ?? -1) < revision);
+}
+
+async function liveEntries(options: InForceOptions): Promise<string[]> {
+  const { entries, vmListUrl, operatorToken } = options.operator;
+  const addresses = new Set(entries);
+  if (vmListUrl === undefined) return [...addresses];
+  try {
+    const url = new URL("/vms", vmListUrl).href;
+    const list = vmListSchema.parse(await options.readJson(url, operatorToken));
+    for (const { kind, status, address } of list.vms) {
+      if (kind === "entry" && status === "live") addresses.add(address);
+    }
+  } catch {
+    // The list may be down; the addresses that were given still count.
+  }
+  return [...addresses];
+}
+
+async function reportOf(
+  address: string,
+  options: InForceOptions,
+): Promise<EntryReport> {
+  const url = `http://${address}/v1/admin/status`;
+  try {
+    const json = await options.readJson(url, options.operator.operatorToken);
+    const { vm, revision } = statusSchema.parse(json);
+    return { address, vm, revision, reason: `has revision ${revision}` };
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    return { address, vm: address, revision: undefined, reason };
+  }
+}
--- /dev/null
+++ b/src/command/mod.ts
@@ -0,0 +1,28 @@
+/** The commands of the program `goldcrestpost`, by name. */
+import { type Command } from "@oclif/core";
+import { CompareCommand } from "./compare.ts";
+import { ReplayCommand } from "./replay.ts";
+import { CheckCommand } from "./settings/check.ts";
+import { DrainCommand } from "./settings/drain.ts";
+import { ExplainCommand } from "./settings/explain.ts";
+import { HistoryCommand } from "./settings/history.ts";
+import { LoadCommand } from "./settings/load.ts";
+import { SetCommand } from "./settings/set.ts";
+import { ShowCommand } from "./settings/show.ts";
+import { WaitCommand } from "./settings/wait.ts";
+import { WithdrawCommand } from "./settings/withdraw.ts";
+
+/** Commands by topic and name, separated by a colon. */
+export const COMMANDS: Readonly<Record<string, Command.Class>> = {
+  "compare": CompareCommand,
+  "replay": ReplayCommand,
+  "settings:check": CheckCommand,
+  "settings:drain": DrainCommand,
+  "settings:explain": ExplainCommand,
+  "settings:history": HistoryCommand,
+  "settings:load": LoadCommand,
+  "settings:set": SetCommand,
+  "settings:show": ShowCommand,
+  "settings:wait": WaitCommand,
+  "settings:withdraw": WithdrawCommand,
+};
--- /dev/null
+++ b/src/command/operator_session.ts
@@ -0,0 +1,172 @@
+/**
+ * An operator's session with the log: the control state read to its end, and
+ * edits appended and decided by replay, as every VM decides them.
+ */
+import { randomUUID } from "node:crypto";
+import { Err, Ok, type Result } from "ts-results-es";
+import {
+  noMetrics,
+  type SettingName,
+  type SettingsChange,
+  type SettingsPath,
+  silentLogger,
+} from "../model/mod.ts";
+import { type Effects } from "../platform/effects.ts";
+import {
+  createLogJournal,
+  type JournalError,
+  type LogJournal,
+  type LogTransport,
+} from "../platform/mod.ts";
+import {
+  type ControlState,
+  type DecidedEdit,
+  type Position,
+  type RecordOf,
+} from "../state/mod.ts";
+import { type CommandFault, faultOf } from "./exit_status.ts";
+import { fromLayer } from "./result_adapter.ts";
+
+/** An edit as an operator asks for it. */
+export interface EditRequest {
+  readonly path: SettingsPath;
+  readonly change: SettingsChange;
+  /** The revision that the operator looked at; the newest by default. */
+  readonly base: Position | undefined;
+  readonly author: string;
+  readonly note: string;
+}
+
+/** What a session needs. */
+export interface SessionOptions {
+  readonly logUrl: string;
+  readonly timeoutMs: number;
+  readonly effects: Effects;
+  /** Carries calls to the log; over HTTP by default. */
+  readonly transport?: LogTransport;
+}
+
+const APPENDS_PER_SECOND = 50;
+const QUEUE_LIMIT = 64;
+
+/** An open session. */
+export class OperatorSession {
+  readonly #journal: LogJournal;
+  readonly #timeoutMs: number;
+
+  private constructor(journal: LogJournal, timeoutMs: number) {
+    this.#journal = journal;
+    this.#timeoutMs = timeoutMs;
+  }
+
+  /** Reads the control stream to its end. */
+  static async open(
+    options: SessionOptions,
+  ): Promise<Result<OperatorSession, CommandFault>> {
+    const journal = createLogJournal({
+      ...options,
+      ...options.effects,
+      requestShards: 0,
+      billShards: 0,
+      readsBills: false,
+      writesCheckpoints: false,
+      appendBudgetPerSecond: APPENDS_PER_SECOND,
+      writerCount: () => 1,
+      queueLimit: QUEUE_LIMIT,
+      retentionMs: Number.POSITIVE_INFINITY,
+      logger: silentLogger,
+      metrics: noMetrics,
+    });
+    journal.start();
+    const session = new OperatorSession(journal, options.timeoutMs);
+    if (await journal.whenCurrent(options.timeoutMs)) return Ok(session);
+    await journal.close();
+    return Err(faultOf("unavailable", `${options.logUrl}: the log is down`));
+  }
+
+  /** The control state read last. */
+  get control(): ControlState {
+    return this.#journal.control();
+  }
+
+  /** Appends an edit; returns it once replay has accepted it. */
+  async publish(
+    request: EditRequest,
+  ): Promise<Result<DecidedEdit, CommandFault>> {
+    const fault = this.#faultOf(request);
+    if (fault !== undefined) return Err(fault);
+    const edit = this.#editOf(request);
+    const appended = await this.#journal.append(edit, edit.path, {
+      timeoutMs: this.#timeoutMs,
+    });
+    if (appended.isErr()) return Err(appendFault(appended.error, edit));
+    const decided = this.control.editOf(edit.id);
+    if (decided === undefined) {
+      return Err(faultOf("unknown", `edit ${edit.id} left the history`));
+    }
+    return this.#verdictOf(decided);
+  }
+
+  /** Closes the session. */
+  close(): Promise<void> {
+    return this.#journal.close();
+  }
+
+  #editOf(request: EditRequest): RecordOf<"edit"> {
+    const base = request.base ?? this.control.revision;
+    const { set, clear } = request.change;
+    const change = { set, clear: [...clear] };
+    return { ...request, change, base, id: randomUUID(), kind: "edit" };
+  }
+
+  #faultOf({ path, change }: EditRequest): CommandFault | undefined {
+    const applied = fromLayer(this.control.tree.apply(path, change));
+    if (applied.isOk()) return undefined;
+    return faultOf("faultySettings", applied.error.message);
+  }
+
+  #verdictOf(decided: DecidedEdit): Result<DecidedEdit, CommandFault> {
+    switch (decided.verdict) {
+      case "accepted":
+        return Ok(decided);
+      case "invalid":
+        return Err(faultOf("faultySettings", decided.reason));
+      case "conflict":
+        return Err(faultOf("conflict", ...this.#conflictLines(decided)));
+    }
+  }
+
+  #conflictLines(decided: DecidedEdit): string[] {
+    const { history, tree } = this.control;
+    const winner = history.find(({ position }) => position === decided.wonBy);
+    const lines = [`${decided.edit.path}: ${decided.reason}`];
+    if (winner !== undefined) {
+      const { author, path, note } = winner.edit;
+      const reason = note === "" ? "" : `, "${note}"`;
+      const where = `revision ${winner.position}`;
+      lines.push(`${author} won with ${where} at ${path}${reason}`);
+    }
+    const theirs = tree.resolve(decided.edit.path).values;
+    const { set, clear } = decided.edit.change;
+    for (const name of [...Object.keys(set), ...clear] as SettingName[]) {
+      const own = name in set ? JSON.stringify(set[name]) : "inherited";
+      lines.push(`  ${name}: yours ${own}`);
+      lines.push(`  ${name}: now   ${JSON.stringify(theirs[name])}`);
+    }
+    return lines;
+  }
+}
+
+function appendFault(
+  error: JournalError,
+  edit: RecordOf<"edit">,
+): CommandFault {
+  if (error.fault !== "unknown") {
+    return faultOf("unavailable", `nothing was changed: ${error.message}`);
+  }
+  return faultOf(
+    "unknown",
+    `edit ${edit.id} may come into force: ${error.message}`,
+    "look for it with: goldcrestpost settings history",
+  );
+}
--- /dev/null
+++ b/src/command/settings/history.ts
@@ -0,0 +1,52 @@
+/** `goldcrestpost settings history [PATH]` lists how edits were decided. */
+import { Args, Flags } from "@oclif/core";
+import { isBelow } from "../../model/mod.ts";
+import { type DecidedEdit } from "../../state/mod.ts";
+import { operatorFlags, SettingsCommand } from "../base.ts";
+
+const DEFAULT_LIMIT = 20;
+const VERDICT_WIDTH = 8;
+
+/** The command that lists edits. */
+export class HistoryCommand extends SettingsCommand {
+  static override readonly summary: string =
+    "List the newest edits at a path and below it, and how each was decided";
+
+  static override readonly args = {
+    path: Args.string({ default: "/", description: "settings path" }),
+  };
+
+  static override readonly flags = {
+    ...operatorFlags,
+    limit: Flags.integer({
+      description: "the most edits to list",
+      default: DEFAULT_LIMIT,
+      min: 1,
+    }),
+  };
+
+  /** Prints one line for each edit, newest last. */
+  async run(): Promise<void> {
+    const { args, flags } = await this.parse(HistoryCommand);
+    const path = this.pathOf(args.path);
+    await this.inSession(flags, ({ session }) => {
+      const edits = session.control.history.filter(({ edit }) =>
+        isBelow(edit.path, path)
+      );
+      for (const decided of edits.takeLast(flags.limit)) {
+        this.log(lineOf(decided));
+      }
+      return Promise.resolve();
+    });
+  }
+}
+
+function lineOf({ position, edit, verdict, reason }: DecidedEdit): string {
+  const { set, clear } = edit.change;
+  const cleared = clear.length === 0 ? "" : ` clear ${clear.join(",")}`;
+  const note = edit.note === "" ? "" : ` "${edit.note}"`;
+  const why = reason === "" ? "" : ` (${reason})`;
+  const change = `${JSON.stringify(set)}${cleared}${note}${why}`;
+  const label = verdict.padEnd(VERDICT_WIDTH);
+  return `${position} ${label} ${edit.path} ${edit.author} ${change}`;
+}
--- /dev/null
+++ b/src/command/settings/load.ts
@@ -0,0 +1,86 @@
+/** `goldcrestpost settings load FILE` puts a whole settings tree in. */
+import { userInfo } from "node:os";
+import { isDeepStrictEqual } from "node:util";
+import { Args, Flags } from "@oclif/core";
+import {
+  type NodeSettings,
+  type SettingName,
+  type SettingsChange,
+  type SettingsPath,
+  type SettingsTree,
+} from "../../model/mod.ts";
+import { editFlags, SettingsCommand } from "../base.ts";
+import { faultOf } from "../exit_status.ts";
+import { type CheckedNode } from "../settings_check.ts";
+import { readTree } from "./check.ts";
+
+/** One node's change on the way to another tree. */
+export interface NodeChange {
+  readonly path: SettingsPath;
+  readonly change: SettingsChange;
+}
+
+/** The changes that turn a tree into one of these nodes; root first. */
+export function changesBetween(
+  tree: SettingsTree,
+  nodes: readonly CheckedNode[],
+): NodeChange[] {
+  const wanted = new Map(nodes.map(({ path, node }) => [path, node]));
+  const paths = new Set([...wanted.keys(), ...tree.paths()]);
+  const changes: NodeChange[] = [];
+  for (const path of [...paths].sort()) {
+    const change = changeOf(tree.nodeAt(path), wanted.get(path) ?? {});
+    const names = [...Object.keys(change.set), ...change.clear];
+    if (names.length > 0) changes.push({ path, change });
+  }
+  return changes;
+}
+
+function changeOf(now: NodeSettings, wanted: NodeSettings): SettingsChange {
+  const names = Object.keys(now) as SettingName[];
+  const set = Object.entries(wanted).filter(([name, value]) =>
+    !isDeepStrictEqual(now[name as SettingName], value)
+  );
+  return {
+    set: Object.fromEntries(set) as NodeSettings,
+    clear: names.filter((name) => wanted[name] === undefined),
+  };
+}
+
+/** The command that loads a tree. */
+export class LoadCommand extends SettingsCommand {
+  static override readonly summary: string =
+    "Put a whole settings tree in, such as at the first start";
+
+  static override readonly args = {
+    file: Args.string({ required: true, description: "settings tree" }),
+  };
+
+  static override readonly flags = {
+    ...editFlags,
+    replace: Flags.boolean({
+      description: "also when settings are in force already",
+    }),
+  };
+
+  /** Publishes an edit for each node that differs, then waits. */
+  async run(): Promise<void> {
+    const { args, flags } = await this.parse(LoadCommand);
+    const nodes = this.need(readTree(args.file));
+    await this.inSession(flags, async ({ operator, session }) => {
+      const { tree } = session.control;
+      if (tree.paths().length > 0 && !flags.replace) {
+        this.fail(faultOf("conflict", "settings are in force; see --replace"));
+      }
+      const author = flags.author ?? userInfo().username;
+      let base = flags.base ?? session.control.revision;
+      for (const change of changesBetween(tree, nodes)) {
+        const edit = { ...change, base, author, note: flags.note };
+        const decided = this.need(await session.publish(edit));
+        base = decided.position;
+        this.log(`revision ${base}: ${change.path}`);
+      }
+      if (!flags["no-wait"]) await this.waitFor(base, { operator, flags });
+    });
+  }
+}
--- a/src/model/mod.ts
+++ b/src/model/mod.ts
@@ -6,6 +6,7 @@
 export * from "./path.ts";
 export * from "./refusal.ts";
 export * from "./request.ts";
+export * from "./schema_fault.ts";
 export * from "./server.ts";
 export * from "./settings.ts";
 export * from "./tree.ts";
--- /dev/null
+++ b/test/command/cli_test.ts
@@ -0,0 +1,85 @@
+/** The command line as a process, against the log's stand-in. */
+import assert from "node:assert/strict";
+import { spawn } from "node:child_process";
+import { once } from "node:events";
+import process from "node:process";
+import { text } from "node:stream/consumers";
+import { test } from "node:test";
+import { LogStandin } from "../../standin/mod.ts";
+import { HttpHost, sendJson } from "../../standin/http_host.ts";
+
+interface Run {
+  readonly status: number | null;
+  readonly output: string;
+  readonly errors: string;
+}
+
+async function runCli(args: readonly string[]): Promise<Run> {
+  const child = spawn(process.execPath, ["dist/src/bin/cli.js", ...args], {
+    stdio: ["ignore", "pipe", "pipe"],
+  });
+  const exited = once(child, "exit");
+  const [output, errors] = await Promise.all([
+    text(child.stdout),
+    text(child.stderr),
+  ]);
+  await exited;
+  return { status: child.exitCode, output, errors };
+}
+
+test("an edit is published, waited for, explained and listed", async () => {
+  const log = new LogStandin({});
+  let revision = 0;
+  const entry = new HttpHost(({ headers, response }) => {
+    assert.equal(headers.authorization, "Bearer secret");
+    revision += 500;
+    sendJson(response, 200, { vm: "vm-1", revision });
+  });
+  const logUrl = `http://${await log.listen()}`;
+  const address = await entry.listen();
+  const common = ["--log-url", logUrl];
+  const waited = [...common, "--entry", address, "--token", "secret"];
+  try {
+    const set = await runCli(
+      ["settings", "set", "/khomas", "maxConcurrent=5", ...waited],
+    );
+    assert.equal(set.status, 0, set.errors);
+    assert.match(set.output, /in force on 1 entry VMs/);
+    const explained = await runCli(
+      ["settings", "explain", "/khomas/heritage", ...common],
+    );
+    assert.match(explained.output, /^maxConcurrent +\/khomas +5$/m);
+    const withdrawn = await runCli(
+      ["settings", "withdraw", "/", "tagger@3", "--no-wait", ...common],
+    );
+    assert.equal(withdrawn.status, 0, withdrawn.errors);
+    const history = await runCli(["settings", "history", ...common]);
+    assert.match(history.output, /accepted +\/khomas .*maxConcurrent":5/);
+    assert.match(history.output, /accepted +\/ .*tagger@3/);
+    assert.equal(log.records("control").length, 2);
+  } finally {
+    await Promise.all([log.close(), entry.close()]);
+  }
+});
+
+test("statuses tell a time-out, a fault and an outage apart", async () => {
+  const log = new LogStandin({});
+  const logUrl = `http://${await log.listen()}`;
+  const common = ["--log-url", logUrl, "--timeout", "1"];
+  try {
+    const faulty = await runCli(
+      ["settings", "set", "/a", "maxConcurrent=-1", ...common],
+    );
+    assert.equal(faulty.status, 78);
+    const alone = await runCli(
+      ["settings", "set", "/a", "maxConcurrent=1", ...common],
+    );
+    assert.equal(alone.status, 4);
+    assert.match(alone.errors, /no entry VM is known/);
+    log.switches.isDown = true;
+    const down = await runCli(["settings", "show", ...common]);
+    assert.equal(down.status, 69);
+  } finally {
+    await log.close();
+  }
+});
