Be ready only among peers, and do not wait for VMs that were found dead

Change: an entry is ready once it knows a peer, or is alone on the list, or 5 s have passed; the commands do not count a listed VM that no member knows.

--- a/src/bin/entry_program.ts
+++ b/src/bin/entry_program.ts
@@ -43,6 +43,7 @@
 const DESK_PERIOD_MS = 1000;
 const PUBLISH_TIMEOUT_MS = 3000;
 const LOAD_PERIOD_MS = 1000;
+const JOIN_TIMEOUT_MS = 5000;
 
 /** Starts the entry of one VM. */
 export async function startEntry(
@@ -127,6 +128,7 @@
     desk,
     peers,
   });
+  const startedAtMs = processEffects.clock();
   let wasCurrent = false;
   return {
     context,
@@ -138,11 +140,28 @@
     peers,
     isReady: () => {
       wasCurrent ||= journal.freshness().ageMs < Infinity;
-      return wasCurrent && handler.status().isAccepting;
+      const isSettled = hasJoined({ vmList, peers, startedAtMs });
+      return wasCurrent && isSettled && handler.status().isAccepting;
     },
   };
 }
 
+/**
+ * Whether this VM knows its peers, so that the addresses it hands out are more
+ * than its own; after a while it goes on alone.
+ */
+function hasJoined(options: {
+  readonly vmList: EntryParts["vmList"];
+  readonly peers: PeerSlot;
+  readonly startedAtMs: number;
+}): boolean {
+  const { vmList, peers, startedAtMs } = options;
+  if (vmCountOf(peers) > 1) return true;
+  if (processEffects.clock() - startedAtMs > JOIN_TIMEOUT_MS) return true;
+  const entries = vmList.last()?.vms.filter((vm) => vm.kind === "entry");
+  return entries !== undefined && entries.length === 1;
+}
+
 interface HandlerSetup {
   readonly journal: LogJournal;
   readonly directory: ServerDirectory;
--- a/src/command/base.ts
+++ b/src/command/base.ts
@@ -14,7 +14,12 @@
 import { processEffects } from "../platform/effects.ts";
 import { type Position } from "../state/mod.ts";
 import { type CommandFault, EXIT_STATUS, faultOf } from "./exit_status.ts";
-import { laggingOf, readJsonByHttp, waitInForce } from "./in_force.ts";
+import {
+  isFoundDead,
+  laggingOf,
+  readJsonByHttp,
+  waitInForce,
+} from "./in_force.ts";
 import {
   type OperatorFlags,
   type OperatorSettings,
@@ -168,7 +173,10 @@
     const lagging = laggingOf(reports, revision);
     const tookMs = Math.round(processEffects.clock() - startedMs);
     if (reports.length > 0 && lagging.length === 0) {
-      this.log(`in force on ${reports.length} entry VMs after ${tookMs} ms`);
+      const dead = reports.filter((report) => isFoundDead(report, reports));
+      const count = reports.length - dead.length;
+      this.log(`in force on ${count} entry VMs after ${tookMs} ms`);
+      for (const { vm } of dead) this.log(`not counted, found dead: ${vm}`);
       return;
     }
     const lines = lagging.map(({ vm, address, reason }) =>
--- a/src/command/in_force.ts
+++ b/src/command/in_force.ts
@@ -1,7 +1,8 @@
 /**
  * Waits until a revision is in force on every live entry VM. The VMs come from
  * the platform's list, which lags, and from the operator; each tells its own
- * revision. One that does not answer is not taken to have it.
+ * revision. One that does not answer is not taken to have it, unless every VM
+ * that answers has found it dead: the list names a failed VM for a while.
  */
 import { request } from "undici";
 import { z } from "zod";
@@ -14,9 +15,15 @@
   readonly address: string;
   readonly vm: string;
   readonly revision: Position | undefined;
+  /** Whether the platform's list names the VM. */
+  readonly isListed: boolean;
+  /** Members that the VM knows to be present, where it tells. */
+  readonly members: readonly string[] | undefined;
   readonly reason: string;
 }
 
+type EntryRow = Pick<EntryReport, "address" | "vm" | "isListed">;
+
 /** Reads JSON by HTTP; fails by throwing. */
 export type ReadJson = (url: string, token: string) => Promise<unknown>;
 
@@ -37,6 +44,7 @@
 const statusSchema = z.object({
   vm: z.string(),
   revision: z.number().int().min(0),
+  members: z.array(z.object({ vm: z.string() })).optional(),
 });
 
 /** Reads JSON over HTTP with the operators' token. */
@@ -61,9 +69,9 @@
   const { clock, sleep, revision, timeoutMs } = options;
   const deadlineMs = clock() + timeoutMs;
   while (true) {
-    const addresses = await liveEntries(options);
+    const rows = await liveEntries(options);
     const reports = await Promise.all(
-      addresses.map((address) => reportOf(address, options)),
+      rows.map((row) => reportOf(row, options)),
     );
     const isInForce = reports.length > 0 &&
       laggingOf(reports, revision).length === 0;
@@ -77,36 +85,64 @@
   reports: readonly EntryReport[],
   revision: Position,
 ): EntryReport[] {
-  return reports.filter((report) => (report.revision ?? -1) < revision);
+  return reports.filter((report) =>
+    (report.revision ?? -1) < revision && !isFoundDead(report, reports)
+  );
+}
+
+/** Whether all VMs that answer, one at least, know it as no member. */
+export function isFoundDead(
+  report: EntryReport,
+  reports: readonly EntryReport[],
+): boolean {
+  if (report.revision !== undefined || !report.isListed) return false;
+  const views = reports.flatMap((other) =>
+    other.members === undefined ? [] : [other.members]
+  );
+  if (views.length === 0) return false;
+  return views.every((members) => !members.includes(report.vm));
 }
 
-async function liveEntries(options: InForceOptions): Promise<string[]> {
+async function liveEntries(options: InForceOptions): Promise<EntryRow[]> {
   const { entries, vmListUrl, operatorToken } = options.operator;
-  const addresses = new Set(entries);
-  if (vmListUrl === undefined) return [...addresses];
+  const rows = new Map(
+    entries.map((address): [string, EntryRow] => [
+      address,
+      { address, vm: address, isListed: false },
+    ]),
+  );
+  if (vmListUrl === undefined) return [...rows.values()];
   try {
     const url = new URL("/vms", vmListUrl).href;
     const list = vmListSchema.parse(await options.readJson(url, operatorToken));
-    for (const { kind, status, address } of list.vms) {
-      if (kind === "entry" && status === "live") addresses.add(address);
+    for (const { kind, status, address, vm } of list.vms) {
+      if (kind !== "entry" || status !== "live") continue;
+      rows.set(address, { address, vm, isListed: true });
     }
   } catch {
     // The list may be down; the addresses that were given still count.
   }
-  return [...addresses];
+  return [...rows.values()];
 }
 
 async function reportOf(
-  address: string,
+  row: EntryRow,
   options: InForceOptions,
 ): Promise<EntryReport> {
+  const { address } = row;
   const url = `http://${address}/v1/admin/status`;
   try {
     const json = await options.readJson(url, options.operator.operatorToken);
-    const { vm, revision } = statusSchema.parse(json);
-    return { address, vm, revision, reason: `has revision ${revision}` };
+    const { vm, revision, members } = statusSchema.parse(json);
+    return {
+      ...row,
+      vm,
+      revision,
+      members: members?.map((member) => member.vm),
+      reason: `has revision ${revision}`,
+    };
   } catch (error) {
     const reason = error instanceof Error ? error.message : String(error);
-    return { address, vm: address, revision: undefined, reason };
+    return { ...row, revision: undefined, members: undefined, reason };
   }
 }
--- a/test/cluster.ts
+++ b/test/cluster.ts
@@ -73,6 +73,7 @@
       }
       await Promise.all(starts);
       for (const vm of cluster.vms.values()) await cluster.waitReady(vm);
+      await cluster.#waitFormed();
       return cluster;
     } catch (error) {
       await cluster.close();
@@ -193,6 +194,17 @@
     return vm.settingsFile;
   }
 
+  /** Waits until every VM knows all others. */
+  async #waitFormed(): Promise<void> {
+    for (const vm of this.vms.values()) {
+      await waitFor(async () => {
+        const status = await statusOf(vm);
+        const count = 1 + (status?.members.length ?? 0);
+        return count === this.vms.size ? true : undefined;
+      }, { what: `members of ${vm.name}`, timeoutMs: START_TIMEOUT_MS });
+    }
+  }
+
   /** Waits until every live VM has a revision; answers the time it had. */
   async waitInForce(revision: Position): Promise<number> {
     for (const vm of this.live()) {
--- a/test/cluster_vm.ts
+++ b/test/cluster_vm.ts
@@ -65,6 +65,8 @@
 /** What an entry VM says of itself. */
 export interface VmStatus {
   readonly revision: number;
+  /** Other entry VMs that it knows to be present. */
+  readonly members: readonly unknown[];
 }
 
 /** Reads an entry VM's status, if it answers. */
--- a/test/command/session_test.ts
+++ b/test/command/session_test.ts
@@ -5,7 +5,11 @@
   type CommandFault,
   EXIT_STATUS,
 } from "../../src/command/exit_status.ts";
-import { laggingOf, waitInForce } from "../../src/command/in_force.ts";
+import {
+  type EntryReport,
+  laggingOf,
+  waitInForce,
+} from "../../src/command/in_force.ts";
 import {
   type EditRequest,
   OperatorSession,
@@ -116,6 +120,28 @@
   assert.deepEqual(lagging, [["b:1", "has revision 3"], ["c:1", "silent"]]);
 });
 
+test("a listed VM that all others found dead is not waited for", () => {
+  const of = (vm: string, changes: Partial<EntryReport>): EntryReport => ({
+    address: `${vm}:1`,
+    vm,
+    revision: undefined,
+    isListed: true,
+    members: undefined,
+    reason: "",
+    ...changes,
+  });
+  const dead = of("c", {});
+  const a = of("a", { revision: 7, members: ["b"] });
+  const b = of("b", { revision: 7, members: ["a", "c"] });
+  assert.deepEqual(laggingOf([a, dead], 5), []);
+  assert.deepEqual(laggingOf([a, b, dead], 5), [dead]);
+  assert.deepEqual(laggingOf([dead], 5), [dead]);
+  const unlisted = of("d", { isListed: false });
+  assert.deepEqual(laggingOf([a, unlisted], 5), [unlisted]);
+  const behind = of("b", { revision: 3, members: [] });
+  assert.deepEqual(laggingOf([a, behind], 5), [behind]);
+});
+
 test("a check finds all faults of a tree at once", () => {
   const faults = checkTree({
     "/": { maxConcurrent: -1, nope: 1, catalogue: [], places: [] },
