--- /dev/null
+++ b/bench/state/payloads.ts
@@ -0,0 +1,34 @@
+/** Payloads for the measurements of state: one record an entry. */
+import { type SettingsPath } from "../../src/model/mod.ts";
+import { encodeBatch, positionOf } from "../../src/state/mod.ts";
+
+/** Workspaces that the edits are spread over. */
+export const WORKSPACES = 200;
+
+/** The payload of the edit at this offset. */
+export function editPayload(offset: number): string {
+  const workspace = offset % WORKSPACES;
+  const path: SettingsPath = `/region-${workspace % 3}/workspace-${workspace}`;
+  return encodeBatch([{
+    id: `edit-${offset}`,
+    kind: "edit",
+    path,
+    change: { set: { maxConcurrent: offset % 1000 }, clear: [] },
+    base: offset === 0 ? 0 : positionOf(offset - 1, 0),
+    author: "operator",
+    note: "",
+  }]);
+}
+
+/** The payload of the claim at this offset. */
+export function claimPayload(offset: number): string {
+  return encodeBatch([{
+    id: `claim-${offset}`,
+    kind: "claim",
+    workspace: "/khomas/heritage",
+    key: `key-${offset}`,
+    requestId: `request-${offset}`,
+    bodyHash: "0123456789abcdef",
+    vm: "vm-1",
+  }]);
+}
