Close the rating and weight clients at once

A client closed with calls in flight kept its sockets, so that a process could not end; the file of tests then never ended. Close now ends the calls in flight, and the tests close their client.

--- a/src/platform/rating.ts
+++ b/src/platform/rating.ts
@@ -54,6 +54,7 @@
   rate(rating: RatingRequest): Promise<Result<number, RatingError>>;
   /** Whether a call made now would be sent. */
   isAvailable(): boolean;
+  /** Ends at once; calls in flight fail. */
   close(): Promise<void>;
 }
 
@@ -141,7 +142,7 @@
   return {
     rate,
     isAvailable: () => isBreakerPassing(breaker, clock()),
-    close: () => agent.close(),
+    close: () => agent.destroy(),
   };
 }
 
--- a/src/platform/rating_test.ts
+++ b/src/platform/rating_test.ts
@@ -34,6 +34,7 @@
       nowMs += durationMs;
     },
     close: async () => {
+      await client.close();
       server.closeAllConnections();
       await new Promise((done) => server.close(done));
     },
--- a/src/platform/weight_store.ts
+++ b/src/platform/weight_store.ts
@@ -39,6 +39,7 @@
 /** Looks weights up. */
 export interface WeightStoreClient {
   lookup(version: VersionName): Promise<Result<WeightInfo, WeightStoreError>>;
+  /** Ends at once; calls in flight fail. */
   close(): Promise<void>;
 }
 
