Let a controller follow its VM's entry without being a member

Change: a subscriber greets the entry by the peers' protocol, asks for members and the control stream's position once a period, fetches what it lacks, and opens a new connection when one fails.

Check: a subscriber follows new entries as they come and finds an entry that was restarted; it does not appear in the membership.

--- a/src/wire/message.ts
+++ b/src/wire/message.ts
@@ -125,6 +125,7 @@
   z.object({ kind: z.literal("dropped") }),
   z.object({
     kind: z.literal("members"),
+    ...freshness,
     members: z.array(memberUpdateSchema).max(MAX_MEMBERS).readonly(),
   }),
   z.object({ kind: z.literal("unfit"), reason: z.string().max(256) }),
--- a/src/wire/mod.ts
+++ b/src/wire/mod.ts
@@ -3,6 +3,7 @@
 export { encodeFrame, FrameDecoder, MAX_FRAME_BYTES } from "./frame.ts";
 export { type Answer, type Ask, PROTOCOL_VERSION } from "./message.ts";
 export * from "./peer_node.ts";
+export * from "./subscriber.ts";
 export { type RecordFreshness, type RecordSource } from "./record_exchange.ts";
 export { type BillHolder } from "./responder.ts";
 export { type TransportBounds, type TransportCounts } from "./transport.ts";
--- a/src/wire/responder.ts
+++ b/src/wire/responder.ts
@@ -36,7 +36,7 @@
 
   /** The answer to one question. */
   answer(peer: PeerIdentity, ask: Ask): Answer {
-    const { bills, members } = this.#options;
+    const { records, bills, members } = this.#options;
     switch (ask.kind) {
       case "entries_after":
         return this.#entriesAfter(peer, ask);
@@ -46,7 +46,11 @@
         bills.drop(peer.vm, ask.requestId);
         return { kind: "dropped" };
       case "members":
-        return { kind: "members", members: members() };
+        return {
+          kind: "members",
+          ...tellFreshness(records),
+          members: members(),
+        };
     }
   }
 
--- a/src/wire/transport.ts
+++ b/src/wire/transport.ts
@@ -18,6 +18,7 @@
   type Metrics,
   type Sleep,
 } from "../model/mod.ts";
+import { parseAddress } from "./address.ts";
 import { PeerConnection } from "./connection.ts";
 import { WireError } from "./error.ts";
 import { greet, type Greeted, receiveGreeting } from "./greeting.ts";
@@ -171,12 +172,8 @@
 
   async #dial(peer: PeerAddress): Promise<Result<PeerConnection, WireError>> {
     const target = parseAddress(peer.peerAddress);
-    if (target === undefined) {
-      return err(
-        new WireError("unreachable", `"${peer.peerAddress}" is no address`),
-      );
-    }
-    const socket = connect({ ...target, noDelay: true });
+    if (target.isErr()) return err(target.error);
+    const socket = connect({ ...target.value, noDelay: true });
     const greeted = await this.#greetOn(socket, greet);
     return greeted.map((value) => this.#open(socket, value));
   }
@@ -264,17 +261,3 @@
     this.#closedReceivedBytes += socket.bytesRead;
   }
 }
-
-interface HostAndPort {
-  readonly host: string;
-  readonly port: number;
-}
-
-function parseAddress(address: string): HostAndPort | undefined {
-  const colon = address.lastIndexOf(":");
-  const port = Number(address.slice(colon + 1));
-  if (colon < 1 || !Number.isInteger(port) || port < 1 || port > 65_535) {
-    return undefined;
-  }
-  return { host: address.slice(0, colon), port };
-}
