--- a/src/decision/mod.ts
+++ b/src/decision/mod.ts
@@ -5,10 +5,13 @@
 export * from "./cascade.ts";
 export * from "./change_watch.ts";
 export * from "./drain.ts";
+export * from "./entry_addresses.ts";
 export * from "./evidence.ts";
 export * from "./exposure.ts";
 export * from "./load.ts";
 export * from "./local_stops.ts";
+export * from "./member.ts";
+export * from "./membership.ts";
 export * from "./offer.ts";
 export * from "./quality.ts";
 export * from "./rating_sum.ts";
@@ -19,9 +22,7 @@
 export * from "./selection.ts";
 export * from "./shutdown.ts";
 export * from "./subset.ts";
-export * from "./entry_addresses.ts";
-export * from "./member.ts";
-export * from "./membership.ts";
+export * from "./version_watch.ts";
 export {
   createMembership,
   DEFAULT_MEMBERSHIP,
@@ -33,26 +34,3 @@
   type StepContext,
 } from "./membership_state.ts";
 export { nextTickAtMs } from "./membership_probe.ts";
-export * from "./admission.ts";
-export * from "./admission_order.ts";
-export * from "./breaker.ts";
-export * from "./cascade.ts";
-export * from "./change_watch.ts";
-export * from "./drain.ts";
-export * from "./entry_addresses.ts";
-export * from "./evidence.ts";
-export * from "./exposure.ts";
-export * from "./load.ts";
-export * from "./local_stops.ts";
-export * from "./member.ts";
-export * from "./membership.ts";
-export * from "./offer.ts";
-export * from "./quality.ts";
-export * from "./rating_sum.ts";
-export * from "./retry_budget.ts";
-export * from "./rollout.ts";
-export * from "./route.ts";
-export * from "./route_policy.ts";
-export * from "./selection.ts";
-export * from "./subset.ts";
-export * from "./version_watch.ts";
