Report the service-level burn, with what is missing said

Cause: operators need to see how fast error budgets burn and why, on VMs that keep nothing and are replaced at any time.

Change: each VM counts its requests by objective; short windows are told over HTTP, hourly ones go into the log. A start, each hour and a planned end leave a record, so that lost counts can be told from no requests. `goldcrestpost report burn` collects from all VMs, names the silent ones, and prints rates, budgets and causes over 5 min, 1 h, 6 h and 3 d as text, JSON or a self-contained page.

Check: taking out the gap rule, the silent VMs, the counting once of a window that is told twice, the recount of bad versions, the bound on short windows or the bound on series each fails a test.

--- a/src/command/mod.ts
+++ b/src/command/mod.ts
@@ -2,6 +2,7 @@
 import { type Command } from "@oclif/core";
 import { CompareCommand } from "./compare.ts";
 import { ReplayCommand } from "./replay.ts";
+import { BurnCommand } from "./report/burn.ts";
 import { CheckCommand } from "./settings/check.ts";
 import { DrainCommand } from "./settings/drain.ts";
 import { ExplainCommand } from "./settings/explain.ts";
@@ -16,6 +17,7 @@
 export const COMMANDS: Readonly<Record<string, Command.Class>> = {
   "compare": CompareCommand,
   "replay": ReplayCommand,
+  "report:burn": BurnCommand,
   "settings:check": CheckCommand,
   "settings:drain": DrainCommand,
   "settings:explain": ExplainCommand,
--- /dev/null
+++ b/src/report/burn_coverage.ts
@@ -0,0 +1,134 @@
+/**
+ * Which spans of time have missing counts. A VM leaves a window in the log at
+ * its start, at each full hour and at a planned end; a VM that was lost leaves
+ * no last one, and up to an hour of its counts is then missing.
+ */
+import {
+  type BurnHistory,
+  type BurnWindow,
+  RECORD_WINDOW_MS,
+  type VmBurn,
+} from "./burn_window.ts";
+
+/** A span of time in which a VM's counts are missing. */
+export interface MissingSpan {
+  readonly vm: string;
+  readonly fromMs: number;
+  readonly toMs: number;
+  readonly reason: string;
+}
+
+/** A VM that should have answered. */
+export interface SilentVm {
+  readonly vm: string;
+  readonly reason: string;
+}
+
+/** What the coverage is worked out from. */
+export interface CoverageInput {
+  readonly nowMs: number;
+  readonly live: readonly VmBurn[];
+  readonly history: BurnHistory | undefined;
+  readonly silent: readonly SilentVm[];
+}
+
+interface Span {
+  readonly fromMs: number;
+  readonly toMs: number;
+}
+
+/** All spans with missing counts, oldest first. */
+export function missingSpans(input: CoverageInput): MissingSpan[] {
+  const spans = [
+    ...lostSpans(input),
+    ...silentSpans(input),
+    ...boundSpans(input),
+  ];
+  return spans.sort((a, b) => a.fromMs - b.fromMs);
+}
+
+function lostSpans(input: CoverageInput): MissingSpan[] {
+  const found: MissingSpan[] = [];
+  const live = new Map(input.live.map((burn) => [burn.vm, burn]));
+  const silent = new Set(input.silent.map(({ vm }) => vm));
+  for (const [vm, spans] of spansByVm(input.history?.records ?? [])) {
+    if (silent.has(vm)) continue;
+    const burn = live.get(vm);
+    const own: Span[] = burn === undefined
+      ? []
+      : [{ fromMs: burn.startedAtMs, toMs: input.nowMs }];
+    const all = [...spans, ...own].sort((a, b) => a.fromMs - b.fromMs);
+    for (const gap of gapsIn(all, input.nowMs)) {
+      found.push({ vm, ...gap, reason: "the VM was lost" });
+    }
+  }
+  return found;
+}
+
+/** What is missing between spans that are sorted by their start. */
+function gapsIn(spans: readonly Span[], nowMs: number): Span[] {
+  const gaps: Span[] = [];
+  let last: Span | undefined;
+  for (const span of [...spans, { fromMs: nowMs, toMs: nowMs }]) {
+    const gap = last === undefined ? undefined : lostAfter(last, span.fromMs);
+    if (gap !== undefined) gaps.push(gap);
+    if (last === undefined || span.toMs > last.toMs) last = span;
+  }
+  return gaps;
+}
+
+/** What is missing between one span of a VM and its next one. */
+function lostAfter(span: Span, nextMs: number): Span | undefined {
+  if (nextMs <= span.toMs + 1) return undefined;
+  const isStart = span.toMs - span.fromMs <= 1;
+  const isFullHour = span.toMs % RECORD_WINDOW_MS === 0;
+  if (!isStart && !isFullHour) return undefined;
+  const hourEndMs = (Math.floor(span.toMs / RECORD_WINDOW_MS) + 1) *
+    RECORD_WINDOW_MS;
+  return { fromMs: span.toMs, toMs: Math.min(nextMs, hourEndMs) };
+}
+
+function silentSpans(input: CoverageInput): MissingSpan[] {
+  const spans = spansByVm(input.history?.records ?? []);
+  return input.silent.map(({ vm, reason }) => {
+    const last = spans.get(vm)?.at(-1)?.toMs ?? 0;
+    return { vm, fromMs: last, toMs: input.nowMs, reason };
+  });
+}
+
+function boundSpans({ nowMs, live, history }: CoverageInput): MissingSpan[] {
+  const found: MissingSpan[] = [];
+  for (const { vm, startedAtMs, droppedCount } of live) {
+    if (droppedCount === 0) continue;
+    const reason = `${droppedCount} windows were dropped`;
+    found.push({ vm, fromMs: startedAtMs, toMs: nowMs, reason });
+  }
+  if (history === undefined) {
+    const reason = "no VM told the records";
+    found.push({ vm: "all", fromMs: 0, toMs: nowMs, reason });
+  } else if (history.isFull) {
+    const starts = history.records.map(({ windowStartMs }) => windowStartMs);
+    const toMs = starts.reduce((a, b) => Math.min(a, b), nowMs);
+    const reason = "older records were let go";
+    found.push({ vm: "all", fromMs: 0, toMs, reason });
+  }
+  return found;
+}
+
+/** The spans that each VM's records cover, in order. */
+function spansByVm(records: readonly BurnWindow[]): Map<string, Span[]> {
+  const byVm = new Map<string, Map<number, Span>>();
+  for (const { vm, windowStartMs, windowMs } of records) {
+    const spans = byVm.get(vm) ?? new Map<number, Span>();
+    byVm.set(vm, spans);
+    const toMs = windowStartMs + windowMs;
+    if ((spans.get(windowStartMs)?.toMs ?? 0) >= toMs) continue;
+    spans.set(windowStartMs, { fromMs: windowStartMs, toMs });
+  }
+  return new Map(
+    [...byVm].map(([vm, spans]) => [
+      vm,
+      [...spans.values()].sort((a, b) => a.fromMs - b.fromMs),
+    ]),
+  );
+}
--- /dev/null
+++ b/src/report/burn_route.ts
@@ -0,0 +1,72 @@
+/** What an entry VM tells of its counts, and puts of them into the log. */
+import { type AdminRoute } from "../filter/mod.ts";
+import { depthOf, type SettingsPath } from "../model/mod.ts";
+import { type Journal } from "../platform/mod.ts";
+import { CONTROL_LIMITS, type ControlState } from "../state/mod.ts";
+import { type BurnCounter } from "./burn_counter.ts";
+import { type BurnHistory } from "./burn_window.ts";
+
+const WORKSPACE_DEPTH = 2;
+const RECORDS_PER_TURN = 64;
+
+/** What the routes answer from. */
+export interface BurnSource {
+  readonly counter: BurnCounter;
+  readonly journal: Journal;
+}
+
+/** `GET /v1/admin/burn` and `GET /v1/admin/burn/records`. */
+export function burnRoutes({ counter, journal }: BurnSource): AdminRoute[] {
+  return [
+    {
+      method: "GET",
+      path: "/burn",
+      handle: () => Promise.resolve(counter.snapshot()),
+    },
+    {
+      method: "GET",
+      path: "/burn/records",
+      handle: () => Promise.resolve(historyOf(journal.control())),
+    },
+  ];
+}
+
+/** Appends what the log has not confirmed, some of it at each turn. */
+export async function recordBurn(
+  { counter, journal }: BurnSource,
+  options: { readonly timeoutMs: number },
+): Promise<void> {
+  counter.roll();
+  const records = counter.records(RECORDS_PER_TURN);
+  await Promise.all(records.map(async (record) => {
+    const appended = await journal.append(record, record.vm, options);
+    if (appended.isOk()) counter.confirm(record.id);
+  }));
+}
+
+function historyOf(control: ControlState): BurnHistory {
+  const records = [...control.burn.values()].map(
+    ({ id: _id, kind: _kind, ...window }) => window,
+  );
+  return {
+    records,
+    isFull: records.length >= CONTROL_LIMITS.burn,
+    objectives: objectivesOf(control),
+  };
+}
+
+function objectivesOf(control: ControlState): BurnHistory["objectives"] {
+  const workspaces = new Set<SettingsPath>();
+  for (const path of control.tree.paths()) {
+    if (depthOf(path) === WORKSPACE_DEPTH) workspaces.add(path);
+  }
+  for (const { workspace } of control.burn.values()) {
+    if (depthOf(workspace) === WORKSPACE_DEPTH) workspaces.add(workspace);
+  }
+  return [...workspaces].flatMap((workspace) =>
+    control.tree.resolve(workspace).values.objectives.map((objective) => ({
+      workspace,
+      objective,
+    }))
+  );
+}
