Count requests in the entry and shut it down by the state machine

Cause: an entry left as soon as the addresses handed out had aged out, without the time in which peers still hand it out, and its counts ended with it.

Change: the entry counts every request, tells its counts on /v1/admin/burn and appends closed windows; the shutdown runs the state machine, which also waits for the peers to learn of it and closes the counts before the flush.

--- /dev/null
+++ b/src/bin/burn_setup.ts
@@ -0,0 +1,42 @@
+/** The counts of an entry for the burn report, and their way into the log. */
+import { randomUUID } from "node:crypto";
+import { type LogJournal } from "../platform/mod.ts";
+import { BurnCounter } from "../report/burn_counter.ts";
+import { recordBurn } from "../report/burn_route.ts";
+import { type EntryParts } from "./entry_program.ts";
+import { type PeriodicTask } from "./periodic.ts";
+
+const BURN_PERIOD_MS = 5000;
+const APPEND_TIMEOUT_MS = 3000;
+
+/** The counter of one entry. */
+export function openBurnCounter(vm: string): BurnCounter {
+  return new BurnCounter({ vm, wallClock: Date.now, makeId: randomUUID });
+}
+
+/** Keeps the counts right and puts them into the log. */
+export function burnTask(parts: EntryParts): PeriodicTask {
+  return {
+    name: "burn",
+    periodMs: BURN_PERIOD_MS,
+    run: async () => {
+      condemnBadVersions(parts);
+      await appendBurn(parts.burn, parts.journal);
+    },
+  };
+}
+
+/** Appends what the log has not confirmed of the counts. */
+export async function appendBurn(
+  counter: BurnCounter,
+  journal: LogJournal,
+): Promise<void> {
+  await recordBurn({ counter, journal }, { timeoutMs: APPEND_TIMEOUT_MS });
+}
+
+function condemnBadVersions({ burn, desk, journal }: EntryParts): void {
+  for (const { version } of desk.watch.stops.list()) burn.condemn(version);
+  for (const { step } of journal.control().rollouts.values()) {
+    if (step.verdict === "withdraw") burn.condemn(step.version);
+  }
+}
--- a/src/bin/entry_program.ts
+++ b/src/bin/entry_program.ts
@@ -17,8 +17,12 @@
   type ServerDirectory,
 } from "../platform/mod.ts";
 import { processEffects } from "../platform/effects.ts";
+import { type BurnCounter } from "../report/burn_counter.ts";
+import { countRequests } from "../report/burn_observer.ts";
+import { burnRoutes } from "../report/burn_route.ts";
 import { type PeerNode } from "../wire/mod.ts";
 import { isOperatorOf, tokenOfWorkspaces } from "./access.ts";
+import { burnTask, openBurnCounter } from "./burn_setup.ts";
 import { filterLimitsOf, runningLimitOf } from "./entry_limits.ts";
 import { endEntry } from "./entry_shutdown.ts";
 import { statusRoute } from "./entry_status.ts";
@@ -51,12 +55,16 @@
 ): Promise<RunningProgram> {
   const parts = openParts(context);
   const { journal, handler } = parts;
+  const { clock } = processEffects;
   journal.start();
   const app = createHttpApp({
-    handler,
+    handler: countRequests(handler, { counter: parts.burn, clock }),
     listEntries: (place) => entriesOf(parts, place),
     isReady: () => parts.isReady(),
-    adminRoutes: [statusRoute(parts)],
+    adminRoutes: [
+      statusRoute(parts),
+      ...burnRoutes({ counter: parts.burn, journal }),
+    ],
     isOperator: isOperatorOf(context.settings),
     logger: context.logger,
   });
@@ -93,6 +101,7 @@
   readonly directory: ServerDirectory;
   readonly vmList: ReturnType<typeof openVmList>;
   readonly peers: PeerSlot;
+  readonly burn: BurnCounter;
   /** Whether this VM may be handed out. */
   isReady(): boolean;
 }
@@ -138,6 +147,7 @@
     directory,
     vmList,
     peers,
+    burn: openBurnCounter(settings.vm),
     isReady: () => {
       wasCurrent ||= journal.freshness().ageMs < Infinity;
       const isSettled = hasJoined({ vmList, peers, startedAtMs });
@@ -224,6 +234,7 @@
   const { context, desk, directory, handler, vmList } = parts;
   const { settings, logger } = context;
   const periodic = runPeriodic([
+    burnTask(parts),
     {
       name: "vm list",
       periodMs: settings.timing.vmListPeriodMs,
--- a/src/bin/entry_shutdown.ts
+++ b/src/bin/entry_shutdown.ts
@@ -1,17 +1,26 @@
 /**
- * The graceful shutdown of an entry: it is no longer handed out, keeps accepting
- * until the addresses that callers hold have aged out, then refuses new work,
- * finishes what is in progress, flushes its records and leaves.
+ * The graceful shutdown of an entry: runs the state machine of
+ * `src/decision/shutdown.ts` over the entry's parts.
  */
+import {
+  applyShutdown,
+  createShutdown,
+  type ShutdownEffect,
+  type ShutdownEvent,
+  type ShutdownState,
+} from "../decision/mod.ts";
 import { processEffects } from "../platform/effects.ts";
 import { type PeerNode } from "../wire/mod.ts";
+import { appendBurn } from "./burn_setup.ts";
 import { type EntryParts } from "./entry_program.ts";
 import { type HttpServer } from "./http_server.ts";
 import { type RunningProgram } from "./program.ts";
 
-const DRAIN_STEP_MS = 50;
+const STEP_MS = 50;
 const FLUSH_TIMEOUT_MS = 30_000;
 const FAREWELL_MS = 100;
+/** Probe periods until every peer has learned that this VM leaves. */
+const SPREAD_PERIODS = 3;
 
 /** What is ended, beside the parts of the entry. */
 export interface EntryEnding extends EntryParts {
@@ -33,39 +42,69 @@
 }
 
 async function shutDown(entry: EntryEnding): Promise<void> {
-  const { context, handler, journal, node, http } = entry;
-  const { logger, settings } = context;
+  const { logger } = entry.context;
   logger.info("shutdown began");
-  node.announce("leaving");
-  await processEffects.sleep(settings.timing.entriesMaxAgeMs);
-  handler.stopAccepting();
-  logger.info("new work is refused");
-  await drained(entry);
-  await flushed(entry);
-  node.announce("left");
-  await processEffects.sleep(FAREWELL_MS);
-  entry.ending.abort();
-  await Promise.all([http.close(), entry.tasks]);
-  await node.close();
-  await journal.close();
+  let state = initialState(entry);
+  let event: ShutdownEvent = { kind: "terminate" };
+  while (state.phase !== "left") {
+    const step = applyShutdown(state, event, processEffects.clock());
+    for (const effect of step.effects) perform(entry, effect);
+    state = step.state;
+    if (state.phase === "left") break;
+    if (state.phase === "flushing") await flush(entry);
+    await processEffects.sleep(STEP_MS);
+    event = progressOf(entry);
+  }
+  await closeAll(entry);
   logger.info("shutdown ended");
 }
 
-async function drained({ handler }: EntryEnding): Promise<void> {
-  while (true) {
-    const { runningCount, waitingCount } = handler.status();
-    if (runningCount + waitingCount === 0) return;
-    await processEffects.sleep(DRAIN_STEP_MS);
-  }
+function initialState({ context }: EntryEnding): ShutdownState {
+  const { entriesMaxAgeMs, probePeriodMs } = context.settings.timing;
+  return createShutdown({
+    entryMaxAgeMs: entriesMaxAgeMs,
+    spreadMs: SPREAD_PERIODS * probePeriodMs,
+    flushTimeoutMs: FLUSH_TIMEOUT_MS,
+  });
 }
 
-async function flushed({ handler, journal }: EntryEnding): Promise<void> {
-  const deadlineMs = processEffects.clock() + FLUSH_TIMEOUT_MS;
-  while (processEffects.clock() < deadlineMs) {
-    await handler.flush();
-    const { heldBillCount, lateRecordCount } = handler.status();
-    if (heldBillCount + lateRecordCount === 0) break;
-    await processEffects.sleep(DRAIN_STEP_MS);
+function perform(entry: EntryEnding, effect: ShutdownEffect): void {
+  const { logger } = entry.context;
+  switch (effect.kind) {
+    case "announce":
+      return entry.node.announce(effect.status);
+    case "refuse_new_work":
+      logger.info("new work is refused");
+      return entry.handler.stopAccepting();
+    case "flush":
+      logger.info("no request is in progress");
+      return entry.burn.close();
+    case "close":
+      if (effect.unconfirmedCount === 0) return;
+      return logger.error("records were not confirmed", {
+        count: effect.unconfirmedCount,
+      });
   }
-  await journal.flush(Math.max(0, deadlineMs - processEffects.clock()));
+}
+
+async function flush({ handler, burn, journal }: EntryEnding): Promise<void> {
+  await Promise.all([handler.flush(), appendBurn(burn, journal)]);
+}
+
+function progressOf({ handler, burn }: EntryEnding): ShutdownEvent {
+  const { runningCount, waitingCount, heldBillCount, lateRecordCount } = handler
+    .status();
+  return {
+    kind: "progress",
+    openCount: runningCount + waitingCount,
+    unconfirmedCount: heldBillCount + lateRecordCount + burn.records(1).length,
+  };
+}
+
+async function closeAll(entry: EntryEnding): Promise<void> {
+  await processEffects.sleep(FAREWELL_MS);
+  entry.ending.abort();
+  await Promise.all([entry.http.close(), entry.tasks]);
+  await entry.node.close();
+  await entry.journal.close();
 }
--- a/src/report/burn_report_test.ts
+++ b/src/report/burn_report_test.ts
@@ -4,6 +4,7 @@
 import { collectBurn } from "./burn_collect.ts";
 import { burnHtmlOf } from "./burn_html.ts";
 import {
+  type BurnCell,
   type BurnInput,
   type BurnReport,
   burnReportOf,
