Compare a server's speed within the same kind of work

A server's latencies were smoothed over all classes and versions, so a server that got long answers looked slow and a slow one with lookups looked fast. Time to the first token is expected by version and class.

--- a/bench/policies/site_run.ts
+++ b/bench/policies/site_run.ts
@@ -265,7 +265,7 @@
       priorFirstTokenMs: 200,
       priorServiceMs: 2000,
     });
-    directory.views("models");
+    directory.views("models", "");
     for (const vm of this.#vms) {
       if (vm.kind !== "engine") continue;
       directory.note(vm.vm, this.#engineAt(vm.address).published);
--- a/src/decision/load.ts
+++ b/src/decision/load.ts
@@ -75,27 +75,3 @@
   const ageMs = Math.max(0, options.nowMs - report.readAtMs);
   return 2 ** (-ageMs / options.prior.halfLifeMs);
 }
-
-/** A smoothed duration. */
-export interface LatencyEstimate {
-  readonly meanMs: number;
-  readonly sampleCount: number;
-}
-
-const SMOOTHING_SHARE = 0.1;
-
-/** A duration of which nothing was seen yet. */
-export function createLatency(priorMs: number): LatencyEstimate {
-  return { meanMs: priorMs, sampleCount: 0 };
-}
-
-/** The estimate after one more sample; the first ones weigh more. */
-export function addLatency(
-  estimate: LatencyEstimate,
-  sampleMs: number,
-): LatencyEstimate {
-  const sampleCount = estimate.sampleCount + 1;
-  const weight = Math.max(SMOOTHING_SHARE, 1 / (sampleCount + 1));
-  const meanMs = estimate.meanMs + weight * (sampleMs - estimate.meanMs);
-  return { meanMs, sampleCount };
-}
--- a/src/decision/mod.ts
+++ b/src/decision/mod.ts
@@ -21,6 +21,7 @@
 export * from "./route_policy.ts";
 export * from "./selection.ts";
 export * from "./shutdown.ts";
+export * from "./slowness.ts";
 export * from "./subset.ts";
 export * from "./version_watch.ts";
 export {
--- a/src/decision/route.ts
+++ b/src/decision/route.ts
@@ -9,12 +9,7 @@
   type VersionName,
 } from "../model/mod.ts";
 import { type BreakerState, isBreakerPassing } from "./breaker.ts";
-import {
-  estimateLoad,
-  type LatencyEstimate,
-  type LoadPrior,
-  type LoadView,
-} from "./load.ts";
+import { estimateLoad, type LoadPrior, type LoadView } from "./load.ts";
 
 /** What is known of one backend server when a route is chosen. */
 export interface ServerView extends LoadView {
@@ -25,9 +20,9 @@
   readonly isTakingWork: boolean;
   readonly breaker: BreakerState;
   /** Time to the first token on an idle slot, without the network. */
-  readonly firstToken: LatencyEstimate;
+  readonly firstTokenMs: number;
   /** Time that one request holds a slot. */
-  readonly service: LatencyEstimate;
+  readonly serviceMs: number;
   /** When this VM first sent work there; `undefined` before. */
   readonly firstUsedAtMs: number | undefined;
 }
@@ -139,11 +134,11 @@
 ): ScoredServer {
   const load = estimateLoad(view, context);
   const aheadCount = Math.max(0, load.workCount - load.slotCount + 1);
-  const waitMs = aheadCount * view.service.meanMs / load.slotCount;
+  const waitMs = aheadCount * view.serviceMs / load.slotCount;
   const missShare = 1 - request.prefixShareOf(view.server);
   const networkMs = 2 * context.delayMsTo(view.place);
-  const firstTokenMs = networkMs + waitMs + view.firstToken.meanMs * missShare;
-  const crowdingMs = Math.min(1, load.loadShare) * view.firstToken.meanMs;
+  const firstTokenMs = networkMs + waitMs + view.firstTokenMs * missShare;
+  const crowdingMs = Math.min(1, load.loadShare) * view.firstTokenMs;
   const scoreMs = firstTokenMs + crowdingMs +
     moneyMs(view, request, context) + slowStartMs(view, context);
   return { view, firstTokenMs, scoreMs };
--- a/src/decision/route_test.ts
+++ b/src/decision/route_test.ts
@@ -3,7 +3,7 @@
 import { test } from "node:test";
 import { type Vm } from "../model/mod.ts";
 import { CLOSED_BREAKER } from "./breaker.ts";
-import { createLatency, DEFAULT_LOAD_PRIOR, estimateLoad } from "./load.ts";
+import { DEFAULT_LOAD_PRIOR, estimateLoad } from "./load.ts";
 import {
   chooseServer,
   DEFAULT_ROUTE_WEIGHTS,
@@ -21,8 +21,8 @@
     versions: new Set(["drafter@1" as const]),
     isTakingWork: true,
     breaker: CLOSED_BREAKER,
-    firstToken: createLatency(100),
-    service: createLatency(1000),
+    firstTokenMs: 100,
+    serviceMs: 1000,
     firstUsedAtMs: undefined,
     report: reportOf(0),
     ownInFlightCount: 0,
--- a/src/filter/attempt.ts
+++ b/src/filter/attempt.ts
@@ -52,6 +52,8 @@
 interface Timing {
   readonly startedAtMs: number;
   firstTokenAtMs: number | undefined;
+  /** Tokens after the first one. */
+  laterCount: number;
 }
 
 /** Makes one attempt; `undefined` when the answer is whole. */
@@ -63,6 +65,7 @@
   const timing: Timing = {
     startedAtMs: options.clock(),
     firstTokenAtMs: undefined,
+    laterCount: 0,
   };
   const fault = await run(input, options, timing);
   target.use.finish(resultOf(fault, timing, options.clock()));
@@ -133,7 +136,12 @@
       if (verdict === "gap") return new EngineError("broken", "frames missing");
       continue;
     }
-    timing.firstTokenAtMs ??= options.clock();
+    if (timing.firstTokenAtMs === undefined) {
+      timing.firstTokenAtMs = options.clock();
+    } else timing.laterCount += 1;
+    if (frame.usage !== undefined) {
+      timing.laterCount = frame.usage.outputTokens - 1;
+    }
     progress.add(frame);
     await relay(frame);
     if (frame.isLast) return undefined;
@@ -151,10 +159,14 @@
     ? undefined
     : firstTokenAtMs - startedAtMs;
   const isWhole = fault === undefined;
+  const tokenMs = firstTokenAtMs === undefined || timing.laterCount < 1
+    ? undefined
+    : (nowMs - firstTokenAtMs) / timing.laterCount;
   return {
     verdict: verdictOf(fault),
     firstTokenMs,
     serviceMs: isWhole ? nowMs - startedAtMs : undefined,
+    tokenMs: isWhole ? tokenMs : undefined,
   };
 }
 
--- a/src/filter/call_service.ts
+++ b/src/filter/call_service.ts
@@ -112,6 +112,7 @@
       verdict: "success",
       firstTokenMs: serviceMs,
       serviceMs,
+      tokenMs: undefined,
     });
     return called;
   }
@@ -122,6 +123,7 @@
     verdict: fault === "cancelled" ? "neutral" : "failure",
     firstTokenMs: undefined,
     serviceMs: undefined,
+    tokenMs: undefined,
   });
   return called;
 }
--- a/src/filter/fixture_test.ts
+++ b/src/filter/fixture_test.ts
@@ -301,7 +301,7 @@
     priorFirstTokenMs: 100,
     priorServiceMs: 1000,
   });
-  directory.views("models");
+  directory.views("models", "");
   for (const server of ["e-1", "e-2"]) {
     directory.note(server, reportOf(server));
   }
--- a/src/filter/router.ts
+++ b/src/filter/router.ts
@@ -24,9 +24,9 @@
 
 /** What a router reads of the backend servers. */
 export interface ServerTable {
-  views(service: string): ServerView[];
+  views(service: string, work: string): ServerView[];
   addressOf(server: string): string | undefined;
-  begin(server: string): ServerUse;
+  begin(server: string, work: string): ServerUse;
 }
 
 /** Delay and price of the way to a place. */
@@ -74,7 +74,7 @@
 /** Creates a router. */
 export function createRouter(options: RouterOptions): Router {
   return (query) => {
-    const views = options.table.views(query.service);
+    const views = options.table.views(query.service, workOf(query));
     const choice = chooseServer(narrow(views, query.only), {
       ...query,
       prefixShareOf: (server) =>
@@ -96,10 +96,19 @@
     const address = options.table.addressOf(server);
     if (address === undefined) return err("none_loaded");
     options.prefixes.note(query.prefixKey, server);
-    return ok({ server, address, use: options.table.begin(server) });
+    return ok({
+      server,
+      address,
+      use: options.table.begin(server, workOf(query)),
+    });
   };
 }
 
+/** The kind of work that durations are compared within. */
+function workOf({ service, version, requestClass }: RouteQuery): string {
+  return version === undefined ? service : `${version} ${requestClass}`;
+}
+
 function narrow(
   views: readonly ServerView[],
   only: string | undefined,
--- a/src/platform/mod.ts
+++ b/src/platform/mod.ts
@@ -14,5 +14,6 @@
 export * from "./plain_service.ts";
 export * from "./server_directory.ts";
 export * from "./server_record.ts";
+export * from "./work_expectations.ts";
 export * from "./vm_list.ts";
 export * from "./peer_records.ts";
--- a/src/platform/server_directory.ts
+++ b/src/platform/server_directory.ts
@@ -9,9 +9,9 @@
   type BreakerLimits,
   chooseSubset,
   CLOSED_BREAKER,
-  createLatency,
   DEFAULT_BREAKER_LIMITS,
   DEFAULT_SUBSET_LIMITS,
+  EVEN_SLOWNESS,
   type ServerView,
   type SubsetLimits,
 } from "../decision/mod.ts";
@@ -24,6 +24,7 @@
   toView,
   type UseResult,
 } from "./server_record.ts";
+import { WorkExpectations } from "./work_expectations.ts";
 
 /** The rows of the platform's VM list, as last read. */
 export interface VmSource {
@@ -61,18 +62,27 @@
 /** Backend servers and what is known of them. */
 export class ServerDirectory {
   readonly #options: ServerDirectoryOptions;
+  readonly #expectations: WorkExpectations;
   readonly #records = new Map<string, ServerRecord>();
   #vms: readonly Vm[] = [];
   #subsets = new Map<string, readonly ServerRecord[]>();
 
   constructor(options: ServerDirectoryOptions) {
     this.#options = options;
+    this.#expectations = new WorkExpectations({
+      firstTokenMs: options.priorFirstTokenMs,
+      serviceMs: options.priorServiceMs,
+    });
   }
 
-  /** The servers of a service that this VM works with. */
-  views(service: string): ServerView[] {
-    const drains = this.#options.drains();
-    return this.#subsetOf(service).map((record) => toView(record, drains));
+  /** The servers of a service that this VM works with, for a kind of work. */
+  views(service: string, work: string): ServerView[] {
+    const options = {
+      drains: this.#options.drains(),
+      expected: this.#expectations.of(work),
+      nowMs: this.#options.clock(),
+    };
+    return this.#subsetOf(service).map((record) => toView(record, options));
   }
 
   /** The address of a server, while the VM list names it. */
@@ -80,8 +90,8 @@
     return this.#records.get(server)?.vm.address;
   }
 
-  /** Counts work on a server from now until its end. */
-  begin(server: string): ServerUse {
+  /** Counts work of a kind on a server from now until its end. */
+  begin(server: string, work: string): ServerUse {
     const record = this.#records.get(server);
     if (record === undefined) return { finish: () => {} };
     const nowMs = this.#options.clock();
@@ -93,7 +103,11 @@
       finish: (result) => {
         if (!isOpen) return;
         isOpen = false;
-        noteUse(record, result, this.#breakerOptions());
+        const expected = this.#expectations.of(work);
+        noteUse(record, result, { ...this.#breakerOptions(), expected });
+        if (result.verdict === "success") {
+          this.#expectations.note(work, result);
+        }
       },
     };
   }
@@ -211,14 +225,11 @@
       known.vm = vm;
       return;
     }
-    const { priorFirstTokenMs, priorServiceMs } = this.#options;
-    this.#records.set(
-      vm.vm,
-      createServerRecord(vm, {
-        breaker: CLOSED_BREAKER,
-        firstToken: createLatency(priorFirstTokenMs),
-        service: createLatency(priorServiceMs),
-      }),
-    );
+    const priors = {
+      breaker: CLOSED_BREAKER,
+      slowness: EVEN_SLOWNESS,
+      serviceMs: this.#options.priorServiceMs,
+    };
+    this.#records.set(vm.vm, createServerRecord(vm, priors));
   }
 }
--- a/src/platform/server_record.ts
+++ b/src/platform/server_record.ts
@@ -1,15 +1,19 @@
 /** What a directory keeps of one backend server, and how a use changes it. */
 import {
-  addLatency,
+  addSlowness,
   applyBreaker,
   type BreakerOptions,
   type BreakerState,
-  type LatencyEstimate,
   type LoadReport,
   type ServerView,
+  type Slowness,
+  slownessRatio,
 } from "../decision/mod.ts";
 import { type VersionName, type Vm } from "../model/mod.ts";
 import { type Drains } from "./server_directory.ts";
+import { type WorkExpectation, type WorkSample } from "./work_expectations.ts";
+
+const SERVICE_SMOOTHING_SHARE = 0.1;
 
 /** One backend server; changed in place by its directory. */
 export interface ServerRecord {
@@ -24,23 +28,22 @@
   askedAtMs: number;
   inFlightCount: number;
   breaker: BreakerState;
-  firstToken: LatencyEstimate;
-  service: LatencyEstimate;
+  slowness: Slowness;
+  /** Smoothed time that a request holds a slot, over its own mix of work. */
+  serviceMs: number;
   firstUsedAtMs: number | undefined;
 }
 
 /** How a use of a server ended. */
-export interface UseResult {
+export interface UseResult extends WorkSample {
   /** `neutral` says nothing of the server's health, as a cancelled call. */
   readonly verdict: "success" | "failure" | "neutral";
-  readonly firstTokenMs: number | undefined;
-  readonly serviceMs: number | undefined;
 }
 
 /** The estimates that a new server starts with. */
 export type ServerPriors = Pick<
   ServerRecord,
-  "breaker" | "firstToken" | "service"
+  "breaker" | "slowness" | "serviceMs"
 >;
 
 /** A server of which nothing is known yet. */
@@ -67,23 +70,42 @@
 export function noteUse(
   record: ServerRecord,
   result: UseResult,
-  options: BreakerOptions,
+  options: BreakerOptions & { readonly expected: WorkExpectation },
 ): void {
   record.inFlightCount -= 1;
   if (result.verdict !== "neutral") {
     record.breaker = applyBreaker(record.breaker, result.verdict, options);
   }
-  if (result.firstTokenMs !== undefined) {
-    record.firstToken = addLatency(record.firstToken, result.firstTokenMs);
-  }
   if (result.serviceMs !== undefined) {
-    record.service = addLatency(record.service, result.serviceMs);
+    record.serviceMs += SERVICE_SMOOTHING_SHARE *
+      (result.serviceMs - record.serviceMs);
   }
+  const { expected, nowMs } = options;
+  const [observedMs, expectedMs] = result.tokenMs === undefined
+    ? [result.serviceMs, expected.serviceMs]
+    : [result.tokenMs, expected.tokenMs];
+  if (observedMs === undefined) return;
+  record.slowness = addSlowness(record.slowness, {
+    observedMs,
+    expectedMs,
+    nowMs,
+  });
+}
+
+/** What a view is made with. */
+export interface ViewOptions {
+  readonly drains: Drains;
+  readonly expected: WorkExpectation;
+  readonly nowMs: number;
 }
 
 /** The server as the route choice sees it. */
-export function toView(record: ServerRecord, drains: Drains): ServerView {
+export function toView(
+  record: ServerRecord,
+  { drains, expected, nowMs }: ViewOptions,
+): ServerView {
   const { vm } = record;
+  const ratio = slownessRatio(record.slowness, nowMs);
   const isDrained = drains.places.includes(vm.place) ||
     drains.servers.includes(vm.vm);
   return {
@@ -94,8 +116,8 @@
     versions: record.versions,
     isTakingWork: vm.status === "live" && !record.isLeaving && !isDrained,
     breaker: record.breaker,
-    firstToken: record.firstToken,
-    service: record.service,
+    firstTokenMs: expected.firstTokenMs * ratio,
+    serviceMs: record.serviceMs,
     firstUsedAtMs: record.firstUsedAtMs,
   };
 }
--- a/src/report/trace_route.ts
+++ b/src/report/trace_route.ts
@@ -2,7 +2,6 @@
 import {
   chooseServer,
   CLOSED_BREAKER,
-  createLatency,
   DEFAULT_LOAD_PRIOR,
   DEFAULT_ROUTE_WEIGHTS,
   type RouteContext,
@@ -52,8 +51,8 @@
     breaker: server.isBreakerOpen
       ? { ...CLOSED_BREAKER, phase: "open", openUntilMs: OPEN_UNTIL_MS }
       : CLOSED_BREAKER,
-    firstToken: createLatency(FIRST_TOKEN_MS),
-    service: createLatency(SERVICE_MS),
+    firstTokenMs: FIRST_TOKEN_MS,
+    serviceMs: SERVICE_MS,
     firstUsedAtMs: undefined,
     report: {
       runningCount,
