Start the variance of ratings from the largest possible

A window's first few equal ratings gave a variance near the prior's 0.04 and weight 8, so three zeros in a row counted as proof. The variance now starts from mean times one minus mean, the most that scores in [0, 1] can have, with the weight of 16 ratings.

--- a/src/decision/evidence.ts
+++ b/src/decision/evidence.ts
@@ -4,15 +4,19 @@
  * the effect (a mixture sequential probability ratio test): under the
  * hypothesis that it speaks against, the chance that it ever reaches 1 / a is
  * at most a, however often it is looked at. Means are taken as normal, with
- * variances that a prior keeps from vanishing while ratings are few.
+ * variances that start from the largest that such scores can have.
  */
 import { meanOf, type RatingSum, varianceOf } from "./rating_sum.ts";
 
 /** Scale of the effects looked for, as a loss of mean score. */
 const EFFECT_SCALE_SHARE = 0.1;
-/** Weight of the prior variance, in ratings. */
-const VARIANCE_PRIOR_RATINGS = 8;
-const VARIANCE_PRIOR = 0.04;
+/**
+ * Weight of the prior variance, in ratings. The prior is the largest variance
+ * that scores in [0, 1] with the baseline's mean can have, so that a few equal
+ * ratings are not taken for certainty.
+ */
+const VARIANCE_PRIOR_RATINGS = 16;
+const LEAST_PRIOR_VARIANCE = 0.01;
 /** Largest exponent kept, so that evidence stays finite. */
 const MAX_EXPONENT = 600;
 
@@ -35,9 +39,14 @@
 ): Difference | undefined {
   const { version, baseline } = comparison;
   if (version.count === 0 || baseline.count === 0) return undefined;
+  const baselineMean = meanOf(baseline);
+  const prior = Math.max(
+    LEAST_PRIOR_VARIANCE,
+    baselineMean * (1 - baselineMean),
+  );
   return {
-    meanShare: meanOf(version) - meanOf(baseline),
-    variance: meanVarianceOf(version) + meanVarianceOf(baseline),
+    meanShare: meanOf(version) - baselineMean,
+    variance: meanVarianceOf(version, prior) + meanVarianceOf(baseline, prior),
   };
 }
 
@@ -119,10 +128,10 @@
   return scale * Math.exp(Math.min(MAX_EXPONENT, exponent));
 }
 
-function meanVarianceOf(sum: RatingSum): number {
+function meanVarianceOf(sum: RatingSum, priorVariance: number): number {
   const spread = varianceOf(sum) * sum.count;
   const count = sum.count + VARIANCE_PRIOR_RATINGS;
-  const variance = (spread + VARIANCE_PRIOR * VARIANCE_PRIOR_RATINGS) / count;
+  const variance = (spread + priorVariance * VARIANCE_PRIOR_RATINGS) / count;
   return variance / sum.count;
 }
 
--- a/src/decision/rollout_test.ts
+++ b/src/decision/rollout_test.ts
@@ -1,7 +1,7 @@
 /** Tests of roll-outs: steps, stops, restarts and racing controllers. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { type RolloutPlan, type VersionName } from "../model/mod.ts";
+import { hashShare, type RolloutPlan, type VersionName } from "../model/mod.ts";
 import {
   type ControlState,
   type LogRecord,
@@ -57,6 +57,21 @@
     }
   }
 
+  rateAllOrNothing(
+    version: VersionName,
+    options: { readonly count: number; readonly meanShare: number },
+  ): void {
+    for (let index = 0; index < options.count; index += 1) {
+      this.#drawCount += 1;
+      const isGood = hashShare(`draw ${this.#drawCount}`) < options.meanShare;
+      this.#addScore(version, isGood ? 1 : 0);
+    }
+  }
+
+  skipDraws(count: number): void {
+    this.#drawCount += count;
+  }
+
   #addScore(version: VersionName, scoreShare: number): void {
     const rating = { version, requestClass: "drafting" as const, scoreShare };
     this.watch = this.watch.addRating(rating, this.control);
@@ -172,6 +187,19 @@
   assert.equal(site.step()?.verdict, "withdraw");
 });
 
+test("ratings of all or nothing do not stop a good version", () => {
+  let stopCount = 0;
+  for (let run = 0; run < 40; run += 1) {
+    const site = new Site();
+    site.skipDraws(run * 10_000);
+    site.rateAllOrNothing("middle@1", { count: 500, meanShare: 0.8 });
+    site.step();
+    site.rateAllOrNothing("middle@2", { count: 500, meanShare: 0.8 });
+    if (site.watch.stops.has("middle@2")) stopCount += 1;
+  }
+  assert.equal(stopCount, 0);
+});
+
 test("a version that loses a little too much holds, however long", () => {
   const site = new Site();
   site.step();
