Add the controllers of roll-outs and of the engines

Roll-outs go on from records alone, whoever takes the steps, and a withdrawn version is withdrawn for good by an edit that the next controller makes if the first one died before it. Orders to engines are given under a lease: its holder counts from before its append, the others from when they read it, with a margin; it is asked again after each wait. Placement is declarative and starts from what the engines report.

--- /dev/null
+++ b/src/controller/fleet_controller_test.ts
@@ -0,0 +1,250 @@
+/** Tests of orders to engines: leases, late holders and lost replies. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  createSettings,
+  createTreeRecord,
+} from "../decision/version_fixture.ts";
+import {
+  noMetrics,
+  type Settings,
+  silentLogger,
+  type VersionName,
+} from "../model/mod.ts";
+import { MemoryJournal, MemoryLog } from "../platform/memory_journal.ts";
+import { type Controller } from "./controller_set.ts";
+import { engineRows, FakeControl, FakeEngine } from "./engine_fixture.ts";
+import { createFleetController } from "./fleet_controller.ts";
+import { LeaseKeeper } from "./lease_keeper.ts";
+
+const TTL_MS = 10_000;
+const ORDER_TIMEOUT_MS = 2000;
+
+interface Process {
+  readonly journal: MemoryJournal;
+  readonly control: FakeControl;
+  readonly lease: LeaseKeeper;
+  run(): Promise<void>;
+}
+
+/** Engines, a log and any number of processes on one virtual clock. */
+class Site {
+  readonly log = new MemoryLog();
+  readonly engines = new Map<string, FakeEngine>();
+  nowMs = 0;
+  #editCount = 0;
+
+  constructor(
+    versions: Readonly<Record<string, readonly VersionName[]>>,
+    options: { readonly checksFence: boolean },
+  ) {
+    for (const [name, loaded] of Object.entries(versions)) {
+      this.engines.set(name, new FakeEngine(loaded, options));
+    }
+  }
+
+  edit(changes: Partial<Settings>): void {
+    this.#editCount += 1;
+    const id = `edit-${this.#editCount}`;
+    this.log.push({ ...createTreeRecord(createSettings(changes)), id });
+  }
+
+  process(holder: string): Process {
+    const journal = new MemoryJournal(this.log);
+    const control = new FakeControl(this.engines);
+    const clock = (): number => this.nowMs;
+    const lease = new LeaseKeeper({
+      name: "fleet",
+      holder,
+      ttlMs: TTL_MS,
+      journal,
+      clock,
+      appendTimeoutMs: 1000,
+    });
+    const controller: Controller = createFleetController({
+      journal,
+      clock,
+      lease,
+      engines: control,
+      vms: () => engineRows(this.engines.keys()),
+      sizeMbOf: () => Promise.resolve(undefined),
+      periodMs: 1000,
+      orderTimeoutMs: ORDER_TIMEOUT_MS,
+      maxLoading: 2,
+    });
+    const context = {
+      clock,
+      logger: silentLogger,
+      metrics: noMetrics,
+      signal: new AbortController().signal,
+    };
+    return { journal, control, lease, run: () => controller.run(context) };
+  }
+
+  /** Runs a process often enough that it holds the lease and has acted. */
+  async settle(process: Process): Promise<void> {
+    for (let turn = 0; turn < 30; turn += 1) {
+      await process.run();
+      this.nowMs += 1000;
+    }
+  }
+
+  orderCount(): number {
+    let count = 0;
+    for (const engine of this.engines.values()) count += engine.orders.length;
+    return count;
+  }
+
+  holders(version: VersionName): string[] {
+    return [...this.engines].filter(([, engine]) => engine.loaded.has(version))
+      .map(([name]) => name);
+  }
+}
+
+interface Gate {
+  readonly wait: () => Promise<void>;
+  readonly open: () => void;
+  /** Resolves once somebody waits. */
+  readonly reached: Promise<void>;
+}
+
+function createGate(): Gate {
+  const opened = createSignal();
+  const reached = createSignal();
+  return {
+    wait: () => {
+      reached.resolve();
+      return opened.promise;
+    },
+    open: opened.resolve,
+    reached: reached.promise,
+  };
+}
+
+function createSignal(): { promise: Promise<void>; resolve: () => void } {
+  let resolve: () => void = () => {};
+  const promise = new Promise<void>((done) => {
+    resolve = done;
+  });
+  return { promise, resolve };
+}
+
+const ALL: readonly VersionName[] = ["small@1", "middle@1", "large@1"];
+
+for (const checksFence of [true, false]) {
+  const kind = checksFence ? "that check" : "that do not check";
+
+  test(`a holder paused past its lease gives engines ${kind} no order`, async () => {
+    const site = new Site({ e1: ALL, e2: [], e3: [] }, { checksFence });
+    site.edit({});
+    const first = site.process("first");
+    await first.run();
+    site.nowMs += ORDER_TIMEOUT_MS;
+    const gate = createGate();
+    first.control.afterReport = gate.wait;
+    first.journal.isPaused = true;
+    const paused = first.run();
+    await gate.reached;
+    const second = site.process("second");
+    await second.run();
+    assert.equal(second.lease.isStanding(), false);
+    await site.settle(second);
+    assert.equal(second.lease.isStanding(), true);
+    const before = site.orderCount();
+    assert.ok(before > 0);
+    gate.open();
+    await paused;
+    assert.equal(site.orderCount(), before);
+  });
+
+  test(`an old holder's order in flight ends well on engines ${kind}`, async () => {
+    const site = new Site({ e1: ALL, e2: ALL }, { checksFence });
+    site.edit({ withdrawn: [{ version: "small@1", running: "finish" }] });
+    const first = site.process("first");
+    await first.run();
+    site.nowMs += ORDER_TIMEOUT_MS;
+    await first.run();
+    site.nowMs += 600_000;
+    const gate = createGate();
+    first.control.beforeOrder = gate.wait;
+    const late = first.run();
+    await gate.reached;
+    site.edit({ withdrawn: [], allowed: [...ALL, "middle@2"] });
+    const second = site.process("second");
+    await site.settle(second);
+    assert.equal(site.holders("middle@2").length, 2);
+    gate.open();
+    await late;
+    assert.equal(site.holders("small@1").includes("e1"), checksFence);
+    await site.settle(second);
+    assert.deepEqual(site.holders("small@1"), ["e1", "e2"]);
+  });
+}
+
+test("a lost reply is made good by the next report, not by a second order", async () => {
+  const site = new Site({ e1: ALL, e2: ALL, e3: ["small@1"] }, {
+    checksFence: true,
+  });
+  site.edit({ allowed: [...ALL, "middle@2"] });
+  const process = site.process("first");
+  process.control.losesReplies = true;
+  await site.settle(process);
+  assert.equal(site.holders("middle@2").length, 2);
+  assert.equal(site.orderCount(), 2);
+});
+
+test("a withdrawn version is unloaded after its answers had time to end", async () => {
+  const site = new Site({ e1: ALL, e2: ALL }, { checksFence: true });
+  site.edit({});
+  const process = site.process("first");
+  await site.settle(process);
+  site.edit({ withdrawn: [{ version: "small@1", running: "finish" }] });
+  await site.settle(process);
+  assert.equal(site.holders("small@1").length, 2);
+  site.nowMs += 600_000;
+  await site.settle(process);
+  assert.deepEqual(site.holders("small@1"), []);
+});
+
+test("a version brought back before the order keeps its last engine", async () => {
+  const site = new Site({ e1: ["middle@1", "small@1"], e2: [] }, {
+    checksFence: true,
+  });
+  site.edit({ allowed: [] });
+  const process = site.process("first");
+  await site.settle(process);
+  site.nowMs += 600_000;
+  process.control.beforeOrder = () => {
+    if (site.orderCount() === 0) site.edit({ allowed: ["small@1"] });
+    return Promise.resolve();
+  };
+  await process.run();
+  assert.deepEqual(site.holders("middle@1"), []);
+  assert.deepEqual(site.holders("small@1"), ["e1"]);
+});
+
+test("while the log is down nobody takes over and the holder stops", async () => {
+  const site = new Site({ e1: ALL, e2: [] }, { checksFence: false });
+  site.edit({});
+  const first = site.process("first");
+  await first.run();
+  site.log.mode = "down";
+  site.nowMs += TTL_MS + 5000;
+  await first.run();
+  const second = site.process("second");
+  await second.run();
+  assert.equal(first.lease.isStanding(), false);
+  assert.equal(second.lease.isStanding(), false);
+  assert.equal(site.orderCount(), 0);
+});
+
+test("an acquisition whose reply is lost still counts from before it", async () => {
+  const site = new Site({ e1: ALL, e2: [] }, { checksFence: true });
+  site.edit({});
+  const process = site.process("first");
+  site.log.mode = "reply_lost";
+  await process.run();
+  assert.equal(process.lease.isStanding(), true);
+  site.nowMs += TTL_MS;
+  assert.equal(process.lease.isStanding(), false);
+});
--- /dev/null
+++ b/src/controller/mod.ts
@@ -0,0 +1,5 @@
+/** The controllers of state: roll-outs and orders to engines. */
+export * from "./controller_set.ts";
+export * from "./fleet_controller.ts";
+export * from "./lease_keeper.ts";
+export * from "./rollout_controller.ts";
--- /dev/null
+++ b/src/controller/rollout_controller_test.ts
@@ -0,0 +1,143 @@
+/** Tests of the controller of roll-outs against a log that fails. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  createPlan,
+  createSettings,
+  createTreeRecord,
+} from "../decision/version_fixture.ts";
+import {
+  isUsable,
+  noMetrics,
+  ROOT_PATH,
+  silentLogger,
+  type VersionName,
+} from "../model/mod.ts";
+import { MemoryJournal, MemoryLog } from "../platform/memory_journal.ts";
+import { type LogRecord } from "../state/mod.ts";
+import { createRolloutController } from "./rollout_controller.ts";
+
+const CONTEXT = {
+  clock: () => 0,
+  logger: silentLogger,
+  metrics: noMetrics,
+  signal: new AbortController().signal,
+};
+
+class Site {
+  readonly log = new MemoryLog();
+  readonly journal = new MemoryJournal(this.log);
+
+  constructor() {
+    this.log.push(createTreeRecord(createSettings({
+      allowed: ["middle@1", "middle@2"],
+      rollouts: [createPlan({ stepShares: [0.1, 1] })],
+    })));
+    this.rate("middle@1", { count: 500, scoreShare: 0.82 });
+  }
+
+  /** A new controller's first run: it knows nothing but the records. */
+  async runNew(): Promise<void> {
+    const journal = new MemoryJournal(this.log);
+    const options = { journal, periodMs: 1000, appendTimeoutMs: 1000 };
+    await createRolloutController(options).run(CONTEXT);
+  }
+
+  rate(
+    version: VersionName,
+    options: { readonly count: number; readonly scoreShare: number },
+  ): void {
+    const { count, scoreShare } = options;
+    this.log.push({
+      kind: "quality",
+      id: `quality-${this.log.records.length}`,
+      vm: "vm-1",
+      version,
+      requestClass: "drafting",
+      count,
+      scoreSum: count * scoreShare,
+      scoreSquareSum: count * (scoreShare ** 2 + 0.02),
+    });
+  }
+
+  kinds(): string[] {
+    const ofStep = (record: LogRecord): string =>
+      record.kind === "rollout_step" ? record.verdict : "";
+    return this.log.records.map(ofStep).filter((kind) => kind !== "");
+  }
+
+  get isWithdrawn(): boolean {
+    const { tree } = this.journal.control();
+    return !isUsable(tree.resolve(ROOT_PATH).values, "middle@2");
+  }
+}
+
+test("controllers killed after each run bring a good version through", async () => {
+  const site = new Site();
+  for (let run = 1; run <= 3; run += 1) {
+    await site.runNew();
+    await site.runNew();
+    site.rate("middle@2", { count: 300 * run, scoreShare: 0.82 });
+  }
+  assert.deepEqual(site.kinds(), ["start", "advance", "complete"]);
+});
+
+test("a bad version is withdrawn by step and by edit, each once", async () => {
+  const site = new Site();
+  await site.runNew();
+  site.rate("middle@2", { count: 100, scoreShare: 0.3 });
+  for (let run = 0; run < 4; run += 1) await site.runNew();
+  assert.deepEqual(site.kinds(), ["start", "withdraw"]);
+  assert.equal(site.isWithdrawn, true);
+  const edits = site.log.records.filter((record) => record.kind === "edit");
+  assert.equal(edits.length, 2);
+});
+
+test("a controller killed between step and edit leaves the edit to the next", async () => {
+  const site = new Site();
+  await site.runNew();
+  site.rate("middle@2", { count: 100, scoreShare: 0.3 });
+  site.log.beforeAppend = () => {
+    site.log.mode = site.kinds().includes("withdraw") ? "down" : "up";
+    return Promise.resolve();
+  };
+  await site.runNew();
+  assert.deepEqual([site.kinds().at(-1), site.isWithdrawn], [
+    "withdraw",
+    false,
+  ]);
+  site.log.beforeAppend = () => Promise.resolve();
+  site.log.mode = "up";
+  await site.runNew();
+  assert.equal(site.isWithdrawn, true);
+});
+
+test("with the log down in mid-roll-out nothing moves, then it goes on", async () => {
+  const site = new Site();
+  await site.runNew();
+  site.rate("middle@2", { count: 300, scoreShare: 0.82 });
+  site.log.mode = "down";
+  await site.runNew();
+  assert.deepEqual(site.kinds(), ["start"]);
+  site.log.mode = "reply_lost";
+  await site.runNew();
+  await site.runNew();
+  assert.deepEqual(site.kinds(), ["start", "advance"]);
+});
+
+test("an operator who brings the version back is not overruled", async () => {
+  const site = new Site();
+  await site.runNew();
+  site.rate("middle@2", { count: 100, scoreShare: 0.3 });
+  await site.runNew();
+  await site.runNew();
+  const { revision } = site.journal.control();
+  site.log.push({
+    ...createTreeRecord(createSettings({ withdrawn: [] })),
+    id: "undo",
+    change: { set: { withdrawn: [] }, clear: [] },
+    base: revision,
+  });
+  await site.runNew();
+  assert.equal(site.isWithdrawn, false);
+});
