--- a/bench/versions/exposure.ts
+++ b/bench/versions/exposure.ts
@@ -115,6 +115,7 @@
       answerCount: 40_000,
       vmCount: 8,
       ratedShare: 0.2,
+      newRatedShare: 1,
       ratingDelay: 50,
       publishEvery: 200,
       meanShare: 0.82,
--- a/bench/versions/rollout_world.ts
+++ b/bench/versions/rollout_world.ts
@@ -41,7 +41,10 @@
   readonly random: Random;
   readonly answerCount: number;
   readonly vmCount: number;
+  /** Share of the baseline's answers that are rated. */
   readonly ratedShare: number;
+  /** Share of the new version's answers that are rated. */
+  readonly newRatedShare: number;
   /** Answers that arrive between an answer and its rating. */
   readonly ratingDelay: number;
   /** Answers between two publications of the VMs' totals. */
@@ -178,9 +181,10 @@
       readonly index: number;
     },
   ): void {
-    const { random, ratedShare, ratingDelay, meanShare, deviationShare } =
-      this.#options;
-    if (random() >= ratedShare) return;
+    const { random, ratingDelay, meanShare, deviationShare } = this.#options;
+    const isNew = answer.version === this.#options.plan.version;
+    const { newRatedShare, ratedShare } = this.#options;
+    if (random() >= (isNew ? newRatedShare : ratedShare)) return;
     this.#pending.push({
       dueAt: answer.index + ratingDelay,
       vmIndex: answer.session.vmIndex,
