Let the test proxy close a connection only behind its last byte

Cause: one keyed call in about 30 ended as may_have_run, backend_failed without any fault. Ruled out: the client (320 keyed calls without a proxy, none cut). The proxy destroyed a link a fixed 1 ms after its delay, before the timer that wrote the reply. It now closes a side once what was queued for it is written. A test with replies closed behind fails on the old proxy (it never ends).

--- /dev/null
+++ b/src/platform/plain_service_test.ts
@@ -0,0 +1,68 @@
+/** Tests of the client of plain services. */
+import assert from "node:assert/strict";
+import { createServer, type Server } from "node:http";
+import { once } from "node:events";
+import { type AddressInfo } from "node:net";
+import { test } from "node:test";
+import { type ServiceRequest } from "../model/mod.ts";
+import { ServiceClient } from "./plain_service.ts";
+
+const ROUNDS = 40;
+const AT_ONCE = 8;
+const TIMEOUT_MS = 10_000;
+
+function keyedRequest(index: number): ServiceRequest {
+  return {
+    kind: "service",
+    requestId: `r${index}`,
+    workspace: "/khomas/heritage",
+    session: undefined,
+    idempotencyKey: `k${index}`,
+    deadlineMs: TIMEOUT_MS,
+    service: "records-desk",
+    method: "POST",
+    target: "/",
+    contentType: "text/plain",
+    body: new TextEncoder().encode("claim"),
+  };
+}
+
+async function startServer(): Promise<{ server: Server; ports: Set<number> }> {
+  const ports = new Set<number>();
+  const server = createServer((request, response) => {
+    ports.add(request.socket.remotePort ?? 0);
+    request.resume().once("end", () => response.end("done"));
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  return { server, ports };
+}
+
+test("keyed calls never share a connection and none is cut", async () => {
+  const { server, ports } = await startServer();
+  const { port } = server.address() as AddressInfo;
+  const client = new ServiceClient({
+    connectTimeoutMs: 1000,
+    maxConnectionsPerServer: 4,
+    maxBodyBytes: 1024,
+  });
+  let failedCount = 0;
+  const callAll = async (lane: number): Promise<void> => {
+    for (let round = 0; round < ROUNDS; round += 1) {
+      const request = keyedRequest(lane * ROUNDS + round);
+      const called = await client.call(request, {
+        address: `127.0.0.1:${port}`,
+        signal: new AbortController().signal,
+        timeoutMs: TIMEOUT_MS,
+      });
+      if (called.isErr()) failedCount += 1;
+    }
+  };
+  await Promise.all(
+    Array.from({ length: AT_ONCE }, (_, lane) => callAll(lane)),
+  );
+  await client.close();
+  server.close();
+  assert.equal(failedCount, 0);
+  assert.equal(ports.size, ROUNDS * AT_ONCE);
+});
--- a/test/proxy.ts
+++ b/test/proxy.ts
@@ -152,7 +152,6 @@
     for (const socket of [this.#client, this.#server]) {
       socket.setNoDelay(true);
       socket.on("error", () => this.destroy());
-      socket.on("close", () => this.#closeSoon());
     }
     this.#carry("up");
     this.#carry("down");
@@ -172,11 +171,6 @@
     this.#server.resetAndDestroy();
   }
 
-  #closeSoon(): void {
-    if (this.isSilent) return;
-    setTimeout(() => this.destroy(), this.#switches.delayMs + 1);
-  }
-
   #carry(direction: Direction): void {
     const from = direction === "up" ? this.#client : this.#server;
     const to = direction === "up" ? this.#server : this.#client;
@@ -192,6 +186,9 @@
     from.on("end", () => {
       if (!this.isSilent) pipe.end();
     });
+    from.on("close", () => {
+      if (!this.isSilent) pipe.close();
+    });
   }
 
   #admits(direction: Direction): boolean {
@@ -210,6 +207,7 @@
 
 interface Queued {
   readonly chunk: Buffer;
+  readonly then: "continue" | "half_close" | "close";
   readonly dueMs: number;
 }
 
@@ -232,7 +230,7 @@
     return this.#queuedBytes;
   }
 
-  push(chunk: Buffer): void {
+  push(chunk: Buffer, then: Queued["then"] = "continue"): void {
     const { delayMs, bytesPerSecond } = this.#switches;
     const nowMs = performance.now();
     const workMs = bytesPerSecond > 0
@@ -240,13 +238,18 @@
       : 0;
     this.#freeMs = Math.max(this.#freeMs, nowMs) + workMs;
     this.#queuedBytes += chunk.length;
-    this.#queue.push({ chunk, dueMs: this.#freeMs + delayMs });
+    this.#queue.push({ chunk, then, dueMs: this.#freeMs + delayMs });
     if (this.#timer === undefined) this.#flush();
   }
 
   /** Half-closes the target once everything has been written. */
   end(): void {
-    this.push(Buffer.alloc(0));
+    this.push(Buffer.alloc(0), "half_close");
+  }
+
+  /** Closes the target once everything has been written. */
+  close(): void {
+    this.push(Buffer.alloc(0), "close");
   }
 
   onDrain(listener: () => void): void {
@@ -260,7 +263,7 @@
     while (next !== undefined && next.dueMs <= nowMs) {
       this.#queue.shift();
       this.#queuedBytes -= next.chunk.length;
-      this.#write(next.chunk);
+      this.#write(next);
       next = this.#queue[0];
     }
     if (next !== undefined) {
@@ -272,9 +275,10 @@
     }
   }
 
-  #write(chunk: Buffer): void {
+  #write({ chunk, then }: Queued): void {
     if (this.#to.destroyed) return;
-    if (chunk.length === 0) this.#to.end();
-    else this.#to.write(chunk);
+    if (chunk.length > 0) this.#to.write(chunk);
+    if (then === "half_close") this.#to.end();
+    if (then === "close") this.#to.destroySoon();
   }
 }
--- a/test/proxy_test.ts
+++ b/test/proxy_test.ts
@@ -90,3 +90,25 @@
   const fresh = await open(context, address);
   assert.equal(await echoOf(fresh, "two"), "two");
 });
+
+test("a reply that is closed behind arrives whole, however late", async () => {
+  const REPLY_BYTES = 200_000;
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.end(Buffer.alloc(REPLY_BYTES, 1));
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const proxy = new FaultProxy({ target: `127.0.0.1:${port}`, delayMs: 5 });
+  const [host, proxyPort] = (await proxy.listen()).split(":");
+  for (let round = 0; round < 50; round += 1) {
+    const socket = connect(Number(proxyPort), host);
+    let sizeBytes = 0;
+    socket.on("data", (chunk) => sizeBytes += chunk.length);
+    await once(socket, "close");
+    assert.equal(sizeBytes, REPLY_BYTES);
+  }
+  await proxy.close();
+  server.close();
+});
