--- a/src/bin/entry_limits.ts
+++ b/src/bin/entry_limits.ts
@@ -1,4 +1,5 @@
 /** The bounds of an entry's filters, from its settings. */
+import { DEFAULT_SUBSET_LIMITS } from "../decision/mod.ts";
 import { DEFAULT_FILTER_LIMITS, type FilterLimits } from "../filter/mod.ts";
 import { type ProcessSettings } from "./process_settings.ts";
 
@@ -39,15 +40,20 @@
 
 /**
  * Requests that one VM may run at once: a little over its even share of the
- * slots it knows of, so that requests wait here, where urgent ones pass, and not in the
- * engines' queues.
+ * slots it knows of, so that requests wait here, where urgent ones pass, and
+ * not in the engines' queues. Each known slot is shared by the VMs whose subset
+ * holds its server, which in a large site are not all.
  */
 export function runningLimitOf(options: {
   readonly slotCount: number;
   readonly vmCount: number;
   readonly bound: number;
 }): number {
-  const share = options.slotCount / Math.max(1, options.vmCount);
+  const sharerCount = Math.min(
+    options.vmCount,
+    DEFAULT_SUBSET_LIMITS.coverageCount,
+  );
+  const share = options.slotCount / Math.max(1, sharerCount);
   const wanted = Math.ceil(SHARE_HEADROOM * share);
   return Math.min(options.bound, Math.max(LEAST_RUNNING, wanted));
 }
