Compile the schema of a request's body once

It was built for every request, because two of its bounds are settings; these are now checked after it.

--- a/src/filter/http_app_test.ts
+++ b/src/filter/http_app_test.ts
@@ -105,6 +105,8 @@
   ["messages", {}, {}],
   ["messages.0.role", { messages: [{ role: "x", content: "" }] }, {}],
   ["max_tokens", { messages: MESSAGES, max_tokens: 0 }, {}],
+  ["max_tokens", { messages: MESSAGES, max_tokens: 1e9 }, {}],
+  ["messages", { messages: Array(1000).fill(MESSAGES[0]) }, {}],
   ["body", "{", {}],
   ["body", "null", {}],
 ];
--- a/src/filter/identify.ts
+++ b/src/filter/identify.ts
@@ -134,28 +134,33 @@
   return parsed.success ? ok(parsed.data) : err(faultOf(parsed.error));
 }
 
-interface ChatBody {
-  readonly messages: ModelRequest["messages"];
-  readonly max_tokens?: number | undefined;
-  readonly stream?: boolean | undefined;
-}
+const bodySchema = z.object({
+  messages: z.array(z.object({
+    role: z.enum(["system", "user", "assistant"]),
+    content: z.string(),
+  })).min(1),
+  max_tokens: z.number().int().min(1).optional(),
+  stream: z.boolean().optional(),
+});
+
+type ChatBody = z.infer<typeof bodySchema>;
 
 function parseBody(
   body: Uint8Array,
   options: IdentifyOptions,
 ): Result<ChatBody, Refusal> {
-  const schema = z.object({
-    messages: z.array(z.object({
-      role: z.enum(["system", "user", "assistant"]),
-      content: z.string(),
-    })).min(1).max(options.maxMessages),
-    max_tokens: z.number().int().min(1).max(options.maxTokens).optional(),
-    stream: z.boolean().optional(),
-  });
   const json = parseJson(body);
   if (json.isErr()) return err(json.error);
-  const parsed = schema.safeParse(json.value);
-  return parsed.success ? ok(parsed.data) : err(faultOf(parsed.error));
+  const parsed = bodySchema.safeParse(json.value);
+  if (!parsed.success) return err(faultOf(parsed.error));
+  const { messages, max_tokens } = parsed.data;
+  if (messages.length > options.maxMessages) {
+    return err(badRequest(`messages: at most ${options.maxMessages}`));
+  }
+  if ((max_tokens ?? 0) > options.maxTokens) {
+    return err(badRequest(`max_tokens: at most ${options.maxTokens}`));
+  }
+  return ok(parsed.data);
 }
 
 function parseJson(body: Uint8Array): Result<unknown, Refusal> {
