End an aborted sleep without an error

Every answered request aborts the timer of its deadline, and each abort made an error with a stack only to be caught.

--- a/src/platform/effects.ts
+++ b/src/platform/effects.ts
@@ -1,6 +1,5 @@
 /** The real clock, random source and timer, passed in by the programs. */
 import { performance } from "node:perf_hooks";
-import { setTimeout as delay } from "node:timers/promises";
 import { type Clock, type Random, type Sleep } from "../model/mod.ts";
 
 /** The clock, random source and timer of a process. */
@@ -14,15 +13,15 @@
 export const processEffects: Effects = {
   clock: () => performance.now(),
   random: () => Math.random(),
-  sleep: async (durationMs, signal) => {
-    try {
-      await delay(
-        durationMs,
-        undefined,
-        signal === undefined ? {} : { signal },
-      );
-    } catch {
-      // An aborted sleep ends early; the caller looks at its signal.
-    }
-  },
+  sleep: (durationMs, signal) =>
+    new Promise((resolve) => {
+      if (signal?.aborted) return resolve();
+      const onEnd = (): void => {
+        clearTimeout(timer);
+        signal?.removeEventListener("abort", onEnd);
+        resolve();
+      };
+      const timer = setTimeout(onEnd, durationMs);
+      signal?.addEventListener("abort", onEnd);
+    }),
 };
