--- a/src/filter/identify.ts
+++ b/src/filter/identify.ts
@@ -1,4 +1,3 @@
-// deno-lint-ignore-file camelcase
 /**
  * Reads a caller's request from headers and body. A fault names the field that
  * broke a rule; unknown body fields are ignored.
