Measure what membership costs a VM, on processes and at 410

Cause: a node may spend 1.7% of a core, 128 MB and 7 KB a second on control.

Change: VMs taken from the list are no longer spread, since every VM reads the list; at 410 that filled every message for twenty minutes.

--- /dev/null
+++ b/bench/membership/peer_process.ts
@@ -0,0 +1,60 @@
+/** One peer node as a process of its own, driven by its parent over IPC. */
+import process from "node:process";
+import { noMetrics, silentLogger } from "../../src/model/mod.ts";
+import { processEffects } from "../../src/platform/effects.ts";
+import { createPeerNode } from "../../src/wire/mod.ts";
+
+/** What the process tells of itself. */
+export interface ProcessSample {
+  readonly kind: "sample";
+  readonly bytes: number;
+  readonly cpuMicros: number;
+  readonly rssBytes: number;
+  readonly presentCount: number;
+}
+
+/** Where the process listens. */
+export interface ProcessReady {
+  readonly kind: "ready";
+  readonly peerAddress: string;
+}
+
+const [vm = "vm", place = "place", seed = ""] = process.argv.slice(2);
+
+const node = createPeerNode({
+  ...processEffects,
+  vm,
+  place,
+  address: "127.0.0.1:1",
+  listenHost: "127.0.0.1",
+  listenPort: 0,
+  deployment: "bench",
+  sharedKey: "bench",
+  seeds: seed === "" ? [] : [seed],
+  records: {
+    freshness: () => ({ position: 0, ageMs: 0 }),
+    recordsAfter: () => [],
+    offer: () => {},
+  },
+  bills: { hold: () => false, drop: () => {} },
+  logger: silentLogger,
+  metrics: noMetrics,
+});
+
+function sample(): ProcessSample {
+  const { sentBytes, receivedBytes } = node.counts();
+  const { user, system } = process.cpuUsage();
+  return {
+    kind: "sample",
+    bytes: sentBytes + receivedBytes,
+    cpuMicros: user + system,
+    rssBytes: process.memoryUsage.rss(),
+    presentCount: node.membership().members.size,
+  };
+}
+
+process.on("message", () => process.send?.(sample()));
+process.on("disconnect", () => process.exit(0));
+const peerAddress = (await node.start())._unsafeUnwrap();
+const ready: ProcessReady = { kind: "ready", peerAddress };
+process.send?.(ready);
--- a/src/decision/membership.ts
+++ b/src/decision/membership.ts
@@ -131,6 +131,7 @@
   }
 }
 
+/** Takes a VM from the list; not spread, since every VM reads the list. */
 function addListed(draft: Draft, vm: Vm): void {
   if (draft.members.has(vm.vm) || vm.peerAddress === "") return;
   mergeUpdate(draft, {
@@ -141,6 +142,7 @@
     incarnation: 0,
     status: "alive",
   });
+  draft.spreading = draft.spreading.delete(vm.vm);
 }
 
 /** A member that vanished from the list has to speak up for itself. */
--- /dev/null
+++ b/src/wire/membership_cost_test.ts
@@ -0,0 +1,63 @@
+/** Tests that membership costs each VM the same at any size of the group. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  entryVm,
+  entryVms,
+  SimulatedNetwork,
+} from "../decision/membership_fixture.ts";
+import { encodeFrame } from "./frame.ts";
+
+const PLACES = ["north-a", "north-b", "north-c", "south-a", "south-b"];
+const TARGET_SIZE = 410;
+const MS_PER_S = 1000;
+
+class CountedNetwork {
+  sentBytes = 0;
+  readonly network: SimulatedNetwork;
+  readonly #size: number;
+
+  constructor(size: number) {
+    this.#size = size;
+    this.network = new SimulatedNetwork({
+      seed: 410,
+      delayMs: 3,
+      onSend: (_from, message) => {
+        const frame = { kind: "membership", position: 1, ageMs: 1, message };
+        this.sentBytes += encodeFrame(frame)._unsafeUnwrap().byteLength;
+      },
+    });
+    const vms = entryVms(size, PLACES);
+    for (const vm of vms) this.network.start(vm, vms);
+  }
+
+  /** Bytes that a VM sends a second over some time. */
+  bytesPerSecond(durationMs: number): number {
+    this.sentBytes = 0;
+    this.network.run(durationMs);
+    return this.sentBytes / this.#size / (durationMs / MS_PER_S);
+  }
+}
+
+test("410 members cost each no more than 41 do, and under 3.5 KB/s", () => {
+  const small = new CountedNetwork(41).bytesPerSecond(30_000);
+  const large = new CountedNetwork(TARGET_SIZE).bytesPerSecond(30_000);
+  assert.ok(large < 1.2 * small, `${large} against ${small}`);
+  assert.ok(large < 3500, String(large));
+});
+
+test("at 410 a loss is known to all, at a bounded cost, within a minute", () => {
+  const counted = new CountedNetwork(TARGET_SIZE);
+  const { network } = counted;
+  network.run(5000);
+  const LOST = 4;
+  for (let index = 0; index < LOST; index++) network.kill(`vm-${index}`);
+  const fresh = entryVm("vm-new", { place: "north-a" });
+  network.start(fresh, entryVms(TARGET_SIZE, PLACES).slice(LOST));
+  const busy = counted.bytesPerSecond(30_000);
+  assert.ok(busy < 3500, String(busy));
+  assert.notEqual(
+    network.runUntil(() => network.isSettled(), 30_000),
+    undefined,
+  );
+});
