Let the bill of a whole answer count in place of a part's

Ruled out: holding the part's bill back, which would lose it with the VM. Change: bills say whether the answer was whole, replay lets the first whole one count, in any order, and keys bills by workspace and request. With the rule taken out of the ledger its first test fails.

--- a/src/filter/bill.ts
+++ b/src/filter/bill.ts
@@ -60,7 +60,10 @@
 export function createBill(options: BillOptions): Filter {
   return async (context, next) => {
     const outcome = await next(context);
-    if (isBillable(context)) await settle(billOf(context, options), options);
+    if (isBillable(context)) {
+      const bill = billOf(context, { options, isWhole: outcome.isOk() });
+      await settle(bill, options);
+    }
     return outcome;
   };
 }
@@ -72,16 +75,22 @@
 
 function billOf(
   { request, run }: RequestContext,
-  options: BillOptions,
+  of: { readonly options: BillOptions; readonly isWhole: boolean },
 ): RecordOf<"bill"> {
+  const { isWhole, options } = of;
   let priceMicroEur = 0;
   for (const line of run.lines) priceMicroEur += line.priceMicroEur;
   return {
-    id: contentId("bill", request.requestId),
+    id: contentId(
+      isWhole ? "bill" : "part",
+      request.workspace,
+      request.requestId,
+    ),
     kind: "bill",
     requestId: request.requestId,
     workspace: request.workspace,
     requestClass: request.kind === "model" ? request.requestClass : "service",
+    isWhole,
     lines: [...run.lines],
     priceMicroEur,
     vm: options.self,
--- a/src/filter/replay_property_test.ts
+++ b/src/filter/replay_property_test.ts
@@ -55,6 +55,7 @@
   return {
     id: "bill-r",
     kind: "bill",
+    isWhole: true,
     requestId: "r",
     workspace: WORKSPACE,
     requestClass: "lookup",
--- a/src/platform/journal.ts
+++ b/src/platform/journal.ts
@@ -4,6 +4,7 @@
  * from a peer, is behind it.
  */
 import { type Result } from "neverthrow";
+import { type SettingsPath } from "../model/mod.ts";
 import {
   type ControlState,
   type LogRecord,
@@ -54,7 +55,10 @@
   /** The request state of the shard that a shard key belongs to. */
   requests(shardKey: string): RequestState;
   /** The bill that counts for a request, where this process reads bills. */
-  billOf(requestId: string): RecordOf<"bill"> | undefined;
+  billOf(
+    workspace: SettingsPath,
+    requestId: string,
+  ): RecordOf<"bill"> | undefined;
   freshness(): Freshness;
   /**
    * Appends a record and waits until this process has replayed it, so that the
--- a/src/platform/memory_journal.ts
+++ b/src/platform/memory_journal.ts
@@ -4,6 +4,7 @@
  * lost reply, or a slow append.
  */
 import { err, ok, type Result } from "neverthrow";
+import { type SettingsPath } from "../model/mod.ts";
 import {
   ControlState,
   familyOf,
@@ -83,8 +84,11 @@
     return this.#requests;
   }
 
-  billOf(requestId: string): RecordOf<"bill"> | undefined {
-    return this.#ledger.billOf(requestId);
+  billOf(
+    workspace: SettingsPath,
+    requestId: string,
+  ): RecordOf<"bill"> | undefined {
+    return this.#ledger.billOf(workspace, requestId);
   }
 
   freshness(): Freshness {
--- a/src/platform/stream_journal.ts
+++ b/src/platform/stream_journal.ts
@@ -5,6 +5,7 @@
  * from the states replayed so far.
  */
 import { err, type Result } from "neverthrow";
+import { type SettingsPath } from "../model/mod.ts";
 import {
   controlCodec,
   ControlState,
@@ -94,8 +95,11 @@
     return pick(this.#requests, shardKey).state;
   }
 
-  billOf(requestId: string): RecordOf<"bill"> | undefined {
-    return pick(this.#bills, requestId).state.billOf(requestId);
+  billOf(
+    workspace: SettingsPath,
+    requestId: string,
+  ): RecordOf<"bill"> | undefined {
+    return pick(this.#bills, requestId).state.billOf(workspace, requestId);
   }
 
   freshness(): Freshness {
--- a/src/report/trace_replay.ts
+++ b/src/report/trace_replay.ts
@@ -205,8 +205,9 @@
   event: TraceEventOf<"bill">,
 ): TraceEventOf<"bill">["stated"] {
   const ledger = state.ledgers.get(event.stream) ?? LedgerState.empty;
+  const bill = ledger.billOf(event.workspace, event.requestId);
   return {
-    priceMicroEur: ledger.billOf(event.requestId)?.priceMicroEur ?? 0,
+    priceMicroEur: bill?.priceMicroEur ?? 0,
     billCount: ledger.totalOf(event.workspace).billCount,
   };
 }
--- a/src/state/ledger.ts
+++ b/src/state/ledger.ts
@@ -1,7 +1,10 @@
 /**
- * Bills, by replay of the bill streams; the first bill of a request wins. Totals
- * are kept for good, single bills for a window of the newest, so that a bill
- * that is appended twice within the window counts once.
+ * Bills, by replay of the bill streams. One bill counts for each request of a
+ * workspace: the first of a whole answer or, while there is none, the first of
+ * a part. A caller that was cut off and asks again elsewhere thus pays for its
+ * answer once, not for the part as well. Totals are kept for good, single bills
+ * for a window of the newest, so that a bill appended twice within the window
+ * counts once.
  */
 import { Map as PersistentMap } from "immutable";
 import { type SettingsPath } from "../model/mod.ts";
@@ -54,8 +57,11 @@
   }
 
   /** The bill that counts for a request, while it is kept. */
-  billOf(requestId: string): RecordOf<"bill"> | undefined {
-    return this.fields.bills.get(requestId);
+  billOf(
+    workspace: SettingsPath,
+    requestId: string,
+  ): RecordOf<"bill"> | undefined {
+    return this.fields.bills.get(keyOf({ workspace, requestId }));
   }
 
   /** The number of requests billed. */
@@ -83,16 +89,34 @@
 }
 
 function withBill(fields: LedgerFields, bill: RecordOf<"bill">): LedgerFields {
-  if (fields.bills.has(bill.requestId)) return fields;
+  const key = keyOf(bill);
+  const held = fields.bills.get(key);
+  if (held !== undefined && !isCountedOver(bill, held)) return fields;
   const before = fields.totals.get(bill.workspace);
+  const addedCount = held === undefined ? 1 : 0;
+  const addedMicroEur = bill.priceMicroEur - (held?.priceMicroEur ?? 0);
   const total: LedgerTotal = {
-    billCount: (before?.billCount ?? 0) + 1,
-    priceMicroEur: (before?.priceMicroEur ?? 0) + bill.priceMicroEur,
+    billCount: (before?.billCount ?? 0) + addedCount,
+    priceMicroEur: (before?.priceMicroEur ?? 0) + addedMicroEur,
   };
   return {
     ...fields,
-    billCount: fields.billCount + 1,
-    bills: fields.bills.set(bill.requestId, bill),
+    billCount: fields.billCount + addedCount,
+    bills: fields.bills.set(key, bill),
     totals: fields.totals.set(bill.workspace, total),
   };
 }
+
+/** Whether a later bill of the same request counts in place of `held`. */
+export function isCountedOver(
+  bill: RecordOf<"bill">,
+  held: RecordOf<"bill">,
+): boolean {
+  return bill.isWhole && !held.isWhole;
+}
+
+function keyOf(
+  bill: Pick<RecordOf<"bill">, "workspace" | "requestId">,
+): string {
+  return `${bill.workspace} ${bill.requestId}`;
+}
--- /dev/null
+++ b/src/state/ledger_test.ts
@@ -0,0 +1,75 @@
+/** Tests of which bill of a request counts. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { LedgerState } from "./ledger.ts";
+import { type RecordOf } from "./record.ts";
+
+function billOf(changes: Partial<RecordOf<"bill">>): RecordOf<"bill"> {
+  return {
+    id: "b",
+    kind: "bill",
+    requestId: "r1",
+    workspace: "/khomas/heritage",
+    requestClass: "drafting",
+    isWhole: true,
+    lines: [],
+    priceMicroEur: 40,
+    vm: "khomas-a-1",
+    ...changes,
+  };
+}
+
+function ledgerOf(bills: readonly RecordOf<"bill">[]): LedgerState {
+  let ledger = LedgerState.empty;
+  for (const [offset, bill] of bills.entries()) {
+    ledger = ledger.apply({ offset, records: [bill] });
+  }
+  return ledger;
+}
+
+const PART = billOf({ isWhole: false, priceMicroEur: 15 });
+
+test("a whole answer's bill counts in place of a part's, in any order", () => {
+  for (const bills of [[PART, billOf({})], [billOf({}), PART]]) {
+    const ledger = ledgerOf(bills);
+    const total = ledger.totalOf("/khomas/heritage");
+    assert.deepEqual(total, { billCount: 1, priceMicroEur: 40 });
+    assert.equal(ledger.billCount, 1);
+  }
+});
+
+test("a part is billed while there is no whole answer", () => {
+  const total = ledgerOf([PART]).totalOf("/khomas/heritage");
+  assert.deepEqual(total, { billCount: 1, priceMicroEur: 15 });
+});
+
+test("the same request id of two workspaces is billed to each", () => {
+  const ledger = ledgerOf([billOf({}), billOf({ workspace: "/erongo/x" })]);
+  assert.equal(ledger.billCount, 2);
+  assert.equal(ledger.totalOf("/erongo/x").priceMicroEur, 40);
+});
+
+test("any run of bills totals what the counted bills say", () => {
+  const anyBill = fc.record({
+    requestId: fc.constantFrom("r1", "r2", "r3"),
+    isWhole: fc.boolean(),
+    priceMicroEur: fc.nat(100),
+  }).map(billOf);
+  fc.assert(
+    fc.property(fc.array(anyBill, { maxLength: 20 }), (bills) => {
+      const ledger = ledgerOf([...bills, ...bills]);
+      let priceMicroEur = 0;
+      let billCount = 0;
+      for (const requestId of ["r1", "r2", "r3"]) {
+        const bill = ledger.billOf("/khomas/heritage", requestId);
+        if (bill === undefined) continue;
+        billCount += 1;
+        priceMicroEur += bill.priceMicroEur;
+      }
+      const total = ledger.totalOf("/khomas/heritage");
+      assert.deepEqual(total, { billCount, priceMicroEur });
+    }),
+    { seed: 11 },
+  );
+});
--- a/src/state/record.ts
+++ b/src/state/record.ts
@@ -160,13 +160,15 @@
   priceMicroEur: countSchema,
 });
 
-/** The bill of one request; the first record for a request wins. */
+/** The bill of one request; `src/state/ledger.ts` says which record counts. */
 export const billSchema = z.strictObject({
   ...head,
   kind: z.literal("bill"),
   requestId: identifierSchema,
   workspace: settingsPathSchema,
   requestClass: requestClassSchema.or(z.literal("service")),
+  /** Whether the answer was whole; a part is billed when its caller leaves. */
+  isWhole: z.boolean(),
   lines: z.array(billLineSchema).max(16),
   priceMicroEur: countSchema,
   vm: identifierSchema,
--- a/src/wire/peer_node_test.ts
+++ b/src/wire/peer_node_test.ts
@@ -22,6 +22,7 @@
 
 const bill: RecordOf<"bill"> = {
   kind: "bill",
+  isWhole: true,
   id: "bill-1",
   requestId: "request-1",
   workspace: "/khomas/heritage",
--- a/test/invariants_test.ts
+++ b/test/invariants_test.ts
@@ -58,6 +58,7 @@
   const payload = encodeBatch([{
     id: "b1",
     kind: "bill",
+    isWhole: true,
     requestId: "r1",
     workspace: WORKSPACE,
     requestClass: "drafting",
--- a/test/state/fixture.ts
+++ b/test/state/fixture.ts
@@ -83,6 +83,7 @@
   return {
     id,
     kind: "bill",
+    isWhole: true,
     requestId,
     workspace: "/khomas/heritage",
     requestClass: "lookup",
