Compress checkpoints, and fall back to the one before

Every process that reads a stream reads its checkpoints too, and a state's JSON form grows again when it is quoted inside records and calls.

A search returns the newest three whole checkpoints, since the newest may be of a release that this one cannot read. Records that are skipped are logged and counted.

--- a/src/platform/log_recovery.ts
+++ b/src/platform/log_recovery.ts
@@ -1,7 +1,8 @@
 /**
- * Finds the newest whole checkpoint of a stream. It looks back from the
+ * Finds the newest whole checkpoints of a stream. It looks back from the
  * stream's end in spans that grow, and decodes only entries that hold a part of
- * a checkpoint, so that a long tail costs little.
+ * a checkpoint, so that a long tail costs little. More than one is returned,
+ * since the newest may be of a release that this one cannot read.
  */
 import { ok, type Result } from "neverthrow";
 import {
@@ -26,16 +27,19 @@
 const PAGE_ENTRIES = 200;
 const PART_MARK = '"kind":"checkpoint"';
 
-/** The newest whole checkpoint, if the log keeps one. */
-export async function findCheckpoint(
+/** The most checkpoints that a search returns. */
+const MAX_FOUND = 3;
+
+/** The newest whole checkpoints, newest first; none if the log keeps none. */
+export async function findCheckpoints(
   options: SearchOptions,
-): Promise<Result<CheckpointText | undefined, LogFailure>> {
+): Promise<Result<CheckpointText[], LogFailure>> {
   let span = FIRST_SPAN_ENTRIES;
   while (true) {
     const from = Math.max(options.first, options.next - span);
     const found = await searchFrom(from, options);
-    if (found.isErr() || found.value !== undefined) return found;
-    if (from === options.first) return ok(undefined);
+    if (found.isErr() || found.value.length > 0) return found;
+    if (from === options.first) return found;
     span *= SPAN_GROWTH;
   }
 }
@@ -43,19 +47,21 @@
 async function searchFrom(
   from: number,
   options: SearchOptions,
-): Promise<Result<CheckpointText | undefined, LogFailure>> {
+): Promise<Result<CheckpointText[], LogFailure>> {
   const collector = new CheckpointCollector();
-  let newest: CheckpointText | undefined;
+  const found: CheckpointText[] = [];
   let offset = from;
   while (offset < options.next) {
     const page = await readPage(offset, options);
-    if (page.isErr()) return page.map(() => undefined);
+    if (page.isErr()) return page.map(() => []);
     const last = page.value.entries.at(-1);
     if (last === undefined) break;
-    newest = newestOf(collector, page.value.entries) ?? newest;
+    found.push(...collectFrom(collector, page.value.entries));
+    found.sort((a, b) => b.covers - a.covers);
+    found.length = Math.min(found.length, MAX_FOUND);
     offset = last.offset + 1;
   }
-  return ok(newest);
+  return ok(found);
 }
 
 function readPage(
@@ -65,16 +71,15 @@
   return client.read(stream, { from, limit: PAGE_ENTRIES, waitMs: 0 });
 }
 
-function newestOf(
+function collectFrom(
   collector: CheckpointCollector,
   entries: readonly RawEntry[],
-): CheckpointText | undefined {
-  let newest: CheckpointText | undefined;
+): CheckpointText[] {
+  const found: CheckpointText[] = [];
   for (const { offset, payload } of entries) {
     if (!payload.includes(PART_MARK)) continue;
     const whole = collector.collect(decodeEntry(offset, payload));
-    if (whole === undefined) continue;
-    if (newest === undefined || whole.covers > newest.covers) newest = whole;
+    if (whole !== undefined) found.push(whole);
   }
-  return newest;
+  return found;
 }
--- a/src/platform/log_stream.ts
+++ b/src/platform/log_stream.ts
@@ -19,7 +19,7 @@
 import { CheckpointTimer } from "./checkpoint_timer.ts";
 import { type JournalError } from "./journal.ts";
 import { type LogClient, type LogPage } from "./log_client.ts";
-import { findCheckpoint } from "./log_recovery.ts";
+import { findCheckpoints } from "./log_recovery.ts";
 import { LogTail, type TailOptions } from "./log_tail.ts";
 import { LogWriter, type WriterOptions } from "./log_writer.ts";
 
@@ -190,6 +190,7 @@
 
   #apply(raw: RawEntry): void {
     const entry = decodeEntry(raw.offset, raw.payload);
+    this.#reportSkipped(entry);
     this.#state = this.#state.apply(entry);
     this.#nextOffset += 1;
     const checkpoint = this.#collector.collect(entry);
@@ -200,6 +201,15 @@
     this.#writer.confirm(entry);
   }
 
+  #reportSkipped({ offset, records }: LogEntry): void {
+    const { logger, metrics, stream } = this.#options;
+    for (const record of records) {
+      if (record.kind !== "skipped") continue;
+      metrics.count("log.record_skipped", 1, { stream });
+      logger.warn("record skipped", { stream, offset, reason: record.reason });
+    }
+  }
+
   async #deliver(page: LogPage, startedMs: number): Promise<boolean> {
     if (page.next < this.#nextOffset) return this.#refuseOlderLog(page);
     const isBehind = page.next - this.#nextOffset > SEARCH_ENTRIES;
@@ -225,11 +235,13 @@
 
   async #recover(page: LogPage): Promise<boolean> {
     const { client, stream, logger } = this.#options;
-    const found = await findCheckpoint({ ...page, client, stream });
+    const found = await findCheckpoints({ ...page, client, stream });
     if (found.isErr()) return false;
     this.#hasSearched = true;
-    if (found.value !== undefined && this.adopt(found.value)) {
-      this.#checkpointTimer.seen(found.value.covers, false);
+    for (const checkpoint of found.value) {
+      if (!this.adopt(checkpoint)) continue;
+      this.#checkpointTimer.seen(checkpoint.covers, false);
+      break;
     }
     if (page.first <= this.#nextOffset) return true;
     logger.error("no checkpoint reaches the oldest record", { stream });
--- a/src/platform/log_writer.ts
+++ b/src/platform/log_writer.ts
@@ -56,7 +56,7 @@
 
 const RETRY_BASE_MS = 50;
 const RETRY_CAP_MS = 2000;
-const MAX_BATCH_CHARS = 512 * 1024;
+const MAX_BATCH_CHARS = 256 * 1024;
 
 /** Appends records to one stream and confirms them by replay. */
 export class LogWriter {
--- a/src/state/checkpoint.ts
+++ b/src/state/checkpoint.ts
@@ -2,9 +2,12 @@
  * Checkpoints: a state as records of its own stream, in parts of bounded size.
  * The log keeps records for a limited time, so the state is written again and
  * again; whoever starts reads the newest whole checkpoint and what follows it.
- * A checkpoint that is written twice says the same and does no harm.
+ * A checkpoint that is written twice says the same and does no harm. The text
+ * is compressed, since every process that reads the stream reads it too.
  */
-import { err, ok, type Result } from "neverthrow";
+import { Buffer } from "node:buffer";
+import { deflateRawSync, inflateRawSync } from "node:zlib";
+import { err, ok, Result } from "neverthrow";
 import { type Position } from "./position.ts";
 import {
   type LogEntry,
@@ -25,7 +28,8 @@
   checkpointId: string,
 ): Result<RecordOf<"checkpoint">[], string> {
   const { covers, text } = checkpoint;
-  const parts = Math.max(1, Math.ceil(text.length / MAX_PART_CHARS));
+  const packed = deflateRawSync(text).toString("base64");
+  const parts = Math.max(1, Math.ceil(packed.length / MAX_PART_CHARS));
   if (parts > MAX_PARTS) {
     return err(`a checkpoint of ${parts} parts is too big`);
   }
@@ -36,10 +40,13 @@
     covers,
     part,
     parts,
-    data: text.slice(part * MAX_PART_CHARS, (part + 1) * MAX_PART_CHARS),
+    data: packed.slice(part * MAX_PART_CHARS, (part + 1) * MAX_PART_CHARS),
   })));
 }
 
+/** The most bytes of a state's JSON form. */
+const MAX_TEXT_BYTES = 128 * 1024 * 1024;
+
 /** Checkpoints whose parts are awaited at the same time. */
 const MAX_OPEN = 4;
 
@@ -81,7 +88,9 @@
       return undefined;
     }
     this.#open.delete(record.checkpointId);
-    return { covers: open.covers, text: textOf(open) };
+    const text = unpack(packedOf(open));
+    if (text.isErr()) return undefined;
+    return { covers: open.covers, text: text.value };
   }
 
   #dropLeast(): void {
@@ -97,10 +106,18 @@
   }
 }
 
-function textOf(open: OpenCheckpoint): string {
+function packedOf(open: OpenCheckpoint): string {
   const parts: string[] = [];
   for (let part = 0; part < open.parts; part += 1) {
     parts.push(open.data.get(part) ?? "");
   }
   return parts.join("");
 }
+
+const unpack = Result.fromThrowable(
+  (packed: string) =>
+    inflateRawSync(Buffer.from(packed, "base64"), {
+      maxOutputLength: MAX_TEXT_BYTES,
+    }).toString("utf8"),
+  () => "the checkpoint cannot be decompressed",
+);
--- a/src/state/checkpoint_test.ts
+++ b/src/state/checkpoint_test.ts
@@ -140,8 +140,19 @@
   );
 });
 
+/** A text that hardly compresses, the same in each run. */
+function randomText(length: number): string {
+  let seed = 1;
+  let text = "";
+  while (text.length < length) {
+    seed = Math.imul(seed, 1_664_525) + 1_013_904_223 | 0;
+    text += (seed >>> 8).toString(36);
+  }
+  return text;
+}
+
 test("parts in any order, twice and mixed with others make one whole", () => {
-  const text = "x".repeat(2 * MAX_PART_CHARS) + "end";
+  const text = randomText(3 * MAX_PART_CHARS);
   const parts = partsOf(text);
   const [first, second, third] = parts as [
     RecordOf<"checkpoint">,
--- a/test/state/recovery_test.ts
+++ b/test/state/recovery_test.ts
@@ -2,7 +2,11 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { type LogJournal } from "../../src/platform/mod.ts";
-import { controlCodec, positionOf } from "../../src/state/mod.ts";
+import {
+  controlCodec,
+  positionOf,
+  splitCheckpoint,
+} from "../../src/state/mod.ts";
 import {
   claimOf,
   createLogFixture,
@@ -120,6 +124,26 @@
   await time.run(Promise.all([journal.close(), young.close()]));
 });
 
+test("a checkpoint that cannot be read gives way to the one before", async () => {
+  const fixture = createLogFixture();
+  const { time, log } = fixture;
+  putEdits(fixture, { from: 0, to: 10 });
+  const journal = await start(fixture);
+  await time.pass(RETENTION_MS / 2);
+  const covers = journal.control().position;
+  const text = JSON.stringify({ kind: "control of a later release" });
+  log.put(
+    "control",
+    splitCheckpoint({ covers, text }, "later")._unsafeUnwrap(),
+  );
+  log.retain("control", 10);
+  const young = await start(fixture);
+  const { revision } = journal.control();
+  assert.equal(young.control().revision, revision);
+  assert.deepEqual(young.control().tree, journal.control().tree);
+  await time.run(Promise.all([journal.close(), young.close()]));
+});
+
 test("without a checkpoint a cut log is not taken for the whole", async () => {
   const fixture = createLogFixture();
   putEdits(fixture, { from: 0, to: 10 });
