--- a/src/command/settings_check.ts
+++ b/src/command/settings_check.ts
@@ -22,6 +22,12 @@
   readonly node: NodeSettings;
 }
 
+/**
+ * The age that settings reach while all is well: a long poll of the log, its
+ * answer and a retry. Below it a VM would refuse requests for no cause.
+ */
+const MIN_STALE_MS = 5000;
+
 /** The nodes of a tree, or every fault in it, one line each. */
 export function checkTree(json: unknown): Result<CheckedNode[], string[]> {
   if (typeof json !== "object" || json === null || Array.isArray(json)) {
@@ -81,6 +87,10 @@
       faults.push(`${path}: ${version} is not in the root's catalogue`);
     }
   }
+  for (const { path, node } of nodes) {
+    if ((node.staleAfterMs ?? MIN_STALE_MS) >= MIN_STALE_MS) continue;
+    faults.push(`${path}: staleAfterMs is below ${MIN_STALE_MS}`);
+  }
   const places = root.places?.map(({ place }) => place);
   for (const place of root.drainedPlaces ?? []) {
     if (places === undefined || places.includes(place)) continue;
--- a/test/command/session_test.ts
+++ b/test/command/session_test.ts
@@ -155,9 +155,9 @@
   }
   const between = checkTree({
     "/": { catalogue: [], places: [], drainedPlaces: ["khomas-a"] },
-    "/a": { allowed: ["tagger@3"] },
+    "/a": { allowed: ["tagger@3"], staleAfterMs: 1000 },
   }).unwrapErr();
-  assert.equal(between.length, 2);
+  assert.equal(between.length, 3);
 });
 
 test("a load changes only the nodes that differ", () => {
