--- /dev/null
+++ b/src/command/fleet/show.ts
@@ -0,0 +1,116 @@
+/** `goldcrestpost fleet show` shows the engines and who gives them orders. */
+import { ROOT_PATH, type Settings, type Vm } from "../../model/mod.ts";
+import {
+  createEngineControl,
+  type ServerReport,
+  VmListClient,
+} from "../../platform/mod.ts";
+import { processEffects } from "../../platform/effects.ts";
+import { operatorFlags, SettingsCommand } from "../base.ts";
+import { faultOf } from "../exit_status.ts";
+
+const MS_PER_S = 1000;
+const REPORT_TIMEOUT_MS = 2000;
+const REPORTS_AT_A_TIME = 16;
+
+/** One engine as it is shown. */
+export interface EngineStatus {
+  readonly server: string;
+  readonly place: string;
+  readonly status: "serving" | "drained" | "leaving" | "no report";
+  readonly versions: readonly string[];
+  readonly loadShare: number;
+  readonly usedMemoryMb: number;
+  readonly memoryMb: number;
+}
+
+/** The command that shows the engines. */
+export class FleetShowCommand extends SettingsCommand {
+  static override readonly summary: string =
+    "Show the engines, what they hold, and who gives them orders";
+
+  static override readonly flags = { ...operatorFlags };
+
+  /** Prints the lease and the engines as JSON. */
+  async run(): Promise<void> {
+    const { flags } = await this.parse(FleetShowCommand);
+    await this.inSession(flags, async ({ operator, session }) => {
+      if (operator.vmListUrl === undefined) {
+        return this.fail(faultOf("faultySettings", "vmListUrl is not set"));
+      }
+      const list = await new VmListClient({
+        baseUrl: operator.vmListUrl,
+        clock: processEffects.clock,
+        timeoutMs: flags.timeout * MS_PER_S,
+      }).refresh();
+      if (list.isErr()) {
+        return this.fail(faultOf("unavailable", list.error.message));
+      }
+      const lease = session.control.leases.get("fleet");
+      const root = session.control.tree.resolve(ROOT_PATH).values;
+      const engines = await statusesOf(list.value.vms, root);
+      this.print({
+        holder: lease?.isReleased === false ? lease.holder : null,
+        fence: lease?.fence ?? null,
+        engines,
+      });
+    });
+  }
+}
+
+async function statusesOf(
+  vms: readonly Vm[],
+  root: Settings,
+): Promise<EngineStatus[]> {
+  const rows = vms.filter((vm) => vm.kind === "engine");
+  const control = createEngineControl({ timeoutMs: REPORT_TIMEOUT_MS });
+  const statuses: EngineStatus[] = [];
+  for (let start = 0; start < rows.length; start += REPORTS_AT_A_TIME) {
+    const some = rows.slice(start, start + REPORTS_AT_A_TIME);
+    const reports = await Promise.all(
+      some.map((vm) => control.report(vm.address)),
+    );
+    for (const [index, vm] of some.entries()) {
+      statuses.push(statusOf(vm, { report: reports[index], root }));
+    }
+  }
+  await control.close();
+  return statuses;
+}
+
+function statusOf(
+  vm: Vm,
+  options: {
+    readonly report: ServerReport | undefined;
+    readonly root: Settings;
+  },
+): EngineStatus {
+  const { report } = options;
+  const workCount = (report?.runningCount ?? 0) + (report?.queuedCount ?? 0);
+  return {
+    server: vm.vm,
+    place: vm.place,
+    status: serviceOf(vm, options),
+    versions: (report?.versions ?? []).map(({ version, state }) =>
+      state === "loaded" ? version : `${version} (${state})`
+    ),
+    loadShare: workCount / Math.max(1, report?.slotCount ?? 1),
+    usedMemoryMb: report?.usedMemoryMb ?? 0,
+    memoryMb: report?.memoryMb ?? 0,
+  };
+}
+
+function serviceOf(
+  vm: Vm,
+  options: {
+    readonly report: ServerReport | undefined;
+    readonly root: Settings;
+  },
+): EngineStatus["status"] {
+  const { report, root } = options;
+  if (report === undefined) return "no report";
+  if (vm.status === "leaving" || report.isLeaving) return "leaving";
+  const isDrained = root.drainedServers.includes(vm.vm) ||
+    root.drainedPlaces.includes(vm.place);
+  return isDrained ? "drained" : "serving";
+}
--- a/src/command/mod.ts
+++ b/src/command/mod.ts
@@ -1,7 +1,12 @@
 /** The commands of the program `goldcrestpost`, by name. */
 import { type Command } from "@oclif/core";
 import { CompareCommand } from "./compare.ts";
+import { FleetShowCommand } from "./fleet/show.ts";
 import { ReplayCommand } from "./replay.ts";
+import { RolloutPauseCommand } from "./rollout/pause.ts";
+import { RolloutStartCommand } from "./rollout/start.ts";
+import { RolloutStatusCommand } from "./rollout/status.ts";
+import { RolloutWithdrawCommand } from "./rollout/withdraw.ts";
 import { BurnCommand } from "./report/burn.ts";
 import { CheckCommand } from "./settings/check.ts";
 import { DrainCommand } from "./settings/drain.ts";
@@ -16,7 +21,12 @@
 /** Commands by topic and name, separated by a colon. */
 export const COMMANDS: Readonly<Record<string, Command.Class>> = {
   "compare": CompareCommand,
+  "fleet:show": FleetShowCommand,
   "replay": ReplayCommand,
+  "rollout:pause": RolloutPauseCommand,
+  "rollout:start": RolloutStartCommand,
+  "rollout:status": RolloutStatusCommand,
+  "rollout:withdraw": RolloutWithdrawCommand,
   "report:burn": BurnCommand,
   "settings:check": CheckCommand,
   "settings:drain": DrainCommand,
--- /dev/null
+++ b/src/command/rollout/pause.ts
@@ -0,0 +1,35 @@
+/** `goldcrestpost rollout pause NAME` holds a roll-out at its step. */
+import { Args, Flags } from "@oclif/core";
+import { editFlags, SettingsCommand } from "../base.ts";
+import { faultOf } from "../exit_status.ts";
+import { planOf, putPlan } from "./plan_edit.ts";
+
+/** The command that holds a roll-out at its step. */
+export class RolloutPauseCommand extends SettingsCommand {
+  static override readonly summary: string =
+    "Hold a roll-out at its step; a bad version is still withdrawn";
+
+  static override readonly args = {
+    name: Args.string({ required: true, description: "name of the roll-out" }),
+  };
+
+  static override readonly flags = {
+    ...editFlags,
+    undo: Flags.boolean({ description: "go on with the roll-out" }),
+  };
+
+  /** Publishes the edit and waits until it is in force. */
+  async run(): Promise<void> {
+    const { args, flags } = await this.parse(RolloutPauseCommand);
+    await this.publish(flags, ({ session }) => {
+      const { tree } = session.control;
+      const plan = planOf(tree, args.name);
+      if (plan === undefined) {
+        return this.fail(
+          faultOf("faultySettings", `there is no roll-out ${args.name}`),
+        );
+      }
+      return putPlan(tree, { ...plan, isPaused: !flags.undo });
+    });
+  }
+}
