Go on elsewhere when a silent server takes no work, and bound lookups

A stream resumed on its silent server was refused when that server's breaker had opened meanwhile; a GET of a plain service waited for its whole deadline on a dead connection.

Change: the router falls back to all servers when the wanted one takes no work.

--- a/src/filter/call_service.ts
+++ b/src/filter/call_service.ts
@@ -37,6 +37,8 @@
     report: ServerReport | undefined,
   ) => void;
   readonly retries: RetryGate;
+  /** How long a call that may be repeated waits for its answer. */
+  readonly silenceMs: number;
   readonly maxAttempts: number;
   readonly clock: Clock;
   readonly metrics: Metrics;
@@ -103,7 +105,8 @@
   const called = await options.services.call(request, {
     address: target.address,
     signal: context.life.signal,
-    timeoutMs: Math.max(1, context.life.leftMs()),
+    timeoutMs: timeoutMsOf(context, request, options),
+    isFresh: context.run.attemptCount > 1 || !isRepeatable(request),
   });
   const serviceMs = options.clock() - startedAtMs;
   if (called.isOk()) {
@@ -146,10 +149,24 @@
   return run.hasRun ? undefined : options.staleRefusal(context);
 }
 
+/** A call that may not be repeated waits for as long as its caller does. */
+function timeoutMsOf(
+  { life }: RequestContext,
+  request: ServiceRequest,
+  options: CallServiceOptions,
+): number {
+  const leftMs = Math.max(1, life.leftMs());
+  return isRepeatable(request) ? Math.min(leftMs, options.silenceMs) : leftMs;
+}
+
+function isRepeatable(request: ServiceRequest): boolean {
+  return isSafeMethod(request.method) && request.idempotencyKey === undefined;
+}
+
 function mayRepeat(request: ServiceRequest, error: ServiceError): boolean {
   if (error.fault === "unreachable") return true;
-  return isSafeMethod(request.method) && request.idempotencyKey === undefined &&
-    error.fault === "broken";
+  if (!isRepeatable(request)) return false;
+  return error.fault === "broken" || error.fault === "silent";
 }
 
 function finalRefusal(
--- a/src/filter/call_service_test.ts
+++ b/src/filter/call_service_test.ts
@@ -4,6 +4,7 @@
 import { err, ok } from "neverthrow";
 import { ServiceError, type ServiceFault } from "../platform/mod.ts";
 import { Fixture, refusalOf, send, serviceRequest } from "./fixture_test.ts";
+import { DEFAULT_FILTER_LIMITS } from "./limits.ts";
 
 function failFirst(fixture: Fixture, fault: ServiceFault): void {
   const answer = fixture.services.script;
@@ -36,12 +37,30 @@
   assert.notEqual(first?.address, second?.address);
 });
 
-test("a lookup that breaks is tried on another server", async () => {
+for (const fault of ["broken", "silent"] as const) {
+  test(`a lookup that ends "${fault}" is tried on another server`, async () => {
+    const fixture = new Fixture();
+    failFirst(fixture, fault);
+    const lookup = serviceRequest({ method: "GET", idempotencyKey: undefined });
+    assert.ok((await send(fixture.entry(), lookup).result).isOk());
+    const [first, second] = fixture.services.calls;
+    assert.notEqual(first?.address, second?.address);
+    assert.equal(second?.isFresh, true);
+  });
+}
+
+test("only a call that may be repeated gives up before its caller", async () => {
   const fixture = new Fixture();
-  failFirst(fixture, "broken");
+  const entry = fixture.entry();
   const lookup = serviceRequest({ method: "GET", idempotencyKey: undefined });
-  assert.ok((await send(fixture.entry(), lookup).result).isOk());
-  assert.equal(fixture.services.calls.length, 2);
+  const silenceMs = DEFAULT_FILTER_LIMITS.silence.lookup.firstByteMs;
+  for (const request of [lookup, serviceRequest()]) {
+    assert.ok((await send(entry, request).result).isOk());
+  }
+  assert.deepEqual(
+    fixture.services.calls.map((call) => call.timeoutMs),
+    [silenceMs, 10_000],
+  );
 });
 
 test("services that cannot be reached refuse not run", async () => {
--- a/src/filter/dispatch_test.ts
+++ b/src/filter/dispatch_test.ts
@@ -113,6 +113,26 @@
   assert.equal(third?.fromIndex, 2);
 });
 
+test("streams go on elsewhere once their silent server's breaker opens", async () => {
+  const fixture = new Fixture();
+  const silent = new Set<string>();
+  fixture.engines.script = async function* (call): Frames {
+    if (silent.size === 0) silent.add(call.address);
+    if (!silent.has(call.address)) return yield* framesOf(call, WORDS);
+    yield ok(frame(call, call.fromIndex));
+    yield errOf("silent");
+  };
+  const entry = fixture.entry();
+  for (let turn = 0; turn < 4; turn += 1) {
+    assert.equal(await answerOf(entry), "abcd");
+  }
+  const [address = ""] = silent;
+  const visits = fixture.engines.calls.filter((call) =>
+    call.address === address
+  );
+  assert.equal(visits.length, 3);
+});
+
 test("a version without a server is stood in for by an allowed one", async () => {
   const fixture = new Fixture();
   fixture.engines.script = (call) =>
--- a/src/filter/request_chains.ts
+++ b/src/filter/request_chains.ts
@@ -74,6 +74,7 @@
     ...options,
     silence: limits.silence,
     maxAttempts: limits.maxAttempts,
+    silenceMs: limits.silence.lookup.firstByteMs,
     noteReport: directory.note.bind(directory),
     noteLeaving: directory.noteLeaving.bind(directory),
   };
--- a/src/filter/router.ts
+++ b/src/filter/router.ts
@@ -9,6 +9,7 @@
   DEFAULT_LOAD_PRIOR,
   DEFAULT_ROUTE_WEIGHTS,
   type NoRouteReason,
+  type RouteOptions,
   type RoutePolicy,
   type ServerView,
   twoChoices,
@@ -42,7 +43,7 @@
   readonly requestClass: RequestClass;
   readonly leftMs: number;
   readonly excluded: ReadonlySet<string>;
-  /** The only server that will do, for a resumed stream. */
+  /** The server that a resumed stream goes to, unless it takes none now. */
   readonly only?: string | undefined;
   /** Names the conversation whose prefix may be cached. */
   readonly prefixKey: string | undefined;
@@ -75,11 +76,12 @@
 export function createRouter(options: RouterOptions): Router {
   return (query) => {
     const views = options.table.views(query.service, workOf(query));
-    const choice = chooseServer(narrow(views, query.only), {
+    const request = {
       ...query,
-      prefixShareOf: (server) =>
+      prefixShareOf: (server: string): number =>
         options.prefixes.shareAt(query.prefixKey, server),
-    }, {
+    };
+    const surroundings: RouteOptions = {
       context: {
         nowMs: options.clock(),
         random: options.random,
@@ -90,7 +92,15 @@
           options.distanceTo(place).egressMicroEurPerMb,
       },
       policy: options.policy ?? twoChoices,
-    });
+    };
+    const narrowed = chooseServer(
+      narrow(views, query.only),
+      request,
+      surroundings,
+    );
+    const choice = narrowed.kind === "none"
+      ? chooseServer(views, request, surroundings)
+      : narrowed;
     if (choice.kind === "none") return err(choice.reason);
     const { server } = choice.chosen.view;
     const address = options.table.addressOf(server);
--- a/src/platform/plain_service.ts
+++ b/src/platform/plain_service.ts
@@ -36,6 +36,8 @@
   readonly address: string;
   readonly signal: AbortSignal;
   readonly timeoutMs: number;
+  /** Whether to open a connection of its own for this call. */
+  readonly isFresh: boolean;
 }
 
 /** What the filters need of the plain services. */
@@ -77,9 +79,7 @@
   ): Promise<Result<ServiceAnswer, ServiceError>> {
     const timeout = AbortSignal.timeout(Math.ceil(options.timeoutMs));
     const signal = AbortSignal.any([options.signal, timeout]);
-    const agent = request.idempotencyKey === undefined
-      ? this.#kept
-      : this.#fresh;
+    const agent = options.isFresh ? this.#fresh : this.#kept;
     try {
       const response = await agent.request({
         origin: `http://${options.address}`,
