Run clusters with faults alone and in pairs

Cause: the promises have to hold on real processes while links and processes fail.

The cases wait for the programs.

--- a/standin/engine.ts
+++ b/standin/engine.ts
@@ -62,6 +62,7 @@
   readonly #streams = new Set<EngineStream>();
   readonly #sessions = new Map<string, string>();
   #sequence = 0;
+  #streamCount = 0;
   #report = { text: "", atMs: -Infinity };
 
   constructor(options: EngineOptions) {
@@ -177,6 +178,8 @@
   #takeFault(): StreamFault | undefined {
     const fault = this.switches.streamFault;
     if (fault === undefined || fault.count <= 0) return undefined;
+    this.#streamCount += 1;
+    if (this.#streamCount % (fault.everyNth ?? 1) !== 0) return undefined;
     this.switches.streamFault = { ...fault, count: fault.count - 1 };
     return fault;
   }
--- a/standin/engine_options.ts
+++ b/standin/engine_options.ts
@@ -23,11 +23,16 @@
   readonly cacheEventGapEvery?: number;
 }
 
-/** A fault of the next `count` streams, once `afterTokens` frames are out. */
+/**
+ * A fault of `count` streams, every `everyNth` of those that start, once
+ * `afterTokens` frames are out.
+ */
 export interface StreamFault {
   readonly kind: "silent" | "crossed" | "repeated" | "ended_early" | "reset";
   readonly afterTokens: number;
   readonly count: number;
+  /** 1 for each stream. */
+  readonly everyNth?: number;
 }
 
 /** Faults of the engine, changed at any time. */
--- /dev/null
+++ b/test/integration/fault_case.ts
@@ -0,0 +1,82 @@
+/**
+ * One case of the integration tests: a deployment of three VMs under load with
+ * faults in its middle, judged by the invariants.
+ */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Cluster } from "../cluster.ts";
+import { type FaultName } from "../faults.ts";
+import { checkInvariants } from "../invariants.ts";
+import { runScenario, type ScenarioResult } from "../scenario.ts";
+import {
+  type Deployment,
+  readSitePlan,
+  readTree,
+  withEntryCount,
+} from "../site_plan.ts";
+import { Workload } from "../workload.ts";
+
+const ENTRY_COUNT = 3;
+const REQUESTS_PER_SECOND = 12;
+const DURATION_MS = 4000;
+const DEADLINE_MS = 8000;
+const TEST_TIMEOUT_MS = 90_000;
+
+/** A case: which faults, where, and the seed of its load. */
+export interface FaultCase {
+  readonly deployment: Deployment;
+  readonly faults: readonly FaultName[];
+  readonly seed: number;
+}
+
+/** Registers the test of a case. */
+export function testFaults(
+  fault: FaultCase,
+  check: (result: ScenarioResult) => void = () => {},
+): void {
+  const name = `${fault.deployment}: ${fault.faults.join(" with ")}`;
+  test(name, { timeout: TEST_TIMEOUT_MS }, async () => {
+    const result = await runCase(fault);
+    const violations = checkInvariants(result.evidence);
+    assert.deepEqual(violations, []);
+    const isWhole = result.asked.some((one) => one.last.end === "whole");
+    assert.ok(isWhole, "no request was answered");
+    check(result);
+  });
+}
+
+/** Runs a case on a cluster of its own. */
+export async function runCase(fault: FaultCase): Promise<ScenarioResult> {
+  const { deployment, faults, seed } = fault;
+  const plan = withEntryCount(readSitePlan(deployment), ENTRY_COUNT);
+  const tree = readTree(deployment);
+  const cluster = await Cluster.start({
+    plan,
+    tree,
+    seed,
+    hasControllers: false,
+  });
+  try {
+    return await runScenario({
+      cluster,
+      workload: new Workload({
+        plan,
+        seed,
+        deadlineMs: DEADLINE_MS,
+        name: `t${seed}`,
+      }),
+      requestsPerSecond: REQUESTS_PER_SECOND,
+      durationMs: DURATION_MS,
+      faults,
+    });
+  } finally {
+    await cluster.close();
+  }
+}
+
+/** Every request of a run was answered whole. */
+export function assertAllWhole({ asked }: ScenarioResult): void {
+  const others = asked.filter((one) => one.last.end !== "whole")
+    .map(({ last }) => `${last.requestId}: ${last.end} ${last.reason}`);
+  assert.deepEqual(others, []);
+}
