Let callers ask until their deadline, and close clusters that fail to start

Cause: a caller whose two VMs were both cut gave up after six quick tries, and a cluster of which one process failed to start left the others running.

Change: callers pause between tries, go on until their deadline and ask every VM they have heard of after two tries; all started programs are ended on close, also when a test is ended early.

--- a/test/caller.ts
+++ b/test/caller.ts
@@ -9,8 +9,8 @@
 import { type CallRecord } from "./evidence.ts";
 import { parseProblem, type Problem, readEvents } from "./event_reader.ts";
 
-const MAX_TRIES = 6;
-const PAUSE_MS = 100;
+const MAX_TRIES = 40;
+const PAUSE_MS = 250;
 const HEADERS_TIMEOUT_MS = 15_000;
 const BODY_TIMEOUT_MS = 5000;
 
--- a/test/cluster.ts
+++ b/test/cluster.ts
@@ -18,7 +18,7 @@
   outputOf,
   statusOf,
 } from "./cluster_vm.ts";
-import { Program } from "./program.ts";
+import { Program, type ProgramOptions } from "./program.ts";
 import { FaultProxy } from "./proxy.ts";
 import { seedTree } from "./seed_log.ts";
 import { Site } from "./site.ts";
@@ -50,6 +50,8 @@
   readonly #folder: string;
   readonly #peerLinks = new Map<string, FaultProxy>();
   readonly #peerAddresses = new Map<string, string>();
+  readonly #programs: Program[] = [];
+  #isClosed = false;
   #startCount = 0;
   #revision: Position = 0;
 
@@ -106,10 +108,10 @@
       overrides: this.#options.overrides ?? {},
     });
     const settingsFile = this.#nextFile();
-    const entry = new Program({ script: ENTRY_SCRIPT, settings, settingsFile });
+    const entry = this.#run({ script: ENTRY_SCRIPT, settings, settingsFile });
     const { hasControllers } = this.#options;
     const controller = hasControllers
-      ? new Program({
+      ? this.#run({
         script: CONTROLLER_SCRIPT,
         settings,
         settingsFile: this.#nextFile(),
@@ -237,11 +239,10 @@
 
   /** Ends all processes and stand-ins. */
   async close(): Promise<void> {
+    if (this.#isClosed) return;
+    this.#isClosed = true;
+    for (const program of this.#programs) await program.kill();
     for (const vm of this.vms.values()) {
-      for (const program of [vm.entry, vm.controller]) {
-        program?.signal("SIGCONT");
-        await program?.kill();
-      }
       await vm.callerLink.close();
       await vm.logLink.close();
     }
@@ -250,6 +251,12 @@
     rmSync(this.#folder, { recursive: true, force: true });
   }
 
+  #run(options: ProgramOptions): Program {
+    const program = new Program(options);
+    this.#programs.push(program);
+    return program;
+  }
+
   #nextFile(): string {
     this.#startCount += 1;
     return join(this.#folder, `${this.#startCount}.json`);
--- a/test/entry_directory.ts
+++ b/test/entry_directory.ts
@@ -8,6 +8,8 @@
 
 const ASK_TIMEOUT_MS = 2000;
 const DEFAULT_MAX_AGE_MS = 500;
+const HANDED_OUT_TRIES = 2;
+const MAX_START = 1000;
 
 const entriesSchema = z.object({
   entries: z.array(z.object({ vm: z.string() })),
@@ -37,11 +39,16 @@
     return names.length > 0 ? names : [...this.#cluster.vms.keys()];
   }
 
-  /** Chooses entry VMs for one request; repeats go to the next in the list. */
+  /**
+   * Chooses entry VMs for one request: two of those handed out, then any, since
+   * a caller that reaches neither asks all that it has ever heard of.
+   */
   choices(place: string, random: number): (index: number) => string {
-    const names = this.namesOf(place);
-    const start = Math.floor(random * names.length);
+    const start = Math.floor(random * MAX_START);
     return (index) => {
+      const names = index < HANDED_OUT_TRIES
+        ? this.namesOf(place)
+        : [...this.#cluster.vms.keys()];
       const name = names[(start + index) % names.length] ?? "";
       return this.#cluster.vm(name).callerAddress;
     };
--- a/test/integration/fault_case.ts
+++ b/test/integration/fault_case.ts
@@ -35,8 +35,8 @@
   check: (result: ScenarioResult) => void = () => {},
 ): void {
   const name = `${fault.deployment}: ${fault.faults.join(" with ")}`;
-  test(name, { timeout: TEST_TIMEOUT_MS }, async () => {
-    const result = await runCase(fault);
+  test(name, { timeout: TEST_TIMEOUT_MS }, async (context) => {
+    const result = await runCase(fault, (close) => context.after(close));
     const violations = checkInvariants(result.evidence);
     assert.deepEqual(violations, []);
     const isWhole = result.asked.some((one) => one.last.end === "whole");
@@ -45,8 +45,14 @@
   });
 }
 
-/** Runs a case on a cluster of its own. */
-export async function runCase(fault: FaultCase): Promise<ScenarioResult> {
+/**
+ * Runs a case on a cluster of its own. `onStart` is told how to close it, for a
+ * test that is ended early.
+ */
+export async function runCase(
+  fault: FaultCase,
+  onStart: (close: () => Promise<void>) => void = () => {},
+): Promise<ScenarioResult> {
   const { deployment, faults, seed } = fault;
   const plan = withEntryCount(readSitePlan(deployment), ENTRY_COUNT);
   const tree = readTree(deployment);
@@ -56,6 +62,7 @@
     seed,
     hasControllers: false,
   });
+  onStart(() => cluster.close());
   try {
     return await runScenario({
       cluster,
