--- a/demo/operator.ts
+++ b/demo/operator.ts
@@ -4,6 +4,7 @@
 import process from "node:process";
 import { text } from "node:stream/consumers";
 import { type Cluster } from "../test/cluster.ts";
+import { OPERATOR_TOKEN } from "../test/process_config.ts";
 
 const COMMAND_SCRIPT = "dist/src/bin/cli.js";
 
@@ -12,14 +13,19 @@
   cluster: Cluster,
   version: string,
 ): Promise<void> {
+  const { platform } = cluster;
   const child = spawn(process.execPath, [
     COMMAND_SCRIPT,
     "settings",
     "withdraw",
     "/",
     version,
-    "--settings",
-    cluster.operatorSettingsFile(),
+    "--log-url",
+    platform.logUrl,
+    "--vm-list-url",
+    platform.vmListUrl,
+    "--token",
+    OPERATOR_TOKEN,
   ], { stdio: ["ignore", "pipe", "pipe"] });
   const [output, errors] = await Promise.all([
     text(child.stdout),
