--- a/src/state/control.ts
+++ b/src/state/control.ts
@@ -8,7 +8,7 @@
 import { BoundedMap } from "./bounded_map.ts";
 import { type DecidedEdit, EditHistory } from "./edit_history.ts";
 import { type Position, positionOf, START_POSITION } from "./position.ts";
-import { type LogEntry, type LogRecord, type RecordOf } from "./record.ts";
+import { type LogEntry, type RecordOf } from "./record.ts";
 
 /** A lease as acquired; its position is the fencing number. */
 export interface Lease {
@@ -121,11 +121,6 @@
     return this.fields.skippedCount;
   }
 
-  /** A state with some parts replaced. */
-  with(fields: Partial<ControlFields>): ControlState {
-    return new ControlState({ ...this.fields, ...fields });
-  }
-
   /** The state after one log entry; entries at or before it change nothing. */
   apply(entry: LogEntry): ControlState {
     let { fields } = this;
@@ -249,9 +244,3 @@
   const { vm, workspace, requestClass, windowStartMs } = record;
   return `${vm} ${workspace} ${requestClass} ${windowStartMs}`;
 }
-
-/** Whether the control stream carries this record. */
-export function isControlRecord(record: LogRecord): boolean {
-  return record.kind !== "pin" && record.kind !== "claim" &&
-    record.kind !== "outcome" && record.kind !== "bill";
-}
