Judge by all signs whether a server gets new work

The directory looked at the list's newest row and the server's last report alone: a list that flapped gave a leaving server work again, and a server that answered no poll kept it. It now keeps the signs of src/decision/drain.ts: list, own word, drain and polls, of which the first seen is enough.

--- a/src/decision/drain.ts
+++ b/src/decision/drain.ts
@@ -6,7 +6,7 @@
  * and a list that says "live" never overrules a server that says it leaves.
  * Running work is not touched by any status.
  */
-import { type Settings, type Vm } from "../model/mod.ts";
+import { type Vm } from "../model/mod.ts";
 
 /** How long a sign of leaving holds after it was last seen. */
 export const LEAVING_HOLD_MS = 15_000;
@@ -69,8 +69,11 @@
 export interface StatusOptions {
   readonly vm: string;
   readonly place: string;
-  /** The root's settings. */
-  readonly settings: Pick<Settings, "drainedPlaces" | "drainedServers">;
+  /** What the operators have drained, from the root's settings. */
+  readonly settings: {
+    readonly drainedPlaces: readonly string[];
+    readonly drainedServers: readonly string[];
+  };
   readonly nowMs: number;
 }
 
--- a/src/platform/server_directory.ts
+++ b/src/platform/server_directory.ts
@@ -12,6 +12,8 @@
   DEFAULT_BREAKER_LIMITS,
   DEFAULT_SUBSET_LIMITS,
   EVEN_SLOWNESS,
+  noteSign,
+  type ServerSign,
   type ServerView,
   type SubsetLimits,
 } from "../decision/mod.ts";
@@ -117,6 +119,8 @@
     const record = this.#records.get(server);
     if (record === undefined) return;
     record.askedAtMs = this.#options.clock();
+    const isAnswered = report !== undefined;
+    if (record.isReported) this.#see(record, { kind: "probe", isAnswered });
     if (report === undefined) return;
     if (record.isReported && report.sequence < record.sequence) {
       if (report.server === record.reportedAs) return;
@@ -124,7 +128,7 @@
     record.isReported = true;
     record.sequence = report.sequence;
     record.reportedAs = report.server;
-    record.isLeaving = report.isLeaving;
+    this.#see(record, { kind: "own_word", isLeaving: report.isLeaving });
     record.versions = new Set(
       report.versions.filter((one) => one.state === "loaded")
         .map((one) => one.version),
@@ -141,7 +145,8 @@
   /** Marks a server that says it leaves; it receives no new work. */
   noteLeaving(server: string): void {
     const record = this.#records.get(server);
-    if (record !== undefined) record.isLeaving = true;
+    if (record === undefined) return;
+    this.#see(record, { kind: "own_word", isLeaving: true });
   }
 
   /** Servers that were not heard or asked for `ageMs`, longest first. */
@@ -166,6 +171,10 @@
     return count;
   }
 
+  #see(record: ServerRecord, sign: ServerSign): void {
+    record.signs = noteSign(record.signs, sign, this.#options.clock());
+  }
+
   #probe(record: ServerRecord): void {
     record.breaker = applyBreaker(
       record.breaker,
@@ -223,6 +232,7 @@
     const known = this.#records.get(vm.vm);
     if (known !== undefined && known.vm.address === vm.address) {
       known.vm = vm;
+      this.#see(known, { kind: "list", status: vm.status });
       return;
     }
     const priors = {
@@ -230,6 +240,8 @@
       slowness: EVEN_SLOWNESS,
       serviceMs: this.#options.priorServiceMs,
     };
-    this.#records.set(vm.vm, createServerRecord(vm, priors));
+    const record = createServerRecord(vm, priors);
+    this.#records.set(vm.vm, record);
+    this.#see(record, { kind: "list", status: vm.status });
   }
 }
--- a/src/platform/server_record.ts
+++ b/src/platform/server_record.ts
@@ -5,9 +5,13 @@
   type BreakerOptions,
   type BreakerState,
   type LoadReport,
+  NO_SIGNS,
+  type ServerSigns,
+  serverStatus,
   type ServerView,
   type Slowness,
   slownessRatio,
+  takesNewWork,
 } from "../decision/mod.ts";
 import { type VersionName, type Vm } from "../model/mod.ts";
 import { type Drains } from "./server_directory.ts";
@@ -23,7 +27,7 @@
   sequence: number;
   reportedAs: string;
   versions: ReadonlySet<VersionName> | undefined;
-  isLeaving: boolean;
+  signs: ServerSigns;
   /** When it last reported, or was last asked in vain. */
   askedAtMs: number;
   inFlightCount: number;
@@ -58,7 +62,7 @@
     sequence: 0,
     reportedAs: "",
     versions: undefined,
-    isLeaving: false,
+    signs: NO_SIGNS,
     askedAtMs: -Infinity,
     inFlightCount: 0,
     firstUsedAtMs: undefined,
@@ -106,15 +110,19 @@
 ): ServerView {
   const { vm } = record;
   const ratio = slownessRatio(record.slowness, nowMs);
-  const isDrained = drains.places.includes(vm.place) ||
-    drains.servers.includes(vm.vm);
+  const status = serverStatus(record.signs, {
+    vm: vm.vm,
+    place: vm.place,
+    settings: { drainedPlaces: drains.places, drainedServers: drains.servers },
+    nowMs,
+  });
   return {
     server: vm.vm,
     place: vm.place,
     report: record.report,
     ownInFlightCount: record.inFlightCount,
     versions: record.versions,
-    isTakingWork: vm.status === "live" && !record.isLeaving && !isDrained,
+    isTakingWork: vm.status === "live" && takesNewWork(status),
     breaker: record.breaker,
     firstTokenMs: expected.firstTokenMs * ratio,
     serviceMs: record.serviceMs,
