Tell a poll without an answer from an answer without a report

An answer whose headers carry no load report counted as a failed poll, so that two of them took a healthy server out: the tests of dispatch and of replayed appends showed it. Only polls count now.

--- a/src/platform/load_poller.ts
+++ b/src/platform/load_poller.ts
@@ -40,7 +40,9 @@
   const due = options.directory.due(options.reportAgeMs);
   const batch = due.slice(0, options.maxPollsPerPeriod);
   await Promise.all(batch.map(async (vm) => {
-    options.directory.note(vm.vm, await options.fetchReport(vm));
+    const report = await options.fetchReport(vm);
+    if (report === undefined) options.directory.noteUnanswered(vm.vm);
+    else options.directory.note(vm.vm, report);
   }));
 }
 
--- a/src/platform/server_directory.ts
+++ b/src/platform/server_directory.ts
@@ -119,9 +119,8 @@
     const record = this.#records.get(server);
     if (record === undefined) return;
     record.askedAtMs = this.#options.clock();
-    const isAnswered = report !== undefined;
-    if (record.isReported) this.#see(record, { kind: "probe", isAnswered });
     if (report === undefined) return;
+    this.#see(record, { kind: "probe", isAnswered: true });
     if (record.isReported && report.sequence < record.sequence) {
       if (report.server === record.reportedAs) return;
     }
@@ -142,6 +141,15 @@
     };
   }
 
+  /** Takes a poll that was not answered by a server that reported before. */
+  noteUnanswered(server: string): void {
+    const record = this.#records.get(server);
+    if (record === undefined) return;
+    record.askedAtMs = this.#options.clock();
+    if (!record.isReported) return;
+    this.#see(record, { kind: "probe", isAnswered: false });
+  }
+
   /** Marks a server that says it leaves; it receives no new work. */
   noteLeaving(server: string): void {
     const record = this.#records.get(server);
