Let spending press on the budget

Cause: entries read no bills and took the pressure of every budget for 0, so the cascade's optional escalations were never given up. Change: a controller publishes each workspace's billed total by spend records, one of the VMs as a rule; entries smooth them to a rate. Of three controllers over a minute four to six records are written (test). Control stream: at most 0.1 records a second a workspace.

--- a/src/bin/controller_program.ts
+++ b/src/bin/controller_program.ts
@@ -5,6 +5,7 @@
   createControllerSet,
   createFleetController,
   createRolloutController,
+  createSpendController,
   createVmListController,
   LeaseKeeper,
 } from "../controller/mod.ts";
@@ -12,7 +13,7 @@
   createEngineControl,
   createWeightStoreClient,
   type EngineControl,
-  type Journal,
+  type LogJournal,
   type VmListClient,
   type WeightStoreClient,
 } from "../platform/mod.ts";
@@ -61,7 +62,7 @@
 }
 
 interface ControllerParts {
-  readonly journal: Journal;
+  readonly journal: LogJournal;
   readonly vmList: VmListClient;
   readonly engines: EngineControl;
   readonly store: WeightStoreClient;
@@ -86,6 +87,12 @@
   return [
     createVmListController({ vmList, periodMs: vmListPeriodMs }),
     createRolloutController({ journal, periodMs, appendTimeoutMs }),
+    createSpendController({
+      ...processEffects,
+      journal,
+      periodMs,
+      appendTimeoutMs,
+    }),
     createFleetController({
       journal,
       clock,
--- a/src/bin/entry_program.ts
+++ b/src/bin/entry_program.ts
@@ -5,6 +5,7 @@
 import { randomUUID } from "node:crypto";
 import { presentMembers } from "../decision/mod.ts";
 import {
+  BudgetBook,
   createHttpApp,
   createRequestHandler,
   type RequestHandler,
@@ -98,6 +99,7 @@
   readonly journal: LogJournal;
   readonly handler: RequestHandler;
   readonly desk: VersionDesk;
+  readonly budgets: BudgetBook;
   readonly directory: ServerDirectory;
   readonly vmList: ReturnType<typeof openVmList>;
   readonly peers: PeerSlot;
@@ -121,12 +123,17 @@
       return { places: root.drainedPlaces, servers: root.drainedServers };
     },
   });
+  const budgets = new BudgetBook({
+    journal,
+    settings: (path) => journal.control().tree.resolve(path).values,
+    clock: processEffects.clock,
+  });
   const desk = new VersionDesk({
     ...processEffects,
     self: settings.vm,
     journal,
     rating: openRating(settings),
-    budgetPressureOf: () => 0,
+    budgetPressureOf: (workspace) => budgets.pressureOf(workspace),
     sampleShare: RATED_SAMPLE_SHARE,
     publishTimeoutMs: PUBLISH_TIMEOUT_MS,
     makeId: randomUUID,
@@ -144,6 +151,7 @@
     journal,
     handler,
     desk,
+    budgets,
     directory,
     vmList,
     peers,
@@ -231,7 +239,7 @@
 }
 
 function runTasks(parts: EntryParts, signal: AbortSignal): Promise<void[]> {
-  const { context, desk, directory, handler, vmList } = parts;
+  const { context, desk, budgets, directory, handler, vmList } = parts;
   const { settings, logger } = context;
   const periodic = runPeriodic([
     burnTask(parts),
@@ -247,6 +255,7 @@
       name: "ratings",
       periodMs: DESK_PERIOD_MS,
       run: async () => {
+        budgets.observe();
         desk.observe();
         await desk.publish();
       },
--- a/src/decision/mod.ts
+++ b/src/decision/mod.ts
@@ -2,6 +2,7 @@
 export * from "./admission.ts";
 export * from "./admission_order.ts";
 export * from "./breaker.ts";
+export * from "./budget.ts";
 export * from "./cascade.ts";
 export * from "./change_watch.ts";
 export * from "./drain.ts";
--- a/src/filter/mod.ts
+++ b/src/filter/mod.ts
@@ -1,6 +1,7 @@
 /** The filter chain of requests and the callers' interface. */
 export * from "./answer_sink.ts";
 export * from "./bill.ts";
+export * from "./budget_book.ts";
 export * from "./cascade.ts";
 export * from "./chain.ts";
 export * from "./context.ts";
--- a/src/platform/log_journal.ts
+++ b/src/platform/log_journal.ts
@@ -7,9 +7,14 @@
   type Logger,
   type Metrics,
   type Random,
+  type SettingsPath,
   type Sleep,
 } from "../model/mod.ts";
-import { type Position, type RawEntry } from "../state/mod.ts";
+import {
+  type LedgerTotal,
+  type Position,
+  type RawEntry,
+} from "../state/mod.ts";
 import { type Journal } from "./journal.ts";
 import { type LogTransport } from "./log_client.ts";
 
@@ -56,6 +61,8 @@
   whenCurrent(timeoutMs: number): Promise<boolean>;
   /** Resolves when no record waits for its confirmation. */
   flush(timeoutMs: number): Promise<boolean>;
+  /** What each workspace has been billed, where this process reads bills. */
+  billedTotals(): ReadonlyMap<SettingsPath, LedgerTotal>;
   /** Stops; records still waiting end as unavailable or unknown. */
   close(): Promise<void>;
   /**
--- a/src/platform/stream_journal.ts
+++ b/src/platform/stream_journal.ts
@@ -12,6 +12,7 @@
   familyOf,
   ledgerCodec,
   LedgerState,
+  type LedgerTotal,
   type LogRecord,
   type Position,
   type RawEntry,
@@ -102,6 +103,20 @@
     return pick(this.#bills, requestId).state.billOf(workspace, requestId);
   }
 
+  billedTotals(): ReadonlyMap<SettingsPath, LedgerTotal> {
+    const totals = new Map<SettingsPath, LedgerTotal>();
+    for (const { state } of this.#bills) {
+      for (const [workspace, added] of state.totals) {
+        const held = totals.get(workspace);
+        totals.set(workspace, {
+          billCount: added.billCount + (held?.billCount ?? 0),
+          priceMicroEur: added.priceMicroEur + (held?.priceMicroEur ?? 0),
+        });
+      }
+    }
+    return totals;
+  }
+
   freshness(): Freshness {
     return {
       ageMs: this.#control.ageMs,
--- a/src/state/control.ts
+++ b/src/state/control.ts
@@ -34,6 +34,7 @@
   rollouts: 1000,
   quality: 10_000,
   burn: 20_000,
+  spends: 10_000,
 } as const;
 
 /** The parts of a control state. */
@@ -46,6 +47,7 @@
   readonly rollouts: BoundedMap<string, RolloutProgress>;
   readonly quality: BoundedMap<string, RecordOf<"quality">>;
   readonly burn: BoundedMap<string, RecordOf<"burn">>;
+  readonly spends: BoundedMap<string, RecordOf<"spend">>;
   readonly skippedCount: number;
 }
 
@@ -68,6 +70,7 @@
     rollouts: BoundedMap.create(CONTROL_LIMITS.rollouts),
     quality: BoundedMap.create(CONTROL_LIMITS.quality),
     burn: BoundedMap.create(CONTROL_LIMITS.burn),
+    spends: BoundedMap.create(CONTROL_LIMITS.spends),
     skippedCount: 0,
   });
 
@@ -116,6 +119,11 @@
     return this.fields.burn.entries;
   }
 
+  /** What each workspace has been billed in all. */
+  get spends(): PersistentMap<string, RecordOf<"spend">> {
+    return this.fields.spends.entries;
+  }
+
   /** Records that this release could not read. */
   get skippedCount(): number {
     return this.fields.skippedCount;
@@ -159,6 +167,8 @@
       };
     case "burn":
       return { ...fields, burn: fields.burn.set(burnKeyOf(record), record) };
+    case "spend":
+      return applySpend(fields, record);
     case "skipped":
       return { ...fields, skippedCount: fields.skippedCount + 1 };
     default:
@@ -236,6 +246,15 @@
   };
 }
 
+function applySpend(
+  fields: ControlFields,
+  spend: RecordOf<"spend">,
+): ControlFields {
+  const held = fields.spends.get(spend.workspace);
+  if (held !== undefined && held.billCount > spend.billCount) return fields;
+  return { ...fields, spends: fields.spends.set(spend.workspace, spend) };
+}
+
 function qualityKeyOf(record: RecordOf<"quality">): string {
   return `${record.vm} ${record.version} ${record.requestClass}`;
 }
--- a/src/state/ledger.ts
+++ b/src/state/ledger.ts
@@ -75,6 +75,11 @@
       { billCount: 0, priceMicroEur: 0 };
   }
 
+  /** What all workspaces have been billed so far. */
+  get totals(): PersistentMap<SettingsPath, LedgerTotal> {
+    return this.fields.totals;
+  }
+
   /** The state after one log entry; entries at or before it change nothing. */
   apply(entry: LogEntry): LedgerState {
     let fields = this.fields;
--- a/src/state/record.ts
+++ b/src/state/record.ts
@@ -108,6 +108,15 @@
 /** The most parts of one checkpoint. */
 export const MAX_PARTS = 1024;
 
+/** What a workspace has been billed in all; the greatest bill count counts. */
+export const spendSchema = z.strictObject({
+  ...head,
+  kind: z.literal("spend"),
+  workspace: settingsPathSchema,
+  billCount: countSchema,
+  priceMicroEur: countSchema,
+});
+
 /** One part of a checkpoint of its own stream's state up to `covers`. */
 export const checkpointSchema = z.strictObject({
   ...head,
@@ -182,6 +191,7 @@
   rolloutStepSchema,
   qualitySchema,
   burnSchema,
+  spendSchema,
   checkpointSchema,
   pinSchema,
   claimSchema,
--- a/src/state/state_codec.ts
+++ b/src/state/state_codec.ts
@@ -23,6 +23,7 @@
   outcomeSchema,
   qualitySchema,
   rolloutStepSchema,
+  spendSchema,
 } from "./record.ts";
 import { REQUEST_WINDOW, RequestState } from "./requests.ts";
 
@@ -72,6 +73,7 @@
   ),
   quality: pairsOf(qualitySchema),
   burn: pairsOf(burnSchema),
+  spends: pairsOf(spendSchema),
   skippedCount: countSchema,
 });
 
@@ -90,6 +92,7 @@
         rollouts: fields.rollouts.toPairs(),
         quality: fields.quality.toPairs(),
         burn: fields.burn.toPairs(),
+        spends: fields.spends.toPairs(),
         skippedCount: fields.skippedCount,
       } satisfies z.input<typeof controlSchema>,
     ),
@@ -115,6 +118,7 @@
     rollouts: BoundedMap.of(json.rollouts, CONTROL_LIMITS.rollouts),
     quality: BoundedMap.of(json.quality, CONTROL_LIMITS.quality),
     burn: BoundedMap.of(json.burn, CONTROL_LIMITS.burn),
+    spends: BoundedMap.of(json.spends, CONTROL_LIMITS.spends),
     skippedCount: json.skippedCount,
   });
 }
