--- a/test/soak.ts
+++ b/test/soak.ts
@@ -1,5 +1,5 @@
 /**
- * `npm run soak -- --minutes N --seed S [--deployment NAME]`: runs of a cluster
+ * `npm run soak -- --minutes N --seed S`: runs of a cluster
  * one after another, each with up to two faults drawn from the seed, until the
  * time is over. Prints each run and every broken promise with the seed that
  * brings it about again; the exit status is 1 when there was one.
