--- a/bench/summarise.ts
+++ b/bench/summarise.ts
@@ -72,6 +72,7 @@
     one.ask.kind === "model" && one.last.end === "whole"
   );
   const met = countOf(answers, (one) => {
+    if (one.last.text.includes(BAD_MARK)) return false;
     const settings = evidence.tree.resolve(one.ask.workspace).values;
     return qualityOf(one.last.version) >= settings.qualityTargetShare;
   });
