--- /dev/null
+++ b/bench/idle.ts
@@ -0,0 +1,99 @@
+/**
+ * `node dist/bench/idle.js --entries N [--seconds N]`: what whole VMs, entry and
+ * controller, use without any traffic at the periods of a real deployment, and
+ * how long an edit takes to be in force everywhere, also with one VM cut from
+ * the log. Prints one JSON line.
+ */
+import { performance } from "node:perf_hooks";
+import { setTimeout as delay } from "node:timers/promises";
+import { parseArgs } from "node:util";
+import { ROOT_PATH } from "../src/model/mod.ts";
+import { type Position } from "../src/state/mod.ts";
+import { Cluster } from "../test/cluster.ts";
+import { seedEdit } from "../test/seed_log.ts";
+import { readSitePlan, readTree, withEntryCount } from "../test/site_plan.ts";
+import { usageBetween, usageOf } from "./usage.ts";
+
+const SEED = 1;
+const EDITS = 5;
+const MS_PER_S = 1000;
+
+/** The periods of a real deployment. */
+const TIMING = {
+  probePeriodMs: 1000,
+  vmListPeriodMs: 5000,
+  loadPeriodMs: 1000,
+  controllerPeriodMs: 1000,
+  entriesMaxAgeMs: 15_000,
+};
+
+async function run(entries: number, seconds: number): Promise<unknown> {
+  const cluster = await Cluster.start({
+    plan: withEntryCount(readSitePlan("kavango"), entries),
+    tree: readTree("kavango"),
+    seed: SEED,
+    hasControllers: true,
+    overrides: { timing: TIMING },
+  });
+  try {
+    const before = usageOf(cluster);
+    const startMs = performance.now();
+    await delay(seconds * MS_PER_S);
+    const elapsedMs = performance.now() - startMs;
+    const vms = usageBetween(before, usageOf(cluster), elapsedMs);
+    let base = cluster.seededRevision;
+    const inForceMs: number[] = [];
+    for (let edit = 0; edit < EDITS; edit += 1) {
+      const timed = await timeEdit(cluster, base, edit);
+      inForceMs.push(timed.tookMs);
+      base = timed.revision;
+    }
+    const cutOff = [...cluster.vms.values()].at(-1);
+    cutOff?.logLink.cut();
+    const cut = await timeEdit(cluster, base, EDITS);
+    return { entries, ...means(vms), inForceMs, inForceCutMs: cut.tookMs };
+  } finally {
+    await cluster.close();
+  }
+}
+
+async function timeEdit(
+  cluster: Cluster,
+  base: Position,
+  index: number,
+): Promise<{ readonly revision: Position; readonly tookMs: number }> {
+  const startMs = performance.now();
+  const revision = seedEdit(cluster.site.log, {
+    path: ROOT_PATH,
+    set: { fairWeight: 1 + index },
+    base,
+  });
+  const endMs = await cluster.waitInForce(revision);
+  return { revision, tookMs: Math.round(endMs - startMs) };
+}
+
+type Usage = ReturnType<typeof usageBetween>[number];
+
+function means(vms: readonly Usage[]): Record<string, number> {
+  const mean = (of: (vm: Usage) => number): number => {
+    const sum = vms.reduce((total, vm) => total + of(vm), 0);
+    return Math.round(sum / vms.length * 10_000) / 10_000;
+  };
+  return {
+    entryCpuShare: mean((vm) => vm.entryCpuShare),
+    controlCpuShare: mean((vm) => vm.controlCpuShare),
+    controlBytesPerSecond: mean((vm) => vm.controlBytesPerSecond),
+    entryMemoryMb: mean((vm) => vm.entryMemoryMb),
+    controllerMemoryMb: mean((vm) => vm.controllerMemoryMb),
+  };
+}
+
+const { values } = parseArgs({
+  options: {
+    entries: { type: "string", default: "7" },
+    seconds: { type: "string", default: "20" },
+  },
+});
+console.log(
+  JSON.stringify(await run(Number(values.entries), Number(values.seconds))),
+);
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -9,7 +9,6 @@
 import { type RunSummary } from "../src/report/run_summary.ts";
 import { Cluster } from "../test/cluster.ts";
 import { FAULT_NAMES, type FaultName } from "../test/faults.ts";
-import { type ProgramUsage } from "../test/program.ts";
 import { runScenario } from "../test/scenario.ts";
 import {
   type Deployment,
@@ -21,6 +20,7 @@
 } from "../test/site_plan.ts";
 import { Workload } from "../test/workload.ts";
 import { summarise } from "./summarise.ts";
+import { usageBetween, usageOf } from "./usage.ts";
 
 const BAD_USAGE_STATUS = 2;
 const DEADLINE_MS = 60_000;
@@ -104,48 +104,6 @@
   }
 }
 
-interface VmUsage {
-  readonly vm: string;
-  readonly entry: ProgramUsage;
-  readonly controller: ProgramUsage;
-  readonly controlBytes: number;
-}
-
-function usageOf(cluster: Cluster): VmUsage[] {
-  return cluster.live().map((vm) => ({
-    vm: vm.name,
-    entry: vm.entry.usage(),
-    controller: vm.controller?.usage() ?? { cpuMs: 0, memoryMb: 0 },
-    controlBytes: vm.logLink.carriedBytes + cluster.peerBytesOf(vm.name),
-  }));
-}
-
-function usageBetween(
-  before: readonly VmUsage[],
-  after: readonly VmUsage[],
-  elapsedMs: number,
-): RunSummary["vms"] {
-  return after.map((end) => {
-    const start = before.find((one) => one.vm === end.vm);
-    const controlBytes = end.controlBytes - (start?.controlBytes ?? 0);
-    const entryCpuMs = end.entry.cpuMs - (start?.entry.cpuMs ?? 0);
-    const controlCpuMs = end.controller.cpuMs -
-      (start?.controller.cpuMs ?? 0);
-    return {
-      vm: end.vm,
-      entryCpuShare: round(entryCpuMs / elapsedMs),
-      controlCpuShare: round(controlCpuMs / elapsedMs),
-      controlBytesPerSecond: Math.round(controlBytes * 1000 / elapsedMs),
-      entryMemoryMb: Math.round(end.entry.memoryMb),
-      controllerMemoryMb: Math.round(end.controller.memoryMb),
-    };
-  });
-}
-
-function round(share: number): number {
-  return Math.round(share * 10_000) / 10_000;
-}
-
 const options = parseOptions();
 if (typeof options === "string") {
   console.error(options);
