Give up a server's idle connections once one went silent

After a network device had lost its connections, each kept one cost a request its time-out in turn. Where no other server is left, the silent one is tried again on a new connection, and requests with a key always get one of their own.

Taken out one at a time, the retirement and the last try each fail a test.

--- a/src/filter/dispatch.ts
+++ b/src/filter/dispatch.ts
@@ -103,7 +103,9 @@
       if (attempt > 0) await this.#pause(attempt - 1);
       const refusal = this.#checkAgain();
       if (refusal !== undefined) return err(refusal);
-      const target = this.#target();
+      const target = this.#target().orElse((reason) =>
+        this.#retrySilent(reason)
+      );
       if (target.isErr()) return err(this.#noRoute(target.error, last));
       last = await this.#attempt(target.value);
       if (last === undefined) return ok(undefined);
@@ -118,7 +120,9 @@
 
   #attempt(target: RouteTarget): Promise<EngineError | undefined> {
     const { context, request, version, relay } = this.#input;
-    const isFresh = this.#again !== undefined;
+    const isKeyed = request.idempotencyKey !== undefined;
+    const isFresh = isKeyed || this.#again !== undefined ||
+      target.server === this.#silentServer;
     const input = { context, request, version, target, isFresh, relay };
     return attemptAnswer({ ...input, progress: this.#progress }, this.#options);
   }
@@ -140,17 +144,27 @@
     });
   }
 
+  /** With no other server left, a silent one is tried on a new connection. */
+  #retrySilent(reason: NoRouteReason): Result<RouteTarget, NoRouteReason> {
+    const silent = this.#silentServer;
+    if (silent === undefined || !this.#excluded.delete(silent)) {
+      return err(reason);
+    }
+    this.#again = silent;
+    return this.#target();
+  }
+
   /** Silence is first met on a fresh connection, then on another server. */
   #plan(fault: EngineError, target: RouteTarget): void {
     const { server, address } = target;
     const isFirstSilence = fault.fault === "silent" &&
-      this.#progress.nextIndex > 0 && this.#silentServer !== server;
-    if (isFirstSilence) {
-      this.#silentServer = server;
+      this.#silentServer !== server;
+    this.#again = undefined;
+    if (isFirstSilence) this.#silentServer = server;
+    if (isFirstSilence && this.#progress.nextIndex > 0) {
       this.#again = server;
       return;
     }
-    this.#again = undefined;
     this.#excluded.add(server);
     if (!isNothingRun(fault.fault)) {
       void this.#options.engines.cancel(
--- a/src/filter/dispatch_test.ts
+++ b/src/filter/dispatch_test.ts
@@ -100,6 +100,18 @@
   assert.equal(second?.fromIndex, 1);
 });
 
+test("the only server is tried again on a fresh connection", async () => {
+  const fixture = new Fixture({ drainedServers: ["e-2"] });
+  fixture.engines.script = (call) =>
+    call.attempt === 0
+      ? new EngineError("silent", "half-open")
+      : framesOf(call, WORDS);
+  assert.equal(await answerOf(fixture.entry()), "abcd");
+  const [first, second] = fixture.engines.calls;
+  assert.equal(second?.address, first?.address);
+  assert.equal(second?.isFresh, true);
+});
+
 test("a server silent twice is left for another", async () => {
   const fixture = new Fixture();
   fixture.engines.script = async function* (call): Frames {
--- a/src/filter/fixture_test.ts
+++ b/src/filter/fixture_test.ts
@@ -234,7 +234,7 @@
   /** Starts an entry on the shared log. */
   entry(self = "vm-1", options: Partial<RequestHandlerOptions> = {}): Entry {
     const journal = new MemoryJournal(this.log);
-    const directory = directoryOf(this.time);
+    const directory = directoryOf(this.time, journal);
     const handler = createRequestHandler({
       self,
       journal,
@@ -285,7 +285,10 @@
   };
 }
 
-function directoryOf(time: FakeTime): ServerDirectory {
+function directoryOf(
+  time: FakeTime,
+  journal: MemoryJournal,
+): ServerDirectory {
   const vms: readonly Vm[] = [
     vmOf("e-1", "engine", "models"),
     vmOf("e-2", "engine", "models"),
@@ -297,7 +300,11 @@
     source: { vms: () => vms, ageMs: () => 0 },
     places: ["khomas-a"],
     clock: time.clock,
-    drains: () => ({ places: [], servers: [] }),
+    drains: () => {
+      const { drainedPlaces, drainedServers } = journal.control().tree
+        .resolve(ROOT_PATH).values;
+      return { places: drainedPlaces, servers: drainedServers };
+    },
     priorFirstTokenMs: 100,
     priorServiceMs: 1000,
   });
--- a/src/platform/engine.ts
+++ b/src/platform/engine.ts
@@ -5,13 +5,14 @@
  * destroyed, never used again.
  */
 import { err, ok, type Result } from "neverthrow";
-import { Agent, type Dispatcher } from "undici";
+import { type Dispatcher } from "undici";
 import { z } from "zod";
 import {
   type AnswerFrame,
   type ChatMessage,
   type VersionName,
 } from "../model/mod.ts";
+import { type ConnectionOptions, ConnectionPools } from "./connection_pools.ts";
 import { EventReader } from "./event_stream.ts";
 import { parseLoadReport, type ServerReport } from "./load_report.ts";
 import { isUnsent, readBounded } from "./transport.ts";
@@ -105,26 +106,12 @@
   }).nullish(),
 });
 
-/** Bounds of the connections to engines. */
-export interface EngineClientOptions {
-  readonly connectTimeoutMs: number;
-  readonly maxConnectionsPerServer: number;
-}
-
 /** Engines over HTTP. */
 export class EngineClient implements EngineTransport {
-  readonly #kept: Agent;
-  readonly #fresh: Agent;
+  readonly #pools: ConnectionPools;
 
-  constructor(options: EngineClientOptions) {
-    const shared = {
-      connect: { timeout: options.connectTimeoutMs },
-      connections: options.maxConnectionsPerServer,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    };
-    this.#kept = new Agent({ ...shared, pipelining: 1 });
-    this.#fresh = new Agent({ ...shared, pipelining: 0 });
+  constructor(options: ConnectionOptions) {
+    this.#pools = new ConnectionPools(options);
   }
 
   async generate(
@@ -133,10 +120,11 @@
   ): Promise<Result<EngineStream, EngineError>> {
     const { address, ...body } = call;
     const watchdog = new Watchdog(options.firstByteMs, options.signal);
-    const agent = options.isFresh ? this.#fresh : this.#kept;
+    watchdog.onSilence = () => this.#pools.retire(address);
     try {
-      const response = await agent.request({
-        origin: `http://${address}`,
+      const response = await this.#pools.request({
+        address,
+        isFresh: options.isFresh,
         path: "/v1/generate",
         method: "POST",
         headers: { "content-type": "application/json" },
@@ -160,8 +148,9 @@
     requestId: string,
   ): Promise<number | undefined> {
     try {
-      const response = await this.#kept.request({
-        origin: `http://${address}`,
+      const response = await this.#pools.request({
+        address,
+        isFresh: false,
         path: `/v1/requests/${encodeURIComponent(requestId)}`,
         method: "DELETE",
         signal: AbortSignal.timeout(CANCEL_TIMEOUT_MS),
@@ -176,7 +165,7 @@
 
   /** Closes all connections. */
   async close(): Promise<void> {
-    await Promise.all([this.#kept.destroy(), this.#fresh.destroy()]);
+    await this.#pools.close();
   }
 }
 
--- a/src/platform/engine_test.ts
+++ b/src/platform/engine_test.ts
@@ -1,7 +1,7 @@
 /** Tests of the engine client against a server on a port of its own. */
 import assert from "node:assert/strict";
 import { createServer, type RequestListener, type Server } from "node:http";
-import { type AddressInfo } from "node:net";
+import { type AddressInfo, type Socket } from "node:net";
 import { test } from "node:test";
 import { type AnswerFrame } from "../model/mod.ts";
 import {
@@ -144,6 +144,22 @@
   });
 });
 
+test("silence on one kept connection gives up the others", async () => {
+  const lost = new Set<Socket>();
+  await withEngine((request, response) => {
+    if (lost.has(request.socket)) return;
+    response.writeHead(200).end(event(0, true));
+  }, async (bench) => {
+    const sockets = new Set<Socket>();
+    bench.server.on("connection", (socket) => sockets.add(socket));
+    await Promise.all([read(bench), read(bench), read(bench)]);
+    for (const socket of sockets) lost.add(socket);
+    const options = optionsOf({ firstByteMs: 50 });
+    assert.equal((await read(bench, options)).error?.fault, "silent");
+    assert.equal((await read(bench, options)).error, undefined);
+  });
+});
+
 test("a stream without its last frame is broken", async () => {
   await withEngine((_request, response) => {
     response.writeHead(200);
--- a/src/platform/plain_service.ts
+++ b/src/platform/plain_service.ts
@@ -3,8 +3,9 @@
  * when it must not be repeated; the error says whether a byte can have left.
  */
 import { err, ok, type Result } from "neverthrow";
-import { Agent, type Dispatcher } from "undici";
+import { type Dispatcher } from "undici";
 import { type ServiceRequest } from "../model/mod.ts";
+import { type ConnectionOptions, ConnectionPools } from "./connection_pools.ts";
 import { parseLoadReport, type ServerReport } from "./load_report.ts";
 import { isUnsent, readBytes } from "./transport.ts";
 
@@ -49,27 +50,17 @@
 }
 
 /** Bounds of the connections to plain services. */
-export interface ServiceClientOptions {
-  readonly connectTimeoutMs: number;
-  readonly maxConnectionsPerServer: number;
+export interface ServiceClientOptions extends ConnectionOptions {
   readonly maxBodyBytes: number;
 }
 
 /** Plain services over HTTP. */
 export class ServiceClient implements ServiceTransport {
-  readonly #kept: Agent;
-  readonly #fresh: Agent;
+  readonly #pools: ConnectionPools;
   readonly #maxBodyBytes: number;
 
   constructor(options: ServiceClientOptions) {
-    const shared = {
-      connect: { timeout: options.connectTimeoutMs },
-      connections: options.maxConnectionsPerServer,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    };
-    this.#kept = new Agent({ ...shared, pipelining: 1 });
-    this.#fresh = new Agent({ ...shared, pipelining: 0 });
+    this.#pools = new ConnectionPools(options);
     this.#maxBodyBytes = options.maxBodyBytes;
   }
 
@@ -79,10 +70,10 @@
   ): Promise<Result<ServiceAnswer, ServiceError>> {
     const timeout = AbortSignal.timeout(Math.ceil(options.timeoutMs));
     const signal = AbortSignal.any([options.signal, timeout]);
-    const agent = options.isFresh ? this.#fresh : this.#kept;
     try {
-      const response = await agent.request({
-        origin: `http://${options.address}`,
+      const response = await this.#pools.request({
+        address: options.address,
+        isFresh: options.isFresh,
         path: request.target,
         method: request.method as Dispatcher.HttpMethod,
         headers: headersOf(request),
@@ -91,7 +82,9 @@
       });
       return ok(await this.#answerOf(response));
     } catch (cause) {
-      return err(faultOf(cause, { timeout, outer: options.signal }));
+      const error = faultOf(cause, { timeout, outer: options.signal });
+      if (error.fault === "silent") this.#pools.retire(options.address);
+      return err(error);
     }
   }
 
@@ -110,7 +103,7 @@
 
   /** Closes all connections. */
   async close(): Promise<void> {
-    await Promise.all([this.#kept.destroy(), this.#fresh.destroy()]);
+    await this.#pools.close();
   }
 }
 
--- a/src/platform/watchdog.ts
+++ b/src/platform/watchdog.ts
@@ -13,6 +13,8 @@
   #silenceMs: number;
   #isPaused = false;
   #isSilent = false;
+  /** Called once when silence ends the watch. */
+  onSilence: () => void = () => {};
 
   constructor(silenceMs: number, outer: AbortSignal) {
     this.#silenceMs = silenceMs;
@@ -60,6 +62,7 @@
     return setTimeout(() => {
       if (this.#isPaused) return;
       this.#isSilent = true;
+      this.onSilence();
       this.#controller.abort();
     }, silenceMs);
   }
