Test the directory and kept answers, and split long files

Leaving by list, drain or own word, late reports, polls in vain, bounds of the kept answers. The fixtures' fakes and the bench's policies get their own files.

--- a/bench/policies/site_run.ts
+++ b/bench/policies/site_run.ts
@@ -3,20 +3,11 @@
  * for each entry VM, before engine models.
  */
 import {
-  createRoundRobin,
-  leastReportedLoad,
-  randomChoice,
-  type RoutePolicy,
-  twoChoices,
-} from "../../src/decision/mod.ts";
-import {
-  type AnswerSink,
   createRequestHandler,
   DEFAULT_FILTER_LIMITS,
   type RequestHandler,
 } from "../../src/filter/mod.ts";
 import {
-  type AnswerFrame,
   noMetrics,
   type RefusalOutcome,
   type RequestClass,
@@ -32,6 +23,7 @@
   ServerDirectory,
 } from "../../src/platform/mod.ts";
 import { EngineModel } from "./engine_model.ts";
+import { policyOf } from "./route_policies.ts";
 import { SimulatedEngines } from "./simulated_engines.ts";
 import {
   delayMsBetween,
@@ -45,6 +37,7 @@
   VM_COUNT,
 } from "./site.ts";
 import { createRating, type VersionStrategy } from "./strategies.ts";
+import { TimingSink } from "./timing_sink.ts";
 import { VirtualTime } from "./virtual_time.ts";
 import { type Arrival, createRandom } from "./workload.ts";
 
@@ -84,20 +77,6 @@
 const MAX_POLLS = 8;
 const DRAIN_MS = 700_000;
 
-/** The policies by name. */
-export function policyOf(name: string): RoutePolicy {
-  switch (name) {
-    case "random":
-      return randomChoice;
-    case "round robin":
-      return createRoundRobin();
-    case "least reported load":
-      return leastReportedLoad;
-    default:
-      return twoChoices;
-  }
-}
-
 /** Runs a site and collects what became of every request. */
 export async function runSite(options: SiteRunOptions): Promise<SiteRunResult> {
   const site = new Site(options);
@@ -288,22 +267,3 @@
 function runningLimit(directory: ServerDirectory): number {
   return Math.max(8, Math.ceil(1.3 * directory.slotCount("models") / VM_COUNT));
 }
-
-class TimingSink implements AnswerSink {
-  readonly #time: VirtualTime;
-  version: VersionName | undefined;
-  firstAtMs: number | undefined;
-
-  constructor(time: VirtualTime) {
-    this.#time = time;
-  }
-
-  begin(head: { readonly version: VersionName }): void {
-    this.version = head.version;
-  }
-
-  write(_frame: AnswerFrame): Promise<void> {
-    this.firstAtMs ??= this.#time.clock();
-    return Promise.resolve();
-  }
-}
--- /dev/null
+++ b/bench/policies/timing_sink.ts
@@ -0,0 +1,24 @@
+/** Notes when the first frame of an answer came. */
+import { type AnswerSink } from "../../src/filter/mod.ts";
+import { type AnswerFrame, type VersionName } from "../../src/model/mod.ts";
+import { type VirtualTime } from "./virtual_time.ts";
+
+/** A sink that keeps times only. */
+export class TimingSink implements AnswerSink {
+  readonly #time: VirtualTime;
+  version: VersionName | undefined;
+  firstAtMs: number | undefined;
+
+  constructor(time: VirtualTime) {
+    this.#time = time;
+  }
+
+  begin(head: { readonly version: VersionName }): void {
+    this.version = head.version;
+  }
+
+  write(_frame: AnswerFrame): Promise<void> {
+    this.firstAtMs ??= this.#time.clock();
+    return Promise.resolve();
+  }
+}
--- a/src/filter/fixture_test.ts
+++ b/src/filter/fixture_test.ts
@@ -1,8 +1,8 @@
 /**
- * Fixtures of the filters' tests: handlers over a log in memory, engines and
- * services that follow a script, and time that moves only when it is told to.
+ * Fixtures of the filters' tests: handlers over a log in memory, the requests
+ * they are sent and what their callers receive.
  */
-import { err, ok, type Result } from "neverthrow";
+import { ok, type Result } from "neverthrow";
 import { type VersionPlan } from "../decision/mod.ts";
 import {
   type AnswerFrame,
@@ -20,23 +20,11 @@
   type VersionName,
   type Vm,
 } from "../model/mod.ts";
-import {
-  EngineError,
-  type EngineStream,
-  type EngineTransport,
-  type GenerateCall,
-  type GenerateOptions,
-  MemoryJournal,
-  MemoryLog,
-  ServerDirectory,
-  type ServiceAnswer,
-  type ServiceCallOptions,
-  type ServiceError,
-  type ServiceTransport,
-} from "../platform/mod.ts";
+import { MemoryJournal, MemoryLog, ServerDirectory } from "../platform/mod.ts";
 import { START_POSITION } from "../state/mod.ts";
 import { type AnswerSink } from "./answer_sink.ts";
 import { type Answer } from "./context.ts";
+import { FakeEngines, FakeServices, FakeTime } from "./fakes_test.ts";
 import { DEFAULT_FILTER_LIMITS } from "./limits.ts";
 import {
   createRequestHandler,
@@ -48,134 +36,6 @@
 export const CHEAP: VersionName = "tagger@1";
 export const BEST: VersionName = "writer@1";
 
-/** One call that an engine received. */
-export interface SeenCall extends GenerateCall {
-  readonly isFresh: boolean;
-}
-
-/** The frames of one attempt. */
-export type Frames = AsyncGenerator<Result<AnswerFrame, EngineError>>;
-
-/** Answers one call. */
-export type EngineScript = (
-  call: SeenCall,
-  signal: AbortSignal,
-) => Frames | EngineError;
-
-/** Engines that follow a script. */
-export class FakeEngines implements EngineTransport {
-  script: EngineScript = (call) => framesOf(call, ["a", "b", "c"]);
-  readonly calls: SeenCall[] = [];
-  readonly cancelled: string[] = [];
-
-  async generate(
-    call: GenerateCall,
-    options: GenerateOptions,
-  ): Promise<Result<EngineStream, EngineError>> {
-    await Promise.resolve();
-    const seen = { ...call, isFresh: options.isFresh };
-    this.calls.push(seen);
-    const answer = this.script(seen, options.signal);
-    if (answer instanceof EngineError) return err(answer);
-    return ok({ report: undefined, frames: answer });
-  }
-
-  cancel(_address: string, requestId: string): Promise<undefined> {
-    this.cancelled.push(requestId);
-    return Promise.resolve(undefined);
-  }
-}
-
-/** The frames of an answer's words, from the index that the call asks for. */
-export async function* framesOf(
-  call: SeenCall,
-  words: readonly string[],
-): Frames {
-  for (const [index, text] of words.entries()) {
-    await Promise.resolve();
-    if (index < call.fromIndex) continue;
-    yield ok(frameOf(call, { index, text, count: words.length }));
-  }
-}
-
-/** A stream that stays silent until it is cancelled. */
-export async function* silentUntil(signal: AbortSignal): Frames {
-  await new Promise<void>((resolve) =>
-    signal.addEventListener("abort", () => resolve())
-  );
-  yield err(new EngineError("cancelled", "cancelled"));
-}
-
-/** One frame of an answer of `count` frames. */
-export function frameOf(
-  call: SeenCall,
-  { index, text, count }: { index: number; text: string; count: number },
-): AnswerFrame {
-  const { requestId, attempt, fromIndex } = call;
-  const isLast = index === count - 1;
-  const usage = isLast
-    ? { inputTokens: 10 + fromIndex, outputTokens: count - fromIndex }
-    : undefined;
-  return { requestId, attempt, index, text, isLast, usage };
-}
-
-/** A service that answers 200, or what a test puts in its place. */
-export class FakeServices implements ServiceTransport {
-  readonly calls: ServiceCallOptions[] = [];
-  script: () => Result<ServiceAnswer, ServiceError> = () =>
-    ok({
-      status: 200,
-      contentType: "text/plain",
-      body: Buffer.from("registered"),
-      report: undefined,
-    });
-
-  async call(
-    _request: ServiceRequest,
-    options: ServiceCallOptions,
-  ): Promise<Result<ServiceAnswer, ServiceError>> {
-    await Promise.resolve();
-    this.calls.push(options);
-    return this.script();
-  }
-}
-
-interface Timer {
-  readonly dueMs: number;
-  readonly fire: () => void;
-}
-
-/** Time that a test moves. */
-export class FakeTime {
-  nowMs = 0;
-  #timers: Timer[] = [];
-
-  readonly clock = (): number => this.nowMs;
-
-  readonly sleep = (durationMs: number, signal?: AbortSignal): Promise<void> =>
-    new Promise((resolve) => {
-      if (durationMs <= 0) return resolve();
-      this.#timers.push({ dueMs: this.nowMs + durationMs, fire: resolve });
-      signal?.addEventListener("abort", () => resolve(), { once: true });
-    });
-
-  /** Moves time and lets what follows from it happen. */
-  async advance(durationMs: number): Promise<void> {
-    this.nowMs += durationMs;
-    const due = this.#timers.filter((timer) => timer.dueMs <= this.nowMs);
-    this.#timers = this.#timers.filter((timer) => timer.dueMs > this.nowMs);
-    for (const timer of due) timer.fire();
-    await settle();
-  }
-}
-
-/** Lets all promises that can go on do so. */
-export async function settle(): Promise<void> {
-  for (let turn = 0; turn < 5; turn += 1) {
-    await new Promise((resolve) => setImmediate(resolve));
-  }
-}
-
 /** What one caller has received. */
 export class Received implements AnswerSink {
   text = "";
@@ -419,3 +279,5 @@
   if (result.isErr()) return result.error;
   throw new Error("the request was answered, not refused");
 }
+
+export * from "./fakes_test.ts";
--- /dev/null
+++ b/src/platform/server_use_test.ts
@@ -0,0 +1,161 @@
+/** Tests of the directory: reports, leaving servers, drains and subsets. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type Vm } from "../model/mod.ts";
+import { type ServerReport } from "./load_report.ts";
+import { pollOnce } from "./load_poller.ts";
+import { type Drains, ServerDirectory } from "./server_directory.ts";
+
+const WORK = "tagger@1 lookup";
+
+function vmOf(index: number, changes: Partial<Vm> = {}): Vm {
+  return {
+    vm: `e-${index}`,
+    kind: "engine",
+    service: "models",
+    place: "khomas-a",
+    address: `127.0.0.1:${1000 + index}`,
+    peerAddress: "",
+    status: "live",
+    ...changes,
+  };
+}
+
+function reportOf(changes: Partial<ServerReport> = {}): ServerReport {
+  return {
+    server: "e",
+    sequence: 1,
+    versions: [{ version: "tagger@1", state: "loaded", adapters: [] }],
+    runningCount: 0,
+    queuedCount: 0,
+    slotCount: 8,
+    memoryMb: 0,
+    usedMemoryMb: 0,
+    role: "both",
+    isLeaving: false,
+    ...changes,
+  };
+}
+
+class Bench {
+  vms: readonly Vm[] = [vmOf(1), vmOf(2)];
+  drains: Drains = { places: [], servers: [] };
+  nowMs = 0;
+  readonly directory = new ServerDirectory({
+    self: "vm-1",
+    source: { vms: () => this.vms, ageMs: () => 0 },
+    places: ["khomas-a", "erongo-a"],
+    clock: () => this.nowMs,
+    drains: () => this.drains,
+    priorFirstTokenMs: 100,
+    priorServiceMs: 1000,
+  });
+
+  takingWork(): string[] {
+    return this.directory.views("models", WORK)
+      .filter((view) => view.isTakingWork)
+      .map((view) => view.server).sort();
+  }
+}
+
+test("a server leaving by list, drain or its own word takes no work", () => {
+  const bench = new Bench();
+  const far = vmOf(4, { place: "erongo-a" });
+  bench.vms = [vmOf(1), vmOf(2), vmOf(3), far, vmOf(5), vmOf(6)];
+  assert.equal(bench.takingWork().length, 6);
+  const leaving = vmOf(2, { status: "leaving" });
+  bench.vms = [vmOf(1), leaving, vmOf(3), far, vmOf(5), vmOf(6)];
+  assert.deepEqual(bench.takingWork(), ["e-1", "e-3", "e-4", "e-5", "e-6"]);
+  bench.drains = { places: ["erongo-a"], servers: ["e-3"] };
+  assert.deepEqual(bench.takingWork(), ["e-1", "e-5", "e-6"]);
+  bench.directory.note("e-5", reportOf({ isLeaving: true }));
+  assert.deepEqual(bench.takingWork(), ["e-1", "e-6"]);
+  bench.directory.noteLeaving("e-6");
+  assert.deepEqual(bench.takingWork(), ["e-1"]);
+});
+
+test("a report that comes late doesn't replace a newer one", () => {
+  const bench = new Bench();
+  bench.takingWork();
+  bench.directory.note("e-1", reportOf({ sequence: 5, runningCount: 4 }));
+  bench.directory.note("e-1", reportOf({ sequence: 4, runningCount: 0 }));
+  const view = bench.directory.views("models", WORK)
+    .find((one) => one.server === "e-1");
+  assert.equal(view?.report?.runningCount, 4);
+});
+
+test("a version that still loads is not offered", () => {
+  const bench = new Bench();
+  bench.takingWork();
+  const versions = [{
+    version: "tagger@1" as const,
+    state: "loading" as const,
+    adapters: [],
+  }];
+  bench.directory.note("e-1", reportOf({ versions }));
+  const view = bench.directory.views("models", WORK)
+    .find((one) => one.server === "e-1");
+  assert.equal(view?.versions?.has("tagger@1"), false);
+});
+
+test("a server that never answers a poll doesn't starve the others", async () => {
+  const bench = new Bench();
+  bench.takingWork();
+  const asked: string[] = [];
+  const options = {
+    directory: bench.directory,
+    fetchReport: (vm: Vm) => {
+      asked.push(vm.vm);
+      const report = vm.vm === "e-1" ? undefined : reportOf();
+      return Promise.resolve(report);
+    },
+    sleep: () => Promise.resolve(),
+    periodMs: 100,
+    reportAgeMs: 1000,
+    maxPollsPerPeriod: 1,
+  };
+  for (let count = 0; count < 4; count += 1) {
+    bench.nowMs += 1000;
+    await pollOnce(options);
+  }
+  assert.deepEqual(asked.toSorted(), ["e-1", "e-1", "e-2", "e-2"]);
+});
+
+test("work in flight is counted until it ends, once", () => {
+  const bench = new Bench();
+  bench.takingWork();
+  const use = bench.directory.begin("e-1", WORK);
+  const inFlight = (): number | undefined =>
+    bench.directory.views("models", WORK)
+      .find((one) => one.server === "e-1")?.ownInFlightCount;
+  assert.equal(inFlight(), 1);
+  const result = {
+    verdict: "neutral",
+    firstTokenMs: undefined,
+    serviceMs: undefined,
+    tokenMs: undefined,
+  } as const;
+  use.finish(result);
+  use.finish(result);
+  assert.equal(inFlight(), 0);
+});
+
+test("a slow server is told apart whatever work it gets", () => {
+  const bench = new Bench();
+  bench.takingWork();
+  for (let count = 0; count < 20; count += 1) {
+    for (const [server, tokenMs] of [["e-1", 40], ["e-2", 10]] as const) {
+      bench.directory.begin(server, WORK).finish({
+        verdict: "success",
+        firstTokenMs: 100,
+        serviceMs: server === "e-1" ? 100 : 5000,
+        tokenMs,
+      });
+    }
+  }
+  const [slow, fast] = ["e-1", "e-2"].map((server) =>
+    bench.directory.views("models", WORK)
+      .find((one) => one.server === server)?.firstTokenMs ?? 0
+  );
+  assert.ok((slow ?? 0) > 2 * (fast ?? 0), `${slow} against ${fast}`);
+});
