--- a/bench/main.ts
+++ b/bench/main.ts
@@ -24,6 +24,8 @@
 
 const BAD_USAGE_STATUS = 2;
 const DEADLINE_MS = 60_000;
+/** The programs' own route policy; others run in bench/policies. */
+const DEFAULT_POLICY = "default";
 
 interface MeasureOptions {
   readonly deployment: Deployment;
@@ -41,7 +43,7 @@
       seconds: { type: "string", default: "20" },
       seed: { type: "string", default: "1" },
       fault: { type: "string", default: "none" },
-      policy: { type: "string", default: "default" },
+      policy: { type: "string", default: DEFAULT_POLICY },
       rate: { type: "string" },
       entries: { type: "string" },
     },
@@ -50,6 +52,9 @@
   if (deployment === undefined) {
     return `deployment: ${DEPLOYMENTS.join(" or ")}`;
   }
+  if (values.policy !== DEFAULT_POLICY) {
+    return `policy: only "${DEFAULT_POLICY}" runs in the programs`;
+  }
   const faults = values.fault.split(",");
   const unknown = faults.find((name) => !isFault(name));
   if (unknown !== undefined) return `fault: one of ${FAULT_NAMES.join(", ")}`;
@@ -79,7 +84,6 @@
     tree: readTree(deployment),
     seed,
     hasControllers: true,
-    policy: options.policy,
   });
   try {
     const before = usageOf(cluster);
--- a/test/cluster.ts
+++ b/test/cluster.ts
@@ -37,8 +37,6 @@
   readonly seed: number;
   readonly hasControllers: boolean;
   readonly overrides?: SettingsOverrides;
-  /** Name of the route policy; absent for the product's own. */
-  readonly policy?: string;
 }
 
 /** A running deployment. */
