--- a/src/decision/membership_fixture.ts
+++ b/src/decision/membership_fixture.ts
@@ -29,6 +29,7 @@
   readonly delayMs?: number;
   readonly membership?: Partial<MembershipOptions>;
   readonly onSend?: (from: string, message: MembershipMessage) => void;
+  readonly onDeliver?: (from: string, to: string) => void;
 }
 
 interface Host {
@@ -56,6 +57,7 @@
     readonly seenBy: string;
     readonly vm: string;
     readonly status: MemberStatus;
+    readonly incarnation: number;
   }[] = [];
 
   constructor(options: NetworkOptions) {
@@ -115,13 +117,9 @@
     host.state = step.state;
     for (const effect of step.effects) {
       if (effect.kind === "changed") {
-        const { vm: other, status } = effect.update;
-        this.changes.push({
-          atMs: this.nowMs,
-          seenBy: vm,
-          vm: other,
-          status,
-        });
+        const { vm: other, status, incarnation } = effect.update;
+        const { nowMs: atMs } = this;
+        this.changes.push({ atMs, seenBy: vm, vm: other, status, incarnation });
       } else this.#send(vm, effect.to.peerAddress, effect.message);
     }
     this.#scheduleTick(vm, host);
@@ -186,7 +184,9 @@
     const delayMs = this.#options.delayMs ?? 1;
     this.#at(this.nowMs + delayMs, () => {
       const isReached = this.#hostAt(peerAddress) === to;
-      if (isReached) this.apply(to, { kind: "message", message });
+      if (!isReached) return;
+      this.#options.onDeliver?.(from, to);
+      this.apply(to, { kind: "message", message });
     });
   }
 
