--- /dev/null
+++ b/bench/membership/table.ts
@@ -0,0 +1,44 @@
+/**
+ * Measures the memory of one VM's table of members.
+ * `node --expose-gc dist/bench/membership/table.js [SIZE...]`.
+ */
+import process from "node:process";
+import {
+  applyMembership,
+  createMembership,
+  type MembershipState,
+} from "../../src/decision/mod.ts";
+import {
+  entryVm,
+  entryVms,
+  seededRandom,
+} from "../../src/decision/membership_fixture.ts";
+
+const SIZES = [8, 64, 410];
+const TABLES = 100;
+const BYTES_PER_KB = 1024;
+
+function tableOf(size: number): MembershipState {
+  const vms = structuredClone(entryVms(size, ["a", "b", "c"]));
+  const context = { nowMs: 0, random: seededRandom(1) };
+  const start = createMembership(entryVm("self"), { nowMs: 0 });
+  return applyMembership(start, { kind: "listed", vms }, context).state;
+}
+
+function heapBytes(): number {
+  globalThis.gc?.();
+  return process.memoryUsage().heapUsed;
+}
+
+const given = process.argv.slice(2).map(Number);
+for (const size of given.length > 0 ? given : SIZES) {
+  const tables: MembershipState[] = [];
+  const before = heapBytes();
+  for (let count = 0; count < TABLES; count++) tables.push(tableOf(size));
+  const tableKb = (heapBytes() - before) / TABLES / BYTES_PER_KB;
+  console.log(JSON.stringify({
+    size,
+    tables: tables.length,
+    tableKb: Number(tableKb.toFixed(1)),
+  }));
+}
