Rate every answer after one that fell short

Cause: outside roll-outs a fifth of the answers is rated, so a version that turns bad there gives five answers for each rating against it.

--- a/src/filter/version_desk.ts
+++ b/src/filter/version_desk.ts
@@ -30,6 +30,9 @@
 /** Expected time of a whole answer from the next version. */
 const EXPECTED_ESCALATION_MS = 2000;
 
+/** Answers that are rated one and all after one that fell short. */
+const ALERT_ANSWERS = 20;
+
 /** What a desk works with. */
 export interface VersionDeskOptions {
   /** Name of this VM. */
@@ -51,6 +54,8 @@
   readonly #options: VersionDeskOptions;
   readonly #published = new Map<string, number>();
   readonly #rated = new WeakSet<ModelAnswer>();
+  /** Answers still to be rated of versions that fell short lately. */
+  readonly #alerts = new Map<VersionName, number>();
   #watch: VersionWatch;
 
   constructor(options: VersionDeskOptions) {
@@ -150,8 +155,17 @@
     }
   }
 
-  /** Versions of a running roll-out are always rated, others by sample. */
+  /**
+   * Versions of a running roll-out are always rated, others by sample. After an
+   * answer that fell short the next ones are rated too, so that a version that
+   * turns bad outside any roll-out is found out by few answers.
+   */
   #isSampled(version: VersionName): boolean {
+    const alertCount = this.#alerts.get(version) ?? 0;
+    if (alertCount > 0) {
+      this.#alerts.set(version, alertCount - 1);
+      return true;
+    }
     for (const { input } of this.#watch.moves) {
       if (input.plan.version === version) return true;
     }
@@ -178,6 +192,11 @@
     };
     const control = this.#options.journal.control();
     this.#watch = this.#watch.addRating(rating, control);
+    const { qualityTargetShare } = control.tree.resolve(request.workspace)
+      .values;
+    if (rated.value < qualityTargetShare) {
+      this.#alerts.set(answer.version, ALERT_ANSWERS);
+    }
     return rated.value;
   }
 }
