Weigh a shortfall against the budget's pressure

Cause: the desk asked whether to escalate with fixed scores, 0 against 1, before the rating was known, so an optional escalation outlived any pressure. Change: the deadline is asked before rating, the price after it, with the score. The new test fails with the pressure taken as 0.

--- a/src/bin/entry_program.ts
+++ b/src/bin/entry_program.ts
@@ -202,7 +202,7 @@
     chooseVersions: (query) => desk.choose(query),
     mayStart: (version, values) => desk.mayStart(version, values),
     fallsShort: (query, targetShare) => desk.fallsShort(query, targetShare),
-    mayEscalate: (request, options) => desk.mayEscalate(request, options),
+    mayEscalate: (request) => desk.mayEscalate(request),
     onAnswer: (request, answer) => desk.noteAnswer(request, answer),
     holdAtPeer: async (bill) => {
       const { node } = peers;
--- a/src/filter/cascade.ts
+++ b/src/filter/cascade.ts
@@ -28,10 +28,15 @@
 export interface RatingQuery {
   readonly request: ModelRequest;
   readonly answer: ModelAnswer;
+  /** Whether the version is not trusted to meet the target. */
+  readonly isRequired: boolean;
   readonly signal: AbortSignal;
 }
 
-/** Whether an answer falls short; `undefined` when it could not be rated. */
+/**
+ * Whether an answer falls so short that a better version is worth its price;
+ * `undefined` when it could not be rated.
+ */
 export type FallsShort = (
   query: RatingQuery,
   targetShare: number,
@@ -43,11 +48,8 @@
   answer: ModelAnswer,
 ) => void;
 
-/** Whether an escalation is allowed now, by deadline and budget. */
-export type MayEscalate = (
-  context: RequestContext,
-  options: { readonly to: VersionName; readonly isRequired: boolean },
-) => boolean;
+/** Whether the deadline leaves time for an escalation. */
+export type MayEscalate = (context: RequestContext) => boolean;
 
 /** What the cascade works with. */
 export interface CascadeOptions extends DispatchOptions {
@@ -191,10 +193,8 @@
     if (run.isOk()) best = { answer: run.value, buffer };
     else refusal = run.error;
     if (run.isErr() && !isVersionMissing(refusal)) break;
-    const next = versions[index + 1];
-    if (next === undefined) break;
-    const isRequired = context.plan?.escalation === "required";
-    if (!options.mayEscalate(context, { to: next, isRequired })) break;
+    if (index === versions.length - 1) break;
+    if (!options.mayEscalate(context)) break;
     if (best !== undefined && await isGoodEnough(best, context, options)) break;
   }
   if (best === undefined) return err(refusal);
@@ -215,12 +215,12 @@
   const request = context.request as ModelRequest;
   const settings = options.settings(settingsPathOf(request));
   const { signal } = context.life;
+  const isRequired = context.plan?.escalation === "required";
   const isShort = await options.fallsShort(
-    { request, answer, signal },
+    { request, answer, isRequired, signal },
     settings.qualityTargetShare,
   );
-  if (isShort === undefined) return context.plan?.escalation !== "required";
-  return !isShort;
+  return isShort === undefined ? !isRequired : !isShort;
 }
 
 function isVersionMissing(refusal: Refusal): boolean {
--- a/src/filter/version_desk.ts
+++ b/src/filter/version_desk.ts
@@ -23,7 +23,7 @@
 } from "../model/mod.ts";
 import { type Journal, type RatingClient } from "../platform/mod.ts";
 import { type RecordOf } from "../state/mod.ts";
-import { type MayEscalate, type RatingQuery } from "./cascade.ts";
+import { type RatingQuery } from "./cascade.ts";
 import { type ModelAnswer, type RequestContext } from "./context.ts";
 import { type VersionQuery } from "./pin.ts";
 
@@ -96,31 +96,34 @@
     });
   }
 
-  /** Whether an answer falls short; `undefined` when it was not rated. */
+  /**
+   * Whether an answer falls so short that a better version is worth its price;
+   * `undefined` when it was not rated. Pressure on the budget gives up optional
+   * escalations, the smallest shortfalls first.
+   */
   async fallsShort(
     query: RatingQuery,
     targetShare: number,
   ): Promise<boolean | undefined> {
     const scoreShare = await this.#rate(query.request, query.answer);
-    return scoreShare === undefined ? undefined : scoreShare < targetShare;
-  }
-
-  /** Whether deadline and budget allow one more version. */
-  mayEscalate(
-    context: RequestContext,
-    options: Parameters<MayEscalate>[1],
-  ): boolean {
-    const { workspace } = context.request;
+    if (scoreShare === undefined) return undefined;
     return shouldEscalate({
-      scoreShare: 0,
-      targetShare: 1,
-      escalation: options.isRequired ? "required" : "optional",
-      deadlineLeftMs: context.life.leftMs(),
-      expectedMs: EXPECTED_ESCALATION_MS,
-      budgetPressureShare: this.#options.budgetPressureOf(workspace),
+      scoreShare,
+      targetShare,
+      escalation: query.isRequired ? "required" : "optional",
+      deadlineLeftMs: Infinity,
+      expectedMs: 0,
+      budgetPressureShare: this.#options.budgetPressureOf(
+        query.request.workspace,
+      ),
     });
   }
 
+  /** Whether the deadline leaves time for one more version. */
+  mayEscalate(context: RequestContext): boolean {
+    return context.life.leftMs() >= EXPECTED_ESCALATION_MS;
+  }
+
   /** Rates a sample of whole answers in the background. */
   noteAnswer(request: ModelRequest, answer: ModelAnswer): void {
     if (this.#rated.has(answer)) return;
--- a/src/filter/version_desk_test.ts
+++ b/src/filter/version_desk_test.ts
@@ -39,6 +39,7 @@
   readonly rated: RatingRequest[] = [];
   readonly journal = new MemoryJournal(new MemoryLog());
   scoreShare: number | undefined = 0.9;
+  pressureShare = 0;
   readonly desk = new VersionDesk({
     self: "khomas-a-1",
     journal: this.journal,
@@ -53,13 +54,22 @@
       isAvailable: () => true,
       close: () => Promise.resolve(),
     },
-    budgetPressureOf: () => 0,
+    budgetPressureOf: () => this.pressureShare,
     sampleShare: 0.2,
     publishTimeoutMs: 1000,
     makeId: () => `id-${this.rated.length}`,
     random: () => 0.5,
   });
 
+  fallsShort(
+    answer: ModelAnswer,
+    isRequired: boolean,
+  ): Promise<boolean | undefined> {
+    const { signal } = new AbortController();
+    const query = { request: REQUEST, answer, isRequired, signal };
+    return this.desk.fallsShort(query, 0.7);
+  }
+
   async answer(text: string): Promise<void> {
     this.desk.noteAnswer(REQUEST, answerOf(text));
     await Promise.resolve();
@@ -76,9 +86,7 @@
 test("after an answer that fell short the next ones are rated", async () => {
   const bench = new Bench();
   bench.scoreShare = 0.1;
-  const query = { request: REQUEST, signal: new AbortController().signal };
-  const answer = answerOf("short");
-  assert.equal(await bench.desk.fallsShort({ ...query, answer }, 0.7), true);
+  assert.equal(await bench.fallsShort(answerOf("short"), false), true);
   bench.scoreShare = 0.9;
   for (let index = 0; index < 30; index += 1) await bench.answer(`a${index}`);
   assert.equal(bench.rated.length, 1 + 20);
@@ -88,8 +96,7 @@
   const bench = new Bench();
   bench.scoreShare = 0.1;
   const answer = answerOf("short");
-  const { signal } = new AbortController();
-  await bench.desk.fallsShort({ request: REQUEST, answer, signal }, 0.7);
+  await bench.fallsShort(answer, true);
   bench.desk.noteAnswer(REQUEST, answer);
   assert.equal(bench.rated.length, 1);
 });
@@ -97,17 +104,12 @@
 test("an answer that could not be rated is neither good nor short", async () => {
   const bench = new Bench();
   bench.scoreShare = undefined;
-  const answer = answerOf("late");
-  const { signal } = new AbortController();
-  const query = { request: REQUEST, answer, signal };
-  assert.equal(await bench.desk.fallsShort(query, 0.7), undefined);
+  assert.equal(await bench.fallsShort(answerOf("late"), true), undefined);
 });
 
 test("ratings are published once they have grown", async () => {
   const bench = new Bench();
-  const { signal } = new AbortController();
-  const answer = answerOf("good");
-  await bench.desk.fallsShort({ request: REQUEST, answer, signal }, 0.7);
+  await bench.fallsShort(answerOf("good"), true);
   await bench.desk.publish();
   const { position } = bench.journal.control();
   const [record] = bench.journal.control().quality.values();
@@ -115,3 +117,16 @@
   await bench.desk.publish();
   assert.equal(bench.journal.control().position, position);
 });
+
+test("pressure on the budget gives up optional escalations only", async () => {
+  const bench = new Bench();
+  bench.scoreShare = 0.6;
+  assert.equal(await bench.fallsShort(answerOf("a"), false), true);
+  bench.pressureShare = 0.5;
+  assert.equal(await bench.fallsShort(answerOf("b"), false), false);
+  assert.equal(await bench.fallsShort(answerOf("c"), true), true);
+  bench.scoreShare = 0.1;
+  assert.equal(await bench.fallsShort(answerOf("d"), false), true);
+  bench.pressureShare = 1;
+  assert.equal(await bench.fallsShort(answerOf("e"), false), false);
+});
