Replace every VM under load, and all at once

Graceful shutdown of three VMs one after the other under 10 requests a second: no answer cut, exit status 0 of entries and controllers, all promises kept. All VMs killed and replaced: the tree, and the outcome of a key, come back from the log.

--- a/test/cluster.ts
+++ b/test/cluster.ts
@@ -137,6 +137,23 @@
     await Promise.all([vm.entry.kill(), vm.controller?.kill()]);
   }
 
+  /**
+   * Stops both processes of a VM gracefully and then takes it from the list;
+   * answers the exit statuses.
+   */
+  async retireVm(name: string): Promise<readonly (number | null)[]> {
+    const vm = this.vm(name);
+    const programs = vm.controller === undefined
+      ? [vm.entry]
+      : [vm.entry, vm.controller];
+    await Promise.all(programs.map((program) => program.stop()));
+    this.vms.delete(name);
+    this.#publish();
+    await vm.callerLink.close();
+    await vm.logLink.close();
+    return programs.map((program) => program.status);
+  }
+
   /** The VM with this name; it must exist. */
   vm(name: string): ClusterVm {
     const vm = this.vms.get(name);
--- /dev/null
+++ b/test/integration/replacement_test.ts
@@ -0,0 +1,114 @@
+/**
+ * Every VM is replaced: one by one under load, by graceful shutdown, and then
+ * all that hold the state are killed, so that only the log carries it over.
+ */
+import assert from "node:assert/strict";
+import { test, type TestContext } from "node:test";
+import { type Ask, Caller } from "../caller.ts";
+import { Cluster } from "../cluster.ts";
+import { type CallRecord } from "../evidence.ts";
+import { checkInvariants } from "../invariants.ts";
+import { runLoad } from "../load.ts";
+import { readSitePlan, readTree, withEntryCount } from "../site_plan.ts";
+import { Workload } from "../workload.ts";
+
+const SEED = 61;
+const TEST_TIMEOUT_MS = 120_000;
+const DEADLINE_MS = 10_000;
+const LOAD_MS = 12_000;
+const REQUESTS_PER_SECOND = 10;
+
+async function start(context: TestContext): Promise<Cluster> {
+  const cluster = await Cluster.start({
+    plan: withEntryCount(readSitePlan("kavango"), 3),
+    tree: readTree("kavango"),
+    seed: SEED,
+    hasControllers: true,
+  });
+  context.after(() => cluster.close());
+  return cluster;
+}
+
+function assertKept(cluster: Cluster, calls: readonly CallRecord[]): void {
+  const violations = checkInvariants({
+    ...cluster.seen(),
+    calls,
+    tree: cluster.tree,
+    withdrawals: [],
+    leavings: [],
+  });
+  assert.deepEqual(violations, []);
+}
+
+test("every VM is replaced under load and no answer is cut", {
+  timeout: TEST_TIMEOUT_MS,
+}, async (context) => {
+  const cluster = await start(context);
+  const { plan } = cluster.site;
+  const loading = runLoad({
+    cluster,
+    workload: new Workload({
+      plan,
+      seed: SEED,
+      deadlineMs: DEADLINE_MS,
+      name: "replaced",
+    }),
+    requestsPerSecond: REQUESTS_PER_SECOND,
+    durationMs: LOAD_MS,
+  });
+  for (const old of [...cluster.vms.values()]) {
+    const fresh = await cluster.startVm(`${old.name}-new`, old.place);
+    await cluster.waitReady(fresh);
+    assert.deepEqual(await cluster.retireVm(old.name), [0, 0]);
+  }
+  const { asked, calls } = await loading;
+  const cut = calls.filter((call) => call.end === "cut")
+    .map((call) => call.requestId);
+  assert.deepEqual(cut, []);
+  assert.ok(asked.some((one) => one.last.end === "whole"));
+  assertKept(cluster, calls);
+});
+
+test("what the log holds outlives all VMs", {
+  timeout: TEST_TIMEOUT_MS,
+}, async (context) => {
+  const cluster = await start(context);
+  const caller = new Caller();
+  context.after(() => caller.close());
+  const first = await ask(cluster, caller);
+  assert.equal(first.end, "whole");
+  const old = [...cluster.vms.values()];
+  await Promise.all(old.map((vm) => cluster.killVm(vm.name)));
+  for (const vm of old) cluster.vms.delete(vm.name);
+  for (const vm of old) {
+    await cluster.waitReady(
+      await cluster.startVm(`${vm.name}-new`, vm.place),
+    );
+  }
+  await cluster.waitInForce(cluster.seededRevision);
+  const again = await ask(cluster, caller);
+  assert.equal(again.end, "whole");
+  assert.equal(again.text, first.text);
+  const runs = cluster.site.services.flatMap((service) => service.seen);
+  assert.equal(runs.length, 1);
+  assertKept(cluster, caller.calls);
+});
+
+function ask(cluster: Cluster, caller: Caller): Promise<CallRecord> {
+  const addresses = [...cluster.vms.values()].map((vm) => vm.callerAddress);
+  const request: Ask = {
+    requestId: "submission-7",
+    kind: "service",
+    requestClass: "lookup",
+    workspace: "/khomas/heritage",
+    session: undefined,
+    key: "submission-7",
+    service: "records-desk",
+    prompt: "Register submission 7.",
+    maxTokens: 1,
+    deadlineMs: DEADLINE_MS,
+  };
+  return caller.ask(request, {
+    entryOf: (index) => addresses[index % addresses.length] ?? "",
+  });
+}
