Close the links of VMs that a test takes from its cluster

Cause: the replacement test dropped killed VMs without closing their proxies, which kept its process alive until the time limit of a test file.

--- a/test/cluster.ts
+++ b/test/cluster.ts
@@ -16,6 +16,7 @@
   isReady,
   listeningAddresses,
   outputOf,
+  rowOf,
   statusOf,
 } from "./cluster_vm.ts";
 import { Program } from "./program.ts";
@@ -147,11 +148,17 @@
       ? [vm.entry]
       : [vm.entry, vm.controller];
     await Promise.all(programs.map((program) => program.stop()));
+    await this.forgetVm(name);
+    return programs.map((program) => program.status);
+  }
+
+  /** Takes a VM whose processes have ended from the list. */
+  async forgetVm(name: string): Promise<void> {
+    const vm = this.vm(name);
     this.vms.delete(name);
     this.#publish();
     await vm.callerLink.close();
     await vm.logLink.close();
-    return programs.map((program) => program.status);
   }
 
   /** The VM with this name; it must exist. */
@@ -283,15 +290,9 @@
     for (const { place } of this.site.plan.places) {
       entries.set(
         place,
-        [...this.vms.values()].map((vm): Vm => ({
-          vm: vm.name,
-          kind: "entry",
-          service: "",
-          place: vm.place,
-          address: vm.callerAddress,
-          peerAddress: this.#peerAddresses.get(`${place}>${vm.name}`) ?? "",
-          status: "live",
-        })),
+        [...this.vms.values()].map((vm) =>
+          rowOf(vm, this.#peerAddresses.get(`${place}>${vm.name}`) ?? "")
+        ),
       );
     }
     this.site.setEntries(entries);
--- a/test/cluster_vm.ts
+++ b/test/cluster_vm.ts
@@ -1,5 +1,6 @@
 /** One entry VM of a cluster, and what can be asked of it. */
 import { fetch } from "undici";
+import { type Vm } from "../src/model/mod.ts";
 import { OPERATOR_TOKEN } from "./process_config.ts";
 import { type Program } from "./program.ts";
 import { type FaultProxy } from "./proxy.ts";
@@ -81,3 +82,16 @@
     return undefined;
   }
 }
+
+/** The row of a VM on the list, with its address among peers. */
+export function rowOf(vm: ClusterVm, peerAddress: string): Vm {
+  return {
+    vm: vm.name,
+    kind: "entry",
+    service: "",
+    place: vm.place,
+    address: vm.callerAddress,
+    peerAddress,
+    status: "live",
+  };
+}
--- a/test/integration/replacement_test.ts
+++ b/test/integration/replacement_test.ts
@@ -79,7 +79,7 @@
   assert.equal(first.end, "whole");
   const old = [...cluster.vms.values()];
   await Promise.all(old.map((vm) => cluster.killVm(vm.name)));
-  for (const vm of old) cluster.vms.delete(vm.name);
+  for (const vm of old) await cluster.forgetVm(vm.name);
   for (const vm of old) {
     await cluster.waitReady(
       await cluster.startVm(`${vm.name}-new`, vm.place),
