Make the replacement test fail without the shutdown's wait

At 10 requests a second the test passed also with the wait for the addresses' max age taken out of the state machine (tried twice). At 40 it fails without the wait and passes with it; it now also asserts that nobody is turned away by a VM that shuts down.

--- a/test/integration/replacement_test.ts
+++ b/test/integration/replacement_test.ts
@@ -16,7 +16,7 @@
 const TEST_TIMEOUT_MS = 120_000;
 const DEADLINE_MS = 10_000;
 const LOAD_MS = 12_000;
-const REQUESTS_PER_SECOND = 10;
+const REQUESTS_PER_SECOND = 40;
 
 async function start(context: TestContext): Promise<Cluster> {
   const cluster = await Cluster.start({
@@ -65,6 +65,9 @@
   const cut = calls.filter((call) => call.end === "cut")
     .map((call) => call.requestId);
   assert.deepEqual(cut, []);
+  const turnedAway = calls.filter((call) => call.reason === "shutting_down")
+    .map((call) => call.requestId);
+  assert.deepEqual(turnedAway, []);
   assert.ok(asked.some((one) => one.last.end === "whole"));
   assertKept(cluster, calls);
 });
