--- a/bench/policies/strategies.ts
+++ b/bench/policies/strategies.ts
@@ -4,7 +4,7 @@
   candidateVersions,
   LocalStops,
   OwnRatings,
-  QualityBook,
+  QualityTable,
   shouldEscalate,
   type VersionPlan,
 } from "../../src/decision/mod.ts";
@@ -36,7 +36,7 @@
   return Math.min(1, Math.max(0, mean + SCORE_DEVIATION * sum));
 }
 
-/** The strategies, over a book of ratings drawn before the run. */
+/** The strategies, over a table of ratings drawn before the run. */
 export function createStrategies(random: Random): VersionStrategy[] {
   const quality = createBook(random);
   const select = (cascade: "off" | "before_relay"): ChooseVersions => (query) =>
@@ -83,7 +83,7 @@
   };
 }
 
-function createBook(random: Random): QualityBook {
+function createBook(random: Random): QualityTable {
   let own = OwnRatings.empty;
   for (const { version, qualityShare } of VERSIONS) {
     for (const requestClass of REQUEST_CLASSES) {
@@ -94,7 +94,7 @@
     }
   }
   const records = ControlState.empty.quality;
-  return QualityBook.empty.refresh({ records, own, vm: "bench" });
+  return QualityTable.empty.refresh({ records, own, vm: "bench" });
 }
 
 function only(index: number): ChooseVersions {
--- a/src/bin/burn_setup.ts
+++ b/src/bin/burn_setup.ts
@@ -34,8 +34,8 @@
   await recordBurn({ counter, journal }, { timeoutMs: APPEND_TIMEOUT_MS });
 }
 
-function condemnBadVersions({ burn, desk, journal }: EntryParts): void {
-  for (const { version } of desk.watch.stops.list()) burn.condemn(version);
+function condemnBadVersions({ burn, selector, journal }: EntryParts): void {
+  for (const { version } of selector.watch.stops.list()) burn.condemn(version);
   for (const { step } of journal.control().rollouts.values()) {
     if (step.verdict === "withdraw") burn.condemn(step.version);
   }
--- a/src/bin/entry_program.ts
+++ b/src/bin/entry_program.ts
@@ -5,11 +5,11 @@
 import { randomUUID } from "node:crypto";
 import { presentMembers } from "../decision/mod.ts";
 import {
-  BudgetBook,
+  BudgetTable,
   createHttpApp,
   createRequestHandler,
   type RequestHandler,
-  VersionDesk,
+  VersionSelector,
 } from "../filter/mod.ts";
 import { ROOT_PATH, type Settings } from "../model/mod.ts";
 import {
@@ -45,7 +45,7 @@
 /** Entry and controller of each VM append. */
 const WRITERS_PER_VM = 2;
 const RATED_SAMPLE_SHARE = 0.2;
-const DESK_PERIOD_MS = 1000;
+const RATINGS_PERIOD_MS = 1000;
 const PUBLISH_TIMEOUT_MS = 3000;
 const LOAD_PERIOD_MS = 1000;
 const JOIN_TIMEOUT_MS = 5000;
@@ -98,8 +98,8 @@
   readonly context: ProgramContext;
   readonly journal: LogJournal;
   readonly handler: RequestHandler;
-  readonly desk: VersionDesk;
-  readonly budgets: BudgetBook;
+  readonly selector: VersionSelector;
+  readonly budgets: BudgetTable;
   readonly directory: ServerDirectory;
   readonly vmList: ReturnType<typeof openVmList>;
   readonly peers: PeerSlot;
@@ -123,12 +123,12 @@
       return { places: root.drainedPlaces, servers: root.drainedServers };
     },
   });
-  const budgets = new BudgetBook({
+  const budgets = new BudgetTable({
     journal,
     settings: (path) => journal.control().tree.resolve(path).values,
     clock: processEffects.clock,
   });
-  const desk = new VersionDesk({
+  const selector = new VersionSelector({
     ...processEffects,
     self: settings.vm,
     journal,
@@ -141,7 +141,7 @@
   const handler = openHandler(context, {
     journal,
     directory,
-    desk,
+    selector,
     peers,
   });
   const startedAtMs = processEffects.clock();
@@ -150,7 +150,7 @@
     context,
     journal,
     handler,
-    desk,
+    selector,
     budgets,
     directory,
     vmList,
@@ -183,13 +183,13 @@
 interface HandlerSetup {
   readonly journal: LogJournal;
   readonly directory: ServerDirectory;
-  readonly desk: VersionDesk;
+  readonly selector: VersionSelector;
   readonly peers: PeerSlot;
 }
 
 function openHandler(
   context: ProgramContext,
-  { journal, directory, desk, peers }: HandlerSetup,
+  { journal, directory, selector, peers }: HandlerSetup,
 ): RequestHandler {
   const { settings, logger, metrics } = context;
   return createRequestHandler({
@@ -199,11 +199,11 @@
     directory,
     engines: openEngines(),
     services: openServices(),
-    chooseVersions: (query) => desk.choose(query),
-    mayStart: (version, values) => desk.mayStart(version, values),
-    fallsShort: (query, targetShare) => desk.fallsShort(query, targetShare),
-    mayEscalate: (request) => desk.mayEscalate(request),
-    onAnswer: (request, answer) => desk.noteAnswer(request, answer),
+    chooseVersions: (query) => selector.choose(query),
+    mayStart: (version, values) => selector.mayStart(version, values),
+    fallsShort: (query, targetShare) => selector.fallsShort(query, targetShare),
+    mayEscalate: (request) => selector.mayEscalate(request),
+    onAnswer: (request, answer) => selector.noteAnswer(request, answer),
     holdAtPeer: async (bill) => {
       const { node } = peers;
       return node !== undefined && await holdBillAtPeer(node, bill);
@@ -239,7 +239,7 @@
 }
 
 function runTasks(parts: EntryParts, signal: AbortSignal): Promise<void[]> {
-  const { context, desk, budgets, directory, handler, vmList } = parts;
+  const { context, selector, budgets, directory, handler, vmList } = parts;
   const { settings, logger } = context;
   const periodic = runPeriodic([
     burnTask(parts),
@@ -253,11 +253,11 @@
     },
     {
       name: "ratings",
-      periodMs: DESK_PERIOD_MS,
+      periodMs: RATINGS_PERIOD_MS,
       run: async () => {
         budgets.observe();
-        desk.observe();
-        await desk.publish();
+        selector.observe();
+        await selector.publish();
       },
     },
     {
--- a/src/bin/entry_status.ts
+++ b/src/bin/entry_status.ts
@@ -13,7 +13,7 @@
 }
 
 function statusOf(parts: EntryParts): unknown {
-  const { context, journal, handler, vmList, desk } = parts;
+  const { context, journal, handler, vmList, selector } = parts;
   const { node } = parts.peers;
   const control = journal.control();
   const { ageMs, isLogReachable } = journal.freshness();
@@ -33,6 +33,6 @@
     handler: handler.status(),
     peers: node?.counts() ?? null,
     members: members.map(({ vm, place, status }) => ({ vm, place, status })),
-    stoppedVersions: desk.watch.stops.list().map((stop) => stop.version),
+    stoppedVersions: selector.watch.stops.list().map((stop) => stop.version),
   };
 }
--- a/src/decision/change_watch.ts
+++ b/src/decision/change_watch.ts
@@ -13,7 +13,7 @@
 } from "../model/mod.ts";
 import { type Position, type RolloutProgress } from "../state/mod.ts";
 import { type ClassComparison, lossEvidenceOf } from "./evidence.ts";
-import { type QualityBook } from "./quality.ts";
+import { type QualityTable } from "./quality.ts";
 import { EMPTY_SUM, growthOf, type RatingSum } from "./rating_sum.ts";
 
 /** Ratings after which a further window opens. */
@@ -42,7 +42,7 @@
 
 /** Totals of a version's ratings by class. */
 export function classSumsOf(
-  quality: QualityBook,
+  quality: QualityTable,
   version: VersionName,
 ): ClassSums {
   return sumsBy((requestClass) => quality.totalOf(version, requestClass));
@@ -63,7 +63,7 @@
   watch: ChangeWatch | undefined,
   options: {
     readonly progress: RolloutProgress;
-    readonly quality: QualityBook;
+    readonly quality: QualityTable;
   },
 ): ChangeWatch {
   const { progress, quality } = options;
@@ -88,7 +88,7 @@
 /** What a watch compares the version's ratings with. */
 export interface WatchComparison {
   readonly version: VersionName;
-  readonly quality: QualityBook;
+  readonly quality: QualityTable;
   readonly baselineOf: (requestClass: RequestClass) => RatingSum;
   readonly toleratedLossShare: number;
 }
--- a/src/decision/offer.ts
+++ b/src/decision/offer.ts
@@ -15,7 +15,7 @@
 import { type ControlState } from "../state/mod.ts";
 import { isFoundBad } from "./exposure.ts";
 import { type LocalStops } from "./local_stops.ts";
-import { type QualityBook, type QualityFigure } from "./quality.ts";
+import { type QualityFigure, type QualityTable } from "./quality.ts";
 
 /** Tokens of the request by which versions are compared on price. */
 const TYPICAL_INPUT_TOKENS = 1000;
@@ -34,7 +34,7 @@
 export interface OfferInput {
   readonly settings: Settings;
   readonly control: ControlState;
-  readonly quality: QualityBook;
+  readonly quality: QualityTable;
   readonly localStops: LocalStops;
   readonly requestClass: RequestClass;
 }
--- a/src/decision/quality.ts
+++ b/src/decision/quality.ts
@@ -1,6 +1,6 @@
 /**
  * What is known of the quality of each version for each class of request. The
- * `quality` records of all VMs hold totals since the VM started; a book reads
+ * `quality` records of all VMs hold totals since the VM started; a table reads
  * them, adds this VM's own newer ratings, and keeps two views: totals for the
  * sequential tests and aged figures for the choice of a version. Old ratings
  * lose weight as new ones arrive, so that the figures follow a version that
@@ -101,7 +101,7 @@
   readonly sum: RatingSum;
 }
 
-/** What a book is brought up to date with. */
+/** What a table is brought up to date with. */
 export interface QualitySources {
   /** `ControlState.quality`. */
   readonly records: PersistentMap<string, RecordOf<"quality">>;
@@ -111,7 +111,7 @@
 }
 
 /** Quality of all versions and classes, as one VM knows it. */
-export class QualityBook {
+export class QualityTable {
   readonly #totals: ReadonlyMap<string, RatingSum>;
   readonly #aged: ReadonlyMap<string, RatingSum>;
 
@@ -123,18 +123,18 @@
     this.#aged = aged;
   }
 
-  /** A book without ratings. */
-  static readonly empty: QualityBook = new QualityBook(new Map(), new Map());
+  /** A table without ratings. */
+  static readonly empty: QualityTable = new QualityTable(new Map(), new Map());
 
-  /** The book after reading all sources again. */
-  refresh(sources: QualitySources): QualityBook {
+  /** The table after reading all sources again. */
+  refresh(sources: QualitySources): QualityTable {
     const totals = totalsOf(sources);
     const aged = new Map<string, RatingSum>();
     for (const [key, total] of totals) {
       const growth = growthOf(total, this.#totals.get(key) ?? EMPTY_SUM);
       aged.set(key, age(this.#aged.get(key) ?? EMPTY_SUM, growth));
     }
-    return new QualityBook(totals, aged);
+    return new QualityTable(totals, aged);
   }
 
   /** All ratings of a version and class, for the sequential tests. */
--- a/src/decision/rollout.ts
+++ b/src/decision/rollout.ts
@@ -28,7 +28,7 @@
   stepSumsOf,
 } from "./change_watch.ts";
 import { soundEvidenceOf } from "./evidence.ts";
-import { PRIOR_RATINGS, priorOf, type QualityBook } from "./quality.ts";
+import { PRIOR_RATINGS, priorOf, type QualityTable } from "./quality.ts";
 import { addSums, type RatingSum } from "./rating_sum.ts";
 
 /** Bound on the chance that one step advances a version that is bad. */
@@ -52,7 +52,7 @@
   readonly progress: RolloutProgress | undefined;
   /** The watch since the newest step; absent before the first. */
   readonly watch: ChangeWatch | undefined;
-  readonly quality: QualityBook;
+  readonly quality: QualityTable;
   /** The root's settings. */
   readonly settings: Settings;
 }
--- a/src/decision/selection.ts
+++ b/src/decision/selection.ts
@@ -20,7 +20,7 @@
 import { exposureShareOf, isExposed, isFoundBad } from "./exposure.ts";
 import { type LocalStops } from "./local_stops.ts";
 import { type Offer, offersOf, passShareOf } from "./offer.ts";
-import { type QualityBook } from "./quality.ts";
+import { type QualityTable } from "./quality.ts";
 
 /** The most versions that one request may escalate to. */
 export const MAX_ESCALATIONS = 2;
@@ -32,7 +32,7 @@
   /** Settings resolved at the session's path, or the workspace's. */
   readonly settings: Settings;
   readonly control: ControlState;
-  readonly quality: QualityBook;
+  readonly quality: QualityTable;
   readonly localStops: LocalStops;
   readonly requestClass: RequestClass;
   /** The session's path, or the request's id outside sessions. */
--- a/src/decision/version_fixture.ts
+++ b/src/decision/version_fixture.ts
@@ -9,7 +9,7 @@
 } from "../model/mod.ts";
 import { ControlState, type LogRecord, type RecordOf } from "../state/mod.ts";
 import { LocalStops } from "./local_stops.ts";
-import { OwnRatings, QualityBook } from "./quality.ts";
+import { OwnRatings, QualityTable } from "./quality.ts";
 import { type SelectionInput } from "./selection.ts";
 
 /** Settings with a cheap, a middle and a dear version, and some replaced. */
@@ -71,7 +71,7 @@
   };
 }
 
-/** A book with `count` ratings of one score for a version and class. */
+/** A table with `count` ratings of one score for a version and class. */
 export function createBook(
   ratings: readonly {
     readonly version: VersionName;
@@ -79,7 +79,7 @@
     readonly scoreShare: number;
     readonly requestClass?: RequestClass;
   }[],
-): QualityBook {
+): QualityTable {
   let own = OwnRatings.empty;
   for (const { version, count, scoreShare, requestClass } of ratings) {
     for (let index = 0; index < count; index += 1) {
@@ -91,7 +91,7 @@
     }
   }
   const records = ControlState.empty.quality;
-  return QualityBook.empty.refresh({ records, own, vm: "vm-1" });
+  return QualityTable.empty.refresh({ records, own, vm: "vm-1" });
 }
 
 /** What a request outside sessions is selected with. */
@@ -101,7 +101,7 @@
   return {
     settings: createSettings(),
     control: ControlState.empty,
-    quality: QualityBook.empty,
+    quality: QualityTable.empty,
     localStops: LocalStops.empty,
     requestClass: "drafting",
     key: "request-1",
--- a/src/decision/version_watch.ts
+++ b/src/decision/version_watch.ts
@@ -1,5 +1,5 @@
 /**
- * What one process knows of versions: its own ratings, the book of all, the
+ * What one process knows of versions: its own ratings, the table of all, the
  * watches of running roll-outs and the versions it has stopped. It is changed
  * by reading the control state again or by adding a rating; both return a new
  * value. A verdict to withdraw stops the version on this VM at once, before any
@@ -14,7 +14,7 @@
 import { type ControlState } from "../state/mod.ts";
 import { type ChangeWatch, updateWatch } from "./change_watch.ts";
 import { LocalStops } from "./local_stops.ts";
-import { OwnRatings, QualityBook, type Rating } from "./quality.ts";
+import { OwnRatings, QualityTable, type Rating } from "./quality.ts";
 import {
   judgeRollout,
   type RolloutInput,
@@ -30,7 +30,7 @@
 interface WatchFields {
   readonly vm: string;
   readonly own: OwnRatings;
-  readonly quality: QualityBook;
+  readonly quality: QualityTable;
   readonly stops: LocalStops;
   readonly watches: ReadonlyMap<string, ChangeWatch>;
   readonly moves: readonly RolloutMove[];
@@ -49,7 +49,7 @@
     return new VersionWatch({
       vm,
       own: OwnRatings.resume(control.quality.values(), vm),
-      quality: QualityBook.empty,
+      quality: QualityTable.empty,
       stops: LocalStops.empty,
       watches: new Map(),
       moves: [],
@@ -62,7 +62,7 @@
   }
 
   /** Quality of all versions. */
-  get quality(): QualityBook {
+  get quality(): QualityTable {
     return this.#fields.quality;
   }
 
@@ -104,7 +104,7 @@
     settings: Settings,
     options: {
       readonly control: ControlState;
-      readonly quality: QualityBook;
+      readonly quality: QualityTable;
     },
   ): ReadonlyMap<string, ChangeWatch> {
     const watches = new Map<string, ChangeWatch>();
@@ -123,7 +123,7 @@
   plan: RolloutPlan,
   options: {
     readonly control: ControlState;
-    readonly quality: QualityBook;
+    readonly quality: QualityTable;
     readonly settings: Settings;
     readonly watches: ReadonlyMap<string, ChangeWatch>;
     readonly stops: LocalStops;
--- a/src/filter/budget_book.ts
+++ b/src/filter/budget_table.ts
@@ -8,19 +8,19 @@
 import { type Journal } from "../platform/mod.ts";
 import { type SettingsReader } from "./context.ts";
 
-/** What a book works with. */
-export interface BudgetBookOptions {
+/** What a table works with. */
+export interface BudgetTableOptions {
   readonly journal: Journal;
   readonly settings: SettingsReader;
   readonly clock: Clock;
 }
 
 /** Keeps the spending rates; bounded by the control state's own bound. */
-export class BudgetBook {
-  readonly #options: BudgetBookOptions;
+export class BudgetTable {
+  readonly #options: BudgetTableOptions;
   #rates: ReadonlyMap<string, SpendRate> = new Map();
 
-  constructor(options: BudgetBookOptions) {
+  constructor(options: BudgetTableOptions) {
     this.#options = options;
   }
 
--- a/src/filter/mod.ts
+++ b/src/filter/mod.ts
@@ -1,7 +1,7 @@
 /** The filter chain of requests and the callers' interface. */
 export * from "./answer_sink.ts";
 export * from "./bill.ts";
-export * from "./budget_book.ts";
+export * from "./budget_table.ts";
 export * from "./cascade.ts";
 export * from "./chain.ts";
 export * from "./context.ts";
@@ -15,4 +15,4 @@
 export * from "./request_life.ts";
 export * from "./router.ts";
 export * from "./session_token.ts";
-export * from "./version_desk.ts";
+export * from "./version_selector.ts";
--- a/src/filter/version_desk.ts
+++ b/src/filter/version_selector.ts
@@ -1,5 +1,5 @@
 /**
- * The version desk of one entry: chooses versions by the quality known here,
+ * The version selector of one entry: chooses versions by the quality known here,
  * has answers rated, and publishes its ratings to the other VMs. The rating
  * service may be slow or down: an answer then counts as not rated, and none
  * waits for it longer than the client's own timeout. A version that the ratings
@@ -33,8 +33,8 @@
 /** Answers that are rated one and all after one that fell short. */
 const ALERT_ANSWERS = 20;
 
-/** What a desk works with. */
-export interface VersionDeskOptions {
+/** What a selector works with. */
+export interface VersionSelectorOptions {
   /** Name of this VM. */
   readonly self: string;
   readonly journal: Journal;
@@ -50,15 +50,15 @@
 }
 
 /** Chooses versions and keeps their ratings. */
-export class VersionDesk {
-  readonly #options: VersionDeskOptions;
+export class VersionSelector {
+  readonly #options: VersionSelectorOptions;
   readonly #published = new Map<string, number>();
   readonly #rated = new WeakSet<ModelAnswer>();
   /** Answers still to be rated of versions that fell short lately. */
   readonly #alerts = new Map<VersionName, number>();
   #watch: VersionWatch;
 
-  constructor(options: VersionDeskOptions) {
+  constructor(options: VersionSelectorOptions) {
     this.#options = options;
     this.#watch = VersionWatch.create(
       options.self,
--- a/src/filter/version_desk_test.ts
+++ b/src/filter/version_selector_test.ts
@@ -1,4 +1,4 @@
-/** Tests of the version desk: which answers are rated, and what is published. */
+/** Tests of the version selector: what is rated and what is published. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { err, ok } from "neverthrow";
@@ -10,7 +10,7 @@
   type RatingRequest,
 } from "../platform/mod.ts";
 import { type ModelAnswer } from "./context.ts";
-import { VersionDesk } from "./version_desk.ts";
+import { VersionSelector } from "./version_selector.ts";
 
 const VERSION: VersionName = "drafter@1";
 const REQUEST: ModelRequest = {
@@ -40,7 +40,7 @@
   readonly journal = new MemoryJournal(new MemoryLog());
   scoreShare: number | undefined = 0.9;
   pressureShare = 0;
-  readonly desk = new VersionDesk({
+  readonly selector = new VersionSelector({
     self: "khomas-a-1",
     journal: this.journal,
     rating: {
@@ -67,11 +67,11 @@
   ): Promise<boolean | undefined> {
     const { signal } = new AbortController();
     const query = { request: REQUEST, answer, isRequired, signal };
-    return this.desk.fallsShort(query, 0.7);
+    return this.selector.fallsShort(query, 0.7);
   }
 
   async answer(text: string): Promise<void> {
-    this.desk.noteAnswer(REQUEST, answerOf(text));
+    this.selector.noteAnswer(REQUEST, answerOf(text));
     await Promise.resolve();
     await Promise.resolve();
   }
@@ -97,7 +97,7 @@
   bench.scoreShare = 0.1;
   const answer = answerOf("short");
   await bench.fallsShort(answer, true);
-  bench.desk.noteAnswer(REQUEST, answer);
+  bench.selector.noteAnswer(REQUEST, answer);
   assert.equal(bench.rated.length, 1);
 });
 
@@ -110,11 +110,11 @@
 test("ratings are published once they have grown", async () => {
   const bench = new Bench();
   await bench.fallsShort(answerOf("good"), true);
-  await bench.desk.publish();
+  await bench.selector.publish();
   const { position } = bench.journal.control();
   const [record] = bench.journal.control().quality.values();
   assert.equal(record?.count, 1);
-  await bench.desk.publish();
+  await bench.selector.publish();
   assert.equal(bench.journal.control().position, position);
 });
 
--- a/src/report/trace_replay.ts
+++ b/src/report/trace_replay.ts
@@ -9,7 +9,7 @@
   mayStart,
   NO_SIGNS,
   noteSign,
-  QualityBook,
+  QualityTable,
   serverStatus,
   takesNewWork,
 } from "../decision/mod.ts";
@@ -164,7 +164,7 @@
   const path = event.path;
   return candidateVersions({
     ...selectionOf(state, path),
-    quality: QualityBook.empty,
+    quality: QualityTable.empty,
     requestClass: event.requestClass,
     key: event.key,
     isInSession: event.isInSession,
