--- a/src/bin/burn_setup.ts
+++ b/src/bin/burn_setup.ts
@@ -20,7 +20,7 @@
     name: "burn",
     periodMs: BURN_PERIOD_MS,
     run: async () => {
-      condemnBadVersions(parts);
+      markBadVersions(parts);
       await appendBurn(parts.burn, parts.journal);
     },
   };
@@ -34,9 +34,9 @@
   await recordBurn({ counter, journal }, { timeoutMs: APPEND_TIMEOUT_MS });
 }
 
-function condemnBadVersions({ burn, selector, journal }: EntryParts): void {
-  for (const { version } of selector.watch.stops.list()) burn.condemn(version);
+function markBadVersions({ burn, selector, journal }: EntryParts): void {
+  for (const { version } of selector.watch.stops.list()) burn.markBad(version);
   for (const { step } of journal.control().rollouts.values()) {
-    if (step.verdict === "withdraw") burn.condemn(step.version);
+    if (step.verdict === "withdraw") burn.markBad(step.version);
   }
 }
--- a/src/bin/entry_shutdown.ts
+++ b/src/bin/entry_shutdown.ts
@@ -18,7 +18,7 @@
 
 const STEP_MS = 50;
 const FLUSH_TIMEOUT_MS = 30_000;
-const FAREWELL_MS = 100;
+const LEFT_NOTICE_MS = 100;
 /** Probe periods until every peer has learned that this VM leaves. */
 const SPREAD_PERIODS = 3;
 
@@ -102,7 +102,7 @@
 }
 
 async function closeAll(entry: EntryEnding): Promise<void> {
-  await processEffects.sleep(FAREWELL_MS);
+  await processEffects.sleep(LEFT_NOTICE_MS);
   entry.ending.abort();
   await Promise.all([entry.http.close(), entry.tasks]);
   await entry.node.close();
--- a/src/report/burn_counter.ts
+++ b/src/report/burn_counter.ts
@@ -17,7 +17,7 @@
 
 const MAX_RECENT = RECORD_WINDOW_MS / LIVE_WINDOW_MS + 1;
 const MAX_UNRECORDED = 8192;
-const MAX_CONDEMNED = 64;
+const MAX_BAD_VERSIONS = 64;
 const MIN_WINDOW_MS = 1;
 
 /** What a counter needs. */
@@ -33,7 +33,7 @@
   readonly #options: BurnCounterOptions;
   readonly #startedAtMs: number;
   readonly #unrecorded = new Map<string, BurnWindow>();
-  readonly #condemned = new Set<VersionName>();
+  readonly #badVersions = new Set<VersionName>();
   #recent: BurnSeries[];
   #hour: BurnSeries;
   #droppedCount = 0;
@@ -50,7 +50,7 @@
   note(given: BurnObservation): void {
     this.roll();
     const { version } = given;
-    const isBad = version !== undefined && this.#condemned.has(version);
+    const isBad = version !== undefined && this.#badVersions.has(version);
     const observation: BurnObservation = isBad
       ? { ...given, outcome: "badVersion" }
       : given;
@@ -59,15 +59,15 @@
   }
 
   /** Counts a version's answers in the running windows, and later, as bad. */
-  condemn(version: VersionName): void {
-    if (this.#condemned.has(version)) return;
-    this.#condemned.add(version);
-    if (this.#condemned.size > MAX_CONDEMNED) {
-      const [oldest] = this.#condemned;
-      if (oldest !== undefined) this.#condemned.delete(oldest);
+  markBad(version: VersionName): void {
+    if (this.#badVersions.has(version)) return;
+    this.#badVersions.add(version);
+    if (this.#badVersions.size > MAX_BAD_VERSIONS) {
+      const [oldest] = this.#badVersions;
+      if (oldest !== undefined) this.#badVersions.delete(oldest);
     }
-    for (const series of this.#recent) series.condemn(version);
-    this.#hour.condemn(version);
+    for (const series of this.#recent) series.markBad(version);
+    this.#hour.markBad(version);
   }
 
   /** Closes the windows that have ended. */
--- a/src/report/burn_counter_test.ts
+++ b/src/report/burn_counter_test.ts
@@ -63,7 +63,7 @@
   counter.note(observed());
   counter.note(observed({ outcome: "late" }));
   counter.note(observed({ version: "drafter@0" }));
-  counter.condemn("drafter@1");
+  counter.markBad("drafter@1");
   counter.note(observed());
   for (const windows of ["recent", "unrecorded"] as const) {
     const sum = counter.snapshot()[windows].reduce(addCounts, NO_COUNTS);
--- a/src/report/burn_series.ts
+++ b/src/report/burn_series.ts
@@ -62,7 +62,7 @@
   }
 
   /** Counts the answers of a version as bad. */
-  condemn(version: VersionName): void {
+  markBad(version: VersionName): void {
     for (const series of this.#series.values()) {
       const answers = series.byVersion.get(version);
       if (answers === undefined) continue;
