Name the layer of our own clients client, so that platform means one thing

Cause: the adapter to the users' platform is to be the top-level folder platform/; src/platform held our own protocol clients.

--- a/bench/membership/peer_process.ts
+++ b/bench/membership/peer_process.ts
@@ -1,7 +1,7 @@
 /** One peer node as a process of its own, driven by its parent over IPC. */
 import process from "node:process";
 import { noMetrics, silentLogger } from "../../src/model/mod.ts";
-import { processEffects } from "../../src/platform/effects.ts";
+import { processEffects } from "../../src/client/effects.ts";
 import { createPeerNode } from "../../src/wire/mod.ts";
 
 /** What the process tells of itself. */
--- a/bench/policies/decision_cost.ts
+++ b/bench/policies/decision_cost.ts
@@ -6,7 +6,7 @@
 import process from "node:process";
 import { DEFAULT_SUBSET_LIMITS } from "../../src/decision/mod.ts";
 import { type Vm } from "../../src/model/mod.ts";
-import { ServerDirectory } from "../../src/platform/mod.ts";
+import { ServerDirectory } from "../../src/client/mod.ts";
 import { PrefixMemory } from "../../src/filter/prefix_memory.ts";
 import { createRouter, type Router } from "../../src/filter/router.ts";
 import { createRandom } from "./workload.ts";
--- a/bench/policies/engine_model.ts
+++ b/bench/policies/engine_model.ts
@@ -4,7 +4,7 @@
  * report that is published a while after it was true.
  */
 import { type VersionName } from "../../src/model/mod.ts";
-import { type ServerReport } from "../../src/platform/mod.ts";
+import { type ServerReport } from "../../src/client/mod.ts";
 import { type VirtualTime } from "./virtual_time.ts";
 
 /** What an engine is made of. */
--- a/bench/policies/request_cost.ts
+++ b/bench/policies/request_cost.ts
@@ -24,8 +24,8 @@
   MemoryJournal,
   MemoryLog,
   ServerDirectory,
-} from "../../src/platform/mod.ts";
-import { processEffects } from "../../src/platform/effects.ts";
+} from "../../src/client/mod.ts";
+import { processEffects } from "../../src/client/effects.ts";
 import { rootSettings, siteVms } from "./site.ts";
 
 const REQUESTS = 1000;
--- a/bench/policies/simulated_engines.ts
+++ b/bench/policies/simulated_engines.ts
@@ -7,7 +7,7 @@
   type EngineTransport,
   type GenerateCall,
   type GenerateOptions,
-} from "../../src/platform/mod.ts";
+} from "../../src/client/mod.ts";
 import { type EngineModel } from "./engine_model.ts";
 import { versionModel } from "./site.ts";
 import { type VirtualTime } from "./virtual_time.ts";
--- a/bench/policies/site_run.ts
+++ b/bench/policies/site_run.ts
@@ -21,7 +21,7 @@
   MemoryLog,
   runLoadPoller,
   ServerDirectory,
-} from "../../src/platform/mod.ts";
+} from "../../src/client/mod.ts";
 import { EngineModel } from "./engine_model.ts";
 import { policyOf } from "./route_policies.ts";
 import { SimulatedEngines } from "./simulated_engines.ts";
--- a/bench/state/append.ts
+++ b/bench/state/append.ts
@@ -7,8 +7,8 @@
 import { performance } from "node:perf_hooks";
 import { build } from "hdr-histogram-js";
 import { noMetrics, silentLogger } from "../../src/model/mod.ts";
-import { processEffects } from "../../src/platform/effects.ts";
-import { createLogJournal, type LogJournal } from "../../src/platform/mod.ts";
+import { processEffects } from "../../src/client/effects.ts";
+import { createLogJournal, type LogJournal } from "../../src/client/mod.ts";
 import { LogStandin } from "../../standin/mod.ts";
 
 const BUDGET_PER_SECOND = 300;
--- a/src/bin/burn_setup.ts
+++ b/src/bin/burn_setup.ts
@@ -1,6 +1,6 @@
 /** The counts of an entry for the burn report, and their way into the log. */
 import { randomUUID } from "node:crypto";
-import { type LogJournal } from "../platform/mod.ts";
+import { type LogJournal } from "../client/mod.ts";
 import { BurnCounter } from "../report/burn_counter.ts";
 import { recordBurn } from "../report/burn_route.ts";
 import { type EntryParts } from "./entry_program.ts";
--- a/src/bin/platform_setup.ts
+++ b/src/bin/client_setup.ts
@@ -8,9 +8,9 @@
   ServerDirectory,
   ServiceClient,
   VmListClient,
-} from "../platform/mod.ts";
-import { processEffects } from "../platform/effects.ts";
-import { type Drains, type VmSource } from "../platform/mod.ts";
+} from "../client/mod.ts";
+import { processEffects } from "../client/effects.ts";
+import { type Drains, type VmSource } from "../client/mod.ts";
 import { type ProcessSettings } from "./process_settings.ts";
 
 const RATING_TIMEOUT_MS = 2000;
--- a/src/bin/controller_program.ts
+++ b/src/bin/controller_program.ts
@@ -16,11 +16,11 @@
   type LogJournal,
   type VmListClient,
   type WeightStoreClient,
-} from "../platform/mod.ts";
-import { processEffects } from "../platform/effects.ts";
+} from "../client/mod.ts";
+import { processEffects } from "../client/effects.ts";
 import { type ProgramContext, type RunningProgram } from "./program.ts";
 import { openJournal } from "./journal_setup.ts";
-import { openVmList } from "./platform_setup.ts";
+import { openVmList } from "./client_setup.ts";
 import { type ProcessSettings } from "./process_settings.ts";
 
 const FLEET_LEASE_TTL_MS = 15_000;
--- a/src/bin/entry_program.ts
+++ b/src/bin/entry_program.ts
@@ -16,8 +16,8 @@
   type LogJournal,
   runLoadPoller,
   type ServerDirectory,
-} from "../platform/mod.ts";
-import { processEffects } from "../platform/effects.ts";
+} from "../client/mod.ts";
+import { processEffects } from "../client/effects.ts";
 import { type BurnCounter } from "../report/burn_counter.ts";
 import { countRequests } from "../report/burn_observer.ts";
 import { burnRoutes } from "../report/burn_route.ts";
@@ -39,7 +39,7 @@
   openVmList,
   pollingOf,
   vmSourceOf,
-} from "./platform_setup.ts";
+} from "./client_setup.ts";
 import { type ProgramContext, type RunningProgram } from "./program.ts";
 
 /** Entry and controller of each VM append. */
--- a/src/bin/entry_shutdown.ts
+++ b/src/bin/entry_shutdown.ts
@@ -9,7 +9,7 @@
   type ShutdownEvent,
   type ShutdownState,
 } from "../decision/mod.ts";
-import { processEffects } from "../platform/effects.ts";
+import { processEffects } from "../client/effects.ts";
 import { type PeerNode } from "../wire/mod.ts";
 import { appendBurn } from "./burn_setup.ts";
 import { type EntryParts } from "./entry_program.ts";
--- a/src/bin/journal_setup.ts
+++ b/src/bin/journal_setup.ts
@@ -1,6 +1,6 @@
 /** The journal of a process, from its settings. */
-import { createLogJournal, type LogJournal } from "../platform/mod.ts";
-import { processEffects } from "../platform/effects.ts";
+import { createLogJournal, type LogJournal } from "../client/mod.ts";
+import { processEffects } from "../client/effects.ts";
 import { type ProgramContext } from "./program.ts";
 
 /** What differs between the journals of the programs. */
--- a/src/bin/peers_setup.ts
+++ b/src/bin/peers_setup.ts
@@ -2,8 +2,8 @@
 import { chooseEntries, presentMembers } from "../decision/mod.ts";
 import { type EntryList, type RequestHandler } from "../filter/mod.ts";
 import { ROOT_PATH } from "../model/mod.ts";
-import { type LogJournal, recordSourceOf } from "../platform/mod.ts";
-import { processEffects } from "../platform/effects.ts";
+import { type LogJournal, recordSourceOf } from "../client/mod.ts";
+import { processEffects } from "../client/effects.ts";
 import { type RecordOf } from "../state/mod.ts";
 import { createPeerNode, type PeerNode } from "../wire/mod.ts";
 import { type ProgramContext } from "./program.ts";
--- a/src/bin/periodic.ts
+++ b/src/bin/periodic.ts
@@ -1,6 +1,6 @@
 /** Work that a process repeats until it ends. */
 import { type Logger } from "../model/mod.ts";
-import { processEffects } from "../platform/effects.ts";
+import { processEffects } from "../client/effects.ts";
 
 /** One piece of repeated work. */
 export interface PeriodicTask {
--- a/src/bin/program.ts
+++ b/src/bin/program.ts
@@ -4,7 +4,7 @@
  */
 import process from "node:process";
 import { type Logger, type Metrics, noMetrics } from "../model/mod.ts";
-import { createLogger, createMetrics } from "../platform/mod.ts";
+import { createLogger, createMetrics } from "../client/mod.ts";
 import {
   BAD_SETTINGS_STATUS,
   type ProcessSettings,
--- a/src/command/base.ts
+++ b/src/command/base.ts
@@ -11,7 +11,7 @@
   type SettingsChange,
   type SettingsPath,
 } from "../model/mod.ts";
-import { processEffects } from "../platform/effects.ts";
+import { processEffects } from "../client/effects.ts";
 import { type Position } from "../state/mod.ts";
 import { type CommandFault, EXIT_STATUS, faultOf } from "./exit_status.ts";
 import {
--- a/src/command/fleet/show.ts
+++ b/src/command/fleet/show.ts
@@ -4,8 +4,8 @@
   createEngineControl,
   type ServerReport,
   VmListClient,
-} from "../../platform/mod.ts";
-import { processEffects } from "../../platform/effects.ts";
+} from "../../client/mod.ts";
+import { processEffects } from "../../client/effects.ts";
 import { operatorFlags, SettingsCommand } from "../base.ts";
 import { faultOf } from "../exit_status.ts";
 
--- a/src/command/operator_session.ts
+++ b/src/command/operator_session.ts
@@ -11,13 +11,13 @@
   type SettingsPath,
   silentLogger,
 } from "../model/mod.ts";
-import { type Effects } from "../platform/effects.ts";
+import { type Effects } from "../client/effects.ts";
 import {
   createLogJournal,
   type JournalError,
   type LogJournal,
   type LogTransport,
-} from "../platform/mod.ts";
+} from "../client/mod.ts";
 import {
   type ControlState,
   type DecidedEdit,
--- a/src/controller/engine_fixture.ts
+++ b/src/controller/engine_fixture.ts
@@ -5,8 +5,8 @@
   type EngineControl,
   type EngineOrder,
   OrderError,
-} from "../platform/engine_orders.ts";
-import { type ServerReport } from "../platform/load_report.ts";
+} from "../client/engine_orders.ts";
+import { type ServerReport } from "../client/load_report.ts";
 
 /** An engine that carries orders out at once. */
 export class FakeEngine {
--- a/src/controller/fleet_controller.ts
+++ b/src/controller/fleet_controller.ts
@@ -23,9 +23,9 @@
   type VersionName,
   type Vm,
 } from "../model/mod.ts";
-import { type EngineControl } from "../platform/engine_orders.ts";
-import { type Journal } from "../platform/journal.ts";
-import { type ServerReport } from "../platform/load_report.ts";
+import { type EngineControl } from "../client/engine_orders.ts";
+import { type Journal } from "../client/journal.ts";
+import { type ServerReport } from "../client/load_report.ts";
 import { type Controller, type ControllerContext } from "./controller_set.ts";
 import { type LeaseKeeper } from "./lease_keeper.ts";
 
--- a/src/controller/fleet_controller_test.ts
+++ b/src/controller/fleet_controller_test.ts
@@ -11,7 +11,7 @@
   silentLogger,
   type VersionName,
 } from "../model/mod.ts";
-import { MemoryJournal, MemoryLog } from "../platform/memory_journal.ts";
+import { MemoryJournal, MemoryLog } from "../client/memory_journal.ts";
 import { type Controller } from "./controller_set.ts";
 import { engineRows, FakeControl, FakeEngine } from "./engine_fixture.ts";
 import { createFleetController } from "./fleet_controller.ts";
--- a/src/controller/lease_keeper.ts
+++ b/src/controller/lease_keeper.ts
@@ -15,7 +15,7 @@
   UNSEEN_LEASE,
 } from "../decision/lease.ts";
 import { type Clock } from "../model/mod.ts";
-import { type Journal } from "../platform/journal.ts";
+import { type Journal } from "../client/journal.ts";
 import { type Lease, type Position, type RecordOf } from "../state/mod.ts";
 
 /** What a lease is kept with. */
--- a/src/controller/rollout_controller.ts
+++ b/src/controller/rollout_controller.ts
@@ -10,7 +10,7 @@
   VersionWatch,
 } from "../decision/mod.ts";
 import { ROOT_PATH, type VersionName, withdrawalOf } from "../model/mod.ts";
-import { type Journal } from "../platform/journal.ts";
+import { type Journal } from "../client/journal.ts";
 import { type ControlState, type RecordOf } from "../state/mod.ts";
 import { type Controller, type ControllerContext } from "./controller_set.ts";
 
--- a/src/controller/rollout_controller_test.ts
+++ b/src/controller/rollout_controller_test.ts
@@ -13,7 +13,7 @@
   silentLogger,
   type VersionName,
 } from "../model/mod.ts";
-import { MemoryJournal, MemoryLog } from "../platform/memory_journal.ts";
+import { MemoryJournal, MemoryLog } from "../client/memory_journal.ts";
 import { type LogRecord } from "../state/mod.ts";
 import { createRolloutController } from "./rollout_controller.ts";
 
--- a/src/controller/spend_controller.ts
+++ b/src/controller/spend_controller.ts
@@ -6,7 +6,7 @@
  */
 import { randomUUID } from "node:crypto";
 import { type Clock, type Random, type SettingsPath } from "../model/mod.ts";
-import { type LogJournal } from "../platform/mod.ts";
+import { type LogJournal } from "../client/mod.ts";
 import { type Controller, type ControllerContext } from "./controller_set.ts";
 
 /** What the controller works with. */
--- a/src/controller/vm_list_controller.ts
+++ b/src/controller/vm_list_controller.ts
@@ -1,5 +1,5 @@
 /** Keeps this process's copy of the platform's VM list fresh. */
-import { type VmListClient } from "../platform/vm_list.ts";
+import { type VmListClient } from "../client/vm_list.ts";
 import { type Controller } from "./controller_set.ts";
 
 /** What the controller works with. */
--- a/src/filter/abandoned_claims.ts
+++ b/src/filter/abandoned_claims.ts
@@ -4,7 +4,7 @@
  * its VM says "not run", which frees the key. Bounded; the oldest is forgotten,
  * and its key then stays held, which is safe.
  */
-import { type Journal } from "../platform/mod.ts";
+import { type Journal } from "../client/mod.ts";
 import { type RecordOf } from "../state/mod.ts";
 import { shardKeyOf } from "./claim.ts";
 import { outcomeRecord } from "./claim_outcome.ts";
--- a/src/filter/append_patience.ts
+++ b/src/filter/append_patience.ts
@@ -3,7 +3,7 @@
  * log is known to be unreachable the wait is short, so that an outage costs
  * little latency.
  */
-import { type Journal } from "../platform/mod.ts";
+import { type Journal } from "../client/mod.ts";
 
 const OUTAGE_TIMEOUT_MS = 200;
 
--- a/src/filter/attempt.ts
+++ b/src/filter/attempt.ts
@@ -16,7 +16,7 @@
   type EngineTransport,
   isNothingRun,
   type ServerReport,
-} from "../platform/mod.ts";
+} from "../client/mod.ts";
 import { type AnswerProgress } from "./answer_progress.ts";
 import { type RequestContext } from "./context.ts";
 import { checkFrame } from "./frame_check.ts";
--- a/src/filter/authorise.ts
+++ b/src/filter/authorise.ts
@@ -10,7 +10,7 @@
   type SettingsPath,
   usableVersions,
 } from "../model/mod.ts";
-import { type Journal } from "../platform/mod.ts";
+import { type Journal } from "../client/mod.ts";
 import { type Filter } from "./chain.ts";
 import {
   type RequestContext,
--- a/src/filter/budget_table.ts
+++ b/src/filter/budget_table.ts
@@ -5,7 +5,7 @@
   type SpendRate,
 } from "../decision/mod.ts";
 import { type Clock, type SettingsPath } from "../model/mod.ts";
-import { type Journal } from "../platform/mod.ts";
+import { type Journal } from "../client/mod.ts";
 import { type SettingsReader } from "./context.ts";
 
 /** What a table works with. */
--- a/src/filter/call_service.ts
+++ b/src/filter/call_service.ts
@@ -15,7 +15,7 @@
   type ServiceAnswer,
   type ServiceError,
   type ServiceTransport,
-} from "../platform/mod.ts";
+} from "../client/mod.ts";
 import { type Next, type Outcome } from "./chain.ts";
 import {
   type RequestContext,
--- a/src/filter/call_service_test.ts
+++ b/src/filter/call_service_test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { err, ok } from "neverthrow";
-import { ServiceError, type ServiceFault } from "../platform/mod.ts";
+import { ServiceError, type ServiceFault } from "../client/mod.ts";
 import { Fixture, refusalOf, send, serviceRequest } from "./fixture_test.ts";
 import { DEFAULT_FILTER_LIMITS } from "./limits.ts";
 
--- a/src/filter/claim.ts
+++ b/src/filter/claim.ts
@@ -12,7 +12,7 @@
   notRun,
   type Refusal,
 } from "../model/mod.ts";
-import { type Journal, type JournalError } from "../platform/mod.ts";
+import { type Journal, type JournalError } from "../client/mod.ts";
 import { type ClaimState, type RecordOf } from "../state/mod.ts";
 import { type AbandonedClaims } from "./abandoned_claims.ts";
 import { type Filter, type Outcome } from "./chain.ts";
--- a/src/filter/dispatch.ts
+++ b/src/filter/dispatch.ts
@@ -16,7 +16,7 @@
   type Sleep,
   type VersionName,
 } from "../model/mod.ts";
-import { type EngineError, isNothingRun } from "../platform/mod.ts";
+import { type EngineError, isNothingRun } from "../client/mod.ts";
 import { AnswerProgress } from "./answer_progress.ts";
 import { attemptAnswer, type AttemptOptions } from "./attempt.ts";
 import { billLine } from "./bill.ts";
--- a/src/filter/dispatch_test.ts
+++ b/src/filter/dispatch_test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { err, ok, type Result } from "neverthrow";
-import { EngineError, type EngineFault } from "../platform/mod.ts";
+import { EngineError, type EngineFault } from "../client/mod.ts";
 import {
   CHEAP,
   type Entry,
--- a/src/filter/fakes_test.ts
+++ b/src/filter/fakes_test.ts
@@ -14,7 +14,7 @@
   type ServiceCallOptions,
   type ServiceError,
   type ServiceTransport,
-} from "../platform/mod.ts";
+} from "../client/mod.ts";
 
 /** One call that an engine received. */
 export interface SeenCall extends GenerateCall {
--- a/src/filter/fixture_test.ts
+++ b/src/filter/fixture_test.ts
@@ -20,7 +20,7 @@
   type VersionName,
   type Vm,
 } from "../model/mod.ts";
-import { MemoryJournal, MemoryLog, ServerDirectory } from "../platform/mod.ts";
+import { MemoryJournal, MemoryLog, ServerDirectory } from "../client/mod.ts";
 import { START_POSITION } from "../state/mod.ts";
 import { type AnswerSink } from "./answer_sink.ts";
 import { type Answer } from "./context.ts";
--- a/src/filter/http_app.ts
+++ b/src/filter/http_app.ts
@@ -4,7 +4,7 @@
  */
 import { type Context, Hono } from "hono";
 import { type Logger, mayHaveRun, parsePath } from "../model/mod.ts";
-import { BodyTooLongError, readBytes } from "../platform/transport.ts";
+import { BodyTooLongError, readBytes } from "../client/transport.ts";
 import { respondChat, respondPlain } from "./chat_response.ts";
 import {
   badRequest,
--- a/src/filter/pin.ts
+++ b/src/filter/pin.ts
@@ -15,7 +15,7 @@
   type SettingsPath,
   type VersionName,
 } from "../model/mod.ts";
-import { type Journal } from "../platform/mod.ts";
+import { type Journal } from "../client/mod.ts";
 import { type RecordOf } from "../state/mod.ts";
 import { appendPatienceMs } from "./append_patience.ts";
 import { type Filter } from "./chain.ts";
--- a/src/filter/record_outbox.ts
+++ b/src/filter/record_outbox.ts
@@ -4,7 +4,7 @@
  * record of work once accepted always fits. An append repeated is harmless:
  * replay knows a record by its id.
  */
-import { type Journal } from "../platform/mod.ts";
+import { type Journal } from "../client/mod.ts";
 import { type LogRecord } from "../state/mod.ts";
 
 /** A record and the shard it belongs to. */
--- a/src/filter/request_handler.ts
+++ b/src/filter/request_handler.ts
@@ -19,7 +19,7 @@
   type Journal,
   type ServerDirectory,
   type ServiceTransport,
-} from "../platform/mod.ts";
+} from "../client/mod.ts";
 import { type RecordOf } from "../state/mod.ts";
 import { AbandonedClaims } from "./abandoned_claims.ts";
 import { AdmissionQueue } from "./admit.ts";
--- a/src/filter/router.ts
+++ b/src/filter/router.ts
@@ -20,7 +20,7 @@
   type RequestClass,
   type VersionName,
 } from "../model/mod.ts";
-import { type ServerUse } from "../platform/mod.ts";
+import { type ServerUse } from "../client/mod.ts";
 import { type PrefixMemory } from "./prefix_memory.ts";
 
 /** What a router reads of the backend servers. */
--- a/src/filter/settings_cache.ts
+++ b/src/filter/settings_cache.ts
@@ -3,7 +3,7 @@
  * cache; it is bounded, and is emptied when it is full.
  */
 import { type Settings, type SettingsPath } from "../model/mod.ts";
-import { type Journal } from "../platform/mod.ts";
+import { type Journal } from "../client/mod.ts";
 import { type SettingsReader } from "./context.ts";
 
 const MAX_PATHS = 10_000;
--- a/src/filter/version_selector.ts
+++ b/src/filter/version_selector.ts
@@ -21,7 +21,7 @@
   type SettingsPath,
   type VersionName,
 } from "../model/mod.ts";
-import { type Journal, type RatingClient } from "../platform/mod.ts";
+import { type Journal, type RatingClient } from "../client/mod.ts";
 import { type RecordOf } from "../state/mod.ts";
 import { type RatingQuery } from "./cascade.ts";
 import { type ModelAnswer, type RequestContext } from "./context.ts";
--- a/src/filter/version_selector_test.ts
+++ b/src/filter/version_selector_test.ts
@@ -8,7 +8,7 @@
   MemoryLog,
   RatingError,
   type RatingRequest,
-} from "../platform/mod.ts";
+} from "../client/mod.ts";
 import { type ModelAnswer } from "./context.ts";
 import { VersionSelector } from "./version_selector.ts";
 
--- a/src/report/burn_route.ts
+++ b/src/report/burn_route.ts
@@ -1,7 +1,7 @@
 /** What an entry VM tells of its counts, and puts of them into the log. */
 import { type AdminRoute } from "../filter/mod.ts";
 import { depthOf, type SettingsPath } from "../model/mod.ts";
-import { type Journal } from "../platform/mod.ts";
+import { type Journal } from "../client/mod.ts";
 import { CONTROL_LIMITS, type ControlState } from "../state/mod.ts";
 import { type BurnCounter } from "./burn_counter.ts";
 import { type BurnHistory } from "./burn_window.ts";
--- a/test/fuzz/decoders_test.ts
+++ b/test/fuzz/decoders_test.ts
@@ -11,8 +11,8 @@
   EventReader,
   EventStreamError,
   MAX_EVENT_LENGTH,
-} from "../../src/platform/event_stream.ts";
-import { parseLoadReport } from "../../src/platform/load_report.ts";
+} from "../../src/client/event_stream.ts";
+import { parseLoadReport } from "../../src/client/load_report.ts";
 import { parseRunSummary } from "../../src/report/run_summary.ts";
 import {
   ControlState,
--- a/test/state/fake_log.ts
+++ b/test/state/fake_log.ts
@@ -8,7 +8,7 @@
   type LogCall,
   type LogFailure,
   type LogTransport,
-} from "../../src/platform/mod.ts";
+} from "../../src/client/mod.ts";
 import { encodeBatch, type LogRecord } from "../../src/state/mod.ts";
 import { type VirtualTime } from "./virtual_time.ts";
 
--- a/test/state/fault_property_test.ts
+++ b/test/state/fault_property_test.ts
@@ -5,7 +5,7 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { type LogJournal } from "../../src/platform/mod.ts";
+import { type LogJournal } from "../../src/client/mod.ts";
 import {
   controlCodec,
   decodeEntry,
--- a/test/state/fixture.ts
+++ b/test/state/fixture.ts
@@ -5,7 +5,7 @@
   createLogJournal,
   type LogJournal,
   type LogJournalOptions,
-} from "../../src/platform/mod.ts";
+} from "../../src/client/mod.ts";
 import { type RecordOf } from "../../src/state/mod.ts";
 import { FakeLog } from "./fake_log.ts";
 import { VirtualTime } from "./virtual_time.ts";
--- a/test/state/recovery_test.ts
+++ b/test/state/recovery_test.ts
@@ -1,7 +1,7 @@
 /** Start, retention, checkpoints and peers: the state never moves back. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { type LogJournal } from "../../src/platform/mod.ts";
+import { type LogJournal } from "../../src/client/mod.ts";
 import {
   controlCodec,
   positionOf,
--- a/tools/layers.ts
+++ b/tools/layers.ts
@@ -10,7 +10,7 @@
   "state",
   "decision",
   "wire",
-  "platform",
+  "client",
   "filter",
   "controller",
   "report",
