--- a/src/decision/entry_addresses.ts
+++ b/src/decision/entry_addresses.ts
@@ -32,6 +32,11 @@
   readonly places: readonly Place[];
   readonly drainedPlaces: readonly string[];
   readonly maxCount: number;
+  /**
+   * Places further away are named only to make up this many; absent where they
+   * fill the answer up to `maxCount`.
+   */
+  readonly leastCount?: number;
   readonly maxAgeMs: number;
   /** A load report older than this counts as the prior. */
   readonly loadMaxAgeMs: number;
@@ -52,7 +57,9 @@
 ): EntryAnswer {
   const candidates = candidatesOf(state, query);
   candidates.sort((a, b) => a.distance - b.distance || b.draw - a.draw);
-  const entries = withSpare(candidates, query.maxCount);
+  const entries = query.leastCount === undefined
+    ? withSpare(candidates, query.maxCount)
+    : nearest(candidates, query.maxCount, query.leastCount);
   return {
     entries: entries.map(({ vm, place, address }) => ({ vm, place, address })),
     maxAgeMs: query.maxAgeMs,
@@ -116,6 +123,23 @@
   return query.places.find((item) => item.place === place)?.region;
 }
 
+/** Whole steps of distance until there are enough. */
+function nearest(
+  candidates: readonly Candidate[],
+  maxCount: number,
+  leastCount: number,
+): readonly Candidate[] {
+  const chosen: Candidate[] = [];
+  let distance = -1;
+  for (const candidate of candidates) {
+    if (chosen.length >= maxCount) break;
+    if (candidate.distance > distance && chosen.length >= leastCount) break;
+    distance = candidate.distance;
+    chosen.push(candidate);
+  }
+  return chosen;
+}
+
 /** Keeps the last address for another place, should the nearest one fail. */
 function withSpare(
   candidates: readonly Candidate[],
--- a/src/decision/mod.ts
+++ b/src/decision/mod.ts
@@ -1,6 +1,9 @@
 /** Decisions: pure functions of state, event, time and random source. */
 export * from "./admission.ts";
 export * from "./admission_order.ts";
+export * from "./backend_choice.ts";
+export * from "./backend_health.ts";
+export * from "./backend_roster.ts";
 export * from "./breaker.ts";
 export * from "./budget.ts";
 export * from "./cascade.ts";
@@ -14,6 +17,7 @@
 export * from "./local_stops.ts";
 export * from "./member.ts";
 export * from "./membership.ts";
+export * from "./model_ladder.ts";
 export * from "./offer.ts";
 export * from "./placement.ts";
 export * from "./quality.ts";
@@ -22,6 +26,7 @@
 export * from "./rollout.ts";
 export * from "./route.ts";
 export * from "./route_policy.ts";
+export * from "./route_table.ts";
 export * from "./selection.ts";
 export * from "./shutdown.ts";
 export * from "./slowness.ts";
--- /dev/null
+++ b/src/decision/model_ladder.ts
@@ -0,0 +1,37 @@
+/**
+ * The cascade over models of one service: which model answers first, and
+ * whether its answer is dropped for one of a larger model. A model's own
+ * confidence decides. An escalation goes straight to the model that the
+ * confidence calls for, so that a request costs at most one answer in vain, and
+ * is one arrival more against the budget of repeats.
+ */
+
+/** Confidence below which an answer is not good enough. */
+export const LEAST_CONFIDENCE = 60;
+/** Confidence below which the model between is passed over. */
+export const LOW_CONFIDENCE = 30;
+
+/** Where a request stands on its ladder. */
+export interface LadderQuery {
+  /** Smallest first. */
+  readonly models: readonly string[];
+  readonly model: string;
+  readonly confidence: number | undefined;
+}
+
+/** The model that answers first. */
+export function firstModel(models: readonly string[]): string | undefined {
+  return models[0];
+}
+
+/** The model that answers in place of a weak answer, if one should. */
+export function nextModel(query: LadderQuery): string | undefined {
+  const { models, model, confidence } = query;
+  if (confidence === undefined || confidence >= LEAST_CONFIDENCE) {
+    return undefined;
+  }
+  const index = models.indexOf(model);
+  if (index < 0 || index === models.length - 1) return undefined;
+  if (confidence < LOW_CONFIDENCE) return models.at(-1);
+  return models[index + 1];
+}
--- /dev/null
+++ b/src/gateway/backend_fleet.ts
@@ -0,0 +1,200 @@
+/**
+ * The backend servers as this VM uses them: the roster joined with health, load
+ * and work in flight. Servers with the same id but another birth are different
+ * servers, and nothing known of the first holds for the second.
+ */
+import {
+  applyHealth,
+  type BackendCandidate,
+  type BackendHealth,
+  failureShareOf,
+  type HealthEvent,
+  isPassing,
+  isProbe,
+  type Roster,
+  UNKNOWN_HEALTH,
+} from "../decision/mod.ts";
+import { type BackendServer, type Clock } from "../model/mod.ts";
+import { type BackendLoad } from "./protocol.ts";
+
+/** A server with work in flight and no sign of life for so long is suspect. */
+export const SILENCE_MS = 700;
+/** A load report older than this no longer counts. */
+const LOAD_MAX_AGE_MS = 1500;
+/** Weight of the newest request in the mean time of a service's work. */
+const WORK_WEIGHT = 0.05;
+const FIRST_WORK_MS = 50;
+
+interface BackendState {
+  readonly server: BackendServer;
+  health: BackendHealth;
+  inFlightCount: number;
+  /** Since when nothing was heard while work was in flight. */
+  quietSinceMs: number;
+  load: BackendLoad | undefined;
+  loadAtMs: number;
+}
+
+/** A server that may be chosen. */
+export interface FleetCandidate extends BackendCandidate {
+  readonly server: BackendServer;
+}
+
+/** Which servers are sought. */
+export interface FleetQuery {
+  readonly service: string;
+  readonly acceptsVersion: (version: string) => boolean;
+  readonly excludedIds: ReadonlySet<string>;
+  /** Whether a server that was down may be tested with this request. */
+  readonly mayProbe: boolean;
+}
+
+/** The servers of all services. */
+export class BackendFleet {
+  readonly #clock: Clock;
+  #byService = new Map<string, BackendState[]>();
+  #states = new Map<string, BackendState>();
+  readonly #workMs = new Map<string, number>();
+
+  constructor(options: { readonly clock: Clock }) {
+    this.#clock = options.clock;
+  }
+
+  /** Takes over what is registered now. */
+  update(roster: Roster): void {
+    const states = new Map<string, BackendState>();
+    const byService = new Map<string, BackendState[]>();
+    for (const { server } of roster.entries.values()) {
+      const state = this.#stateOf(server);
+      states.set(server.id, state);
+      const group = byService.get(server.service) ?? [];
+      group.push(state);
+      byService.set(server.service, group);
+    }
+    this.#states = states;
+    this.#byService = byService;
+  }
+
+  /** The servers registered for a service, in any state. */
+  serversOf(service: string): BackendServer[] {
+    return (this.#byService.get(service) ?? []).map(({ server }) => server);
+  }
+
+  /** Servers that may get a request. */
+  candidates(query: FleetQuery): FleetCandidate[] {
+    const nowMs = this.#clock();
+    const found: FleetCandidate[] = [];
+    for (const state of this.#byService.get(query.service) ?? []) {
+      const { server } = state;
+      if (server.status !== "ready") continue;
+      if (!query.acceptsVersion(server.version)) continue;
+      if (query.excludedIds.has(server.id)) continue;
+      found.push(candidateOf(state, { nowMs, mayProbe: query.mayProbe }));
+    }
+    return found;
+  }
+
+  /** Counts a request that goes to a server now. */
+  begin(server: BackendServer): BackendUse {
+    const state = this.#states.get(server.id) ?? newState(server);
+    const nowMs = this.#clock();
+    if (isProbe(state.health)) {
+      state.health = applyHealth(state.health, "probe_sent", nowMs);
+    }
+    if (state.inFlightCount === 0) state.quietSinceMs = nowMs;
+    state.inFlightCount += 1;
+    return new BackendUse(state, this.#clock);
+  }
+
+  /** Learns how long a request of a service takes. */
+  noteWork(service: string, durationMs: number): void {
+    const before = this.#workMs.get(service) ?? FIRST_WORK_MS;
+    this.#workMs.set(service, before + WORK_WEIGHT * (durationMs - before));
+  }
+
+  /** How long a request of a service takes, on the mean. */
+  workMsOf(service: string): number {
+    return this.#workMs.get(service) ?? FIRST_WORK_MS;
+  }
+
+  #stateOf(server: BackendServer): BackendState {
+    const known = this.#states.get(server.id);
+    if (known === undefined) return newState(server);
+    const isSame = known.server.bornAtMs === server.bornAtMs &&
+      known.server.address === server.address;
+    if (!isSame) return newState(server);
+    return Object.assign(known, { server });
+  }
+}
+
+/** One request at one server. */
+export class BackendUse {
+  readonly #state: BackendState;
+  readonly #clock: Clock;
+  #isOver = false;
+
+  constructor(state: BackendState, clock: Clock) {
+    this.#state = state;
+    this.#clock = clock;
+  }
+
+  /** The server sent something. */
+  noteLife(): void {
+    this.#state.quietSinceMs = this.#clock();
+  }
+
+  /** The server said how much it has to do. */
+  noteLoad(load: BackendLoad): void {
+    this.#state.load = load;
+    this.#state.loadAtMs = this.#clock();
+  }
+
+  /** The request has ended; no event where it says nothing of the server. */
+  end(event: HealthEvent | undefined): void {
+    if (this.#isOver) return;
+    this.#isOver = true;
+    const state = this.#state;
+    state.inFlightCount -= 1;
+    if (event === undefined) return;
+    state.health = applyHealth(state.health, event, this.#clock());
+  }
+}
+
+function newState(server: BackendServer): BackendState {
+  return {
+    server,
+    health: UNKNOWN_HEALTH,
+    inFlightCount: 0,
+    quietSinceMs: 0,
+    load: undefined,
+    loadAtMs: 0,
+  };
+}
+
+function candidateOf(
+  state: BackendState,
+  options: { readonly nowMs: number; readonly mayProbe: boolean },
+): FleetCandidate {
+  const { server, health } = state;
+  const { nowMs, mayProbe } = options;
+  const isSilent = state.inFlightCount > 0 &&
+    nowMs - state.quietSinceMs > SILENCE_MS;
+  const isUntested = isProbe(health) && !mayProbe;
+  return {
+    id: server.id,
+    server,
+    place: server.place,
+    loadCount: loadCountOf(state, nowMs),
+    slotCount: server.slotCount,
+    failureShare: failureShareOf(health, nowMs),
+    isSuspect: isSilent || isUntested || !isPassing(health, nowMs),
+  };
+}
+
+function loadCountOf(state: BackendState, nowMs: number): number {
+  const { load, loadAtMs, inFlightCount } = state;
+  if (load === undefined || nowMs - loadAtMs > LOAD_MAX_AGE_MS) {
+    return inFlightCount;
+  }
+  return Math.max(inFlightCount, load.runningCount + load.waitingCount);
+}
--- /dev/null
+++ b/src/gateway/forward_context.ts
@@ -0,0 +1,66 @@
+/** What forwarding a request needs, and what it is told of the request. */
+import {
+  type Clock,
+  type Logger,
+  type Random,
+  type ServiceRoute,
+  type WorkspaceAccess,
+} from "../model/mod.ts";
+import { type BackendFleet } from "./backend_fleet.ts";
+import { type GatewayMetrics } from "./gateway_metrics.ts";
+import { type CallerRequest, type GatewayProtocol } from "./protocol.ts";
+import { type RepeatBudget } from "./repeat_budget.ts";
+
+/** What one attempt says of the version that answered it. */
+export interface VersionSample {
+  readonly service: string;
+  readonly version: string;
+  readonly backendId: string;
+  readonly route: string;
+  /** Whether the answer was a failure of the server's own. */
+  readonly isError: boolean;
+  /** Time to the answer's first byte, or how long none came. */
+  readonly firstByteMs: number;
+}
+
+/** Which versions of a service a request may run on. */
+export interface VersionGuide {
+  /** Versions for the requests of one session; the same for all VMs. */
+  readonly acceptorOf: (
+    service: string,
+    sessionKey: string,
+  ) => (version: string) => boolean;
+  readonly note: (sample: VersionSample) => void;
+  /** A request starts or ends at a server of a version. */
+  readonly noteInFlight: (
+    service: string,
+    version: string,
+    change: 1 | -1,
+  ) => void;
+}
+
+/** What all requests share. */
+export interface ForwardContext {
+  readonly protocol: GatewayProtocol;
+  readonly fleet: BackendFleet;
+  readonly budget: RepeatBudget;
+  readonly versions: VersionGuide;
+  /** Cost of the way to a place, in milliseconds. */
+  readonly distanceMs: (place: string) => number;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly metrics: GatewayMetrics;
+}
+
+/** A request that is allowed and wholly received. */
+export interface ForwardRequest {
+  readonly caller: CallerRequest;
+  readonly route: ServiceRoute;
+  readonly service: string;
+  readonly workspace: WorkspaceAccess | undefined;
+  readonly manifestVersion: number;
+  readonly body: Buffer;
+  /** When its head arrived. */
+  readonly receivedAtMs: number;
+}
--- /dev/null
+++ b/src/gateway/forwarding.ts
@@ -0,0 +1,350 @@
+/**
+ * The way of one request: choose a backend server, send, and judge what comes
+ * back. A request that may be repeated goes to another server after a failure
+ * or silence; one that may not goes on only while nothing of it can have run. A
+ * stream goes on at another server where it broke off. Each request gets its
+ * final answer as soon as it is known.
+ */
+import {
+  chooseBackend,
+  firstModel,
+  type HealthEvent,
+  nextModel,
+} from "../decision/mod.ts";
+import { type FleetCandidate } from "./backend_fleet.ts";
+import { type CallerExchange, type WholeAnswer } from "./caller_exchange.ts";
+import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
+import { firstBytePatienceMs, gapPatienceMs } from "./patience.ts";
+import { type AnswerHead } from "./protocol.ts";
+import { ServerTry, type TryOutcome } from "./server_try.ts";
+import { StreamRelay } from "./stream_relay.ts";
+
+/** Tries beyond the route's attempts, for servers that were never reached. */
+const SPARE_TRIES = 2;
+/** With less time left another server is not worth asking. */
+const LEAST_TRY_MS = 20;
+/** Repeats that escalations leave for failures. */
+const ESCALATION_RESERVE = 2;
+/** What one more request costs an engine's other requests. */
+const ENGINE_LOAD_STEP_MS = 40;
+/** Bounds of the time after which a refused caller may come back. */
+const RETURN_MS = { least: 300, most: 1000 } as const;
+
+/** One caller's request on its way. */
+export class Forwarding {
+  readonly #context: ForwardContext;
+  readonly #request: ForwardRequest;
+  readonly #exchange: CallerExchange;
+  readonly #acceptsVersion: (version: string) => boolean;
+  readonly #relay: StreamRelay | undefined;
+  readonly #triedIds = new Set<string>();
+  readonly #trail: string[] = [];
+  #try: ServerTry | undefined;
+  #model: string | undefined;
+  #tryCount = 0;
+  #sentCount = 0;
+  #runCount = 0;
+  #fallback: WholeAnswer | undefined;
+  #deadlineTimer: NodeJS.Timeout | undefined;
+  #patienceTimer: NodeJS.Timeout | undefined;
+
+  constructor(
+    context: ForwardContext,
+    request: ForwardRequest,
+    exchange: CallerExchange,
+  ) {
+    this.#context = context;
+    this.#request = request;
+    this.#exchange = exchange;
+    const { caller, route, service } = request;
+    this.#acceptsVersion = context.versions.acceptorOf(
+      service,
+      sessionKeyOf(request),
+    );
+    if (route.kind === "streaming") {
+      this.#relay = new StreamRelay(exchange, caller.lastEventId);
+    }
+    if (caller.isModelOpen) this.#model = firstModel(route.models);
+  }
+
+  /** Sends the request to its first server. */
+  start(): void {
+    const { budget } = this.#context;
+    budget.earn(this.#request.service);
+    this.#exchange.onGone = () => this.#finish("caller_gone");
+    this.#exchange.onDrain = () => this.#try?.resume();
+    this.#deadlineTimer = setTimeout(
+      () => this.#expire(),
+      Math.max(0, this.#timeLeftMs()),
+    );
+    this.#next();
+  }
+
+  #next(): void {
+    const candidate = this.#choose();
+    if (candidate === undefined) return this.#giveUp("no_backend");
+    const { server } = candidate;
+    const { caller, route, workspace, body } = this.#request;
+    this.#tryCount += 1;
+    this.#triedIds.add(server.id);
+    this.#try = new ServerTry({
+      context: this.#context,
+      server,
+      route: route.name,
+      body,
+      request: {
+        caller,
+        backend: server,
+        workspace: workspace?.name,
+        deadlineLeftMs: this.#timeLeftMs(),
+        model: this.#model,
+        lastEventId: this.#relay?.lastId?.toString() ?? caller.lastEventId,
+        priority: workspace?.priority ?? route.priority,
+      },
+      isStreaming: this.#relay !== undefined,
+      onHead: (head) => this.#readHead(head),
+      onData: (chunk) => this.#relayData(chunk),
+      onOutcome: (outcome) => this.#settle(outcome),
+    });
+    this.#armPatience(firstBytePatienceMs(route, {
+      meanMs: this.#context.fleet.workMsOf(`${this.#request.service}`),
+      promptTokens: caller.promptTokens,
+    }));
+  }
+
+  #choose(): FleetCandidate | undefined {
+    const { fleet, distanceMs, random } = this.#context;
+    const { caller, service } = this.#request;
+    const shared = sharedPartOf(this.#request);
+    const query = {
+      service,
+      acceptsVersion: this.#acceptsVersion,
+      mayProbe: this.#isRepeatable(),
+    };
+    const untried = fleet.candidates({ ...query, excludedIds: this.#triedIds });
+    const candidates = untried.length > 0
+      ? untried
+      : fleet.candidates({ ...query, excludedIds: new Set() });
+    const workMs = fleet.workMsOf(service);
+    const slotCount = candidates[0]?.slotCount ?? 1;
+    return chooseBackend(candidates, {
+      distanceMs,
+      loadStepMs: caller.promptTokens > 0
+        ? ENGINE_LOAD_STEP_MS
+        : workMs / Math.max(1, slotCount),
+      workMs,
+      affinityKey: shared === undefined
+        ? undefined
+        : `${shared.id} ${this.#model ?? caller.model ?? ""}`,
+      sharedTokens: shared?.tokens ?? 0,
+      isRetriable: this.#isRepeatable(),
+      random,
+    });
+  }
+
+  /** The cascade: drops an answer that its own model thinks little of. */
+  #readHead(head: AnswerHead): "take" | "drop" {
+    const { route, service } = this.#request;
+    this.#armPatience(gapPatienceMs(route));
+    const { confidence } = head;
+    if (this.#model === undefined || this.#exchange.isBegun) return "take";
+    const model = nextModel({
+      models: route.models,
+      model: this.#model,
+      confidence,
+    });
+    if (model === undefined || this.#runCount + 1 >= route.maxAttempts) {
+      return "take";
+    }
+    if (!this.#context.budget.spend(service, ESCALATION_RESERVE)) {
+      this.#context.metrics.count("escalations_forgone", { service });
+      return "take";
+    }
+    this.#context.metrics.count("escalations", { service });
+    this.#trail.push(`escalate:${this.#model}>${model}@${confidence}`);
+    this.#model = model;
+    return "drop";
+  }
+
+  #relayData(chunk: Buffer): void {
+    const relay = this.#relay;
+    const server = this.#try;
+    if (relay === undefined || server === undefined) return;
+    if (server.head !== undefined && !server.isAttached) {
+      server.isAttached = true;
+      relay.attach(server.head);
+    }
+    const step = relay.push(chunk);
+    if (step === "slow_caller") {
+      clearTimeout(this.#patienceTimer);
+      return server.pause();
+    }
+    this.#armPatience(gapPatienceMs(this.#request.route));
+    if (step === "relayed") return;
+    server.cancel("broken");
+    this.#settle({ kind: "fault", isUnsent: false, cause: step });
+  }
+
+  #settle(outcome: TryOutcome): void {
+    clearTimeout(this.#patienceTimer);
+    if (this.#exchange.isOver) return;
+    this.#note(outcome);
+    switch (outcome.kind) {
+      case "answer":
+        if (outcome.answer.status >= 500 && this.#isRepeatable()) {
+          this.#fallback = outcome.answer;
+          return this.#repeat("backend_error");
+        }
+        this.#exchange.answer(outcome.answer);
+        return this.#finish("answered");
+      case "stream_end":
+        this.#relay?.end();
+        return this.#finish("answered");
+      case "dropped":
+        this.#sentCount += 1;
+        this.#runCount += 1;
+        this.#relay?.detach();
+        this.#triedIds.clear();
+        return this.#next();
+      case "not_run":
+        return this.#repeat("not_run");
+      case "fault":
+        return this.#repeat(outcome.cause);
+    }
+  }
+
+  #note(outcome: TryOutcome): void {
+    const id = this.#try?.server.id ?? "";
+    const detail = outcome.kind === "fault" ? outcome.cause : outcome.kind;
+    this.#trail.push(`${id}:${detail}`);
+    if (outcome.kind === "dropped") return;
+    const isUnsent = outcome.kind === "fault" && outcome.isUnsent;
+    if (!isUnsent) this.#sentCount += 1;
+    if (!isUnsent && outcome.kind !== "not_run") this.#runCount += 1;
+  }
+
+  /** Asks another server, if that is allowed and of use. */
+  #repeat(cause: string): void {
+    const { route, service } = this.#request;
+    if (!this.#canRepeat()) return this.#giveUp(cause);
+    if (this.#sentCount > 0 && !this.#context.budget.spend(service)) {
+      this.#context.metrics.count("repeats_forgone", { service });
+      return this.#giveUp("budget");
+    }
+    this.#context.metrics.count("repeats", { route: route.name, cause });
+    this.#next();
+  }
+
+  #canRepeat(): boolean {
+    const { route } = this.#request;
+    if (this.#timeLeftMs() < LEAST_TRY_MS) return false;
+    if (this.#tryCount >= route.maxAttempts + SPARE_TRIES) return false;
+    if (this.#runCount === 0) return true;
+    return this.#isRepeatable() && this.#runCount < route.maxAttempts;
+  }
+
+  #isRepeatable(): boolean {
+    const { kind, isResumable } = this.#request.route;
+    return kind === "idempotent" || (kind === "streaming" && isResumable);
+  }
+
+  /** The server has been silent for longer than usual. */
+  #endPatience(): void {
+    const server = this.#try;
+    if (server === undefined || this.#exchange.isOver) return;
+    const isAlone = this.#choose()?.id === server.server.id;
+    const wouldRun = this.#runCount + 1 < this.#request.route.maxAttempts;
+    if (isAlone || !this.#isRepeatable() || !wouldRun) return;
+    if (this.#tryCount >= this.#request.route.maxAttempts + SPARE_TRIES) return;
+    server.cancel("down");
+    this.#settle({ kind: "fault", isUnsent: server.isUnsent, cause: "silent" });
+  }
+
+  #armPatience(patienceMs: number): void {
+    clearTimeout(this.#patienceTimer);
+    this.#patienceTimer = setTimeout(
+      () => this.#endPatience(),
+      patienceMs,
+    );
+  }
+
+  #expire(): void {
+    if (this.#exchange.isOver) return;
+    const isSent = this.#sentCount > 0 || this.#try?.isUnsent === false;
+    this.#cancelTry(undefined);
+    if (this.#exchange.isBegun) this.#exchange.breakOff();
+    else if (isSent) this.#exchange.refuse({ status: 504, reason: "timeout" });
+    else this.#refuse("timeout");
+    this.#finish("timeout");
+  }
+
+  #giveUp(cause: string): void {
+    if (this.#exchange.isBegun) this.#exchange.breakOff();
+    else if (this.#fallback !== undefined) {
+      this.#exchange.answer(this.#fallback);
+    } else if (this.#runCount > 0) {
+      this.#exchange.refuse({ status: 502, reason: cause });
+    } else this.#refuse(cause);
+    this.#finish(cause);
+  }
+
+  #refuse(reason: string): void {
+    const { least, most } = RETURN_MS;
+    const retryAfterMs = least + this.#context.random() * (most - least);
+    this.#exchange.refuse({ status: 503, reason, retryAfterMs });
+  }
+
+  #cancelTry(event: HealthEvent | undefined): void {
+    this.#try?.cancel(event);
+  }
+
+  #finish(outcome: string): void {
+    clearTimeout(this.#deadlineTimer);
+    clearTimeout(this.#patienceTimer);
+    this.#cancelTry(undefined);
+    const { caller, route, service, workspace, manifestVersion } =
+      this.#request;
+    const { clock, logger, metrics } = this.#context;
+    const durationMs = clock() - this.#request.receivedAtMs;
+    const { status } = this.#exchange;
+    metrics.count("requests", { route: route.name, outcome, status });
+    metrics.time("request_ms", durationMs, { route: route.name });
+    logger.info("request ended", {
+      request: caller.id,
+      outcome,
+      status,
+      route: route.name,
+      service,
+      workspace: workspace?.name,
+      model: this.#model,
+      version: this.#try?.server.version,
+      manifestVersion,
+      trail: this.#trail.join(" "),
+      durationMs: Math.round(durationMs),
+    });
+  }
+
+  #timeLeftMs(): number {
+    const { caller, route, receivedAtMs } = this.#request;
+    const limitMs = Math.min(caller.deadlineMs ?? Infinity, route.timeoutMs);
+    return receivedAtMs + limitMs - this.#context.clock();
+  }
+}
+
+/** What stays with one version: a session, or else the request alone. */
+function sessionKeyOf({ caller }: ForwardRequest): string {
+  return caller.session ?? caller.id;
+}
+
+/** The longest run of a prompt that other requests share. */
+function sharedPartOf(
+  { caller }: ForwardRequest,
+): { readonly id: string; readonly tokens: number } | undefined {
+  const parts = caller.promptParts;
+  const last = parts.length > 2 ? parts.slice(0, -1) : parts;
+  const key = last.at(-1);
+  if (key === undefined) return undefined;
+  let tokens = 0;
+  for (const part of last) tokens += part.tokens;
+  return { id: key.id, tokens };
+}
--- /dev/null
+++ b/src/gateway/gateway.ts
@@ -0,0 +1,343 @@
+/**
+ * The gateway of one VM: callers' server, state read from the platform's store,
+ * the other VMs, and the way of a request between them. Everything that differs
+ * between platforms is passed in.
+ */
+import { type Result } from "neverthrow";
+import { chooseEntries } from "../decision/mod.ts";
+import {
+  type BackendServer,
+  type Clock,
+  type Logger,
+  type Manifest,
+  noMetrics,
+  type Random,
+  type RolloutOrder,
+  type RolloutStatus,
+  type Sleep,
+} from "../model/mod.ts";
+import {
+  createPeerNode,
+  NO_BILLS,
+  NO_RECORDS,
+  type PeerNode,
+} from "../wire/mod.ts";
+import { BackendFleet } from "./backend_fleet.ts";
+import { CallerServer, type ReceivedRequest } from "./caller_server.ts";
+import { type ForwardContext } from "./forward_context.ts";
+import { Forwarding } from "./forwarding.ts";
+import { GatewayMetrics } from "./gateway_metrics.ts";
+import { type GatewaySettings } from "./gateway_settings.ts";
+import { GatewayState } from "./gateway_state.ts";
+import { type GatewayProtocol } from "./protocol.ts";
+import { RepeatBudget } from "./repeat_budget.ts";
+import { admitRequest } from "./request_gate.ts";
+import { RolloutBook } from "./rollout_book.ts";
+import {
+  type StoreFault,
+  type StoreRecord,
+  TopicFollower,
+  type TopicSource,
+} from "./topic_follower.ts";
+
+/** What operators write into the store. */
+export type OperatorRecord =
+  | { readonly kind: "manifest"; readonly manifest: Manifest }
+  | { readonly kind: "order"; readonly order: RolloutOrder };
+
+/** What a gateway is made of. */
+export interface GatewayOptions {
+  readonly settings: GatewaySettings;
+  readonly protocol: GatewayProtocol;
+  readonly operatorTopic: TopicSource;
+  readonly serverTopic: TopicSource;
+  readonly statusTopic: TopicSource;
+  readonly readOperatorRecord: (
+    record: StoreRecord,
+  ) => OperatorRecord | undefined;
+  readonly readServer: (record: StoreRecord) => BackendServer | undefined;
+  readonly readStatus: (record: StoreRecord) => RolloutStatus | undefined;
+  /** Writes a status if the topic still ends at the offset. */
+  readonly appendStatus: (
+    status: RolloutStatus,
+    offset: number,
+  ) => Promise<Result<number, StoreFault>>;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly sleep: Sleep;
+  readonly logger: Logger;
+}
+
+/** How long a poll for the operators' records waits, at most. */
+const OPERATOR_WAIT_MS = 2500;
+/** Between two reads of the servers' records, which change all the time. */
+const SERVER_PAUSE_MS = 900;
+const ROSTER_TICK_MS = 250;
+/** The most addresses that a caller is given. */
+const MAX_ENTRIES = 64;
+/** VMs of other data centres are named where a caller's own has fewer. */
+const LEAST_ENTRIES = 2;
+const LOAD_MAX_AGE_MS = 10_000;
+const PROBE_PERIOD_MS = 500;
+/** The way to another data centre of the region, and to another region. */
+const NEAR_MS = 8;
+const FAR_MS = 80;
+/** Of the grace, before the listener closes. */
+const LISTEN_SHARE_OF_GRACE = 0.6;
+const END_MARGIN_MS = 300;
+const STOP_POLL_MS = 50;
+
+/** The gateway of one VM. */
+export class Gateway {
+  readonly #options: GatewayOptions;
+  readonly #metrics = new GatewayMetrics();
+  readonly #fleet: BackendFleet;
+  readonly #state: GatewayState;
+  readonly #rollouts = new RolloutBook();
+  readonly #callers: CallerServer;
+  readonly #peers: PeerNode;
+  readonly #context: ForwardContext;
+  readonly #ending = new AbortController();
+  #isStopping = false;
+
+  constructor(options: GatewayOptions) {
+    this.#options = options;
+    const { clock, random, logger, protocol, settings } = options;
+    this.#fleet = new BackendFleet({ clock });
+    this.#state = new GatewayState({ fleet: this.#fleet, clock, logger });
+    this.#peers = openPeers(options);
+    this.#callers = this.#openCallers();
+    this.#context = {
+      protocol,
+      fleet: this.#fleet,
+      budget: new RepeatBudget({
+        bound: settings.repeats,
+        clock,
+        vmCount: () => 1 + this.#peers.membership().members.size,
+      }),
+      versions: this.#rollouts,
+      distanceMs: distances(settings),
+      clock,
+      random,
+      logger,
+      metrics: this.#metrics,
+    };
+    this.#state.onManifest = () => this.#callers.applyLimits();
+  }
+
+  /** How long callers may keep the addresses of an answer. */
+  get entryMaxAgeMs(): number {
+    return this.#options.settings.entryMaxAgeMs;
+  }
+
+  /** Listens, joins the other VMs and begins to follow the store. */
+  async start(): Promise<void> {
+    const { logger, settings } = this.#options;
+    await this.#callers.listen();
+    const joined = await this.#peers.start();
+    if (joined.isErr()) {
+      logger.error("no peers", { reason: joined.error.message });
+    }
+    const { signal } = this.#ending;
+    for (const follower of this.#followers()) void follower.run(signal);
+    void this.#tick(signal);
+    logger.info("started", { callers: settings.callerAddress });
+  }
+
+  /** Whether the VM may get new callers. */
+  isReady(): boolean {
+    return this.#state.isComplete && !this.#isStopping;
+  }
+
+  /** Addresses for a caller, those of its data centre first. */
+  entryAddresses(caller: { readonly place: string | undefined }): string[] {
+    const { settings, clock, random } = this.#options;
+    const { entries } = chooseEntries(this.#peers.membership(), {
+      place: caller.place,
+      places: settings.places.map((place) => ({ ...place, delayMs: 0 })),
+      drainedPlaces: [],
+      maxCount: MAX_ENTRIES,
+      leastCount: LEAST_ENTRIES,
+      maxAgeMs: settings.entryMaxAgeMs,
+      loadMaxAgeMs: LOAD_MAX_AGE_MS,
+      nowMs: clock(),
+      random,
+    });
+    return entries.map(({ address }) => address);
+  }
+
+  /** All counters and latencies. */
+  metricsText(): string {
+    const { rss } = process.memoryUsage();
+    this.#metrics.set("memory_bytes", rss);
+    this.#metrics.set("open_requests", this.#callers.openCount);
+    return this.#metrics.text();
+  }
+
+  /** Ends gracefully: no new callers, then no new requests, then all done. */
+  async stop(): Promise<void> {
+    if (this.#isStopping) return;
+    this.#isStopping = true;
+    const { settings, clock, sleep, logger } = this.#options;
+    const stoppedAtMs = clock();
+    logger.info("stopping", { openCount: this.#callers.openCount });
+    this.#peers.announce("leaving");
+    this.#callers.beginClosing();
+    await sleep(settings.graceMs * LISTEN_SHARE_OF_GRACE);
+    this.#callers.stopListening();
+    const endMs = stoppedAtMs + settings.graceMs - END_MARGIN_MS;
+    while (this.#callers.openCount > 0 && clock() < endMs) {
+      await sleep(STOP_POLL_MS);
+    }
+    this.#peers.announce("left");
+    this.#ending.abort();
+    logger.info("stopped", { openCount: this.#callers.openCount });
+    await sleep(STOP_POLL_MS);
+    this.#callers.close();
+  }
+
+  #openCallers(): CallerServer {
+    const { settings, clock } = this.#options;
+    const [host, port] = splitAddress(settings.callerAddress);
+    return new CallerServer({
+      host,
+      port,
+      memoryBytes: settings.memoryBytes,
+      clock,
+      limits: () => this.#state.routes?.manifest.limits,
+      onHead: (received) => this.#onHead(received),
+    });
+  }
+
+  #onHead(
+    { request, exchange, receivedAtMs }: ReceivedRequest,
+  ): ((body: Buffer) => void) | undefined {
+    const caller = this.#context.protocol.readRequest({
+      method: request.method ?? "GET",
+      target: request.url ?? "/",
+      rawHeaders: request.rawHeaders,
+    });
+    const admitted = typeof caller === "string"
+      ? { status: 400, reason: caller }
+      : admitRequest(this.#state, caller);
+    if ("status" in admitted) {
+      this.#metrics.count("refused", {
+        status: admitted.status,
+        reason: admitted.reason,
+      });
+      exchange.refuse(admitted);
+      return undefined;
+    }
+    return (body) => {
+      const given = { ...admitted, body, receivedAtMs };
+      new Forwarding(this.#context, given, exchange).start();
+    };
+  }
+
+  #followers(): TopicFollower[] {
+    const { clock, sleep, random, logger } = this.#options;
+    const shared = { clock, sleep, random, logger };
+    const { operatorTopic, serverTopic, readServer } = this.#options;
+    const readOperators = (
+      { records }: { readonly records: readonly StoreRecord[] },
+    ): void => this.#takeOperatorRecords(records);
+    const rosterRecords = (records: readonly StoreRecord[]) =>
+      records.map((record) => ({
+        id: record.key,
+        server: readServer(record),
+        offset: record.offset,
+      }));
+    return [
+      new TopicFollower({
+        ...shared,
+        name: "operators",
+        source: operatorTopic,
+        waitMs: OPERATOR_WAIT_MS,
+        pauseMs: () => 0,
+        onListed: readOperators,
+        onRecords: readOperators,
+        onRegained: () => {},
+      }),
+      new TopicFollower({
+        ...shared,
+        name: "servers",
+        source: serverTopic,
+        waitMs: 0,
+        pauseMs: () => SERVER_PAUSE_MS,
+        onListed: ({ records }) => {
+          const known = rosterRecords(records);
+          this.#state.changeRoster({ kind: "listed", records: known });
+          this.#announceReady();
+        },
+        onRecords: ({ records }) => {
+          const known = rosterRecords(records);
+          this.#state.changeRoster({ kind: "changed", records: known });
+        },
+        onRegained: () => this.#state.changeRoster({ kind: "store_returned" }),
+      }),
+    ];
+  }
+
+  #takeOperatorRecords(records: readonly StoreRecord[]): void {
+    for (const record of records) {
+      const read = this.#options.readOperatorRecord(record);
+      if (read?.kind === "manifest") this.#state.takeManifest(read.manifest);
+      if (read?.kind === "order") this.#state.takeOrder(read.order);
+    }
+    this.#announceReady();
+  }
+
+  #announceReady(): void {
+    if (!this.#state.isComplete) return;
+    const { callerAddress } = this.#options.settings;
+    if (this.#peers.membership().self.address === callerAddress) return;
+    this.#peers.setAddress(callerAddress);
+    this.#options.logger.info("ready");
+  }
+
+  async #tick(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.#state.changeRoster({ kind: "tick" });
+      await this.#options.sleep(ROSTER_TICK_MS, signal);
+    }
+  }
+}
+
+function openPeers(options: GatewayOptions): PeerNode {
+  const { settings, clock, random, sleep, logger } = options;
+  const [listenHost, listenPort] = splitAddress(settings.peerAddress);
+  return createPeerNode({
+    vm: settings.vm,
+    place: settings.place,
+    address: "",
+    listenHost,
+    listenPort,
+    deployment: "gateway",
+    sharedKey: "gateway",
+    seeds: settings.seeds,
+    membership: { periodMs: PROBE_PERIOD_MS, directTimeoutMs: 200 },
+    records: NO_RECORDS,
+    bills: NO_BILLS,
+    clock,
+    random,
+    sleep,
+    logger,
+    metrics: noMetrics,
+  });
+}
+
+function distances(settings: GatewaySettings): (place: string) => number {
+  const regions = new Map(
+    settings.places.map(({ place, region }) => [place, region]),
+  );
+  const own = regions.get(settings.place);
+  return (place) => {
+    if (place === settings.place) return 0;
+    return regions.get(place) === own ? NEAR_MS : FAR_MS;
+  };
+}
+
+function splitAddress(address: string): [string, number] {
+  const colon = address.lastIndexOf(":");
+  return [address.slice(0, colon), Number(address.slice(colon + 1))];
+}
--- /dev/null
+++ b/src/gateway/gateway_metrics.ts
@@ -0,0 +1,81 @@
+/**
+ * Counters and latency histograms of one VM, as text for whoever collects them.
+ * Names and labels are bounded by what the manifest and the roster name; past
+ * that bound, further series are counted as one.
+ */
+import { build, type Histogram } from "hdr-histogram-js";
+
+const MAX_SERIES = 2000;
+const MAX_HISTOGRAMS = 200;
+const HIGHEST_MS = 120_000;
+const QUANTILES = [50, 95, 99] as const;
+
+/** Labels of a series. */
+export type MetricLabels = Readonly<Record<string, string | number>>;
+
+/** The figures of one VM. */
+export class GatewayMetrics {
+  readonly #counters = new Map<string, number>();
+  readonly #histograms = new Map<string, Histogram>();
+  #leftOutCount = 0;
+
+  /** Adds to a counter. */
+  count(name: string, labels: MetricLabels = {}, amount = 1): void {
+    const series = seriesOf(name, labels);
+    const before = this.#counters.get(series);
+    if (before === undefined && this.#counters.size >= MAX_SERIES) {
+      this.#leftOutCount += amount;
+      return;
+    }
+    this.#counters.set(series, (before ?? 0) + amount);
+  }
+
+  /** Sets a gauge. */
+  set(name: string, value: number): void {
+    this.#counters.set(name, value);
+  }
+
+  /** Records a duration. */
+  time(name: string, durationMs: number, labels: MetricLabels = {}): void {
+    const series = seriesOf(name, labels);
+    let histogram = this.#histograms.get(series);
+    if (histogram === undefined) {
+      if (this.#histograms.size >= MAX_HISTOGRAMS) {
+        this.#leftOutCount += 1;
+        return;
+      }
+      histogram = build({
+        highestTrackableValue: HIGHEST_MS,
+        numberOfSignificantValueDigits: 2,
+        bitBucketSize: 32,
+      });
+      this.#histograms.set(series, histogram);
+    }
+    const bounded = Math.min(HIGHEST_MS, Math.max(0, Math.round(durationMs)));
+    histogram.recordValue(bounded);
+  }
+
+  /** All figures, one line each. */
+  text(): string {
+    const lines: string[] = [];
+    for (const [series, value] of this.#counters) {
+      lines.push(`${series} ${value}`);
+    }
+    for (const [series, histogram] of this.#histograms) {
+      lines.push(`${series}_count ${histogram.totalCount}`);
+      for (const quantile of QUANTILES) {
+        const value = histogram.getValueAtPercentile(quantile);
+        lines.push(`${series}_p${quantile} ${value}`);
+      }
+    }
+    lines.push(`metrics_left_out ${this.#leftOutCount}`);
+    return `${lines.join("\n")}\n`;
+  }
+}
+
+function seriesOf(name: string, labels: MetricLabels): string {
+  const parts = Object.entries(labels).map(([key, value]) =>
+    `${key}="${value}"`
+  );
+  return parts.length === 0 ? name : `${name}{${parts.join(",")}}`;
+}
--- /dev/null
+++ b/src/gateway/gateway_state.ts
@@ -0,0 +1,121 @@
+/**
+ * What is in force on this VM: the newest manifest, the roster of backend
+ * servers, and the operators' orders. Nothing here ever goes back: an older
+ * manifest or record changes nothing, wherever it comes from.
+ */
+import {
+  applyRoster,
+  EMPTY_ROSTER,
+  type Roster,
+  type RosterEvent,
+  RouteTable,
+} from "../decision/mod.ts";
+import {
+  type Clock,
+  type Logger,
+  type Manifest,
+  type RolloutOrder,
+} from "../model/mod.ts";
+import { type BackendFleet } from "./backend_fleet.ts";
+
+/** The state of one VM. */
+export class GatewayState {
+  readonly #fleet: BackendFleet;
+  readonly #clock: Clock;
+  readonly #logger: Logger;
+  readonly #orders = new Map<string, RolloutOrder>();
+  #routes: RouteTable | undefined;
+  #roster: Roster = EMPTY_ROSTER;
+  #hasRoster = false;
+  #onManifest: (manifest: Manifest) => void = () => {};
+
+  constructor(options: {
+    readonly fleet: BackendFleet;
+    readonly clock: Clock;
+    readonly logger: Logger;
+  }) {
+    this.#fleet = options.fleet;
+    this.#clock = options.clock;
+    this.#logger = options.logger;
+  }
+
+  /** Called after each new manifest. */
+  set onManifest(listener: (manifest: Manifest) => void) {
+    this.#onManifest = listener;
+  }
+
+  /** The manifest in force, prepared for requests; absent before the first. */
+  get routes(): RouteTable | undefined {
+    return this.#routes;
+  }
+
+  /** The registered servers. */
+  get roster(): Roster {
+    return this.#roster;
+  }
+
+  /** The newest order for each service. */
+  get orders(): ReadonlyMap<string, RolloutOrder> {
+    return this.#orders;
+  }
+
+  /** Whether requests can be served. */
+  get isComplete(): boolean {
+    return this.#routes !== undefined && this.#hasRoster;
+  }
+
+  /** Puts a manifest into force unless one as new is. */
+  takeManifest(manifest: Manifest): void {
+    const before = this.#routes?.manifest.version ?? -Infinity;
+    if (manifest.version <= before) return;
+    this.#routes = new RouteTable(manifest);
+    this.#logger.info("manifest in force", {
+      version: manifest.version,
+      before: Number.isFinite(before) ? before : undefined,
+      routes: manifest.routes.length,
+    });
+    this.#onManifest(manifest);
+  }
+
+  /** Takes an order unless a later one for its service is known. */
+  takeOrder(order: RolloutOrder): boolean {
+    const known = this.#orders.get(order.service);
+    if (known !== undefined && known.offset >= order.offset) return false;
+    this.#orders.set(order.service, order);
+    this.#logger.info("roll-out ordered", {
+      service: order.service,
+      target: order.target,
+      durationMs: order.durationMs,
+      offset: order.offset,
+    });
+    return true;
+  }
+
+  /** Applies what was read of the servers, or that time has passed. */
+  changeRoster(event: RosterEvent): void {
+    const before = this.#roster;
+    this.#roster = applyRoster(before, event, this.#clock());
+    if (event.kind === "listed") this.#hasRoster = true;
+    if (this.#roster.entries === before.entries) return;
+    this.#fleet.update(this.#roster);
+    this.#logChanges(before);
+  }
+
+  #logChanges(before: Roster): void {
+    for (const [id, { server, goneAtMs }] of this.#roster.entries) {
+      const known = before.entries.get(id);
+      const isSame = known?.server.status === server.status &&
+        known.server.bornAtMs === server.bornAtMs &&
+        known.goneAtMs === goneAtMs;
+      if (isSame) continue;
+      const { service, version, status, place } = server;
+      const isLapsed = goneAtMs !== undefined;
+      const fields = { server: id, service, version, status, place, isLapsed };
+      this.#logger.info("server changed", fields);
+    }
+    for (const id of before.entries.keys()) {
+      if (this.#roster.entries.has(id)) continue;
+      this.#logger.info("server gone", { server: id });
+    }
+  }
+}
--- /dev/null
+++ b/src/gateway/patience.ts
@@ -0,0 +1,32 @@
+/**
+ * How long a backend server may be silent before a request that may be repeated
+ * goes elsewhere. Patience grows with the prompt that is read first and with
+ * what the service usually takes, so that a busy service is not asked twice.
+ */
+import { type ServiceRoute } from "../model/mod.ts";
+
+/** Part of the target that the first server may use up. */
+const TARGET_SHARE = 0.45;
+/** Times the service's mean. */
+const MEAN_FACTOR = 3;
+/** Reading a long prompt, with the prompts of others beside it. */
+const PROMPT_MS_PER_TOKEN = 0.06;
+/** Part of the longest pause on time that a server may use up. */
+const GAP_SHARE = 0.6;
+const LEAST_GAP_MS = 600;
+
+/** Until the first byte of an answer. */
+export function firstBytePatienceMs(
+  route: ServiceRoute,
+  work: { readonly meanMs: number; readonly promptTokens: number },
+): number {
+  const usualMs = MEAN_FACTOR * work.meanMs;
+  return Math.max(TARGET_SHARE * route.targetMs, usualMs) +
+    work.promptTokens * PROMPT_MS_PER_TOKEN;
+}
+
+/** Between two events of a stream. */
+export function gapPatienceMs(route: ServiceRoute): number {
+  const gapMs = route.gapTargetMs ?? route.targetMs;
+  return Math.max(LEAST_GAP_MS, GAP_SHARE * gapMs);
+}
--- /dev/null
+++ b/src/gateway/server_try.ts
@@ -0,0 +1,206 @@
+/**
+ * One try of a request at one backend server: sends it, checks that the answer
+ * is the server's own and belongs to this request, gathers answers that are not
+ * streams, and tells health and roll-outs what was seen.
+ */
+import { type HealthEvent } from "../decision/mod.ts";
+import { type BackendServer } from "../model/mod.ts";
+import { type AttemptFault, BackendAttempt } from "./backend_attempt.ts";
+import { type BackendUse } from "./backend_fleet.ts";
+import { type WholeAnswer } from "./caller_exchange.ts";
+import { type ForwardContext } from "./forward_context.ts";
+import { type AnswerHead, type BackendRequest } from "./protocol.ts";
+
+/** A connection takes no longer than this, with its first packet sent twice. */
+const CONNECT_TIMEOUT_MS = 400;
+/** The longest answer that is gathered before it is passed on. */
+const MAX_HELD_BYTES = 8 * 1024 * 1024;
+
+/** How a try ended. */
+export type TryOutcome =
+  | { readonly kind: "answer"; readonly answer: WholeAnswer }
+  | { readonly kind: "stream_end" }
+  /** The answer was good, yet not taken. */
+  | { readonly kind: "dropped" }
+  /** The server states that it has not run the request. */
+  | { readonly kind: "not_run" }
+  | {
+    readonly kind: "fault";
+    readonly isUnsent: boolean;
+    readonly cause: string;
+  };
+
+/** What a try is made of. */
+export interface ServerTryOptions {
+  readonly context: ForwardContext;
+  readonly server: BackendServer;
+  readonly route: string;
+  readonly body: Buffer;
+  readonly request: BackendRequest;
+  readonly isStreaming: boolean;
+  /** Whether a stream that begins is taken. */
+  readonly onHead: (head: AnswerHead) => "take" | "drop";
+  /** Bytes of a stream that was taken. */
+  readonly onData: (chunk: Buffer) => void;
+  /** Called once, unless the try is cancelled. */
+  readonly onOutcome: (outcome: TryOutcome) => void;
+}
+
+/** A running try. */
+export class ServerTry {
+  readonly server: BackendServer;
+  /** Whether the caller's stream is now this server's. */
+  isAttached = false;
+  readonly #options: ServerTryOptions;
+  readonly #use: BackendUse;
+  readonly #attempt: BackendAttempt;
+  readonly #startedAtMs: number;
+  readonly #chunks: Buffer[] = [];
+  #heldBytes = 0;
+  #head: AnswerHead | undefined;
+  #isOver = false;
+
+  constructor(options: ServerTryOptions) {
+    this.#options = options;
+    const { context, server, request, body } = options;
+    this.server = server;
+    this.#startedAtMs = context.clock();
+    this.#use = context.fleet.begin(server);
+    context.versions.noteInFlight(server.service, server.version, 1);
+    this.#attempt = new BackendAttempt({
+      address: server.address,
+      method: request.caller.method,
+      target: request.caller.target,
+      headers: context.protocol.writeRequest(request),
+      body,
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    }, {
+      onHead: (status, rawHeaders) => this.#readHead(status, rawHeaders),
+      onData: (chunk) => this.#readData(chunk),
+      onEnd: () => this.#readEnd(),
+      onFault: (fault) => this.#readFault(fault),
+    });
+  }
+
+  /** The head of the answer, once it has come. */
+  get head(): AnswerHead | undefined {
+    return this.#head;
+  }
+
+  /** Whether nothing of the request can have left yet. */
+  get isUnsent(): boolean {
+    return this.#attempt.isUnsent;
+  }
+
+  /** Ends the try; the event says what is held against the server. */
+  cancel(event: HealthEvent | undefined): void {
+    if (this.#isOver) return;
+    if (event === "down") this.#sample({ isError: false });
+    this.#end(event);
+    this.#attempt.cancel();
+  }
+
+  /** Stops reading until `resume`. */
+  pause(): void {
+    this.#attempt.pause();
+  }
+
+  /** Goes on reading. */
+  resume(): void {
+    this.#attempt.resume();
+  }
+
+  get #isRelayed(): boolean {
+    const isSuccess = this.#head !== undefined && this.#head.status < 300;
+    return this.#options.isStreaming && isSuccess;
+  }
+
+  #readHead(status: number, rawHeaders: readonly string[]): void {
+    const { context, request } = this.#options;
+    const head = context.protocol.readAnswer(status, rawHeaders);
+    this.#head = head;
+    this.#use.noteLife();
+    const isForeign = head.requestId !== undefined
+      ? head.requestId !== request.caller.id
+      : status < 400;
+    if (isForeign) return this.#fail("broken", "foreign_answer");
+    if (head.load !== undefined) this.#use.noteLoad(head.load);
+    if (head.isNotRun) {
+      this.#end(status === 421 ? "down" : "full");
+      this.#attempt.cancel();
+      return this.#options.onOutcome({ kind: "not_run" });
+    }
+    if (status < 300 && !head.isGenuine) {
+      return this.#fail("broken", "unsigned_answer");
+    }
+    this.#sample({ isError: status >= 500 });
+    if (!this.#isRelayed) return;
+    if (this.#options.onHead(head) === "take") return;
+    this.#end("success");
+    this.#attempt.cancel();
+    this.#options.onOutcome({ kind: "dropped" });
+  }
+
+  #readData(chunk: Buffer): void {
+    this.#use.noteLife();
+    if (this.#isRelayed) return this.#options.onData(chunk);
+    this.#heldBytes += chunk.length;
+    if (this.#heldBytes > MAX_HELD_BYTES) {
+      return this.#fail("error", "oversize_answer");
+    }
+    this.#chunks.push(chunk);
+  }
+
+  #readEnd(): void {
+    const head = this.#head;
+    if (head === undefined) return this.#fail("broken", "no_answer");
+    const { context, server } = this.#options;
+    this.#end(head.status >= 500 ? "error" : "success");
+    if (this.#isRelayed) return this.#options.onOutcome({ kind: "stream_end" });
+    context.fleet.noteWork(
+      server.service,
+      context.clock() - this.#startedAtMs,
+    );
+    const { status, passedHeaders } = head;
+    const body = Buffer.concat(this.#chunks);
+    const answer = { status, headers: passedHeaders, body };
+    this.#options.onOutcome({ kind: "answer", answer });
+  }
+
+  #readFault(fault: AttemptFault): void {
+    this.#end(fault.kind === "unreachable" ? "down" : "broken");
+    this.#options.onOutcome({
+      kind: "fault",
+      isUnsent: fault.isUnsent,
+      cause: fault.kind,
+    });
+  }
+
+  #fail(event: HealthEvent, cause: string): void {
+    this.#end(event);
+    this.#attempt.cancel();
+    this.#options.onOutcome({ kind: "fault", isUnsent: false, cause });
+  }
+
+  #sample({ isError }: { readonly isError: boolean }): void {
+    const { context, server, route } = this.#options;
+    const firstByteMs = context.clock() - this.#startedAtMs;
+    if (this.#isRelayed) context.fleet.noteWork(server.service, firstByteMs);
+    context.versions.note({
+      service: server.service,
+      version: server.version,
+      backendId: server.id,
+      route,
+      isError,
+      firstByteMs,
+    });
+  }
+
+  #end(event: HealthEvent | undefined): void {
+    if (this.#isOver) return;
+    this.#isOver = true;
+    this.#use.end(event);
+    const { context, server } = this.#options;
+    context.versions.noteInFlight(server.service, server.version, -1);
+  }
+}
--- /dev/null
+++ b/src/gateway/stream_relay.ts
@@ -0,0 +1,85 @@
+/**
+ * Relays one stream to its caller over one or more backend servers. Whole
+ * events are passed on as they come; their numbers must follow on, so that a
+ * stream which goes on at another server has no gap, no repeat and no half
+ * event.
+ */
+import { type CallerExchange } from "./caller_exchange.ts";
+import { EventSplitter, MAX_EVENT_BYTES } from "./event_splitter.ts";
+import { type AnswerHead } from "./protocol.ts";
+
+/** What came of some bytes of a stream. */
+export type RelayStep = "relayed" | "slow_caller" | "out_of_order" | "oversize";
+
+/** The caller's stream. */
+export class StreamRelay {
+  readonly #exchange: CallerExchange;
+  #splitter = new EventSplitter();
+  #head: AnswerHead | undefined;
+  #lastId: number | undefined;
+  #eventCount = 0;
+
+  constructor(exchange: CallerExchange, lastEventId: string | undefined) {
+    this.#exchange = exchange;
+    const given = Number(lastEventId);
+    if (lastEventId !== undefined && Number.isSafeInteger(given)) {
+      this.#lastId = given;
+    }
+  }
+
+  /** The number of the last event relayed, or the one the caller named. */
+  get lastId(): number | undefined {
+    return this.#lastId;
+  }
+
+  /** Events relayed so far. */
+  get eventCount(): number {
+    return this.#eventCount;
+  }
+
+  /** A server begins to send; the first head is the one the caller gets. */
+  attach(head: AnswerHead): void {
+    this.#splitter = new EventSplitter();
+    this.#head ??= head;
+  }
+
+  /** Forgets a head of which the caller has seen nothing. */
+  detach(): void {
+    if (!this.#exchange.isBegun) this.#head = undefined;
+  }
+
+  /** Takes bytes of the attached server. */
+  push(chunk: Buffer): RelayStep {
+    let step: RelayStep = "relayed";
+    for (const { bytes, id } of this.#splitter.push(chunk)) {
+      if (!this.#followsOn(id)) return "out_of_order";
+      if (id !== undefined) this.#lastId = id;
+      this.#eventCount += 1;
+      if (!this.#write(bytes)) step = "slow_caller";
+    }
+    return this.#splitter.rest.length > MAX_EVENT_BYTES ? "oversize" : step;
+  }
+
+  /** The attached server has sent all of its answer. */
+  end(): void {
+    const { rest } = this.#splitter;
+    if (rest.length > 0) this.#write(rest);
+    this.#begin();
+    this.#exchange.end();
+  }
+
+  #followsOn(id: number | undefined): boolean {
+    if (id === undefined || this.#lastId === undefined) return true;
+    return id === this.#lastId + 1;
+  }
+
+  #write(bytes: Buffer): boolean {
+    this.#begin();
+    return this.#exchange.write(bytes);
+  }
+
+  #begin(): void {
+    if (this.#exchange.isBegun || this.#head === undefined) return;
+    this.#exchange.begin(this.#head.status, this.#head.passedHeaders);
+  }
+}
--- a/src/model/mod.ts
+++ b/src/model/mod.ts
@@ -3,6 +3,7 @@
 export * from "./effects.ts";
 export * from "./error.ts";
 export * from "./hash.ts";
+export * from "./manifest.ts";
 export * from "./path.ts";
 export * from "./refusal.ts";
 export * from "./request.ts";
--- a/src/wire/peer_node.ts
+++ b/src/wire/peer_node.ts
@@ -46,7 +46,7 @@
 export interface PeerNodeOptions {
   readonly vm: string;
   readonly place: string;
-  /** Where callers reach this VM; handed out to them. */
+  /** Where callers reach this VM; "" while it is not to be handed out. */
   readonly address: string;
   readonly listenHost: string;
   readonly listenPort: number;
@@ -76,6 +76,8 @@
   /** Takes in a VM list as just read. */
   noteList(vms: readonly Vm[]): void;
   setLoad(loadShare: number): void;
+  /** Tells where callers reach this VM from now on. */
+  setAddress(address: string): void;
   /** Tells the peers that this VM is no longer to be handed out, or is gone. */
   announce(status: "leaving" | "left"): void;
   /** Asks a member, over a connection that is opened when there is none. */
@@ -133,8 +135,9 @@
     const port = await this.#transport.listen(listenHost, listenPort);
     if (port.isErr()) return err(port.error);
     const listeningAt = `${listenHost}:${port.value}`;
-    const { address, advertisedPeerAddress } = this.#options;
+    const { advertisedPeerAddress } = this.#options;
     const peerAddress = advertisedPeerAddress ?? listeningAt;
+    const { address } = this.#state.self;
     this.#step({ kind: "moved", address, peerAddress });
     this.#loop = this.#run();
     return ok(listeningAt);
@@ -152,6 +155,11 @@
     this.#step({ kind: "load", loadShare: roundLoad(loadShare) });
   }
 
+  setAddress(address: string): void {
+    const { peerAddress } = this.#state.self;
+    this.#step({ kind: "moved", address, peerAddress });
+  }
+
   announce(status: "leaving" | "left"): void {
     this.#step({ kind: "status", status });
   }
--- a/tools/layers.ts
+++ b/tools/layers.ts
@@ -12,6 +12,7 @@
   "wire",
   "client",
   "filter",
+  "gateway",
   "controller",
   "report",
   "command",
