Control roll-outs by order, and keep the VMs in step

Sessions now keep their version in the first half, a canary share bounds exposure, tallies of all VMs decide, and one reader writes the stage.

--- a/src/decision/backend_roster.ts
+++ b/src/decision/backend_roster.ts
@@ -34,8 +34,6 @@
 
 /** What changes a roster. */
 export type RosterEvent =
-  /** All that is registered now. */
-  | { readonly kind: "listed"; readonly records: readonly RosterRecord[] }
   /** Records that follow on those known. */
   | { readonly kind: "changed"; readonly records: readonly RosterRecord[] }
   /** The store answers again after an outage. */
@@ -54,8 +52,6 @@
   switch (event.kind) {
     case "store_returned":
       return { ...roster, graceUntilMs: nowMs + LAPSED_GRACE_MS };
-    case "listed":
-      return afterList(roster, event.records, nowMs);
     case "changed":
       return afterRecords(roster, event.records, nowMs);
     case "tick":
@@ -63,19 +59,6 @@
   }
 }
 
-function afterList(
-  roster: Roster,
-  records: readonly RosterRecord[],
-  nowMs: number,
-): Roster {
-  const listed = new Set(records.map(({ id }) => id));
-  const missing: RosterRecord[] = [];
-  for (const [id, { offset }] of roster.entries) {
-    if (!listed.has(id)) missing.push({ id, server: undefined, offset });
-  }
-  return afterRecords(roster, [...records, ...missing], nowMs);
-}
-
 function afterRecords(
   roster: Roster,
   records: readonly RosterRecord[],
--- a/src/decision/mod.ts
+++ b/src/decision/mod.ts
@@ -19,9 +19,11 @@
 export * from "./membership.ts";
 export * from "./model_ladder.ts";
 export * from "./offer.ts";
+export * from "./ordered_rollout.ts";
 export * from "./placement.ts";
 export * from "./quality.ts";
 export * from "./rating_sum.ts";
+export * from "./reader_duty.ts";
 export * from "./retry_budget.ts";
 export * from "./rollout.ts";
 export * from "./route.ts";
@@ -31,6 +33,7 @@
 export * from "./shutdown.ts";
 export * from "./slowness.ts";
 export * from "./subset.ts";
+export * from "./version_tally.ts";
 export * from "./version_watch.ts";
 export {
   createMembership,
--- a/src/gateway/forward_context.ts
+++ b/src/gateway/forward_context.ts
@@ -28,7 +28,7 @@
   /** Versions for the requests of one session; the same for all VMs. */
   readonly acceptorOf: (
     service: string,
-    sessionKey: string,
+    session: { readonly key: string; readonly isLasting: boolean },
   ) => (version: string) => boolean;
   readonly note: (sample: VersionSample) => void;
   /** A request starts or ends at a server of a version. */
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -59,7 +59,7 @@
     const { caller, route, service } = request;
     this.#acceptsVersion = context.versions.acceptorOf(
       service,
-      sessionKeyOf(request),
+      { key: caller.session ?? caller.id, isLasting: caller.session !== undefined },
     );
     if (route.kind === "streaming") {
       this.#relay = new StreamRelay(exchange, caller.lastEventId);
@@ -156,10 +156,7 @@
     if (model === undefined || this.#runCount + 1 >= route.maxAttempts) {
       return "take";
     }
-    if (!this.#context.budget.spend(service, ESCALATION_RESERVE)) {
-      this.#context.metrics.count("escalations_forgone", { service });
-      return "take";
-    }
+    if (!this.#mayArriveAgain(ESCALATION_RESERVE)) return "take";
     this.#context.metrics.count("escalations", { service });
     this.#trail.push(`escalate:${this.#model}>${model}@${confidence}`);
     this.#model = model;
@@ -225,16 +222,23 @@
 
   /** Asks another server, if that is allowed and of use. */
   #repeat(cause: string): void {
-    const { route, service } = this.#request;
     if (!this.#canRepeat()) return this.#giveUp(cause);
-    if (this.#sentCount > 0 && !this.#context.budget.spend(service)) {
-      this.#context.metrics.count("repeats_forgone", { service });
-      return this.#giveUp("budget");
+    if (this.#sentCount > 0 && !this.#mayArriveAgain()) {
+      return this.#giveUp(cause);
     }
-    this.#context.metrics.count("repeats", { route: route.name, cause });
+    this.#context.metrics.count("repeats", { cause });
     this.#next();
   }
 
+  /** Takes one arrival more from the budget. */
+  #mayArriveAgain(reserveCount = 0): boolean {
+    const { service } = this.#request;
+    const { budget, metrics } = this.#context;
+    if (budget.spend(service, reserveCount)) return true;
+    metrics.count("repeats_forgone", { service });
+    return false;
+  }
+
   #canRepeat(): boolean {
     const { route } = this.#request;
     if (this.#timeLeftMs() < LEAST_TRY_MS) return false;
@@ -252,12 +256,17 @@
   #endPatience(): void {
     const server = this.#try;
     if (server === undefined || this.#exchange.isOver) return;
-    const isAlone = this.#choose()?.id === server.server.id;
-    const wouldRun = this.#runCount + 1 < this.#request.route.maxAttempts;
-    if (isAlone || !this.#isRepeatable() || !wouldRun) return;
-    if (this.#tryCount >= this.#request.route.maxAttempts + SPARE_TRIES) return;
+    const { maxAttempts } = this.#request.route;
+    const wouldRun = this.#runCount + 1 < maxAttempts &&
+      this.#tryCount < maxAttempts + SPARE_TRIES;
+    if (!wouldRun || !this.#isRepeatable()) return;
+    if (this.#choose()?.id === server.server.id) return;
+    if (!server.isUnsent && !this.#mayArriveAgain()) return;
+    const { metrics } = this.#context;
+    metrics.count("repeats", { cause: "silent" });
     server.cancel("down");
-    this.#settle({ kind: "fault", isUnsent: server.isUnsent, cause: "silent" });
+    this.#note({ kind: "fault", isUnsent: server.isUnsent, cause: "silent" });
+    this.#next();
   }
 
   #armPatience(patienceMs: number): void {
@@ -331,11 +340,6 @@
   }
 }
 
-/** What stays with one version: a session, or else the request alone. */
-function sessionKeyOf({ caller }: ForwardRequest): string {
-  return caller.session ?? caller.id;
-}
-
 /** The longest run of a prompt that other requests share. */
 function sharedPartOf(
   { caller }: ForwardRequest,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -29,16 +29,20 @@
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { type GatewaySettings } from "./gateway_settings.ts";
 import { GatewayState } from "./gateway_state.ts";
+import { PeerExchange } from "./peer_exchange.ts";
+import { type TopicName } from "./peer_news.ts";
 import { type GatewayProtocol } from "./protocol.ts";
 import { RepeatBudget } from "./repeat_budget.ts";
 import { admitRequest } from "./request_gate.ts";
 import { RolloutBook } from "./rollout_book.ts";
+import { RolloutDuty } from "./rollout_duty.ts";
+import { type MirrorChange, StoreMirror } from "./store_mirror.ts";
 import {
   type StoreFault,
   type StoreRecord,
-  TopicFollower,
   type TopicSource,
-} from "./topic_follower.ts";
+} from "./store_record.ts";
+import { TopicFollower } from "./topic_follower.ts";
 
 /** What operators write into the store. */
 export type OperatorRecord =
@@ -71,8 +75,12 @@
 /** How long a poll for the operators' records waits, at most. */
 const OPERATOR_WAIT_MS = 2500;
 /** Between two reads of the servers' records, which change all the time. */
-const SERVER_PAUSE_MS = 900;
-const ROSTER_TICK_MS = 250;
+const SERVER_PAUSE_MS = 500;
+/** A VM that is no reader reads for itself when it heard nothing for so long. */
+const STALE_MS = { operators: 1600, servers: 1300 } as const;
+const TICK_MS = 200;
+/** An order is new when the store was read just before. */
+const NEW_ORDER_MS = 4000;
 /** The most addresses that a caller is given. */
 const MAX_ENTRIES = 64;
 /** VMs of other data centres are named where a caller's own has fewer. */
@@ -93,7 +101,10 @@
   readonly #metrics = new GatewayMetrics();
   readonly #fleet: BackendFleet;
   readonly #state: GatewayState;
-  readonly #rollouts = new RolloutBook();
+  readonly #rollouts: RolloutBook;
+  readonly #duty: RolloutDuty;
+  readonly #mirrors: Readonly<Record<TopicName, StoreMirror>>;
+  readonly #exchange: PeerExchange;
   readonly #callers: CallerServer;
   readonly #peers: PeerNode;
   readonly #context: ForwardContext;
@@ -105,7 +116,31 @@
     const { clock, random, logger, protocol, settings } = options;
     this.#fleet = new BackendFleet({ clock });
     this.#state = new GatewayState({ fleet: this.#fleet, clock, logger });
-    this.#peers = openPeers(options);
+    this.#rollouts = new RolloutBook({
+      fleet: this.#fleet,
+      canaryShare: settings.canary.share,
+      sessionMs: settings.sessionMs,
+      clock,
+      logger,
+    });
+    this.#mirrors = this.#openMirrors();
+    this.#exchange = new PeerExchange({
+      ...options,
+      vm: settings.vm,
+      node: () => this.#peers,
+      mirrors: this.#mirrors,
+      book: this.#rollouts,
+    });
+    this.#duty = new RolloutDuty({
+      book: this.#rollouts,
+      topic: options.statusTopic,
+      readStatus: options.readStatus,
+      appendStatus: options.appendStatus,
+      rank: () => this.#exchange.rank(),
+      clock,
+      logger,
+    });
+    this.#peers = openPeers(options, this.#exchange);
     this.#callers = this.#openCallers();
     this.#context = {
       protocol,
@@ -140,6 +175,7 @@
     }
     const { signal } = this.#ending;
     for (const follower of this.#followers()) void follower.run(signal);
+    void this.#exchange.run(signal);
     void this.#tick(signal);
     logger.info("started", { callers: settings.callerAddress });
   }
@@ -234,59 +270,80 @@
     };
   }
 
+  #openMirrors(): Record<TopicName, StoreMirror> {
+    const { clock, readServer } = this.#options;
+    return {
+      operators: new StoreMirror({
+        clock,
+        isSame: (a, b) => a.equals(b),
+        onChange: (change) => this.#takeOperatorRecords(change),
+      }),
+      servers: new StoreMirror({
+        clock,
+        isSame: (a, b) => isSameServer(readServer, a, b),
+        onChange: (change) => this.#takeServerRecords(change),
+      }),
+    };
+  }
+
   #followers(): TopicFollower[] {
-    const { clock, sleep, random, logger } = this.#options;
-    const shared = { clock, sleep, random, logger };
-    const { operatorTopic, serverTopic, readServer } = this.#options;
-    const readOperators = (
-      { records }: { readonly records: readonly StoreRecord[] },
-    ): void => this.#takeOperatorRecords(records);
-    const rosterRecords = (records: readonly StoreRecord[]) =>
-      records.map((record) => ({
-        id: record.key,
-        server: readServer(record),
-        offset: record.offset,
-      }));
+    const isReader = (): boolean => this.#exchange.rank() !== undefined;
+    const { operatorTopic, serverTopic } = this.#options;
     return [
       new TopicFollower({
-        ...shared,
+        ...this.#options,
+        isReader,
         name: "operators",
         source: operatorTopic,
+        mirror: this.#mirrors.operators,
         waitMs: OPERATOR_WAIT_MS,
-        pauseMs: () => 0,
-        onListed: readOperators,
-        onRecords: readOperators,
-        onRegained: () => {},
+        pauseMs: 0,
+        staleMs: STALE_MS.operators,
       }),
       new TopicFollower({
-        ...shared,
+        ...this.#options,
+        isReader,
         name: "servers",
         source: serverTopic,
+        mirror: this.#mirrors.servers,
         waitMs: 0,
-        pauseMs: () => SERVER_PAUSE_MS,
-        onListed: ({ records }) => {
-          const known = rosterRecords(records);
-          this.#state.changeRoster({ kind: "listed", records: known });
-          this.#announceReady();
-        },
-        onRecords: ({ records }) => {
-          const known = rosterRecords(records);
-          this.#state.changeRoster({ kind: "changed", records: known });
-        },
-        onRegained: () => this.#state.changeRoster({ kind: "store_returned" }),
+        pauseMs: SERVER_PAUSE_MS,
+        staleMs: STALE_MS.servers,
       }),
     ];
   }
 
-  #takeOperatorRecords(records: readonly StoreRecord[]): void {
+  #takeOperatorRecords({ records }: MirrorChange): void {
+    const isRunning = this.#state.routes !== undefined &&
+      this.#mirrors.operators.ageMs < NEW_ORDER_MS;
     for (const record of records) {
       const read = this.#options.readOperatorRecord(record);
       if (read?.kind === "manifest") this.#state.takeManifest(read.manifest);
-      if (read?.kind === "order") this.#state.takeOrder(read.order);
+      if (read?.kind === "order") {
+        this.#rollouts.takeOrder(read.order, isRunning);
+      }
     }
     this.#announceReady();
   }
 
+  #takeServerRecords({ records, isAfterOutage }: MirrorChange): void {
+    if (isAfterOutage) this.#state.changeRoster({ kind: "store_returned" });
+    this.#state.changeRoster({
+      kind: "changed",
+      records: records.map((record) => ({
+        id: record.key,
+        server: this.#options.readServer(record),
+        offset: record.offset,
+      })),
+    });
+    const services = new Set<string>();
+    for (const { server } of this.#state.roster.entries.values()) {
+      services.add(server.service);
+    }
+    this.#rollouts.noteVersions(services);
+    this.#announceReady();
+  }
+
   #announceReady(): void {
     if (!this.#state.isComplete) return;
     const { callerAddress } = this.#options.settings;
@@ -298,12 +355,27 @@
   async #tick(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.#state.changeRoster({ kind: "tick" });
-      await this.#options.sleep(ROSTER_TICK_MS, signal);
+      this.#rollouts.judge();
+      void this.#duty.perform();
+      await this.#options.sleep(TICK_MS, signal);
     }
   }
 }
 
-function openPeers(options: GatewayOptions): PeerNode {
+/** Heartbeats change an entry's bytes and nothing that is used of it. */
+function isSameServer(
+  readServer: GatewayOptions["readServer"],
+  a: Buffer,
+  b: Buffer,
+): boolean {
+  if (a.equals(b)) return true;
+  const [first, second] = [a, b].map((value) =>
+    readServer({ key: "", value, offset: 0 })
+  );
+  return JSON.stringify(first) === JSON.stringify(second);
+}
+
+function openPeers(options: GatewayOptions, exchange: PeerExchange): PeerNode {
   const { settings, clock, random, sleep, logger } = options;
   const [listenHost, listenPort] = splitAddress(settings.peerAddress);
   return createPeerNode({
@@ -318,6 +390,7 @@
     membership: { periodMs: PROBE_PERIOD_MS, directTimeoutMs: 200 },
     records: NO_RECORDS,
     bills: NO_BILLS,
+    exchange: (vm, news) => exchange.answer(vm, news),
     clock,
     random,
     sleep,
--- a/src/gateway/gateway_state.ts
+++ b/src/gateway/gateway_state.ts
@@ -1,6 +1,6 @@
 /**
- * What is in force on this VM: the newest manifest, the roster of backend
- * servers, and the operators' orders. Nothing here ever goes back: an older
+ * What is in force on this VM: the newest manifest and the roster of backend
+ * servers. Nothing here ever goes back: an older
  * manifest or record changes nothing, wherever it comes from.
  */
 import {
@@ -10,12 +10,7 @@
   type RosterEvent,
   RouteTable,
 } from "../decision/mod.ts";
-import {
-  type Clock,
-  type Logger,
-  type Manifest,
-  type RolloutOrder,
-} from "../model/mod.ts";
+import { type Clock, type Logger, type Manifest } from "../model/mod.ts";
 import { type BackendFleet } from "./backend_fleet.ts";
 
 /** The state of one VM. */
@@ -23,7 +18,6 @@
   readonly #fleet: BackendFleet;
   readonly #clock: Clock;
   readonly #logger: Logger;
-  readonly #orders = new Map<string, RolloutOrder>();
   #routes: RouteTable | undefined;
   #roster: Roster = EMPTY_ROSTER;
   #hasRoster = false;
@@ -54,11 +48,6 @@
     return this.#roster;
   }
 
-  /** The newest order for each service. */
-  get orders(): ReadonlyMap<string, RolloutOrder> {
-    return this.#orders;
-  }
-
   /** Whether requests can be served. */
   get isComplete(): boolean {
     return this.#routes !== undefined && this.#hasRoster;
@@ -77,25 +66,11 @@
     this.#onManifest(manifest);
   }
 
-  /** Takes an order unless a later one for its service is known. */
-  takeOrder(order: RolloutOrder): boolean {
-    const known = this.#orders.get(order.service);
-    if (known !== undefined && known.offset >= order.offset) return false;
-    this.#orders.set(order.service, order);
-    this.#logger.info("roll-out ordered", {
-      service: order.service,
-      target: order.target,
-      durationMs: order.durationMs,
-      offset: order.offset,
-    });
-    return true;
-  }
-
   /** Applies what was read of the servers, or that time has passed. */
   changeRoster(event: RosterEvent): void {
     const before = this.#roster;
     this.#roster = applyRoster(before, event, this.#clock());
-    if (event.kind === "listed") this.#hasRoster = true;
+    if (event.kind === "changed") this.#hasRoster = true;
     if (this.#roster.entries === before.entries) return;
     this.#fleet.update(this.#roster);
     this.#logChanges(before);
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -14,4 +14,4 @@
 export * from "./log_sink.ts";
 export * from "./protocol.ts";
 export * from "./repeat_budget.ts";
-export * from "./topic_follower.ts";
+export * from "./store_record.ts";
--- a/src/gateway/patience.ts
+++ b/src/gateway/patience.ts
@@ -6,14 +6,16 @@
 import { type ServiceRoute } from "../model/mod.ts";
 
 /** Part of the target that the first server may use up. */
-const TARGET_SHARE = 0.45;
+const TARGET_SHARE = 0.6;
 /** Times the service's mean. */
-const MEAN_FACTOR = 3;
+const MEAN_FACTOR = 4;
 /** Reading a long prompt, with the prompts of others beside it. */
 const PROMPT_MS_PER_TOKEN = 0.06;
-/** Part of the longest pause on time that a server may use up. */
-const GAP_SHARE = 0.6;
-const LEAST_GAP_MS = 600;
+/**
+ * Times the longest pause on time: reading the long prompts of others makes
+ * pauses of a second, and a stream that is moved for one waits twice.
+ */
+const GAP_FACTOR = 1.3;
 
 /** Until the first byte of an answer. */
 export function firstBytePatienceMs(
@@ -27,6 +29,5 @@
 
 /** Between two events of a stream. */
 export function gapPatienceMs(route: ServiceRoute): number {
-  const gapMs = route.gapTargetMs ?? route.targetMs;
-  return Math.max(LEAST_GAP_MS, GAP_SHARE * gapMs);
+  return GAP_FACTOR * (route.gapTargetMs ?? route.targetMs);
 }
--- /dev/null
+++ b/src/gateway/peer_exchange.ts
@@ -0,0 +1,179 @@
+/**
+ * Keeps the VMs in step with each other. Each one asks a reader of the store
+ * every half second, or any member where no reader answers, and tells what it
+ * knows in turn; so the cost of a VM that is no reader does not grow with the
+ * fleet, and a VM that the store turns away learns all the same.
+ */
+import { presentMembers, readersOf } from "../decision/mod.ts";
+import {
+  type Clock,
+  type Logger,
+  type Random,
+  type Sleep,
+} from "../model/mod.ts";
+import { type PeerNode } from "../wire/mod.ts";
+import {
+  type PeerNews,
+  readPeerNews,
+  type RolloutNews,
+  type TopicName,
+  TOPICS,
+  writePeerNews,
+} from "./peer_news.ts";
+import { type RolloutBook } from "./rollout_book.ts";
+import { type StoreMirror } from "./store_mirror.ts";
+
+/** What an exchange needs. */
+export interface PeerExchangeOptions {
+  readonly vm: string;
+  readonly node: () => PeerNode;
+  readonly mirrors: Readonly<Record<TopicName, StoreMirror>>;
+  readonly book: RolloutBook;
+  readonly clock: Clock;
+  readonly sleep: Sleep;
+  readonly random: Random;
+  readonly logger: Logger;
+}
+
+const PERIOD_MS = 400;
+const ANSWER_TIMEOUT_MS = 800;
+const MAX_AGE_MS = 2 ** 31;
+
+/** The exchange of one VM. */
+export class PeerExchange {
+  readonly #options: PeerExchangeOptions;
+  /** Tells this process's tallies from those of an earlier life. */
+  readonly #life: string;
+  #isAnswered = true;
+
+  constructor(options: PeerExchangeOptions) {
+    this.#options = options;
+    this.#life = `${options.vm}#${options.random().toString(36).slice(2, 8)}`;
+  }
+
+  /** The readers of the store as this VM sees them, first in rank first. */
+  readers(): string[] {
+    const { vm, node } = this.#options;
+    const state = node().membership();
+    const others = presentMembers(state)
+      .filter(({ update }) => update.status === "alive")
+      .map(({ update }) => update.vm);
+    const own = state.self.status === "alive" ? [vm] : [];
+    return readersOf([...own, ...others]);
+  }
+
+  /** This VM's rank among the readers. */
+  rank(): number | undefined {
+    const rank = this.readers().indexOf(this.#options.vm);
+    return rank < 0 ? undefined : rank;
+  }
+
+  /** Asks others until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { sleep, random } = this.#options;
+    while (!signal.aborted) {
+      const vm = this.#partner();
+      if (vm !== undefined) this.#isAnswered = await this.#ask(vm);
+      await sleep(PERIOD_MS * (0.75 + random() / 2), signal);
+    }
+  }
+
+  /** Answers a peer that asked. */
+  answer(vm: string, value: unknown): unknown {
+    const news = readPeerNews(value);
+    if (news === undefined) {
+      this.#options.logger.warn("news that cannot be read", { from: vm });
+      return null;
+    }
+    this.#take(news);
+    return this.#newsFor(vm, news.have);
+  }
+
+  /** A reader, or anyone after a reader did not answer. */
+  #partner(): string | undefined {
+    const { vm, node, random } = this.#options;
+    const readers = this.readers().filter((reader) => reader !== vm);
+    const members = presentMembers(node().membership())
+      .map(({ update }) => update.vm);
+    const partners = this.#isAnswered && readers.length > 0 ? readers : members;
+    return partners[Math.floor(random() * partners.length)];
+  }
+
+  async #ask(vm: string): Promise<boolean> {
+    const answer = await this.#send(vm, this.#newsFor(vm, undefined));
+    if (answer === undefined) return false;
+    this.#take(answer);
+    const lacks = TOPICS.some((name) =>
+      (answer.have[name] ?? -1) <
+        (this.#options.mirrors[name].nextOffset ?? -1)
+    );
+    if (lacks) await this.#send(vm, this.#newsFor(vm, answer.have));
+    return true;
+  }
+
+  async #send(vm: string, news: unknown): Promise<PeerNews | undefined> {
+    const answer = await this.#options.node().ask(
+      vm,
+      { kind: "exchange", news },
+      { timeoutMs: ANSWER_TIMEOUT_MS },
+    );
+    if (answer.isErr() || answer.value.kind !== "exchanged") return undefined;
+    return readPeerNews(answer.value.news);
+  }
+
+  /** Without `lacking` only what this VM has read is told, not its content. */
+  #newsFor(vm: string, lacking: PeerNews["have"] | undefined): unknown {
+    const { mirrors } = this.#options;
+    const topics: Parameters<typeof writePeerNews>[0]["topics"] = {};
+    for (const name of TOPICS) {
+      if (lacking === undefined) continue;
+      const given = mirrors[name].newsSince(lacking[name] ?? undefined);
+      if (given === undefined) continue;
+      topics[name] = { ...given, ageMs: Math.max(0, given.ageMs) };
+    }
+    return writePeerNews({
+      have: {
+        operators: mirrors.operators.nextOffset ?? null,
+        servers: mirrors.servers.nextOffset ?? null,
+      },
+      topics,
+      rollouts: this.#rolloutNewsFor(vm),
+    });
+  }
+
+  /** Tallies go to readers only: a reader's all, another VM's own. */
+  #rolloutNewsFor(vm: string): RolloutNews[] {
+    const { book, clock } = this.#options;
+    const readers = this.readers();
+    const isForReader = readers.includes(vm);
+    const isReader = readers.includes(this.#options.vm);
+    return [...book.rollouts.values()].map((rollout) => {
+      const own = rollout.tellTally(
+        this.#life,
+        book.otherInFlightCount(rollout),
+      );
+      const all = isReader ? [own, ...rollout.heardTallies()] : [own];
+      return {
+        service: rollout.order.service,
+        orderOffset: rollout.order.offset,
+        ageMs: Math.min(MAX_AGE_MS, clock() - rollout.startedAtMs),
+        fault: rollout.fault ?? null,
+        stage: rollout.stage ?? null,
+        isStageKnown: rollout.isStageKnown,
+        tallies: isForReader ? all : [],
+      };
+    });
+  }
+
+  #take(news: PeerNews): void {
+    const { mirrors, book, clock } = this.#options;
+    for (const name of TOPICS) {
+      const given = news.topics[name];
+      if (given !== undefined) mirrors[name].takeNews(given);
+    }
+    for (const rollout of news.rollouts) {
+      const tallies = rollout.tallies.filter(({ vm }) => vm !== this.#life);
+      book.takeNews({ ...rollout, tallies }, clock());
+    }
+  }
+}
--- a/src/gateway/repeat_budget.ts
+++ b/src/gateway/repeat_budget.ts
@@ -22,11 +22,10 @@
   readonly windowMs: number;
 }
 
-/** Part of the ratio that is used, as requests are counted where they end. */
-const RATIO_SHARE = 0.8;
-/** Part of the slack that is used; half as burst, half over time. */
-const SLACK_SHARE = 0.6;
-const MS_PER_SECOND = 1000;
+/** Part of the ratio that is used; the rest covers the saved-up repeats. */
+const RATIO_SHARE = 0.85;
+/** This VM's part of the slack, saved up while nothing is repeated. */
+const SLACK_SHARE = 0.9;
 
 /** Repeats that this VM may still send. */
 export class RepeatBudget {
@@ -70,12 +69,12 @@
   }
 
   #limits(): RetryBudgetLimits {
-    const { ratio, slackCount, windowMs } = this.#bound;
+    const { ratio, slackCount } = this.#bound;
     const slack = SLACK_SHARE * slackCount / Math.max(1, this.#vmCount());
     return {
       retryShare: ratio * RATIO_SHARE,
-      floorPerSecond: slack / 2 / windowMs * MS_PER_SECOND,
-      burst: Math.max(1, slack / 2),
+      floorPerSecond: 0,
+      burst: Math.max(1, slack),
     };
   }
 }
--- a/src/gateway/rollout_book.ts
+++ b/src/gateway/rollout_book.ts
@@ -1,13 +1,222 @@
-/** Which versions requests may run on. */
-import { type VersionGuide } from "./forward_context.ts";
+/**
+ * The roll-outs that this VM knows of, and which versions its requests may run
+ * on. A version that nobody ordered is held back for a moment after it
+ * appears, since its order may still be on its way.
+ */
+import {
+  isFirstHalf,
+  type OrderedRollout,
+  targetShare,
+} from "../decision/mod.ts";
+import {
+  type Clock,
+  hashShare,
+  type Logger,
+  type RolloutOrder,
+  type RolloutStatus,
+} from "../model/mod.ts";
+import { type BackendFleet } from "./backend_fleet.ts";
+import { type VersionGuide, type VersionSample } from "./forward_context.ts";
+import { type RolloutNews } from "./peer_news.ts";
+import { RolloutRecord } from "./rollout_record.ts";
+import { SessionMemory } from "./session_memory.ts";
 
-/** The roll-outs that this VM knows of. */
+/** What a roll-out book needs. */
+export interface RolloutBookOptions {
+  readonly fleet: BackendFleet;
+  /** Of a service's requests, what a version may get before it is proved. */
+  readonly canaryShare: number;
+  readonly sessionMs: number;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** A version without an order is used this long after it appeared. */
+const NEWCOMER_MS = 3000;
+
+interface KnownVersion {
+  readonly seenAtMs: number;
+}
+
+/** The roll-outs of all services. */
 export class RolloutBook implements VersionGuide {
-  acceptorOf(): (version: string) => boolean {
-    return () => true;
+  readonly #options: RolloutBookOptions;
+  readonly #sessions: SessionMemory;
+  readonly #rollouts = new Map<string, RolloutRecord>();
+  readonly #versions = new Map<string, Map<string, KnownVersion>>();
+  readonly #inFlight = new Map<string, number>();
+
+  constructor(options: RolloutBookOptions) {
+    this.#options = options;
+    const { clock, sessionMs } = options;
+    this.#sessions = new SessionMemory({ clock, keepMs: sessionMs });
+  }
+
+  /** All roll-outs. */
+  get rollouts(): ReadonlyMap<string, RolloutRecord> {
+    return this.#rollouts;
+  }
+
+  /** Takes an order; `isNew` when it has only just been given. */
+  takeOrder(order: RolloutOrder, isNew: boolean): void {
+    const known = this.#rollouts.get(order.service);
+    if (known !== undefined && known.order.offset >= order.offset) return;
+    const { clock, logger } = this.#options;
+    this.#rollouts.set(
+      order.service,
+      new RolloutRecord(order, { startedAtMs: clock(), isStageKnown: isNew }),
+    );
+    const { service, target, durationMs, offset } = order;
+    logger.info("roll-out ordered", {
+      service,
+      target,
+      durationMs,
+      offset,
+      isNew,
+    });
+  }
+
+  /** Takes what stands in the store of a roll-out. */
+  takeStatus(status: RolloutStatus): void {
+    const rollout = this.#rollouts.get(status.service);
+    if (rollout === undefined) return;
+    if (rollout.order.offset !== status.orderOffset) return;
+    if (rollout.stage === status.stage) return;
+    const isEnded = rollout.stage === "completed" ||
+      rollout.stage === "reverted";
+    if (isEnded) return;
+    rollout.stage = status.stage;
+    if (status.stage === "reverted") rollout.fault ??= "reverted";
+    this.#options.logger.info("roll-out stage", {
+      service: status.service,
+      target: status.target,
+      stage: status.stage,
+      fault: rollout.fault,
+    });
+  }
+
+  /** Takes what another VM knows of a roll-out. */
+  takeNews(news: RolloutNews, nowMs: number): void {
+    const rollout = this.#rollouts.get(news.service);
+    if (rollout?.order.offset !== news.orderOffset) return;
+    const startedAtMs = nowMs - news.ageMs;
+    rollout.startedAtMs = Math.min(rollout.startedAtMs, startedAtMs);
+    rollout.isStageKnown ||= news.isStageKnown;
+    if (news.stage !== null) {
+      const { service, target, offset: orderOffset } = rollout.order;
+      this.takeStatus({ service, target, stage: news.stage, orderOffset });
+    }
+    if (news.fault !== null && rollout.fault === undefined) {
+      rollout.fault = news.fault;
+      this.#logFault(rollout);
+    }
+    for (const tally of news.tallies) rollout.hear(tally, nowMs);
+  }
+
+  /** Looks at what was seen of all targets. */
+  judge(): void {
+    const nowMs = this.#options.clock();
+    for (const rollout of this.#rollouts.values()) {
+      if (rollout.judge(nowMs) !== undefined) this.#logFault(rollout);
+    }
   }
 
-  note(): void {}
+  /** Notes which versions of each service are there. */
+  noteVersions(services: Iterable<string>): void {
+    const nowMs = this.#options.clock();
+    for (const service of services) {
+      const known = this.#versions.get(service);
+      const versions = known ?? new Map<string, KnownVersion>();
+      for (const { version } of this.#options.fleet.serversOf(service)) {
+        if (versions.has(version)) continue;
+        const seenAtMs = known === undefined ? -Infinity : nowMs;
+        versions.set(version, { seenAtMs });
+      }
+      this.#versions.set(service, versions);
+    }
+  }
+
+  acceptorOf(
+    service: string,
+    session: { readonly key: string; readonly isLasting: boolean },
+  ): (version: string) => boolean {
+    const rollout = this.#rollouts.get(service);
+    if (rollout === undefined) return this.#unordered(service);
+    const { target } = rollout.order;
+    const isOnTarget = this.#isOnTarget(rollout, session);
+    if (session.isLasting) {
+      this.#sessions.note(`${service} ${session.key}`, isOnTarget);
+    }
+    return (version) => (version === target) === isOnTarget;
+  }
+
+  note(sample: VersionSample): void {
+    const rollout = this.#rollouts.get(sample.service);
+    if (rollout === undefined) return;
+    const isTarget = sample.version === rollout.order.target;
+    rollout.add({ ...sample, isTarget });
+  }
+
+  noteInFlight(service: string, version: string, change: 1 | -1): void {
+    const key = `${service} ${version}`;
+    const count = (this.#inFlight.get(key) ?? 0) + change;
+    if (count === 0) this.#inFlight.delete(key);
+    else this.#inFlight.set(key, count);
+  }
+
+  /** This VM's requests at servers of other versions than the target. */
+  otherInFlightCount(rollout: OrderedRollout): number {
+    const { service, target } = rollout.order;
+    let total = 0;
+    for (const [key, count] of this.#inFlight) {
+      if (!key.startsWith(`${service} `)) continue;
+      if (key !== `${service} ${target}`) total += count;
+    }
+    return total;
+  }
+
+  #logFault({ order, fault }: RolloutRecord): void {
+    const { service, target } = order;
+    this.#options.logger.warn("version found bad", { service, target, fault });
+  }
+
+  #isOnTarget(
+    rollout: RolloutRecord,
+    session: { readonly key: string; readonly isLasting: boolean },
+  ): boolean {
+    const { service, target } = rollout.order;
+    const there = this.#readyVersions(service);
+    const hasOthers = [...there].some((version) => version !== target);
+    if (!hasOthers) return rollout.fault === undefined;
+    if (!there.has(target)) return false;
+    const { clock, canaryShare } = this.#options;
+    const nowMs = clock();
+    if (!rollout.isStageKnown && rollout.stage !== "completed") return false;
+    const share = targetShare(rollout, { nowMs, canaryShare });
+    if (share === 0 || share === 1) return share === 1;
+    const seen = session.isLasting
+      ? this.#sessions.isOnTarget(`${service} ${session.key}`)
+      : undefined;
+    if (seen === true) return true;
+    if (seen === false && isFirstHalf(rollout, nowMs)) return false;
+    return hashShare(`${target} ${session.key}`) < share;
+  }
+
+  /** Versions that nobody ordered, without those that just appeared. */
+  #unordered(service: string): (version: string) => boolean {
+    const versions = this.#versions.get(service);
+    const latestMs = this.#options.clock() - NEWCOMER_MS;
+    const isSettled = (version: string): boolean =>
+      (versions?.get(version)?.seenAtMs ?? -Infinity) <= latestMs;
+    const hasSettled = [...this.#readyVersions(service)].some(isSettled);
+    return hasSettled ? isSettled : () => true;
+  }
 
-  noteInFlight(): void {}
+  #readyVersions(service: string): Set<string> {
+    const versions = new Set<string>();
+    for (const server of this.#options.fleet.serversOf(service)) {
+      if (server.status === "ready") versions.add(server.version);
+    }
+    return versions;
+  }
 }
--- a/src/gateway/topic_follower.ts
+++ b/src/gateway/topic_follower.ts
@@ -1,56 +1,32 @@
 /**
- * Follows one topic of newest records in the platform's store: lists it once,
- * then reads what follows by long polls, and lists it anew when records were
- * deleted before they were read. Without the store it keeps trying at a bounded
- * pace and says when the store is lost and regained.
+ * Keeps a mirror of one topic in step with the store: lists it once, reads what
+ * follows, and lists it anew when records were deleted before they were read.
+ * While other VMs pass on what they read in time, the store is not asked.
+ * Without the store it keeps trying at a bounded pace and says when the store
+ * is lost and regained.
  */
-import { type Result } from "neverthrow";
-import { type Clock, type Logger, type Random, type Sleep } from "../model/mod.ts";
+import {
+  type Clock,
+  type Logger,
+  type Random,
+  type Sleep,
+} from "../model/mod.ts";
+import { type StoreMirror } from "./store_mirror.ts";
+import { type StoreFault, type TopicSource } from "./store_record.ts";
 
-/** One record: a key's newest value, or that the key was dropped. */
-export interface StoreRecord {
-  readonly key: string;
-  readonly value: Buffer | undefined;
-  readonly offset: number;
-}
-
-/** Records and the offset after the last one. */
-export interface StoreRecords {
-  readonly records: readonly StoreRecord[];
-  readonly nextOffset: number;
-}
-
-/** Why a call to the store gave nothing. */
-export interface StoreFault {
-  /**
-   * `deleted`: the records asked for are no longer there. `refused`: nothing
-   * was done. `unknown`: it may have been done.
-   */
-  readonly kind: "deleted" | "refused" | "conflict" | "unknown";
-  readonly message: string;
-}
-
-/** How a topic is read. */
-export interface TopicSource {
-  readonly list: () => Promise<Result<StoreRecords, StoreFault>>;
-  readonly readAfter: (
-    offset: number,
-    waitMs: number,
-  ) => Promise<Result<StoreRecords, StoreFault>>;
-}
-
-/** What a follower does with what it reads. */
+/** How a topic is followed. */
 export interface TopicFollowerOptions {
   readonly name: string;
   readonly source: TopicSource;
-  /** How long one poll waits for a record; 0 reads what is there. */
+  readonly mirror: StoreMirror;
+  /** How long one read waits for a record; 0 reads what is there. */
   readonly waitMs: number;
-  /** Pause between two polls. */
-  readonly pauseMs: () => number;
-  readonly onListed: (records: StoreRecords) => void;
-  readonly onRecords: (records: StoreRecords) => void;
-  /** The store answers again after `onLost`. */
-  readonly onRegained: () => void;
+  /** Pause between two reads of a VM that reads for others. */
+  readonly pauseMs: number;
+  /** Whether this VM reads for others. */
+  readonly isReader: () => boolean;
+  /** A VM that is not a reader reads when the mirror is older than this. */
+  readonly staleMs: number;
   readonly clock: Clock;
   readonly sleep: Sleep;
   readonly random: Random;
@@ -61,12 +37,12 @@
 const RETRY_PAUSE_MS = { first: 200, longest: 1000 } as const;
 /** When calls have failed for so long the store counts as lost. */
 const LOST_AFTER_MS = 1500;
+const CHECK_PAUSE_MS = 100;
 
 /** A running follower. */
 export class TopicFollower {
   readonly #options: TopicFollowerOptions;
-  #offset: number | undefined;
-  #knownAtMs = -Infinity;
+  #isListDue = false;
   #isLost = false;
   #failureCount = 0;
   #failingSinceMs = 0;
@@ -75,58 +51,54 @@
     this.#options = options;
   }
 
-  /** When the topic's end was last known, -Infinity before the first read. */
-  get knownAtMs(): number {
-    return this.#knownAtMs;
-  }
-
-  /** Whether the store has not answered for a while. */
-  get isLost(): boolean {
-    return this.#isLost;
-  }
-
   /** Follows until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     const { sleep, pauseMs } = this.#options;
-    this.#knownAtMs = -Infinity;
     while (!signal.aborted) {
-      const isRead = await this.#step();
-      await sleep(isRead ? pauseMs() : this.#retryPauseMs(), signal);
+      if (!this.#isReadDue()) {
+        await sleep(CHECK_PAUSE_MS, signal);
+        continue;
+      }
+      const isRead = await this.#read();
+      await sleep(isRead ? pauseMs : this.#retryPauseMs(), signal);
     }
   }
 
-  async #step(): Promise<boolean> {
-    const { source, waitMs, clock } = this.#options;
+  #isReadDue(): boolean {
+    const { mirror, isReader, staleMs } = this.#options;
+    return isReader() || mirror.ageMs > staleMs;
+  }
+
+  async #read(): Promise<boolean> {
+    const { source, mirror, waitMs, clock } = this.#options;
     const askedAtMs = clock();
-    const isList = this.#offset === undefined;
-    const read = this.#offset === undefined
+    const offset = this.#isListDue ? undefined : mirror.nextOffset;
+    const read = offset === undefined
       ? await source.list()
-      : await source.readAfter(this.#offset, waitMs);
+      : await source.readAfter(offset, waitMs);
     if (read.isErr()) {
-      this.#noteFault(read.error, askedAtMs);
+      this.#noteFault(read.error);
       return false;
     }
-    this.#noteAnswer(isList ? askedAtMs : clock());
-    this.#offset = read.value.nextOffset;
-    if (isList) this.#options.onListed(read.value);
-    else if (read.value.records.length > 0) this.#options.onRecords(read.value);
+    this.#noteAnswer();
+    this.#isListDue = false;
+    if (offset === undefined) mirror.takeList(read.value, askedAtMs);
+    else mirror.takeRecords(read.value, waitMs > 0 ? clock() : askedAtMs);
     return true;
   }
 
-  #noteAnswer(atMs: number): void {
-    const { name, logger, onRegained } = this.#options;
-    this.#knownAtMs = atMs;
+  #noteAnswer(): void {
+    const { name, logger } = this.#options;
     this.#failureCount = 0;
     if (!this.#isLost) return;
     this.#isLost = false;
     logger.info("store regained", { topic: name });
-    onRegained();
   }
 
-  #noteFault(fault: StoreFault, askedAtMs: number): void {
-    const { name, logger, clock } = this.#options;
+  #noteFault(fault: StoreFault): void {
+    const { name, logger, clock, mirror } = this.#options;
     if (fault.kind === "deleted") {
-      this.#offset = undefined;
+      this.#isListDue = true;
       logger.info("records deleted, listing anew", { topic: name });
       return;
     }
@@ -138,7 +110,7 @@
     logger.warn("store lost", {
       topic: name,
       reason: fault.message,
-      askedMsAgo: Math.round(clock() - askedAtMs),
+      knownMsAgo: Math.round(mirror.ageMs),
     });
   }
 
--- a/src/wire/message.ts
+++ b/src/wire/message.ts
@@ -113,6 +113,8 @@
   z.object({ kind: z.literal("hold_bill"), bill: billSchema }),
   z.object({ kind: z.literal("drop_bill"), requestId: identifierSchema }),
   z.object({ kind: z.literal("members") }),
+  /** News between gateways; checked by whoever takes them. */
+  z.object({ kind: z.literal("exchange"), news: z.unknown() }),
 ]);
 
 const answerSchema = z.discriminatedUnion("kind", [
@@ -128,6 +130,7 @@
     ...freshness,
     members: z.array(memberUpdateSchema).max(MAX_MEMBERS).readonly(),
   }),
+  z.object({ kind: z.literal("exchanged"), news: z.unknown() }),
   z.object({ kind: z.literal("unfit"), reason: z.string().max(256) }),
 ]);
 
--- a/src/wire/mod.ts
+++ b/src/wire/mod.ts
@@ -6,5 +6,5 @@
 export * from "./peer_node.ts";
 export * from "./subscriber.ts";
 export { type RecordFreshness, type RecordSource } from "./record_exchange.ts";
-export { type BillHolder } from "./responder.ts";
+export { type BillHolder, type ExchangeNews } from "./responder.ts";
 export { type TransportBounds, type TransportCounts } from "./transport.ts";
--- a/src/wire/peer_node.ts
+++ b/src/wire/peer_node.ts
@@ -24,7 +24,7 @@
   type Vm,
 } from "../model/mod.ts";
 import { AskTable } from "./ask_table.ts";
-import { type BillHolder, Responder } from "./responder.ts";
+import { type BillHolder, type ExchangeNews, Responder } from "./responder.ts";
 import {
   RecordExchange,
   type RecordSource,
@@ -60,6 +60,8 @@
   readonly bounds?: Partial<TransportBounds>;
   readonly records: RecordSource;
   readonly bills: BillHolder;
+  /** Absent where a process has no news for others. */
+  readonly exchange?: ExchangeNews;
   readonly clock: Clock;
   readonly random: Random;
   readonly sleep: Sleep;
@@ -120,6 +122,7 @@
       records: options.records,
       bills: options.bills,
       members: () => this.#membersNow(),
+      exchange: options.exchange ?? (() => null),
     });
     this.#exchange = new RecordExchange({
       records: options.records,
@@ -233,7 +236,7 @@
     if (effect.kind === "changed") {
       const { vm, status, incarnation } = effect.update;
       const { before } = effect;
-      const fields = { vm, status, before, incarnation };
+      const fields = { member: vm, status, before, incarnation };
       this.#options.logger.info("member changed", fields);
       this.#options.metrics.count("members.changed", 1, { status });
       return;
--- a/src/wire/responder.ts
+++ b/src/wire/responder.ts
@@ -19,11 +19,15 @@
   drop(vm: string, requestId: string): void;
 }
 
+/** Takes a peer's news and gives this VM's own. */
+export type ExchangeNews = (vm: string, news: unknown) => unknown;
+
 /** What a responder answers from. */
 export interface ResponderOptions {
   readonly records: RecordSource;
   readonly bills: BillHolder;
   readonly members: () => MemberUpdate[];
+  readonly exchange: ExchangeNews;
 }
 
 /** Answers questions of other processes. */
@@ -51,6 +55,11 @@
           ...tellFreshness(records),
           members: members(),
         };
+      case "exchange":
+        return {
+          kind: "exchanged",
+          news: this.#options.exchange(peer.vm, ask.news),
+        };
     }
   }
 
