Break the import circles, refuse new ones, and check the adapter's imports

Shared types have files of their own; check:layers finds circles and imports of or past the adapter. First tests of the gateway's decisions.

--- a/src/bin/burn_setup.ts
+++ b/src/bin/burn_setup.ts
@@ -3,7 +3,7 @@
 import { type LogJournal } from "../client/mod.ts";
 import { BurnCounter } from "../report/burn_counter.ts";
 import { recordBurn } from "../report/burn_route.ts";
-import { type EntryParts } from "./entry_program.ts";
+import { type EntryParts } from "./entry_parts.ts";
 import { type PeriodicTask } from "./periodic.ts";
 
 const BURN_PERIOD_MS = 5000;
--- /dev/null
+++ b/src/bin/entry_parts.ts
@@ -0,0 +1,31 @@
+/** The parts that a running entry is made of. */
+import {
+  type BudgetTable,
+  type RequestHandler,
+  type VersionSelector,
+} from "../filter/mod.ts";
+import { type LogJournal, type ServerDirectory } from "../client/mod.ts";
+import { type BurnCounter } from "../report/burn_counter.ts";
+import { type PeerNode } from "../wire/mod.ts";
+import { type openVmList } from "./client_setup.ts";
+import { type ProgramContext } from "./program.ts";
+
+/** Holds the node among the peers; absent until the entry listens. */
+export interface PeerSlot {
+  node: PeerNode | undefined;
+}
+
+/** The parts of a running entry. */
+export interface EntryParts {
+  readonly context: ProgramContext;
+  readonly journal: LogJournal;
+  readonly handler: RequestHandler;
+  readonly selector: VersionSelector;
+  readonly budgets: BudgetTable;
+  readonly directory: ServerDirectory;
+  readonly vmList: ReturnType<typeof openVmList>;
+  readonly peers: PeerSlot;
+  readonly burn: BurnCounter;
+  /** Whether this VM may be handed out. */
+  isReady(): boolean;
+}
--- a/src/bin/entry_program.ts
+++ b/src/bin/entry_program.ts
@@ -18,13 +18,12 @@
   type ServerDirectory,
 } from "../client/mod.ts";
 import { processEffects } from "../client/effects.ts";
-import { type BurnCounter } from "../report/burn_counter.ts";
 import { countRequests } from "../report/burn_observer.ts";
 import { burnRoutes } from "../report/burn_route.ts";
-import { type PeerNode } from "../wire/mod.ts";
 import { isOperatorOf, tokenOfWorkspaces } from "./access.ts";
 import { burnTask, openBurnCounter } from "./burn_setup.ts";
 import { filterLimitsOf, runningLimitOf } from "./entry_limits.ts";
+import { type EntryParts, type PeerSlot } from "./entry_parts.ts";
 import { endEntry } from "./entry_shutdown.ts";
 import { statusRoute } from "./entry_status.ts";
 import { listenHttp } from "./http_server.ts";
@@ -88,26 +87,6 @@
   return endEntry({ ...parts, node: peers, http, ending, tasks });
 }
 
-/** Holds the node among the peers; absent until the entry listens. */
-export interface PeerSlot {
-  node: PeerNode | undefined;
-}
-
-/** The parts of a running entry. */
-export interface EntryParts {
-  readonly context: ProgramContext;
-  readonly journal: LogJournal;
-  readonly handler: RequestHandler;
-  readonly selector: VersionSelector;
-  readonly budgets: BudgetTable;
-  readonly directory: ServerDirectory;
-  readonly vmList: ReturnType<typeof openVmList>;
-  readonly peers: PeerSlot;
-  readonly burn: BurnCounter;
-  /** Whether this VM may be handed out. */
-  isReady(): boolean;
-}
-
 function openParts(context: ProgramContext): EntryParts {
   const { settings } = context;
   const vmList = openVmList(settings);
--- a/src/bin/entry_shutdown.ts
+++ b/src/bin/entry_shutdown.ts
@@ -12,7 +12,7 @@
 import { processEffects } from "../client/effects.ts";
 import { type PeerNode } from "../wire/mod.ts";
 import { appendBurn } from "./burn_setup.ts";
-import { type EntryParts } from "./entry_program.ts";
+import { type EntryParts } from "./entry_parts.ts";
 import { type HttpServer } from "./http_server.ts";
 import { type RunningProgram } from "./program.ts";
 
--- a/src/bin/entry_status.ts
+++ b/src/bin/entry_status.ts
@@ -1,7 +1,7 @@
 /** What an entry tells its operators of itself. */
 import { presentMembers } from "../decision/mod.ts";
 import { type AdminRoute } from "../filter/mod.ts";
-import { type EntryParts } from "./entry_program.ts";
+import { type EntryParts } from "./entry_parts.ts";
 
 /** The route of `GET /v1/admin/status`. */
 export function statusRoute(parts: EntryParts): AdminRoute {
--- a/src/client/mod.ts
+++ b/src/client/mod.ts
@@ -1,5 +1,6 @@
 /** Clients of the platform: log, VM list, engines, services and ratings. */
 export * from "./connection_pools.ts";
+export * from "./drains.ts";
 export * from "./engine.ts";
 export * from "./engine_orders.ts";
 export * from "./journal.ts";
--- a/src/client/server_directory.ts
+++ b/src/client/server_directory.ts
@@ -26,6 +26,7 @@
   toView,
   type UseResult,
 } from "./server_record.ts";
+import { type Drains } from "./drains.ts";
 import { WorkExpectations } from "./work_expectations.ts";
 
 /** The rows of the platform's VM list, as last read. */
@@ -34,12 +35,6 @@
   ageMs(): number;
 }
 
-/** What the operators have drained. */
-export interface Drains {
-  readonly places: readonly string[];
-  readonly servers: readonly string[];
-}
-
 /** What a directory is made of. */
 export interface ServerDirectoryOptions {
   /** Name of this VM. */
--- a/src/client/server_record.ts
+++ b/src/client/server_record.ts
@@ -14,7 +14,7 @@
   takesNewWork,
 } from "../decision/mod.ts";
 import { type VersionName, type Vm } from "../model/mod.ts";
-import { type Drains } from "./server_directory.ts";
+import { type Drains } from "./drains.ts";
 import { type WorkExpectation, type WorkSample } from "./work_expectations.ts";
 
 const SERVICE_SMOOTHING_SHARE = 0.1;
--- a/src/client/server_use_test.ts
+++ b/src/client/server_use_test.ts
@@ -4,7 +4,8 @@
 import { type Vm } from "../model/mod.ts";
 import { type ServerReport } from "./load_report.ts";
 import { pollOnce } from "./load_poller.ts";
-import { type Drains, ServerDirectory } from "./server_directory.ts";
+import { type Drains } from "./drains.ts";
+import { ServerDirectory } from "./server_directory.ts";
 
 const WORK = "tagger@1 lookup";
 
--- /dev/null
+++ b/src/decision/backend_choice_test.ts
@@ -0,0 +1,89 @@
+/** Tests of the choice of a server: distance, load, shared prompts, risk. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  type BackendCandidate,
+  type ChoiceQuery,
+  chooseBackend,
+} from "./backend_choice.ts";
+
+function candidateOf(
+  id: string,
+  fields: Partial<BackendCandidate> = {},
+): BackendCandidate {
+  return {
+    id,
+    place: "near",
+    loadCount: 0,
+    slotCount: 6,
+    failureShare: 0,
+    isSuspect: false,
+    ...fields,
+  };
+}
+
+function queryOf(fields: Partial<ChoiceQuery> = {}): ChoiceQuery {
+  return {
+    distanceMs: (place) => place === "near" ? 0 : 80,
+    loadStepMs: 10,
+    workMs: 50,
+    affinityKey: undefined,
+    sharedTokens: 0,
+    isRetriable: true,
+    random: () => 0.5,
+    ...fields,
+  };
+}
+
+test("the near server is chosen until its queue costs more than the way", () => {
+  const far = candidateOf("far", { place: "far" });
+  const idle = chooseBackend([far, candidateOf("near")], queryOf());
+  assert.equal(idle?.id, "near");
+  const busy = candidateOf("near", { loadCount: 14 });
+  assert.equal(chooseBackend([far, busy], queryOf())?.id, "far");
+});
+
+test("a server that fails part of its requests is left for another", () => {
+  const grey = candidateOf("grey", { failureShare: 0.3 });
+  const far = candidateOf("far", { place: "far" });
+  assert.equal(chooseBackend([grey, far], queryOf())?.id, "far");
+});
+
+test("a request that cannot be sent again shuns the smallest risk", () => {
+  const doubtful = candidateOf("doubtful", { failureShare: 0.06 });
+  const far = candidateOf("far", { place: "far" });
+  const retriable = queryOf();
+  const final = queryOf({ isRetriable: false });
+  assert.equal(chooseBackend([doubtful, far], retriable)?.id, "doubtful");
+  assert.equal(chooseBackend([doubtful, far], final)?.id, "far");
+});
+
+test("a suspect server is used only where there is no other", () => {
+  const suspect = candidateOf("suspect", { isSuspect: true });
+  const far = candidateOf("far", { place: "far" });
+  assert.equal(chooseBackend([suspect, far], queryOf())?.id, "far");
+  assert.equal(chooseBackend([suspect], queryOf())?.id, "suspect");
+  assert.equal(chooseBackend([], queryOf()), undefined);
+});
+
+test("requests with a common prompt meet at one server of the place", () => {
+  const servers = ["a", "b", "c", "d"].map((id) => candidateOf(id));
+  const query = queryOf({ affinityKey: "prompt", sharedTokens: 4000 });
+  const chosen = new Set<string>();
+  for (let turn = 0; turn < 20; turn++) {
+    const random = (): number => turn / 20;
+    const best = chooseBackend(servers, { ...query, random });
+    chosen.add(best?.id ?? "");
+  }
+  assert.equal(chosen.size, 1);
+});
+
+test("a hot prompt spreads when its server's load outweighs the reading", () => {
+  const query = queryOf({ affinityKey: "prompt", sharedTokens: 4000 });
+  const names = ["a", "b", "c"];
+  const first = chooseBackend(names.map((id) => candidateOf(id)), query)?.id;
+  const loaded = names.map((id) =>
+    candidateOf(id, { loadCount: id === first ? 30 : 0, slotCount: 64 })
+  );
+  assert.notEqual(chooseBackend(loaded, query)?.id, first);
+});
--- /dev/null
+++ b/src/decision/manifest_fixture.ts
@@ -0,0 +1,61 @@
+/** Manifests, routes and servers for tests of the gateway's decisions. */
+import {
+  type BackendServer,
+  type Manifest,
+  type ServiceRoute,
+} from "../model/mod.ts";
+
+/** A route of one service. */
+export function routeOf(fields: Partial<ServiceRoute> = {}): ServiceRoute {
+  return {
+    name: "drafts",
+    host: "api.example",
+    pathPrefix: "/drafts/",
+    kind: "streaming",
+    timeoutMs: 25_000,
+    targetMs: 3000,
+    maxAttempts: 3,
+    priority: 1,
+    isPublic: false,
+    isResumable: true,
+    gapTargetMs: 1500,
+    models: [],
+    services: [{ service: "drafting", weight: 1 }],
+    ...fields,
+  };
+}
+
+/** A manifest with one workspace. */
+export function manifestOf(fields: Partial<Manifest> = {}): Manifest {
+  return {
+    version: 1,
+    routes: [routeOf()],
+    services: [{ name: "drafting", prices: [] }],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 4_194_304,
+      headerTimeoutMs: 3000,
+      idleTimeoutMs: 15_000,
+    },
+    workspaces: [{ name: "assessors", keys: ["a-key"], priority: 1 }],
+    ...fields,
+  };
+}
+
+/** A ready server. */
+export function serverOf(
+  id: string,
+  fields: Partial<BackendServer> = {},
+): BackendServer {
+  return {
+    id,
+    service: "drafting",
+    address: "127.0.0.1:1",
+    place: "khomas-a",
+    version: "v1",
+    slotCount: 64,
+    status: "ready",
+    bornAtMs: 1,
+    ...fields,
+  };
+}
--- /dev/null
+++ b/src/decision/ordered_rollout_test.ts
@@ -0,0 +1,84 @@
+/** Tests of roll-outs by order: shares over time and what is written when. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import {
+  dueStage,
+  isFirstHalf,
+  type OrderedRollout,
+  targetShare,
+} from "./ordered_rollout.ts";
+
+const CANARY_SHARE = 0.15;
+
+function rolloutOf(fields: Partial<OrderedRollout> = {}): OrderedRollout {
+  return {
+    order: {
+      service: "drafting",
+      target: "v2",
+      durationMs: 24_000,
+      offset: 3,
+    },
+    startedAtMs: 0,
+    fault: undefined,
+    stage: "active",
+    ...fields,
+  };
+}
+
+function shareAt(nowMs: number, fields: Partial<OrderedRollout> = {}): number {
+  return targetShare(rolloutOf(fields), { nowMs, canaryShare: CANARY_SHARE });
+}
+
+test("in the first half the target gets less than the canary bound", () => {
+  for (const nowMs of [0, 6000, 12_000]) {
+    assert.ok(shareAt(nowMs) > 0 && shareAt(nowMs) < CANARY_SHARE);
+    assert.ok(isFirstHalf(rolloutOf(), nowMs));
+  }
+});
+
+test("the share never falls while the target is sound", () => {
+  fc.assert(
+    fc.property(fc.nat(30_000), fc.nat(30_000), (a, b) => {
+      const [early, late] = a < b ? [a, b] : [b, a];
+      assert.ok(shareAt(early) <= shareAt(late));
+    }),
+  );
+});
+
+test("a bad or reverted target gets nothing, a completed one all", () => {
+  assert.equal(shareAt(20_000, { fault: "3 of 7 failed" }), 0);
+  assert.equal(shareAt(20_000, { stage: "reverted" }), 0);
+  assert.equal(shareAt(1000, { stage: "completed" }), 1);
+});
+
+test("a roll-out is announced, then completed when the rest is empty", () => {
+  const due = (nowMs: number, fields: Partial<OrderedRollout>, open = 0) =>
+    dueStage(rolloutOf(fields), { nowMs, otherInFlightCount: open });
+  assert.equal(due(100, { stage: undefined }), "active");
+  assert.equal(due(12_000, {}), undefined);
+  assert.equal(due(18_000, {}, 2), undefined);
+  assert.equal(due(18_000, {}, 0), "completed");
+});
+
+test("a roll-out ends before its limit whatever still runs", () => {
+  assert.equal(
+    dueStage(rolloutOf(), { nowMs: 22_000, otherInFlightCount: 9 }),
+    "completed",
+  );
+  assert.equal(
+    dueStage(rolloutOf({ fault: "slow" }), {
+      nowMs: 300,
+      otherInFlightCount: 9,
+    }),
+    "reverted",
+  );
+});
+
+test("a roll-out that has ended is never written again", () => {
+  for (const stage of ["completed", "reverted"] as const) {
+    const rollout = rolloutOf({ stage, fault: "late fault" });
+    const due = dueStage(rollout, { nowMs: 23_000, otherInFlightCount: 0 });
+    assert.equal(due, undefined);
+  }
+});
--- a/src/filter/abandoned_claims.ts
+++ b/src/filter/abandoned_claims.ts
@@ -6,7 +6,7 @@
  */
 import { type Journal } from "../client/mod.ts";
 import { type RecordOf } from "../state/mod.ts";
-import { shardKeyOf } from "./claim.ts";
+import { shardKeyOf } from "./claim_shard.ts";
 import { outcomeRecord } from "./claim_outcome.ts";
 import { err } from "neverthrow";
 import { notRun } from "../model/mod.ts";
--- a/src/filter/claim.ts
+++ b/src/filter/claim.ts
@@ -15,6 +15,7 @@
 import { type Journal, type JournalError } from "../client/mod.ts";
 import { type ClaimState, type RecordOf } from "../state/mod.ts";
 import { type AbandonedClaims } from "./abandoned_claims.ts";
+import { shardKeyOf } from "./claim_shard.ts";
 import { type Filter, type Outcome } from "./chain.ts";
 import { type RequestContext } from "./context.ts";
 import { outcomeRecord, recordedOutcome } from "./claim_outcome.ts";
@@ -65,13 +66,6 @@
   };
 }
 
-/** The shard that a claim and its outcome belong to. */
-export function shardKeyOf(
-  claim: Pick<RecordOf<"claim">, "workspace" | "key">,
-): string {
-  return `${claim.workspace} ${claim.key}`;
-}
-
 function claimOf(
   request: CallerRequest,
   key: string,
--- a/src/filter/fixture_test.ts
+++ b/src/filter/fixture_test.ts
@@ -29,8 +29,8 @@
 import {
   createRequestHandler,
   type RequestHandler,
-  type RequestHandlerOptions,
 } from "./request_handler.ts";
+import { type RequestHandlerOptions } from "./request_handler_options.ts";
 
 export const WORKSPACE: SettingsPath = "/khomas/heritage";
 export const CHEAP: VersionName = "tagger@1";
--- a/src/filter/mod.ts
+++ b/src/filter/mod.ts
@@ -12,6 +12,7 @@
 export * from "./pin.ts";
 export * from "./problem.ts";
 export * from "./request_handler.ts";
+export * from "./request_handler_options.ts";
 export * from "./request_life.ts";
 export * from "./router.ts";
 export * from "./session_token.ts";
--- a/src/filter/request_chains.ts
+++ b/src/filter/request_chains.ts
@@ -17,7 +17,7 @@
 import { createPin } from "./pin.ts";
 import { type RecordOutbox } from "./record_outbox.ts";
 import { createRelay } from "./relay.ts";
-import { type RequestHandlerOptions } from "./request_handler.ts";
+import { type RequestHandlerOptions } from "./request_handler_options.ts";
 import { type RetryGate } from "./retry_gate.ts";
 import { type Router } from "./router.ts";
 import { type RunningAnswers } from "./running_answers.ts";
--- a/src/filter/request_handler.ts
+++ b/src/filter/request_handler.ts
@@ -5,73 +5,30 @@
 import { type Result } from "neverthrow";
 import {
   type CallerRequest,
-  type Clock,
-  type Logger,
-  type Metrics,
   notRun,
-  type Random,
   type Refusal,
   type SettingsPath,
-  type Sleep,
 } from "../model/mod.ts";
-import {
-  type EngineTransport,
-  type Journal,
-  type ServerDirectory,
-  type ServiceTransport,
-} from "../client/mod.ts";
 import { type RecordOf } from "../state/mod.ts";
 import { AbandonedClaims } from "./abandoned_claims.ts";
 import { AdmissionQueue } from "./admit.ts";
 import { type AnswerSink } from "./answer_sink.ts";
-import { staleRefusal, type TokenOf } from "./authorise.ts";
-import { type BillHolder } from "./bill.ts";
-import { type FallsShort, type MayEscalate, type OnAnswer } from "./cascade.ts";
+import { staleRefusal } from "./authorise.ts";
 import { type Answer, RunRecord, type SettingsReader } from "./context.ts";
 import { type Identified } from "./identify.ts";
 import { KeptAnswers } from "./kept_answers.ts";
 import { type FilterLimits } from "./limits.ts";
-import { type ChooseVersions, type MayStart } from "./pin.ts";
 import { PrefixMemory } from "./prefix_memory.ts";
 import { RecordOutbox } from "./record_outbox.ts";
+import { type RequestHandlerOptions } from "./request_handler_options.ts";
 import { createChains } from "./request_chains.ts";
 import { RequestLife } from "./request_life.ts";
 import { RetryGate } from "./retry_gate.ts";
-import { createRouter, type Distance, type RouterOptions } from "./router.ts";
+import { createRouter } from "./router.ts";
 import { RunningAnswers } from "./running_answers.ts";
 import { createSettingsReader } from "./settings_cache.ts";
 import { TokenMeter } from "./token_meter.ts";
 
-/** Everything that the filters of one entry need. */
-export interface RequestHandlerOptions {
-  /** Name of this VM. */
-  readonly self: string;
-  readonly journal: Journal;
-  readonly directory: ServerDirectory;
-  readonly engines: EngineTransport;
-  readonly services: ServiceTransport;
-  readonly chooseVersions: ChooseVersions;
-  readonly mayStart: MayStart;
-  readonly fallsShort: FallsShort;
-  readonly mayEscalate: MayEscalate;
-  readonly onAnswer: OnAnswer;
-  readonly holdAtPeer: BillHolder;
-  readonly tokenOf: TokenOf;
-  readonly tokenKeys: readonly string[];
-  readonly distanceTo: (place: string) => Distance;
-  /** Requests that this VM may run at once. */
-  readonly runningLimit: () => number;
-  readonly routePolicy?: RouterOptions["policy"];
-  readonly clock: Clock;
-  readonly sleep: Sleep;
-  readonly random: Random;
-  /** Makes an id that no VM makes twice. */
-  readonly makeId: () => string;
-  readonly logger: Logger;
-  readonly metrics: Metrics;
-  readonly limits: FilterLimits;
-}
-
 /** What an entry is doing now. */
 export interface HandlerStatus {
   readonly runningCount: number;
--- /dev/null
+++ b/src/filter/request_handler_options.ts
@@ -0,0 +1,50 @@
+/** What the filters of one entry are built from. */
+import {
+  type Clock,
+  type Logger,
+  type Metrics,
+  type Random,
+  type Sleep,
+} from "../model/mod.ts";
+import {
+  type EngineTransport,
+  type Journal,
+  type ServerDirectory,
+  type ServiceTransport,
+} from "../client/mod.ts";
+import { type TokenOf } from "./authorise.ts";
+import { type BillHolder } from "./bill.ts";
+import { type FallsShort, type MayEscalate, type OnAnswer } from "./cascade.ts";
+import { type FilterLimits } from "./limits.ts";
+import { type ChooseVersions, type MayStart } from "./pin.ts";
+import { type Distance, type RouterOptions } from "./router.ts";
+
+/** Everything that the filters of one entry need. */
+export interface RequestHandlerOptions {
+  /** Name of this VM. */
+  readonly self: string;
+  readonly journal: Journal;
+  readonly directory: ServerDirectory;
+  readonly engines: EngineTransport;
+  readonly services: ServiceTransport;
+  readonly chooseVersions: ChooseVersions;
+  readonly mayStart: MayStart;
+  readonly fallsShort: FallsShort;
+  readonly mayEscalate: MayEscalate;
+  readonly onAnswer: OnAnswer;
+  readonly holdAtPeer: BillHolder;
+  readonly tokenOf: TokenOf;
+  readonly tokenKeys: readonly string[];
+  readonly distanceTo: (place: string) => Distance;
+  /** Requests that this VM may run at once. */
+  readonly runningLimit: () => number;
+  readonly routePolicy?: RouterOptions["policy"];
+  readonly clock: Clock;
+  readonly sleep: Sleep;
+  readonly random: Random;
+  /** Makes an id that no VM makes twice. */
+  readonly makeId: () => string;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly limits: FilterLimits;
+}
--- a/src/gateway/backend_attempt.ts
+++ b/src/gateway/backend_attempt.ts
@@ -104,7 +104,10 @@
     });
     this.#request.on("upgrade", () => this.#fail("malformed", "an upgrade"));
     this.#request.on("response", (response) => this.#read(response));
-    this.#request.on("close", () => this.#fail(this.#faultKind(false), "closed"));
+    this.#request.on(
+      "close",
+      () => this.#fail(this.#faultKind(false), "closed"),
+    );
   }
 
   #read(response: IncomingMessage): void {
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -59,7 +59,10 @@
     const { caller, route, service } = request;
     this.#acceptsVersion = context.versions.acceptorOf(
       service,
-      { key: caller.session ?? caller.id, isLasting: caller.session !== undefined },
+      {
+        key: caller.session ?? caller.id,
+        isLasting: caller.session !== undefined,
+      },
     );
     if (route.kind === "streaming") {
       this.#relay = new StreamRelay(exchange, caller.lastEventId);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -75,9 +75,9 @@
 /** How long a poll for the operators' records waits, at most. */
 const OPERATOR_WAIT_MS = 2500;
 /** Between two reads of the servers' records, which change all the time. */
-const SERVER_PAUSE_MS = 500;
+const SERVER_PAUSE_MS = 800;
 /** A VM that is no reader reads for itself when it heard nothing for so long. */
-const STALE_MS = { operators: 1600, servers: 1300 } as const;
+const STALE_MS = { operators: 1600, servers: 1700 } as const;
 const TICK_MS = 200;
 /** An order is new when the store was read just before. */
 const NEW_ORDER_MS = 4000;
--- a/src/gateway/peer_exchange.ts
+++ b/src/gateway/peer_exchange.ts
@@ -1,10 +1,15 @@
 /**
- * Keeps the VMs in step with each other. Each one asks a reader of the store
- * every half second, or any member where no reader answers, and tells what it
- * knows in turn; so the cost of a VM that is no reader does not grow with the
- * fleet, and a VM that the store turns away learns all the same.
+ * Keeps the VMs in step with each other. Each one asks its data centre's reader
+ * of the store every half second, and tells what it knows in turn; the readers
+ * ask each other, less often. Where no reader answers, any member is asked. So
+ * the cost of a VM that is no reader does not grow with the fleet, little goes
+ * between regions, and a VM that the store turns away learns all the same.
  */
-import { presentMembers, readersOf } from "../decision/mod.ts";
+import {
+  presentMembers,
+  type ReaderCandidate,
+  readersOf,
+} from "../decision/mod.ts";
 import {
   type Clock,
   type Logger,
@@ -36,6 +41,8 @@
 }
 
 const PERIOD_MS = 400;
+/** Readers read for themselves and ask each other only for what they saw. */
+const READER_PERIOD_MS = 700;
 const ANSWER_TIMEOUT_MS = 800;
 const MAX_AGE_MS = 2 ** 31;
 
@@ -52,19 +59,18 @@
   }
 
   /** The readers of the store as this VM sees them, first in rank first. */
-  readers(): string[] {
-    const { vm, node } = this.#options;
-    const state = node().membership();
-    const others = presentMembers(state)
-      .filter(({ update }) => update.status === "alive")
-      .map(({ update }) => update.vm);
-    const own = state.self.status === "alive" ? [vm] : [];
-    return readersOf([...own, ...others]);
+  readers(): ReaderCandidate[] {
+    const state = this.#options.node().membership();
+    const members = presentMembers(state).map(({ update }) => update);
+    const alive = [state.self, ...members].filter(({ status }) =>
+      status === "alive"
+    );
+    return readersOf(alive);
   }
 
   /** This VM's rank among the readers. */
   rank(): number | undefined {
-    const rank = this.readers().indexOf(this.#options.vm);
+    const rank = this.readers().findIndex(({ vm }) => vm === this.#options.vm);
     return rank < 0 ? undefined : rank;
   }
 
@@ -74,7 +80,8 @@
     while (!signal.aborted) {
       const vm = this.#partner();
       if (vm !== undefined) this.#isAnswered = await this.#ask(vm);
-      await sleep(PERIOD_MS * (0.75 + random() / 2), signal);
+      const periodMs = this.rank() === undefined ? PERIOD_MS : READER_PERIOD_MS;
+      await sleep(periodMs * (0.75 + random() / 2), signal);
     }
   }
 
@@ -89,14 +96,18 @@
     return this.#newsFor(vm, news.have);
   }
 
-  /** A reader, or anyone after a reader did not answer. */
+  /** Whom to ask: a reader, or anyone after a reader did not answer. */
   #partner(): string | undefined {
     const { vm, node, random } = this.#options;
-    const readers = this.readers().filter((reader) => reader !== vm);
+    const readers = this.readers().filter((reader) => reader.vm !== vm);
+    const { self } = node().membership();
+    const near = readers.filter(({ place }) => place === self.place);
     const members = presentMembers(node().membership())
-      .map(({ update }) => update.vm);
-    const partners = this.#isAnswered && readers.length > 0 ? readers : members;
-    return partners[Math.floor(random() * partners.length)];
+      .map(({ update }) => update);
+    const preferred = near.length > 0 ? near : readers;
+    const isLost = !this.#isAnswered || preferred.length === 0;
+    const partners = isLost ? members : preferred;
+    return partners[Math.floor(random() * partners.length)]?.vm;
   }
 
   async #ask(vm: string): Promise<boolean> {
@@ -144,7 +155,7 @@
   /** Tallies go to readers only: a reader's all, another VM's own. */
   #rolloutNewsFor(vm: string): RolloutNews[] {
     const { book, clock } = this.#options;
-    const readers = this.readers();
+    const readers = this.readers().map((reader) => reader.vm);
     const isForReader = readers.includes(vm);
     const isReader = readers.includes(this.#options.vm);
     return [...book.rollouts.values()].map((rollout) => {
--- a/tools/layers.ts
+++ b/tools/layers.ts
@@ -19,6 +19,9 @@
   "bin",
 ];
 
+/** The folder that adapts the product to the users' platform. */
+export const ADAPTER = "platform";
+
 const PURE_LAYERS: readonly string[] = ["model", "state", "decision"];
 
 const IO_PATTERN =
@@ -54,6 +57,55 @@
   return faults;
 }
 
+/** Checks the adapter's files, which may import `src` and nothing else. */
+export function checkAdapter(file: string, source: string): LayerFault[] {
+  const faults: LayerFault[] = [];
+  for (const match of source.matchAll(IMPORT_PATTERN)) {
+    const target = match[1] ?? "";
+    if (!target.startsWith(".")) continue;
+    const path = resolveFrom(file.split("/").slice(0, -1), target);
+    if (path[0] === "src" || path[0] === ADAPTER) continue;
+    faults.push({ file, rule: `imports "${target}" from outside src` });
+  }
+  return faults;
+}
+
+/** Checks that no files import each other in a circle. */
+export function checkCircles(
+  sources: ReadonlyMap<string, string>,
+): LayerFault[] {
+  const faults: LayerFault[] = [];
+  const done = new Set<string>();
+  const path: string[] = [];
+  const visit = (file: string): void => {
+    const start = path.indexOf(file);
+    if (start >= 0) {
+      const rule = `circle: ${path.slice(start).join(" > ")} > ${file}`;
+      faults.push({ file, rule });
+      return;
+    }
+    if (done.has(file)) return;
+    path.push(file);
+    for (const target of importsOf(file, sources.get(file) ?? "")) {
+      visit(target);
+    }
+    path.pop();
+    done.add(file);
+  };
+  for (const file of sources.keys()) visit(file);
+  return faults;
+}
+
+function importsOf(file: string, source: string): string[] {
+  const targets: string[] = [];
+  for (const match of source.matchAll(IMPORT_PATTERN)) {
+    const target = match[1] ?? "";
+    if (!target.startsWith(".")) continue;
+    targets.push(resolveFrom(file.split("/").slice(0, -1), target).join("/"));
+  }
+  return targets;
+}
+
 interface ImportSite {
   readonly layer: string;
   readonly rank: number;
--- a/tools/layers_test.ts
+++ b/tools/layers_test.ts
@@ -1,7 +1,7 @@
 /** Tests of the layer rule. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { checkLayer } from "./layers.ts";
+import { checkAdapter, checkCircles, checkLayer } from "./layers.ts";
 
 test("an import of an earlier layer is allowed", () => {
   const source = 'import { a } from "../model/mod.ts";';
@@ -23,3 +23,23 @@
   const source = 'import { a } from "../../standin/mod.ts";';
   assert.equal(checkLayer("src/bin/x.ts", source).length, 1);
 });
+
+test("files that import each other are a fault", () => {
+  const circle = new Map([
+    ["src/bin/a.ts", 'import { b } from "./b.ts";'],
+    ["src/bin/b.ts", 'import { c } from "./c.ts";'],
+    ["src/bin/c.ts", 'import { a } from "./a.ts";'],
+  ]);
+  assert.equal(checkCircles(circle).length, 1);
+  circle.set("src/bin/c.ts", "");
+  assert.deepEqual(checkCircles(circle), []);
+});
+
+test("the adapter imports src alone, and nothing imports the adapter", () => {
+  const own = 'import { a } from "../src/gateway/mod.ts";';
+  assert.deepEqual(checkAdapter("platform/x.ts", own), []);
+  const other = 'import { a } from "../test/wait.ts";';
+  assert.equal(checkAdapter("platform/x.ts", other).length, 1);
+  const reverse = 'import { a } from "../../platform/headers.ts";';
+  assert.equal(checkLayer("src/bin/x.ts", reverse).length, 1);
+});
