--- a/src/gateway/caller_exchange.ts
+++ b/src/gateway/caller_exchange.ts
@@ -11,6 +11,8 @@
   /** Names and values in turn. */
   readonly headers: readonly string[];
   readonly body: Buffer;
+  /** Whether the body is known to be whole; else its length is not stated. */
+  readonly isFramed: boolean;
 }
 
 /** A refusal or failure of the gateway itself. */
@@ -89,8 +91,13 @@
   }
 
   /** Sends a whole answer. */
-  answer({ status, headers, body }: WholeAnswer): void {
+  answer({ status, headers, body, isFramed }: WholeAnswer): void {
     if (this.#isOver) return;
+    if (!isFramed) {
+      this.begin(status, headers, { isFramed });
+      this.write(body);
+      return this.end();
+    }
     this.#isOver = true;
     this.#status = status;
     this.#response.writeHead(status, [
@@ -108,13 +115,22 @@
       const seconds = (retryAfterMs / MS_PER_SECOND).toFixed(2);
       headers.push("Retry-After", seconds);
     }
-    this.answer({ status, headers, body: Buffer.from(`${reason}\n`) });
+    const body = Buffer.from(`${reason}\n`);
+    this.answer({ status, headers, body, isFramed: true });
   }
 
-  /** Sends the head of a stream. */
-  begin(status: number, headers: readonly string[]): void {
+  /** Sends the head of a stream; an unframed one ends with its connection. */
+  begin(
+    status: number,
+    headers: readonly string[],
+    { isFramed }: { readonly isFramed: boolean },
+  ): void {
     if (this.#isOver) return;
     this.#status = status;
+    if (!isFramed) {
+      this.#response.useChunkedEncodingByDefault = false;
+      this.closeAfterAnswer();
+    }
     this.#response.writeHead(status, headers as string[]);
   }
 
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -198,7 +198,7 @@
         this.#exchange.answer(outcome.answer);
         return this.#finish("answered");
       case "stream_end":
-        this.#relay?.end();
+        this.#relay?.end(outcome.head);
         return this.#finish("answered");
       case "dropped":
         this.#sentCount += 1;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,7 +4,14 @@
  * between platforms is passed in.
  */
 import { type Result } from "neverthrow";
-import { chooseEntries } from "../decision/mod.ts";
+import {
+  acceptsNewWork,
+  applyShutdown,
+  chooseEntries,
+  createShutdown,
+  type ShutdownEvent,
+  type ShutdownState,
+} from "../decision/mod.ts";
 import {
   type BackendServer,
   type Clock,
@@ -23,6 +30,7 @@
   type PeerNode,
 } from "../wire/mod.ts";
 import { BackendFleet } from "./backend_fleet.ts";
+import { type OwnAnswer } from "./caller_exchange.ts";
 import { CallerServer, type ReceivedRequest } from "./caller_server.ts";
 import { type ForwardContext } from "./forward_context.ts";
 import { Forwarding } from "./forwarding.ts";
@@ -31,9 +39,9 @@
 import { GatewayState } from "./gateway_state.ts";
 import { PeerExchange } from "./peer_exchange.ts";
 import { type TopicName } from "./peer_news.ts";
-import { type GatewayProtocol } from "./protocol.ts";
+import { type CallerRequest, type GatewayProtocol } from "./protocol.ts";
 import { RepeatBudget } from "./repeat_budget.ts";
-import { admitRequest } from "./request_gate.ts";
+import { admitRequest, type AllowedRequest } from "./request_gate.ts";
 import { RolloutBook } from "./rollout_book.ts";
 import { RolloutDuty } from "./rollout_duty.ts";
 import { type MirrorChange, StoreMirror } from "./store_mirror.ts";
@@ -90,8 +98,12 @@
 /** The way to another data centre of the region, and to another region. */
 const NEAR_MS = 8;
 const FAR_MS = 80;
-/** Of the grace, before the listener closes. */
-const LISTEN_SHARE_OF_GRACE = 0.6;
+/** Some callers keep an address for several times its age. */
+const KEPT_AGES = 3;
+/** How long other VMs may go on naming one that leaves. */
+const SPREAD_MS = 200;
+/** A caller that is refused by a VM that leaves may ask another at once. */
+const LEAVING_RETRY_MS = 50;
 const END_MARGIN_MS = 300;
 const STOP_POLL_MS = 50;
 
@@ -109,11 +121,16 @@
   readonly #peers: PeerNode;
   readonly #context: ForwardContext;
   readonly #ending = new AbortController();
-  #isStopping = false;
+  #shutdown: ShutdownState;
 
   constructor(options: GatewayOptions) {
     this.#options = options;
     const { clock, random, logger, protocol, settings } = options;
+    this.#shutdown = createShutdown({
+      entryMaxAgeMs: KEPT_AGES * settings.entryMaxAgeMs,
+      spreadMs: SPREAD_MS,
+      flushTimeoutMs: 0,
+    });
     this.#fleet = new BackendFleet({ clock });
     this.#state = new GatewayState({ fleet: this.#fleet, clock, logger });
     this.#rollouts = new RolloutBook({
@@ -182,7 +199,7 @@
 
   /** Whether the VM may get new callers. */
   isReady(): boolean {
-    return this.#state.isComplete && !this.#isStopping;
+    return this.#state.isComplete && this.#shutdown.phase === "serving";
   }
 
   /** Addresses for a caller, those of its data centre first. */
@@ -212,18 +229,20 @@
 
   /** Ends gracefully: no new callers, then no new requests, then all done. */
   async stop(): Promise<void> {
-    if (this.#isStopping) return;
-    this.#isStopping = true;
+    if (this.#shutdown.phase !== "serving") return;
     const { settings, clock, sleep, logger } = this.#options;
-    const stoppedAtMs = clock();
+    const endMs = clock() + settings.graceMs - END_MARGIN_MS;
     logger.info("stopping", { openCount: this.#callers.openCount });
-    this.#peers.announce("leaving");
+    this.#changeShutdown({ kind: "terminate" });
     this.#callers.beginClosing();
-    await sleep(settings.graceMs * LISTEN_SHARE_OF_GRACE);
-    this.#callers.stopListening();
-    const endMs = stoppedAtMs + settings.graceMs - END_MARGIN_MS;
-    while (this.#callers.openCount > 0 && clock() < endMs) {
+    while (!this.#hasLeft() && clock() < endMs) {
       await sleep(STOP_POLL_MS);
+      const { openCount } = this.#callers;
+      this.#changeShutdown({
+        kind: "progress",
+        openCount,
+        unconfirmedCount: 0,
+      });
     }
     this.#peers.announce("left");
     this.#ending.abort();
@@ -232,6 +251,22 @@
     this.#callers.close();
   }
 
+  #hasLeft(): boolean {
+    return this.#shutdown.phase === "left";
+  }
+
+  #changeShutdown(event: ShutdownEvent): void {
+    const { clock, logger } = this.#options;
+    const before = this.#shutdown.phase;
+    const { state, effects } = applyShutdown(this.#shutdown, event, clock());
+    this.#shutdown = state;
+    for (const effect of effects) {
+      if (effect.kind === "announce") this.#peers.announce(effect.status);
+    }
+    if (state.phase === before) return;
+    logger.info("shutdown", { phase: state.phase });
+  }
+
   #openCallers(): CallerServer {
     const { settings, clock } = this.#options;
     const [host, port] = splitAddress(settings.callerAddress);
@@ -255,7 +290,7 @@
     });
     const admitted = typeof caller === "string"
       ? { status: 400, reason: caller }
-      : admitRequest(this.#state, caller);
+      : this.#admit(caller);
     if ("status" in admitted) {
       this.#metrics.count("refused", {
         status: admitted.status,
@@ -270,6 +305,14 @@
     };
   }
 
+  #admit(caller: CallerRequest): AllowedRequest | OwnAnswer {
+    if (acceptsNewWork(this.#shutdown)) {
+      return admitRequest(this.#state, caller);
+    }
+    const retryAfterMs = LEAVING_RETRY_MS;
+    return { status: 503, reason: "leaving", retryAfterMs };
+  }
+
   #openMirrors(): Record<TopicName, StoreMirror> {
     const { clock, readServer } = this.#options;
     return {
--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -77,6 +77,8 @@
   readonly requestId: string | undefined;
   /** The answer carries the server's signature and its body is its own. */
   readonly isGenuine: boolean;
+  /** The end of the body is told, and not only by the connection's end. */
+  readonly isFramed: boolean;
   /** The model's own opinion of its answer, from 0 to 100. */
   readonly confidence: number | undefined;
   readonly load: BackendLoad | undefined;
--- a/src/gateway/server_try.ts
+++ b/src/gateway/server_try.ts
@@ -19,7 +19,7 @@
 /** How a try ended. */
 export type TryOutcome =
   | { readonly kind: "answer"; readonly answer: WholeAnswer }
-  | { readonly kind: "stream_end" }
+  | { readonly kind: "stream_end"; readonly head: AnswerHead }
   /** The answer was good, yet not taken. */
   | { readonly kind: "dropped" }
   /** The server states that it has not run the request. */
@@ -156,14 +156,16 @@
     if (head === undefined) return this.#fail("broken", "no_answer");
     const { context, server } = this.#options;
     this.#end(head.status >= 500 ? "error" : "success");
-    if (this.#isRelayed) return this.#options.onOutcome({ kind: "stream_end" });
+    if (this.#isRelayed) {
+      return this.#options.onOutcome({ kind: "stream_end", head });
+    }
     context.fleet.noteWork(
       server.service,
       context.clock() - this.#startedAtMs,
     );
-    const { status, passedHeaders } = head;
+    const { status, passedHeaders, isFramed } = head;
     const body = Buffer.concat(this.#chunks);
-    const answer = { status, headers: passedHeaders, body };
+    const answer = { status, headers: passedHeaders, body, isFramed };
     this.#options.onOutcome({ kind: "answer", answer });
   }
 
--- a/src/gateway/stream_relay.ts
+++ b/src/gateway/stream_relay.ts
@@ -60,11 +60,17 @@
     return this.#splitter.rest.length > MAX_EVENT_BYTES ? "oversize" : step;
   }
 
-  /** The attached server has sent all of its answer. */
-  end(): void {
+  /**
+   * The attached server has sent all of its answer. Where it did not say so but
+   * only closed its connection, a caller that was promised an end gets none.
+   */
+  end(server: AnswerHead): void {
     const { rest } = this.#splitter;
     if (rest.length > 0) this.#write(rest);
     this.#begin();
+    if (this.#head?.isFramed === true && !server.isFramed) {
+      return this.#exchange.breakOff();
+    }
     this.#exchange.end();
   }
 
@@ -80,6 +86,7 @@
 
   #begin(): void {
     if (this.#exchange.isBegun || this.#head === undefined) return;
-    this.#exchange.begin(this.#head.status, this.#head.passedHeaders);
+    const { status, passedHeaders, isFramed } = this.#head;
+    this.#exchange.begin(status, passedHeaders, { isFramed });
   }
 }
