--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -87,6 +87,8 @@
 /** A VM that is no reader reads for itself when it heard nothing for so long. */
 const STALE_MS = { operators: 1600, servers: 1700 } as const;
 const TICK_MS = 200;
+/** After the rush of a start. */
+const METRICS_DELAY_MS = 5000;
 /** An order is new when the store was read just before. */
 const NEW_ORDER_MS = 4000;
 /** The most addresses that a caller is given. */
@@ -194,6 +196,7 @@
     for (const follower of this.#followers()) void follower.run(signal);
     void this.#exchange.run(signal);
     void this.#tick(signal);
+    void this.#loadMetrics(signal);
     logger.info("started", { callers: settings.callerAddress });
   }
 
@@ -395,6 +398,11 @@
     this.#options.logger.info("ready");
   }
 
+  async #loadMetrics(signal: AbortSignal): Promise<void> {
+    await this.#options.sleep(METRICS_DELAY_MS, signal);
+    if (!signal.aborted) await this.#metrics.load();
+  }
+
   async #tick(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.#state.changeRoster({ kind: "tick" });
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -3,12 +3,14 @@
  * Names and labels are bounded by what the manifest and the roster name; past
  * that bound, further series are counted as one.
  */
-import { build, type Histogram } from "hdr-histogram-js";
+import { type build, type Histogram } from "hdr-histogram-js";
 
 const MAX_SERIES = 2000;
 const MAX_HISTOGRAMS = 200;
 const HIGHEST_MS = 120_000;
 const QUANTILES = [50, 95, 99] as const;
+/** Durations kept until the library is loaded. */
+const MAX_EARLY = 2000;
 
 /** Labels of a series. */
 export type MetricLabels = Readonly<Record<string, string | number>>;
@@ -17,8 +19,22 @@
 export class GatewayMetrics {
   readonly #counters = new Map<string, number>();
   readonly #histograms = new Map<string, Histogram>();
+  readonly #early: { readonly series: string; readonly durationMs: number }[] =
+    [];
+  #build: typeof build | undefined;
   #leftOutCount = 0;
 
+  /**
+   * Loads the library of histograms. Not done at the start, where its time
+   * would be the callers'.
+   */
+  async load(): Promise<void> {
+    this.#build = (await import("hdr-histogram-js")).build;
+    for (const { series, durationMs } of this.#early.splice(0)) {
+      this.#record(series, durationMs);
+    }
+  }
+
   /** Adds to a counter. */
   count(name: string, labels: MetricLabels = {}, amount = 1): void {
     const series = seriesOf(name, labels);
@@ -37,22 +53,7 @@
 
   /** Records a duration. */
   time(name: string, durationMs: number, labels: MetricLabels = {}): void {
-    const series = seriesOf(name, labels);
-    let histogram = this.#histograms.get(series);
-    if (histogram === undefined) {
-      if (this.#histograms.size >= MAX_HISTOGRAMS) {
-        this.#leftOutCount += 1;
-        return;
-      }
-      histogram = build({
-        highestTrackableValue: HIGHEST_MS,
-        numberOfSignificantValueDigits: 2,
-        bitBucketSize: 32,
-      });
-      this.#histograms.set(series, histogram);
-    }
-    const bounded = Math.min(HIGHEST_MS, Math.max(0, Math.round(durationMs)));
-    histogram.recordValue(bounded);
+    this.#record(seriesOf(name, labels), durationMs);
   }
 
   /** All figures, one line each. */
@@ -71,6 +72,32 @@
     lines.push(`metrics_left_out ${this.#leftOutCount}`);
     return `${lines.join("\n")}\n`;
   }
+
+  #record(series: string, durationMs: number): void {
+    const histogram = this.#histogramOf(series, durationMs);
+    const bounded = Math.min(HIGHEST_MS, Math.max(0, Math.round(durationMs)));
+    histogram?.recordValue(bounded);
+  }
+
+  #histogramOf(series: string, durationMs: number): Histogram | undefined {
+    const known = this.#histograms.get(series);
+    if (known !== undefined) return known;
+    if (this.#build === undefined && this.#early.length < MAX_EARLY) {
+      this.#early.push({ series, durationMs });
+      return undefined;
+    }
+    if (this.#build === undefined || this.#histograms.size >= MAX_HISTOGRAMS) {
+      this.#leftOutCount += 1;
+      return undefined;
+    }
+    const histogram = this.#build({
+      highestTrackableValue: HIGHEST_MS,
+      numberOfSignificantValueDigits: 2,
+      bitBucketSize: 32,
+    });
+    this.#histograms.set(series, histogram);
+    return histogram;
+  }
 }
 
 function seriesOf(name: string, labels: MetricLabels): string {
--- a/src/model/hash.ts
+++ b/src/model/hash.ts
@@ -2,20 +2,26 @@
  * A fast hash that is the same on every VM. Used to spread work and to choose
  * without coordination; never for secrets or signatures.
  */
-import xxhash from "xxhash-wasm";
-
-const { h32 } = await xxhash();
-
 const HASH_RANGE = 2 ** 32;
+/** FNV-1a over UTF-16 code units, mixed by the finaliser of MurmurHash3. */
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+const MIX = [0x85ebca6b, 0xc2b2ae35] as const;
 
 /** A 32-bit hash of a text. */
 export function hash32(text: string): number {
-  return h32(text);
+  let hash = FNV_OFFSET;
+  for (let index = 0; index < text.length; index++) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
+  }
+  hash = Math.imul(hash ^ (hash >>> 16), MIX[0]);
+  hash = Math.imul(hash ^ (hash >>> 13), MIX[1]);
+  return (hash ^ (hash >>> 16)) >>> 0;
 }
 
 /** A hash of a text as a share in [0, 1). */
 export function hashShare(text: string): number {
-  return h32(text) / HASH_RANGE;
+  return hash32(text) / HASH_RANGE;
 }
 
 /**
@@ -32,7 +38,7 @@
 ): Item[] {
   const ranked = items.map((item) => ({
     item,
-    rank: h32(`${options.key} ${options.nameOf(item)}`),
+    rank: hash32(`${options.key} ${options.nameOf(item)}`),
   }));
   ranked.sort((a, b) => b.rank - a.rank);
   return ranked.slice(0, options.count).map((entry) => entry.item);
