--- a/src/decision/mod.ts
+++ b/src/decision/mod.ts
@@ -24,6 +24,7 @@
 export * from "./quality.ts";
 export * from "./rating_sum.ts";
 export * from "./reader_duty.ts";
+export * from "./repeat_window.ts";
 export * from "./retry_budget.ts";
 export * from "./rollout.ts";
 export * from "./route.ts";
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -16,6 +16,7 @@
 import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
 import { firstBytePatienceMs, gapPatienceMs } from "./patience.ts";
 import { type AnswerHead } from "./protocol.ts";
+import { type RepeatReason } from "./repeat_budget.ts";
 import { ServerTry, type TryOutcome } from "./server_try.ts";
 import { StreamRelay } from "./stream_relay.ts";
 
@@ -23,8 +24,6 @@
 const SPARE_TRIES = 2;
 /** With less time left another server is not worth asking. */
 const LEAST_TRY_MS = 20;
-/** Repeats that escalations leave for failures. */
-const ESCALATION_RESERVE = 2;
 /** What one more request costs an engine's other requests. */
 const ENGINE_LOAD_STEP_MS = 40;
 /** Bounds of the time after which a refused caller may come back. */
@@ -159,7 +158,7 @@
     if (model === undefined || this.#runCount + 1 >= route.maxAttempts) {
       return "take";
     }
-    if (!this.#mayArriveAgain(ESCALATION_RESERVE)) return "take";
+    if (!this.#mayArriveAgain("escalation")) return "take";
     this.#context.metrics.count("escalations", { service });
     this.#trail.push(`escalate:${this.#model}>${model}@${confidence}`);
     this.#model = model;
@@ -226,7 +225,7 @@
   /** Asks another server, if that is allowed and of use. */
   #repeat(cause: string): void {
     if (!this.#canRepeat()) return this.#giveUp(cause);
-    if (this.#sentCount > 0 && !this.#mayArriveAgain()) {
+    if (this.#sentCount > 0 && !this.#mayArriveAgain("failure")) {
       return this.#giveUp(cause);
     }
     this.#context.metrics.count("repeats", { cause });
@@ -234,11 +233,11 @@
   }
 
   /** Takes one arrival more from the budget. */
-  #mayArriveAgain(reserveCount = 0): boolean {
+  #mayArriveAgain(reason: RepeatReason): boolean {
     const { service } = this.#request;
     const { budget, metrics } = this.#context;
-    if (budget.spend(service, reserveCount)) return true;
-    metrics.count("repeats_forgone", { service });
+    if (budget.spend(service, reason)) return true;
+    metrics.count("repeats_forgone", { service, reason });
     return false;
   }
 
@@ -264,7 +263,7 @@
       this.#tryCount < maxAttempts + SPARE_TRIES;
     if (!wouldRun || !this.#isRepeatable()) return;
     if (this.#choose()?.id === server.server.id) return;
-    if (!server.isUnsent && !this.#mayArriveAgain()) return;
+    if (!server.isUnsent && !this.#mayArriveAgain("failure")) return;
     const { metrics } = this.#context;
     metrics.count("repeats", { cause: "silent" });
     server.cancel("down");
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -165,7 +165,7 @@
       protocol,
       fleet: this.#fleet,
       budget: new RepeatBudget({
-        bound: settings.repeats,
+        fleetBound: settings.repeats,
         clock,
         vmCount: () => 1 + this.#peers.membership().members.size,
       }),
--- a/src/gateway/gateway_settings.ts
+++ b/src/gateway/gateway_settings.ts
@@ -1,5 +1,5 @@
 /** What a gateway is told at its start. */
-import { type FleetRepeatBound } from "./repeat_budget.ts";
+import { type RepeatBound } from "../decision/mod.ts";
 
 /** A data centre and its region. */
 export interface PlaceRegion {
@@ -37,7 +37,8 @@
   readonly graceMs: number;
   /** How long callers may keep the addresses that they were given. */
   readonly entryMaxAgeMs: number;
-  readonly repeats: FleetRepeatBound;
+  /** Over all VMs. */
+  readonly repeats: RepeatBound;
   readonly canary: CanaryBound;
   /** Requests of a session follow each other within this. */
   readonly sessionMs: number;
--- a/src/gateway/repeat_budget.ts
+++ b/src/gateway/repeat_budget.ts
@@ -1,80 +1,81 @@
 /**
  * This VM's part of the fleet's budget for sending requests a second time, by
- * service. The platform bounds all VMs together; each VM keeps to a share of
- * that bound for its own requests and to its part of the fixed slack, so that
- * no VM has to ask another.
+ * service. The platform bounds all VMs together; each VM keeps to the ratio for
+ * its own requests and to its part of the fixed slack, so that no VM has to ask
+ * another. A cascade's escalations leave a part for failures.
  */
 import {
-  createRetryBudget,
-  earnRetry,
-  type RetryBudget,
-  type RetryBudgetLimits,
-  spendRetry,
+  countInWindow,
+  EMPTY_REPEAT_WINDOW,
+  type RepeatBound,
+  repeatsLeft,
+  type RepeatWindow,
 } from "../decision/mod.ts";
 import { type Clock } from "../model/mod.ts";
 
-/** The bound over all VMs. */
-export interface FleetRepeatBound {
-  /** Repeats for each first sending. */
-  readonly ratio: number;
-  /** Repeats beside those, in each window. */
-  readonly slackCount: number;
-  readonly windowMs: number;
-}
+/** Why a request arrives a second time. */
+export type RepeatReason = "failure" | "escalation";
 
-/** Part of the ratio that is used; the rest covers the saved-up repeats. */
-const RATIO_SHARE = 0.85;
-/** This VM's part of the slack, saved up while nothing is repeated. */
-const SLACK_SHARE = 0.9;
+/** Part of the bound that is used: servers and VMs do not count in step. */
+const USED_PART = 0.92;
+/** Part of what a window allows that escalations leave for failures. */
+const FAILURE_PART = 0.25;
+const LEAST_FOR_FAILURES = 2;
 
 /** Repeats that this VM may still send. */
 export class RepeatBudget {
-  readonly #bound: FleetRepeatBound;
+  readonly #fleetBound: RepeatBound;
   readonly #clock: Clock;
   readonly #vmCount: () => number;
-  readonly #byService = new Map<string, RetryBudget>();
+  readonly #windows = new Map<string, RepeatWindow>();
 
   constructor(options: {
-    readonly bound: FleetRepeatBound;
+    /** The bound over all VMs. */
+    readonly fleetBound: RepeatBound;
     readonly clock: Clock;
     readonly vmCount: () => number;
   }) {
-    this.#bound = options.bound;
+    this.#fleetBound = options.fleetBound;
     this.#clock = options.clock;
     this.#vmCount = options.vmCount;
   }
 
   /** Counts a caller's request. */
   earn(service: string): void {
-    const limits = this.#limits();
-    const budget = this.#budgetOf(service, limits);
-    this.#byService.set(service, earnRetry(budget, limits));
+    this.#count(service, "request");
   }
 
-  /** Takes one repeat, if `reserveCount` are left beside it. */
-  spend(service: string, reserveCount = 0): boolean {
-    const limits = this.#limits();
-    const budget = this.#budgetOf(service, limits);
-    if (reserveCount > 0 && budget.balance < reserveCount + 1) return false;
-    const nowMs = this.#clock();
-    const next = spendRetry(budget, { limits, nowMs });
-    if (next === undefined) return false;
-    this.#byService.set(service, next);
+  /** Takes one repeat, if there is one. */
+  spend(service: string, reason: RepeatReason): boolean {
+    const { leftCount, allowedCount } = repeatsLeft(
+      this.#windowOf(service),
+      this.#options(),
+    );
+    const keptCount = reason === "failure"
+      ? 0
+      : Math.max(LEAST_FOR_FAILURES, FAILURE_PART * allowedCount);
+    if (leftCount - keptCount < 1) return false;
+    this.#count(service, "repeat");
     return true;
   }
 
-  #budgetOf(service: string, limits: RetryBudgetLimits): RetryBudget {
-    return this.#byService.get(service) ??
-      createRetryBudget(limits, this.#clock());
+  #count(service: string, kind: "request" | "repeat"): void {
+    const window = this.#windowOf(service);
+    this.#windows.set(service, countInWindow(window, kind, this.#options()));
+  }
+
+  #windowOf(service: string): RepeatWindow {
+    return this.#windows.get(service) ?? EMPTY_REPEAT_WINDOW;
   }
 
-  #limits(): RetryBudgetLimits {
-    const { ratio, slackCount } = this.#bound;
-    const slack = SLACK_SHARE * slackCount / Math.max(1, this.#vmCount());
-    return {
-      retryShare: ratio * RATIO_SHARE,
-      floorPerSecond: 0,
-      burst: Math.max(1, slack),
+  #options(): { readonly bound: RepeatBound; readonly nowMs: number } {
+    const { ratio, slackCount, windowMs } = this.#fleetBound;
+    const vmCount = Math.max(1, this.#vmCount());
+    const bound = {
+      ratio: ratio * USED_PART,
+      slackCount: USED_PART * slackCount / vmCount,
+      windowMs,
     };
+    return { bound, nowMs: this.#clock() };
   }
 }
