Choose servers by the prompts that they are reading

Cause: a prompt of 40,000 tokens keeps an engine from all others for seconds, while loads are told with first bytes only, so up to 19 requests waited behind one.

--- a/src/decision/backend_choice.ts
+++ b/src/decision/backend_choice.ts
@@ -28,6 +28,8 @@
   /** Requests that wait or run there, as far as is known. */
   readonly loadCount: number;
   readonly slotCount: number;
+  /** How long a request would wait there before it is begun. */
+  readonly waitMs: number;
   readonly failureShare: number;
   /** It is down, as far as is known, and may only be tested. */
   readonly isSuspect: boolean;
@@ -73,7 +75,8 @@
 function costOf(candidate: BackendCandidate, query: ChoiceQuery): number {
   const { loadCount, slotCount, failureShare } = candidate;
   const excess = Math.max(0, loadCount + 1 - slotCount);
-  const waitMs = excess * query.workMs / Math.max(1, slotCount);
+  const waitMs = candidate.waitMs +
+    excess * query.workMs / Math.max(1, slotCount);
   const riskMs = query.isRetriable ? RETRIABLE_RISK_MS : FINAL_RISK_MS;
   const risk = Math.max(0, failureShare - CHANCE_FAILURE_SHARE);
   return query.distanceMs(candidate.place) + waitMs +
--- a/src/decision/backend_choice_test.ts
+++ b/src/decision/backend_choice_test.ts
@@ -16,6 +16,7 @@
     place: "near",
     loadCount: 0,
     slotCount: 6,
+    waitMs: 0,
     failureShare: 0,
     isSuspect: false,
     ...fields,
@@ -87,3 +88,13 @@
   );
   assert.notEqual(chooseBackend(loaded, query)?.id, first);
 });
+
+test("a server that reads a long prompt is left to it", () => {
+  const query = queryOf({ affinityKey: "prompt", sharedTokens: 4000 });
+  const servers = ["a", "b", "c"].map((id) => candidateOf(id));
+  const home = chooseBackend(servers, query)?.id;
+  const reading = servers.map((server) =>
+    server.id === home ? { ...server, waitMs: 900 } : server
+  );
+  assert.notEqual(chooseBackend(reading, query)?.id, home);
+});
--- a/src/gateway/backend_fleet.ts
+++ b/src/gateway/backend_fleet.ts
@@ -24,6 +24,10 @@
 /** Weight of the newest request in the mean time of a service's work. */
 const WORK_WEIGHT = 0.05;
 const FIRST_WORK_MS = 50;
+/** Within this the first byte of an answer is expected from an idle server. */
+const USUAL_FIRST_BYTE_MS = 200;
+/** Another VM's word holds no longer. */
+const MAX_BUSY_MS = 5000;
 
 interface BackendState {
   readonly server: BackendServer;
@@ -33,6 +37,16 @@
   quietSinceMs: number;
   load: BackendLoad | undefined;
   loadAtMs: number;
+  /** Requests without a first byte, oldest first. */
+  readonly pending: Set<PendingRequest>;
+  /** Until when another VM's long prompt keeps the server busy. */
+  busyUntilMs: number;
+}
+
+interface PendingRequest {
+  readonly sinceMs: number;
+  /** How long its prompt keeps the server busy. */
+  readonly prefillMs: number;
 }
 
 /** A server that may be chosen. */
@@ -95,15 +109,26 @@
   }
 
   /** Counts a request that goes to a server now. */
-  begin(server: BackendServer): BackendUse {
+  begin(server: BackendServer, prefillMs = 0): BackendUse {
     const state = this.#states.get(server.id) ?? newState(server);
     const nowMs = this.#clock();
+    const pending: PendingRequest = { sinceMs: nowMs, prefillMs };
+    state.pending.add(pending);
     if (isProbe(state.health)) {
       state.health = applyHealth(state.health, "probe_sent", nowMs);
     }
     if (state.inFlightCount === 0) state.quietSinceMs = nowMs;
     state.inFlightCount += 1;
-    return new BackendUse(state, this.#clock);
+    return new BackendUse(state, pending, this.#clock);
+  }
+
+  /** Another VM has sent a server a long prompt. */
+  noteBusy(id: string, forMs: number): void {
+    const state = this.#states.get(id);
+    if (state === undefined) return;
+    const nowMs = this.#clock();
+    const busyMs = Math.min(MAX_BUSY_MS, forMs);
+    state.busyUntilMs = Math.max(nowMs, state.busyUntilMs) + busyMs;
   }
 
   /** Learns how long a request of a service takes. */
@@ -130,17 +155,20 @@
 /** One request at one server. */
 export class BackendUse {
   readonly #state: BackendState;
+  readonly #pending: PendingRequest;
   readonly #clock: Clock;
   #isOver = false;
 
-  constructor(state: BackendState, clock: Clock) {
+  constructor(state: BackendState, pending: PendingRequest, clock: Clock) {
     this.#state = state;
+    this.#pending = pending;
     this.#clock = clock;
   }
 
   /** The server sent something. */
   noteLife(): void {
     this.#state.quietSinceMs = this.#clock();
+    this.#state.pending.delete(this.#pending);
   }
 
   /** The server said how much it has to do. */
@@ -154,6 +182,7 @@
     if (this.#isOver) return;
     this.#isOver = true;
     const state = this.#state;
+    state.pending.delete(this.#pending);
     state.inFlightCount -= 1;
     if (event === undefined) return;
     state.health = applyHealth(state.health, event, this.#clock());
@@ -168,6 +197,8 @@
     quietSinceMs: 0,
     load: undefined,
     loadAtMs: 0,
+    pending: new Set(),
+    busyUntilMs: 0,
   };
 }
 
@@ -185,12 +216,24 @@
     server,
     place: server.place,
     loadCount: loadCountOf(state, nowMs),
+    waitMs: waitMsOf(state, nowMs),
     slotCount: server.slotCount,
     failureShare: failureShareOf(health, nowMs),
     isSuspect: isSilent || isUntested || !isPassing(health, nowMs),
   };
 }
 
+/** How long a request would wait for the prompts before it. */
+function waitMsOf(state: BackendState, nowMs: number): number {
+  let waitMs = Math.max(0, state.busyUntilMs - nowMs);
+  for (const { prefillMs } of state.pending) waitMs += prefillMs;
+  const [oldest] = state.pending;
+  if (oldest === undefined) return waitMs;
+  // What has kept a request waiting so far keeps the next one waiting, too.
+  const ageMs = nowMs - oldest.sinceMs - USUAL_FIRST_BYTE_MS;
+  return Math.max(waitMs, ageMs);
+}
+
 function loadCountOf(state: BackendState, nowMs: number): number {
   const { load, loadAtMs, inFlightCount } = state;
   if (load === undefined || nowMs - loadAtMs > LOAD_MAX_AGE_MS) {
--- a/src/gateway/forward_context.ts
+++ b/src/gateway/forward_context.ts
@@ -8,6 +8,7 @@
 } from "../model/mod.ts";
 import { type BackendFleet } from "./backend_fleet.ts";
 import { type GatewayMetrics } from "./gateway_metrics.ts";
+import { type PrefillRates } from "./prefill_rates.ts";
 import { type CallerRequest, type GatewayProtocol } from "./protocol.ts";
 import { type RepeatBudget } from "./repeat_budget.ts";
 
@@ -47,6 +48,9 @@
   readonly versions: VersionGuide;
   /** Cost of the way to a place, in milliseconds. */
   readonly distanceMs: (place: string) => number;
+  readonly prefill: PrefillRates;
+  /** Tells VMs nearby that a server is busy with a long prompt. */
+  readonly tellBusy: (backendId: string, forMs: number) => void;
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -39,6 +39,7 @@
 import { GatewayState } from "./gateway_state.ts";
 import { PeerExchange } from "./peer_exchange.ts";
 import { type TopicName } from "./peer_news.ts";
+import { PrefillRates } from "./prefill_rates.ts";
 import { type CallerRequest, type GatewayProtocol } from "./protocol.ts";
 import { RepeatBudget } from "./repeat_budget.ts";
 import { admitRequest, type AllowedRequest } from "./request_gate.ts";
@@ -149,6 +150,7 @@
       node: () => this.#peers,
       mirrors: this.#mirrors,
       book: this.#rollouts,
+      fleet: this.#fleet,
     });
     this.#duty = new RolloutDuty({
       book: this.#rollouts,
@@ -170,6 +172,8 @@
         vmCount: () => 1 + this.#peers.membership().members.size,
       }),
       versions: this.#rollouts,
+      prefill: new PrefillRates(),
+      tellBusy: (id, forMs) => this.#exchange.tellBusy(id, forMs),
       distanceMs: distances(settings),
       clock,
       random,
--- a/src/gateway/peer_exchange.ts
+++ b/src/gateway/peer_exchange.ts
@@ -17,8 +17,11 @@
   type Sleep,
 } from "../model/mod.ts";
 import { type PeerNode } from "../wire/mod.ts";
+import { type BackendFleet } from "./backend_fleet.ts";
 import {
+  type BusyNews,
   type PeerNews,
+  readBusyNews,
   readPeerNews,
   type RolloutNews,
   type TopicName,
@@ -34,6 +37,7 @@
   readonly node: () => PeerNode;
   readonly mirrors: Readonly<Record<TopicName, StoreMirror>>;
   readonly book: RolloutBook;
+  readonly fleet: BackendFleet;
   readonly clock: Clock;
   readonly sleep: Sleep;
   readonly random: Random;
@@ -87,6 +91,11 @@
 
   /** Answers a peer that asked. */
   answer(vm: string, value: unknown): unknown {
+    const busy = readBusyNews(value);
+    if (busy !== undefined) {
+      this.#options.fleet.noteBusy(busy.busyBackend, busy.forMs);
+      return null;
+    }
     const news = readPeerNews(value);
     if (news === undefined) {
       this.#options.logger.warn("news that cannot be read", { from: vm });
@@ -96,6 +105,19 @@
     return this.#newsFor(vm, news.have);
   }
 
+  /** Tells the other VMs of this data centre. */
+  tellBusy(busyBackend: string, forMs: number): void {
+    const { node } = this.#options;
+    const state = node().membership();
+    const news: BusyNews = { busyBackend, forMs };
+    for (const { update } of presentMembers(state)) {
+      if (update.place !== state.self.place) continue;
+      void node().ask(update.vm, { kind: "exchange", news }, {
+        timeoutMs: ANSWER_TIMEOUT_MS,
+      });
+    }
+  }
+
   /** Whom to ask: a reader, or anyone after a reader did not answer. */
   #partner(): string | undefined {
     const { vm, node, random } = this.#options;
--- a/src/gateway/peer_news.ts
+++ b/src/gateway/peer_news.ts
@@ -71,6 +71,20 @@
   rollouts: z.array(rolloutNewsSchema).max(MAX_ROLLOUTS),
 });
 
+const busySchema = z.object({
+  busyBackend: nameSchema,
+  forMs: z.number().positive(),
+});
+
+/** That a server is busy with a long prompt. */
+export type BusyNews = Readonly<z.infer<typeof busySchema>>;
+
+/** Checks whether a peer told that a server is busy. */
+export function readBusyNews(value: unknown): BusyNews | undefined {
+  const parsed = busySchema.safeParse(value);
+  return parsed.success ? parsed.data : undefined;
+}
+
 /** What one VM knows of a roll-out. */
 export type RolloutNews = Readonly<z.infer<typeof rolloutNewsSchema>>;
 
--- a/src/gateway/server_try.ts
+++ b/src/gateway/server_try.ts
@@ -13,6 +13,8 @@
 
 /** A connection takes no longer than this, with its first packet sent twice. */
 const CONNECT_TIMEOUT_MS = 400;
+/** A prompt that keeps a server busy for longer is told to the VMs nearby. */
+const LONG_PREFILL_MS = 300;
 /** The longest answer that is gathered before it is passed on. */
 const MAX_HELD_BYTES = 8 * 1024 * 1024;
 
@@ -65,7 +67,12 @@
     const { context, server, request, body } = options;
     this.server = server;
     this.#startedAtMs = context.clock();
-    this.#use = context.fleet.begin(server);
+    const prefillMs = context.prefill.msOf(
+      this.#prefillKey,
+      request.caller.promptTokens,
+    );
+    this.#use = context.fleet.begin(server, prefillMs);
+    if (prefillMs > LONG_PREFILL_MS) context.tellBusy(server.id, prefillMs);
     context.versions.noteInFlight(server.service, server.version, 1);
     this.#attempt = new BackendAttempt({
       address: server.address,
@@ -110,6 +117,11 @@
     this.#attempt.resume();
   }
 
+  get #prefillKey(): string {
+    const { request, server } = this.#options;
+    return `${server.service} ${request.model ?? request.caller.model ?? ""}`;
+  }
+
   get #isRelayed(): boolean {
     const isSuccess = this.#head !== undefined && this.#head.status < 300;
     return this.#options.isStreaming && isSuccess;
@@ -187,7 +199,11 @@
   #sample({ isError }: { readonly isError: boolean }): void {
     const { context, server, route } = this.#options;
     const firstByteMs = context.clock() - this.#startedAtMs;
-    if (this.#isRelayed) context.fleet.noteWork(server.service, firstByteMs);
+    if (this.#isRelayed) {
+      context.fleet.noteWork(server.service, firstByteMs);
+      const tokens = this.#options.request.caller.promptTokens;
+      context.prefill.note(this.#prefillKey, { tokens, ms: firstByteMs });
+    }
     context.versions.note({
       service: server.service,
       version: server.version,
