--- /dev/null
+++ b/src/gateway/caller_server_test.ts
@@ -0,0 +1,103 @@
+/** Tests of what callers may send: heads, bodies, and smuggled requests. */
+import assert from "node:assert/strict";
+import { connect } from "node:net";
+import { test, type TestContext } from "node:test";
+import {
+  answerWhole,
+  call,
+  LOOKUP_ROUTE,
+  startBackend,
+  startGateway,
+  type TestBackend,
+  type TestGateway,
+  untilReady,
+} from "./gateway_fixture.ts";
+
+const LIMITS = {
+  maxHeaderBytes: 2000,
+  maxBodyBytes: 1000,
+  headerTimeoutMs: 300,
+  idleTimeoutMs: 2000,
+};
+
+async function setUp(
+  context: TestContext,
+): Promise<{ gateway: TestGateway; backend: TestBackend }> {
+  const backend = await startBackend("server", answerWhole);
+  const gateway = await startGateway({
+    backends: [backend],
+    manifest: { routes: [LOOKUP_ROUTE], limits: LIMITS },
+  });
+  await untilReady(gateway);
+  context.after(async () => {
+    await Promise.all([gateway.gateway.stop(), backend.close()]);
+  });
+  return { gateway, backend };
+}
+
+/** Sends bytes and answers all that comes back until the connection ends. */
+function sendRaw(address: string, text: string): Promise<string> {
+  const [host = "", port = ""] = address.split(":");
+  return new Promise((resolve) => {
+    const socket = connect(Number(port), host);
+    let received = "";
+    socket.on("data", (bytes) => received += String(bytes));
+    socket.on("error", () => {});
+    socket.on("close", () => resolve(received));
+    socket.write(text);
+  });
+}
+
+const HEAD = "POST /lookups/a HTTP/1.1\r\nHost: api.example\r\n" +
+  "test-id: request-1\r\ntest-key: a-key\r\n";
+
+test("unknown routes and keys get a status that says so", async (context) => {
+  const { gateway, backend } = await setUp(context);
+  const send = (path: string, key: string) =>
+    call(gateway.callerAddress, { path, headers: { "test-key": key } });
+  assert.equal((await send("/nowhere/", "a-key")).status, 404);
+  assert.equal((await send("/lookups/a", "a-forged-key")).status, 401);
+  assert.equal(backend.seenIds.length, 0);
+});
+
+test("a head and a body over their bounds are refused, not passed on", async (context) => {
+  const { gateway, backend } = await setUp(context);
+  const address = gateway.callerAddress;
+  const long = { "test-long": "x".repeat(3000) };
+  assert.equal(
+    (await call(address, { path: "/lookups/a", headers: long })).status,
+    431,
+  );
+  const body = "x".repeat(1500);
+  assert.equal((await call(address, { path: "/lookups/a", body })).status, 413);
+  assert.equal(backend.seenIds.length, 0);
+});
+
+test("a slow head ends in its time", async (context) => {
+  const { gateway } = await setUp(context);
+  const startedAtMs = performance.now();
+  const received = await sendRaw(gateway.callerAddress, HEAD);
+  assert.match(received, /^HTTP\/1.1 408 /);
+  assert.ok(performance.now() - startedAtMs < 2000);
+});
+
+test("a request with two lengths is refused whole", async (context) => {
+  const { gateway, backend } = await setUp(context);
+  const smuggled = `${HEAD}Content-Length: 4\r\nTransfer-Encoding: chunked` +
+    `\r\nConnection: close\r\n\r\n0\r\n\r\n${HEAD}\r\n`;
+  const received = await sendRaw(gateway.callerAddress, smuggled);
+  assert.match(received, /^HTTP\/1.1 400 /);
+  assert.equal(backend.seenIds.length, 0);
+});
+
+test("a caller that sends a part of its body and goes leaves nothing", async (context) => {
+  const { gateway, backend } = await setUp(context);
+  const [host = "", port = ""] = gateway.callerAddress.split(":");
+  const socket = connect(Number(port), host);
+  socket.write(`${HEAD}Content-Length: 10\r\n\r\nhalf`);
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  socket.destroy();
+  const answer = await call(gateway.callerAddress, { path: "/lookups/a" });
+  assert.equal(answer.status, 200);
+  assert.equal(backend.seenIds.length, 1);
+});
--- /dev/null
+++ b/src/gateway/forwarding_test.ts
@@ -0,0 +1,277 @@
+/** Tests of the way of a request, over real connections. */
+import assert from "node:assert/strict";
+import { setTimeout as delay } from "node:timers/promises";
+import { test, type TestContext } from "node:test";
+import { routeOf } from "../decision/manifest_fixture.ts";
+import {
+  answerWhole,
+  type BackendHandler,
+  beginStream,
+  call,
+  type CallerAnswer,
+  type CallerCall,
+  eventOf,
+  eventsOf,
+  LOOKUP_ROUTE,
+  REGISTER_ROUTE,
+  startBackend,
+  startGateway,
+  type TestBackend,
+  type TestGateway,
+  untilReady,
+} from "./gateway_fixture.ts";
+
+interface Setup {
+  readonly gateway: TestGateway;
+  readonly backends: readonly TestBackend[];
+  readonly send: (given: CallerCall) => Promise<CallerAnswer>;
+}
+
+/** A gateway before backend servers, which end with the test. */
+async function setUp(
+  context: TestContext,
+  handlers: readonly BackendHandler[],
+): Promise<Setup> {
+  const backends = await Promise.all(
+    handlers.map((handler, index) => startBackend(`server-${index}`, handler)),
+  );
+  const gateway = await startGateway({
+    backends,
+    manifest: {
+      routes: [
+        routeOf({ models: ["small", "large"] }),
+        LOOKUP_ROUTE,
+        REGISTER_ROUTE,
+      ],
+    },
+  });
+  await untilReady(gateway);
+  context.after(async () => {
+    await Promise.all([
+      gateway.gateway.stop(),
+      ...backends.map((backend) => backend.close()),
+    ]);
+  });
+  const send = (given: CallerCall): Promise<CallerAnswer> =>
+    call(gateway.callerAddress, given);
+  return { gateway, backends, send };
+}
+
+function totalSeen(backends: readonly TestBackend[]): number {
+  return backends.reduce((sum, { seenIds }) => sum + seenIds.length, 0);
+}
+
+/** The first request to reach any server gets one handler, the rest another. */
+function firstThen(
+  first: BackendHandler,
+  rest: BackendHandler,
+): BackendHandler[] {
+  let count = 0;
+  const handler: BackendHandler = (request, response) => {
+    count += 1;
+    (count === 1 ? first : rest)(request, response);
+  };
+  return [handler, handler];
+}
+
+test("a request reaches a server unchanged and its answer the caller", async (context) => {
+  const { send, backends } = await setUp(context, [answerWhole]);
+  const answer = await send({ path: "/lookups/a?b=c", method: "GET" });
+  assert.equal(answer.status, 200);
+  assert.equal(answer.body, "whole");
+  assert.equal(answer.headers["test-signature"], "signed");
+  assert.equal(backends[0]?.seenHeaders[0]?.["test-workspace"], "assessors");
+});
+
+test("a stream that breaks inside an event goes on at another server", async (context) => {
+  const { send, backends } = await setUp(
+    context,
+    firstThen((request, response) => {
+      beginStream(request, response);
+      response.write(eventsOf(1, 3) + eventOf(4).slice(0, 9));
+      setTimeout(() => response.destroy(), 30);
+    }, (request, response) => {
+      beginStream(request, response);
+      const next = Number(request.headers["test-last"]) + 1;
+      response.end(eventsOf(next, 6));
+    }),
+  );
+  const answer = await send({});
+  assert.equal(answer.body, eventsOf(1, 6));
+  assert.ok(answer.isComplete);
+  assert.equal(totalSeen(backends), 2);
+});
+
+test("a stream whose events do not follow on is not passed on", async (context) => {
+  const { send } = await setUp(
+    context,
+    firstThen((request, response) => {
+      beginStream(request, response);
+      response.end(eventOf(1) + eventOf(3));
+    }, (request, response) => {
+      beginStream(request, response);
+      const next = Number(request.headers["test-last"]) + 1;
+      response.end(eventsOf(next, 3));
+    }),
+  );
+  assert.equal((await send({})).body, eventsOf(1, 3));
+});
+
+test("a request that may not be repeated is not, after a reset", async (context) => {
+  const reset: BackendHandler = (_request, response) => response.destroy();
+  const { send, backends } = await setUp(context, [reset, reset]);
+  const answer = await send({ path: "/registrations/a" });
+  assert.equal(answer.status, 502);
+  assert.equal(answer.headers["retry-after"], undefined);
+  assert.equal(totalSeen(backends), 1);
+});
+
+test("it goes to another server when the first one did not run it", async (context) => {
+  const { send, backends } = await setUp(
+    context,
+    firstThen((_request, response) => {
+      response.writeHead(503, { "test-not-run": "1" }).end();
+    }, answerWhole),
+  );
+  const answer = await send({ path: "/registrations/a", body: "claim" });
+  assert.equal(answer.status, 200);
+  assert.equal(totalSeen(backends), 2);
+});
+
+test("a refusal says not run, and when to come back", async (context) => {
+  const full: BackendHandler = (_request, response) => {
+    response.writeHead(503, { "test-not-run": "1" }).end();
+  };
+  const { send } = await setUp(context, [full, full]);
+  const answer = await send({ path: "/registrations/a" });
+  assert.equal(answer.status, 503);
+  assert.ok(Number(answer.headers["retry-after"]) > 0);
+});
+
+test("an answer to another request is nobody's answer", async (context) => {
+  const foreign: BackendHandler = (_request, response) => {
+    response.writeHead(200, {
+      "test-id": "someone-else",
+      "test-signature": "signed",
+    });
+    response.end("not yours");
+  };
+  const { send } = await setUp(context, firstThen(foreign, answerWhole));
+  const answer = await send({ path: "/lookups/a", method: "GET" });
+  assert.equal(answer.body, "whole");
+  const { send: sendOnce } = await setUp(context, [foreign]);
+  assert.equal((await sendOnce({ path: "/registrations/a" })).status, 502);
+});
+
+test("an answer that breaks off is asked for again where that is allowed", async (context) => {
+  const { send } = await setUp(
+    context,
+    firstThen((request, response) => {
+      response.writeHead(200, {
+        "test-id": String(request.headers["test-id"]),
+        "test-signature": "signed",
+        "content-length": "400",
+      });
+      response.write("a part");
+      setTimeout(() => response.destroy(), 10);
+    }, answerWhole),
+  );
+  const answer = await send({ path: "/lookups/a", method: "GET" });
+  assert.equal(answer.body, "whole");
+});
+
+test("an answer without a length is passed on without one", async (context) => {
+  const { send } = await setUp(context, [(request, response) => {
+    const socket = response.socket;
+    const id = String(request.headers["test-id"]);
+    socket?.end(
+      `HTTP/1.1 200 OK\r\ntest-id: ${id}\r\ntest-signature: s\r\n` +
+        "Connection: close\r\n\r\nno length",
+    );
+  }]);
+  const answer = await send({ path: "/lookups/a", method: "GET" });
+  assert.equal(answer.body, "no length");
+  assert.equal(answer.headers["content-length"], undefined);
+  assert.equal(answer.headers["transfer-encoding"], undefined);
+});
+
+test("a weak answer of a small model never shows, a larger one answers", async (context) => {
+  const models: string[] = [];
+  const byModel: BackendHandler = (request, response) => {
+    const model = String(request.headers["test-model"]);
+    models.push(model);
+    const confidence = model === "small" ? "12" : "88";
+    beginStream(request, response, { "test-confidence": confidence });
+    response.end(`id: 1\ndata: ${model}\n\n`);
+  };
+  const { send } = await setUp(context, [byModel]);
+  const answer = await send({ headers: { "test-model": "any" } });
+  assert.match(answer.body, /large/);
+  assert.deepEqual(models, ["small", "large"]);
+});
+
+test("a caller that leaves takes its request from the server", async (context) => {
+  let closedAtMs = 0;
+  const { send } = await setUp(context, [(request, response) => {
+    beginStream(request, response);
+    response.write(eventOf(1));
+    response.on("close", () => closedAtMs = performance.now());
+  }]);
+  const leaving = new AbortController();
+  const sent = send({ signal: leaving.signal }).catch(() => undefined);
+  await delay(100);
+  const leftAtMs = performance.now();
+  leaving.abort();
+  await sent;
+  await delay(200);
+  assert.ok(closedAtMs >= leftAtMs && closedAtMs - leftAtMs < 500);
+});
+
+test("a request is answered at its route's time limit", async (context) => {
+  const { send } = await setUp(context, [() => {}]);
+  const startedAtMs = performance.now();
+  const answer = await send({ path: "/registrations/a" });
+  assert.equal(answer.status, 504);
+  const tookMs = performance.now() - startedAtMs;
+  assert.ok(tookMs >= 990 && tookMs < 1500, `${tookMs}`);
+});
+
+test("a silent server is left for another in time", async (context) => {
+  const { send } = await setUp(context, firstThen(() => {}, answerWhole));
+  const startedAtMs = performance.now();
+  const answer = await send({ path: "/lookups/a", method: "GET" });
+  assert.equal(answer.body, "whole");
+  assert.ok(performance.now() - startedAtMs < 1000);
+});
+
+test("a third of the servers lost at once: their streams go on", async (context) => {
+  let isLost = false;
+  const handler =
+    (isLosing: boolean): BackendHandler => (request, response) => {
+      const next = Number(request.headers["test-last"] ?? 0) + 1;
+      beginStream(request, response);
+      if (next > 1) return void response.end(eventsOf(next, 4));
+      response.write(eventOf(1));
+      const timer = setInterval(() => {
+        if (!isLost) return;
+        clearInterval(timer);
+        if (isLosing) response.destroy();
+        else response.end(eventsOf(2, 4));
+      }, 10);
+    };
+  const { send } = await setUp(context, [
+    handler(true),
+    handler(false),
+    handler(false),
+  ]);
+  const sent = Array.from(
+    { length: 30 },
+    (_, index) => send({ headers: { "test-id": `request-${index}` } }),
+  );
+  await delay(300);
+  isLost = true;
+  for (const answer of await Promise.all(sent)) {
+    assert.equal(answer.body, eventsOf(1, 4));
+    assert.ok(answer.isComplete);
+  }
+});
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -256,6 +256,7 @@
     logger.info("stopped", { openCount: this.#callers.openCount });
     await sleep(STOP_POLL_MS);
     this.#callers.close();
+    await this.#peers.close();
   }
 
   #hasLeft(): boolean {
--- /dev/null
+++ b/src/gateway/gateway_fixture.ts
@@ -0,0 +1,388 @@
+/**
+ * A gateway on loopback addresses for tests: a protocol with header names of
+ * its own, backend servers that do as the test says, and a store in memory.
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  request,
+  type ServerResponse,
+} from "node:http";
+import { type AddressInfo, createServer as createTcpServer } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
+import { err, ok, type Result } from "neverthrow";
+import { manifestOf, routeOf, serverOf } from "../decision/manifest_fixture.ts";
+import {
+  type BackendServer,
+  type Manifest,
+  type RolloutStatus,
+  silentLogger,
+} from "../model/mod.ts";
+import { processEffects } from "../client/effects.ts";
+import { Gateway, type GatewayOptions } from "./gateway.ts";
+import { type GatewayProtocol } from "./protocol.ts";
+import {
+  type StoreFault,
+  type StoreRecord,
+  type StoreRecords,
+  type TopicSource,
+} from "./store_record.ts";
+
+const HOST = "127.0.0.1";
+/** The host of the fixture's routes. */
+export const API_HOST = "api.example";
+
+/** Header names of these tests. */
+export const testProtocol: GatewayProtocol = {
+  readRequest: ({ method, target, rawHeaders }) => {
+    const headers = headersOf(rawHeaders);
+    const id = headers.get("test-id");
+    if (id === undefined) return "no id";
+    const deadline = headers.get("test-deadline");
+    return {
+      id,
+      method,
+      target,
+      host: (headers.get("host") ?? "").replace(/:\d+$/, ""),
+      key: headers.get("test-key"),
+      deadlineMs: deadline === undefined ? undefined : Number(deadline),
+      session: headers.get("test-session"),
+      model: undefined,
+      isModelOpen: headers.get("test-model") === "any",
+      promptTokens: 0,
+      maxOutputTokens: 0,
+      promptParts: [],
+      lastEventId: headers.get("test-last"),
+      passedHeaders: ["Host", API_HOST, "test-id", id],
+    };
+  },
+  writeRequest: ({ caller, model, lastEventId, workspace }) => [
+    ...caller.passedHeaders,
+    ...workspace === undefined ? [] : ["test-workspace", workspace],
+    ...model === undefined ? [] : ["test-model", model],
+    ...lastEventId === undefined ? [] : ["test-last", lastEventId],
+  ],
+  readAnswer: (status, rawHeaders) => {
+    const headers = headersOf(rawHeaders);
+    const confidence = headers.get("test-confidence");
+    return {
+      status,
+      isNotRun: headers.has("test-not-run"),
+      isLeaving: false,
+      requestId: headers.get("test-id"),
+      isGenuine: headers.has("test-signature"),
+      isFramed: headers.has("content-length") ||
+        headers.has("transfer-encoding"),
+      confidence: confidence === undefined ? undefined : Number(confidence),
+      load: undefined,
+      passedHeaders: ["test-signature", headers.get("test-signature") ?? ""],
+    };
+  },
+};
+
+/** Handles one request at a backend server. */
+export type BackendHandler = (
+  request: IncomingMessage,
+  response: ServerResponse,
+) => void;
+
+/** A backend server on a loopback port. */
+export interface TestBackend {
+  readonly server: BackendServer;
+  /** Ids of the requests that reached it, in order. */
+  readonly seenIds: readonly string[];
+  /** Headers of the requests that reached it. */
+  readonly seenHeaders: readonly IncomingMessage["headers"][];
+  readonly close: () => Promise<void>;
+}
+
+/** Starts a backend server. */
+export async function startBackend(
+  id: string,
+  handler: BackendHandler,
+  fields: Partial<BackendServer> = {},
+): Promise<TestBackend> {
+  const seenIds: string[] = [];
+  const seenHeaders: IncomingMessage["headers"][] = [];
+  const http = createServer((request, response) => {
+    seenIds.push(String(request.headers["test-id"]));
+    seenHeaders.push(request.headers);
+    request.resume();
+    handler(request, response);
+  });
+  await new Promise<void>((resolve) => http.listen(0, HOST, resolve));
+  const { port } = http.address() as AddressInfo;
+  return {
+    server: serverOf(id, { address: `${HOST}:${port}`, ...fields }),
+    seenIds,
+    seenHeaders,
+    close: () =>
+      new Promise((resolve) => {
+        http.close(() => resolve());
+        http.closeAllConnections();
+      }),
+  };
+}
+
+/** An answer with a length and a signature. */
+export function answerWhole(
+  request: IncomingMessage,
+  response: ServerResponse,
+  body = "whole",
+): void {
+  response.writeHead(200, {
+    "test-id": String(request.headers["test-id"]),
+    "test-signature": "signed",
+    "content-length": String(body.length),
+  });
+  response.end(body);
+}
+
+/** The head of a stream. */
+export function beginStream(
+  request: IncomingMessage,
+  response: ServerResponse,
+  headers: Record<string, string> = {},
+): void {
+  response.writeHead(200, {
+    "test-id": String(request.headers["test-id"]),
+    "test-signature": "signed",
+    ...headers,
+  });
+}
+
+/** One event of a stream. */
+export function eventOf(id: number): string {
+  return `id: ${id}\ndata: piece ${id}\n\n`;
+}
+
+/** Events from one number to another. */
+export function eventsOf(first: number, last: number): string {
+  let text = "";
+  for (let id = first; id <= last; id++) text += eventOf(id);
+  return text;
+}
+
+/** A topic in memory. */
+export class MemoryTopic implements TopicSource {
+  records: StoreRecord[] = [];
+  isDown = false;
+
+  /** Writes a key's value, as an operator or server does. */
+  put(key: string, value: unknown): void {
+    const bytes = Buffer.from(JSON.stringify(value));
+    this.records.push({ key, value: bytes, offset: this.records.length });
+  }
+
+  async list(): Promise<Result<StoreRecords, StoreFault>> {
+    await delay(1);
+    if (this.isDown) return down();
+    const newest = new Map<string, StoreRecord>();
+    for (const record of this.records) newest.set(record.key, record);
+    const records = [...newest.values()];
+    return ok({ records, nextOffset: this.records.length });
+  }
+
+  async readAfter(
+    offset: number,
+    waitMs: number,
+  ): Promise<Result<StoreRecords, StoreFault>> {
+    const endMs = performance.now() + waitMs;
+    while (this.records.length <= offset && performance.now() < endMs) {
+      await delay(10);
+    }
+    await delay(1);
+    if (this.isDown) return down();
+    const records = this.records.slice(offset);
+    return ok({ records, nextOffset: this.records.length });
+  }
+}
+
+/** A gateway under test. */
+export interface TestGateway {
+  readonly gateway: Gateway;
+  readonly operators: MemoryTopic;
+  readonly servers: MemoryTopic;
+  readonly statuses: RolloutStatus[];
+  readonly callerAddress: string;
+  readonly peerAddress: string;
+}
+
+/** What a test says of its gateway. */
+export interface TestGatewayOptions {
+  readonly manifest?: Partial<Manifest>;
+  readonly backends?: readonly TestBackend[];
+  readonly vm?: string;
+  readonly seeds?: readonly string[];
+  readonly operators?: MemoryTopic;
+  readonly servers?: MemoryTopic;
+  readonly settings?: Partial<GatewayOptions["settings"]>;
+}
+
+/** Starts a gateway and waits until it is ready. */
+export async function startGateway(
+  options: TestGatewayOptions = {},
+): Promise<TestGateway> {
+  const { backends = [], vm = "vm-1" } = options;
+  const operators = options.operators ?? new MemoryTopic();
+  const servers = options.servers ?? new MemoryTopic();
+  const statuses: RolloutStatus[] = [];
+  if (options.manifest !== undefined) {
+    operators.put("manifest", manifestOf(options.manifest));
+  }
+  for (const { server } of backends) servers.put(server.id, server);
+  const callerAddress = `${HOST}:${await freePort()}`;
+  const peerAddress = `${HOST}:${await freePort()}`;
+  const gateway = new Gateway({
+    ...processEffects,
+    settings: {
+      vm,
+      place: "khomas-a",
+      places: [{ place: "khomas-a", region: "khomas" }],
+      callerAddress,
+      peerAddress,
+      seeds: options.seeds ?? [],
+      memoryBytes: 350 * 1024 * 1024,
+      coreShare: 1,
+      drainMs: 2500,
+      convergeMs: 2500,
+      graceMs: 2000,
+      entryMaxAgeMs: 100,
+      repeats: { ratio: 0.9, slackCount: 56, windowMs: 10_000 },
+      canary: { share: 0.15, slackCount: 30 },
+      sessionMs: 5000,
+      ...options.settings,
+    },
+    protocol: testProtocol,
+    operatorTopic: operators,
+    serverTopic: servers,
+    statusTopic: new MemoryTopic(),
+    readOperatorRecord: ({ key, value, offset }) => {
+      if (value === undefined) return undefined;
+      const read = JSON.parse(value.toString());
+      return key === "manifest"
+        ? { kind: "manifest", manifest: read }
+        : { kind: "order", order: { ...read, offset } };
+    },
+    readServer: ({ value }) =>
+      value === undefined ? undefined : JSON.parse(value.toString()),
+    readStatus: () => undefined,
+    appendStatus: (status) => {
+      statuses.push(status);
+      return Promise.resolve(ok(statuses.length));
+    },
+    logger: silentLogger,
+  });
+  await gateway.start();
+  return { gateway, operators, servers, statuses, callerAddress, peerAddress };
+}
+
+/** Waits until the gateway is ready. */
+export async function untilReady({ gateway }: TestGateway): Promise<void> {
+  const endMs = performance.now() + 5000;
+  while (!gateway.isReady()) {
+    if (performance.now() > endMs) throw new Error("the gateway is not ready");
+    await delay(5);
+  }
+}
+
+/** What a caller got. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: IncomingMessage["headers"];
+  readonly body: string;
+  /** Whether the answer ended as its framing says. */
+  readonly isComplete: boolean;
+}
+
+/** What a caller sends. */
+export interface CallerCall {
+  readonly path?: string;
+  readonly method?: string;
+  readonly headers?: Record<string, string>;
+  readonly body?: string;
+  readonly signal?: AbortSignal;
+}
+
+/** Sends one request on a connection of its own. */
+export function call(
+  address: string,
+  { path = "/drafts/one", method = "POST", headers, body, signal }: CallerCall,
+): Promise<CallerAnswer> {
+  return new Promise((resolve, reject) => {
+    const sent = request(`http://${address}${path}`, {
+      method,
+      agent: false,
+      headers: {
+        host: API_HOST,
+        "test-id": "request-1",
+        "test-key": "a-key",
+        ...headers,
+      },
+      ...signal === undefined ? {} : { signal },
+    });
+    sent.on("error", reject);
+    sent.on("response", (response) => {
+      let text = "";
+      const settle = (): void =>
+        resolve({
+          status: response.statusCode ?? 0,
+          headers: response.headers,
+          body: text,
+          isComplete: response.complete,
+        });
+      response.on("data", (chunk) => text += String(chunk));
+      response.on("error", settle);
+      response.on("end", settle);
+    });
+    sent.end(body);
+  });
+}
+
+/** A route of plain requests that may be repeated. */
+export const LOOKUP_ROUTE = routeOf({
+  name: "lookups",
+  pathPrefix: "/lookups/",
+  kind: "idempotent",
+  timeoutMs: 2000,
+  targetMs: 200,
+  maxAttempts: 2,
+  isResumable: false,
+});
+
+/** A route of requests that run at most once. */
+export const REGISTER_ROUTE = routeOf({
+  name: "registrations",
+  pathPrefix: "/registrations/",
+  kind: "non_idempotent",
+  timeoutMs: 1000,
+  targetMs: 200,
+  maxAttempts: 1,
+  isResumable: false,
+});
+
+/** A port that was free a moment ago. */
+export function freePort(): Promise<number> {
+  return new Promise((resolve) => {
+    const server = createTcpServer();
+    server.listen(0, HOST, () => {
+      const { port } = server.address() as AddressInfo;
+      server.close(() => resolve(port));
+    });
+  });
+}
+
+function headersOf(rawHeaders: readonly string[]): Map<string, string> {
+  const headers = new Map<string, string>();
+  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+    headers.set(
+      (rawHeaders[index] ?? "").toLowerCase(),
+      rawHeaders[index + 1] ?? "",
+    );
+  }
+  return headers;
+}
+
+function down(): Result<StoreRecords, StoreFault> {
+  return err({ kind: "refused", message: "down" });
+}
--- /dev/null
+++ b/src/gateway/log_sink_test.ts
@@ -0,0 +1,38 @@
+/** Tests of the log's sink: a reader that does not read holds nothing up. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
+import { createLineSink, MAX_QUEUED_BYTES } from "./log_sink.ts";
+
+const LINE = "x".repeat(1000);
+
+test("a full pipe keeps lines up to a bound, and counts the rest", async () => {
+  const written: string[] = [];
+  let finish: (() => void) | undefined;
+  const sink = createLineSink((bytes, onDone) => {
+    written.push(bytes.toString());
+    finish = () => onDone(null, bytes.length);
+  });
+  sink("first");
+  await delay(5);
+  const startedAtMs = performance.now();
+  for (let count = 0; count < 1000; count++) sink(LINE);
+  assert.ok(performance.now() - startedAtMs < 200);
+  finish?.();
+  await delay(5);
+  const kept = (written[1] ?? "").split("\n").filter((line) => line === LINE);
+  assert.equal(kept.length, Math.floor(MAX_QUEUED_BYTES / LINE.length));
+  assert.match(written[1] ?? "", /"count":738/);
+});
+
+test("a write that takes a part only goes on with the rest", async () => {
+  const written: string[] = [];
+  const sink = createLineSink((bytes, onDone) => {
+    const part = bytes.subarray(0, 4);
+    written.push(part.toString());
+    setImmediate(() => onDone(null, part.length));
+  });
+  sink("one whole line");
+  await delay(30);
+  assert.equal(written.join(""), "one whole line\n");
+});
--- a/src/gateway/rollout_book.ts
+++ b/src/gateway/rollout_book.ts
@@ -141,12 +141,14 @@
     session: { readonly key: string; readonly isLasting: boolean },
   ): (version: string) => boolean {
     const rollout = this.#rollouts.get(service);
-    if (rollout === undefined) return this.#unordered(service);
-    const { target } = rollout.order;
-    const isOnTarget = this.#isOnTarget(rollout, session);
+    const target = rollout?.order.target;
+    const isOnTarget = rollout !== undefined &&
+      this.#isOnTarget(rollout, session);
     if (session.isLasting) {
-      this.#sessions.note(`${service} ${session.key}`, isOnTarget);
+      const key = `${service} ${session.key}`;
+      this.#sessions.note(key, isOnTarget ? target : undefined);
     }
+    if (rollout === undefined) return this.#unordered(service);
     return (version) => (version === target) === isOnTarget;
   }
 
@@ -195,10 +197,10 @@
     const share = targetShare(rollout, { nowMs, canaryShare });
     if (share === 0 || share === 1) return share === 1;
     const seen = session.isLasting
-      ? this.#sessions.isOnTarget(`${service} ${session.key}`)
+      ? this.#sessions.find(`${service} ${session.key}`)
       : undefined;
-    if (seen === true) return true;
-    if (seen === false && isFirstHalf(rollout, nowMs)) return false;
+    if (seen?.target === target) return true;
+    if (seen !== undefined && isFirstHalf(rollout, nowMs)) return false;
     return hashShare(`${target} ${session.key}`) < share;
   }
 
--- /dev/null
+++ b/src/gateway/rollout_book_test.ts
@@ -0,0 +1,195 @@
+/** Tests of which versions sessions run on in the course of a roll-out. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { serverOf } from "../decision/manifest_fixture.ts";
+import { applyRoster, EMPTY_ROSTER } from "../decision/mod.ts";
+import { type BackendServer, silentLogger } from "../model/mod.ts";
+import { BackendFleet } from "./backend_fleet.ts";
+import { RolloutBook } from "./rollout_book.ts";
+
+const SERVICE = "drafting";
+const DURATION_MS = 24_000;
+const CANARY_SHARE = 0.15;
+const SESSION_MS = 5000;
+
+interface Setup {
+  readonly book: RolloutBook;
+  readonly clock: { nowMs: number };
+  readonly register: (servers: readonly BackendServer[]) => void;
+  /** The version of a session's next request. */
+  readonly versionOf: (session: string) => string | undefined;
+}
+
+function setUp(): Setup {
+  const clock = { nowMs: 0 };
+  const fleet = new BackendFleet({ clock: () => clock.nowMs });
+  const book = new RolloutBook({
+    fleet,
+    canaryShare: CANARY_SHARE,
+    sessionMs: SESSION_MS,
+    clock: () => clock.nowMs,
+    logger: silentLogger,
+  });
+  const register = (servers: readonly BackendServer[]): void => {
+    const records = servers.map((server, offset) => ({
+      id: server.id,
+      server,
+      offset,
+    }));
+    fleet.update(applyRoster(EMPTY_ROSTER, { kind: "changed", records }, 0));
+    book.noteVersions([SERVICE]);
+  };
+  const versionOf = (session: string): string | undefined => {
+    const accepts = book.acceptorOf(SERVICE, { key: session, isLasting: true });
+    return ["v1", "v2"].find(accepts);
+  };
+  return { book, clock, register, versionOf };
+}
+
+const OLD = [serverOf("a"), serverOf("b")];
+const BOTH = [
+  ...OLD,
+  serverOf("c", { version: "v2" }),
+  serverOf("d", { version: "v2" }),
+];
+
+function order(book: RolloutBook, isNew = true): void {
+  const target = "v2";
+  book.takeOrder(
+    { service: SERVICE, target, durationMs: DURATION_MS, offset: 4 },
+    isNew,
+  );
+}
+
+function targetCount(setup: Setup, prefix: string, count = 400): number {
+  let onTarget = 0;
+  for (let index = 0; index < count; index++) {
+    if (setup.versionOf(`${prefix}-${index}`) === "v2") onTarget += 1;
+  }
+  return onTarget;
+}
+
+test("a version that appears before its order gets nothing yet", () => {
+  const setup = setUp();
+  setup.register(OLD);
+  setup.clock.nowMs = 10_000;
+  setup.register(BOTH);
+  assert.equal(targetCount(setup, "session"), 0);
+});
+
+test("a session under way keeps its version in the first half", () => {
+  const setup = setUp();
+  setup.register(OLD);
+  for (let index = 0; index < 400; index++) setup.versionOf(`s-${index}`);
+  order(setup.book);
+  setup.register(BOTH);
+  for (const nowMs of [1000, 4000, 7000, 11_000]) {
+    setup.clock.nowMs = nowMs;
+    assert.equal(targetCount(setup, "s"), 0);
+  }
+});
+
+test("new sessions run on the target in the canary's share, and stay there", () => {
+  const setup = setUp();
+  setup.register(BOTH);
+  order(setup.book);
+  setup.clock.nowMs = 2000;
+  const onTarget = targetCount(setup, "new");
+  assert.ok(onTarget > 5 && onTarget < 400 * CANARY_SHARE, `${onTarget}`);
+  const canaries = [...Array(400).keys()].map((index) => `new-${index}`)
+    .filter((session) => setup.versionOf(session) === "v2");
+  for (const nowMs of [6000, 13_000, 20_000]) {
+    setup.clock.nowMs = nowMs;
+    for (const session of canaries) {
+      assert.equal(setup.versionOf(session), "v2");
+    }
+  }
+});
+
+test("all VMs put a new session on the same version", () => {
+  const [first, second] = [setUp(), setUp()];
+  for (const setup of [first, second]) {
+    setup.register(BOTH);
+    order(setup.book);
+    setup.clock.nowMs = 3000;
+  }
+  for (let index = 0; index < 200; index++) {
+    const session = `shared-${index}`;
+    assert.equal(first.versionOf(session), second.versionOf(session));
+  }
+});
+
+test("a VM that starts in a roll-out waits until it knows how it stands", () => {
+  const setup = setUp();
+  setup.register(BOTH);
+  order(setup.book, false);
+  assert.equal(targetCount(setup, "session"), 0);
+  setup.book.takeStatus({
+    service: SERVICE,
+    target: "v2",
+    stage: "completed",
+    orderOffset: 4,
+  });
+  assert.equal(targetCount(setup, "session"), 400);
+});
+
+test("a version found bad gets nothing at once, on this VM and on others", () => {
+  const setup = setUp();
+  setup.register(BOTH);
+  order(setup.book);
+  for (let index = 0; index < 20; index++) {
+    setup.book.note({
+      service: SERVICE,
+      version: "v1",
+      backendId: "a",
+      route: "drafts",
+      isError: false,
+      firstByteMs: 100,
+    });
+  }
+  for (const backendId of ["c", "c", "d"]) {
+    setup.book.note({
+      service: SERVICE,
+      version: "v2",
+      backendId,
+      route: "drafts",
+      isError: true,
+      firstByteMs: 100,
+    });
+  }
+  setup.clock.nowMs = 20_000;
+  setup.book.judge();
+  assert.equal(targetCount(setup, "session"), 0);
+  const fault = setup.book.rollouts.get(SERVICE)?.fault;
+  assert.ok(fault !== undefined);
+
+  const other = setUp();
+  other.register(BOTH);
+  order(other.book);
+  other.clock.nowMs = 20_000;
+  other.book.takeNews({
+    service: SERVICE,
+    orderOffset: 4,
+    ageMs: 20_000,
+    fault,
+    stage: null,
+    isStageKnown: true,
+    tallies: [],
+  }, 20_000);
+  assert.equal(targetCount(other, "session"), 0);
+});
+
+test("without another version a sound target serves, a bad one does not", () => {
+  const setup = setUp();
+  setup.register(BOTH);
+  order(setup.book);
+  setup.register(BOTH.slice(2));
+  assert.equal(setup.versionOf("any"), "v2");
+  setup.book.takeStatus({
+    service: SERVICE,
+    target: "v2",
+    stage: "reverted",
+    orderOffset: 4,
+  });
+  assert.notEqual(setup.versionOf("any"), "v2");
+});
--- /dev/null
+++ b/src/gateway/rollout_duty_test.ts
@@ -0,0 +1,137 @@
+/** Tests of who writes how far a roll-out is, and how often. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { err, ok, type Result } from "neverthrow";
+import { type RolloutStatus, silentLogger } from "../model/mod.ts";
+import { BackendFleet } from "./backend_fleet.ts";
+import { RolloutBook } from "./rollout_book.ts";
+import { RolloutDuty } from "./rollout_duty.ts";
+import { type StoreFault, type StoreRecord } from "./store_record.ts";
+
+/** Statuses in memory, with the condition of an append. */
+class StatusStore {
+  readonly statuses: RolloutStatus[] = [];
+  failure: StoreFault | undefined;
+
+  append(
+    status: RolloutStatus,
+    offset: number,
+  ): Promise<Result<number, StoreFault>> {
+    if (this.failure !== undefined) return Promise.resolve(err(this.failure));
+    if (offset !== this.statuses.length) {
+      const fault: StoreFault = { kind: "conflict", message: "grown" };
+      return Promise.resolve(err(fault));
+    }
+    this.statuses.push(status);
+    return Promise.resolve(ok(this.statuses.length));
+  }
+}
+
+interface Vm {
+  readonly book: RolloutBook;
+  readonly duty: RolloutDuty;
+}
+
+function vmOf(
+  store: StatusStore,
+  clock: { nowMs: number },
+  rank: number | undefined,
+): Vm {
+  const fleet = new BackendFleet({ clock: () => clock.nowMs });
+  const book = new RolloutBook({
+    fleet,
+    canaryShare: 0.15,
+    sessionMs: 5000,
+    clock: () => clock.nowMs,
+    logger: silentLogger,
+  });
+  const records = (): StoreRecord[] =>
+    store.statuses.map((_, offset) => ({ key: "", value: undefined, offset }));
+  const duty = new RolloutDuty({
+    book,
+    topic: {
+      list: () =>
+        Promise.resolve(
+          ok({ records: records(), nextOffset: store.statuses.length }),
+        ),
+      readAfter: () => Promise.resolve(ok({ records: [], nextOffset: 0 })),
+    },
+    readStatus: ({ offset }) => store.statuses[offset],
+    appendStatus: (status, offset) => store.append(status, offset),
+    rank: () => rank,
+    clock: () => clock.nowMs,
+    logger: silentLogger,
+  });
+  book.takeOrder(
+    { service: "drafting", target: "v2", durationMs: 24_000, offset: 4 },
+    true,
+  );
+  return { book, duty };
+}
+
+function stagesOf({ statuses }: StatusStore): string[] {
+  return statuses.map(({ stage }) => stage);
+}
+
+test("the first reader announces, and completes when the rest is empty", async () => {
+  const [store, clock] = [new StatusStore(), { nowMs: 0 }];
+  const { duty } = vmOf(store, clock, 0);
+  await duty.perform();
+  clock.nowMs = 18_000;
+  await duty.perform();
+  await duty.perform();
+  assert.deepEqual(stagesOf(store), ["active", "completed"]);
+});
+
+test("the next reader writes only when the first one does not", async () => {
+  const [store, clock] = [new StatusStore(), { nowMs: 0 }];
+  const { duty } = vmOf(store, clock, 1);
+  await duty.perform();
+  assert.deepEqual(stagesOf(store), []);
+  clock.nowMs = 1500;
+  await duty.perform();
+  assert.deepEqual(stagesOf(store), ["active"]);
+});
+
+test("a VM that is no reader never writes", async () => {
+  const [store, clock] = [new StatusStore(), { nowMs: 0 }];
+  const { duty } = vmOf(store, clock, undefined);
+  await duty.perform();
+  clock.nowMs = 20_000;
+  await duty.perform();
+  assert.deepEqual(stagesOf(store), []);
+});
+
+test("two holders at once write one end between them", async () => {
+  const [store, clock] = [new StatusStore(), { nowMs: 18_000 }];
+  const [first, second] = [vmOf(store, clock, 0), vmOf(store, clock, 0)];
+  for (const { book } of [first, second]) {
+    const rollout = book.rollouts.get("drafting");
+    assert.ok(rollout !== undefined);
+    rollout.startedAtMs = 0;
+  }
+  const bad = second.book.rollouts.get("drafting");
+  assert.ok(bad !== undefined);
+  bad.fault = "3 of 7 failed";
+  for (let turn = 0; turn < 4; turn++) {
+    await Promise.all([first.duty.perform(), second.duty.perform()]);
+    clock.nowMs += 500;
+  }
+  const ends = stagesOf(store).filter((stage) => stage !== "active");
+  assert.equal(ends.length, 1);
+});
+
+test("a store that is away is asked again until it has the status", async () => {
+  const [store, clock] = [new StatusStore(), { nowMs: 0 }];
+  const { duty, book } = vmOf(store, clock, 0);
+  const rollout = book.rollouts.get("drafting");
+  assert.ok(rollout !== undefined);
+  rollout.fault = "slow";
+  store.failure = { kind: "unknown", message: "no answer" };
+  await duty.perform();
+  assert.deepEqual(stagesOf(store), []);
+  store.failure = undefined;
+  clock.nowMs = 1000;
+  await duty.perform();
+  assert.deepEqual(stagesOf(store), ["reverted"]);
+});
--- a/src/gateway/session_memory.ts
+++ b/src/gateway/session_memory.ts
@@ -1,13 +1,15 @@
 /**
- * Which sessions this VM has lately seen, and whether they ran on the target of
- * a roll-out, so that a session under way is not moved to another version.
+ * Which sessions this VM has lately seen, and on which target of a roll-out they
+ * ran, if on any, so that a session under way is not moved to another version.
  */
 import { type Clock } from "../model/mod.ts";
 
 const MAX_SESSIONS = 20_000;
 
-interface SeenSession {
-  readonly isOnTarget: boolean;
+/** A session that was seen. */
+export interface SeenSession {
+  /** The target that it ran on; absent when it ran on another version. */
+  readonly target: string | undefined;
   readonly atMs: number;
 }
 
@@ -22,20 +24,18 @@
     this.#keepMs = options.keepMs;
   }
 
-  /** Whether the session ran on the target; absent when it is new. */
-  isOnTarget(session: string): boolean | undefined {
+  /** The session as it was seen last; absent when it is new. */
+  find(session: string): SeenSession | undefined {
     const seen = this.#seen.get(session);
     if (seen === undefined) return undefined;
-    return this.#clock() - seen.atMs > this.#keepMs
-      ? undefined
-      : seen.isOnTarget;
+    return this.#clock() - seen.atMs > this.#keepMs ? undefined : seen;
   }
 
   /** The session runs now. */
-  note(session: string, isOnTarget: boolean): void {
+  note(session: string, target: string | undefined): void {
     // Set anew, so that the map's order is that of the last use.
     this.#seen.delete(session);
-    this.#seen.set(session, { isOnTarget, atMs: this.#clock() });
+    this.#seen.set(session, { target, atMs: this.#clock() });
     this.#forget();
   }
 
