--- a/src/command/mod.ts
+++ b/src/command/mod.ts
@@ -1,6 +1,7 @@
 /** The commands of the program `goldcrestpost`, by name. */
 import { type Command } from "@oclif/core";
 import { CompareCommand } from "./compare.ts";
+import { ExplainRequestCommand } from "./explain.ts";
 import { FleetShowCommand } from "./fleet/show.ts";
 import { ReplayCommand } from "./replay.ts";
 import { RolloutPauseCommand } from "./rollout/pause.ts";
@@ -21,6 +22,7 @@
 /** Commands by topic and name, separated by a colon. */
 export const COMMANDS: Readonly<Record<string, Command.Class>> = {
   "compare": CompareCommand,
+  "explain": ExplainRequestCommand,
   "fleet:show": FleetShowCommand,
   "replay": ReplayCommand,
   "rollout:pause": RolloutPauseCommand,
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -22,6 +22,7 @@
 
 /** Tries beyond the route's attempts, for servers that were never reached. */
 const SPARE_TRIES = 2;
+const PERCENT = 100;
 /** With less time left another server is not worth asking. */
 const LEAST_TRY_MS = 20;
 /** What one more request costs an engine's other requests. */
@@ -89,6 +90,7 @@
     const { caller, route, workspace, body } = this.#request;
     this.#tryCount += 1;
     this.#triedIds.add(server.id);
+    this.#logChoice(candidate);
     this.#try = new ServerTry({
       context: this.#context,
       server,
@@ -305,6 +307,26 @@
     this.#exchange.refuse({ status: 503, reason, retryAfterMs });
   }
 
+  #logChoice(
+    { server, loadCount, waitMs, failureShare }: FleetCandidate,
+  ): void {
+    const { caller, route, manifestVersion } = this.#request;
+    this.#context.logger.info("request sent", {
+      request: caller.id,
+      try: this.#tryCount,
+      cause: this.#trail.at(-1),
+      route: route.name,
+      server: server.id,
+      version: server.version,
+      model: this.#model ?? caller.model,
+      loadCount,
+      waitMs: Math.round(waitMs),
+      failurePercent: Math.round(failureShare * PERCENT),
+      manifestVersion,
+      timeLeftMs: Math.round(this.#timeLeftMs()),
+    });
+  }
+
   #cancelTry(event: HealthEvent | undefined): void {
     this.#try?.cancel(event);
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -304,6 +304,13 @@
         status: admitted.status,
         reason: admitted.reason,
       });
+      this.#options.logger.info("request refused", {
+        request: typeof caller === "string" ? undefined : caller.id,
+        status: admitted.status,
+        reason: admitted.reason,
+        manifestVersion: this.#state.routes?.manifest.version,
+        manifestAgeMs: Math.round(this.#mirrors.operators.ageMs),
+      });
       exchange.refuse(admitted);
       return undefined;
     }
