--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -92,11 +92,12 @@
 const METRICS_DELAY_MS = 5000;
 /** An order is new when the store was read just before. */
 const NEW_ORDER_MS = 4000;
-/** The most addresses that a caller is given. */
-const MAX_ENTRIES = 64;
+/** The most addresses that a caller is given; drawn by the room that VMs have. */
+const MAX_ENTRIES = 4;
 /** VMs of other data centres are named where a caller's own has fewer. */
 const LEAST_ENTRIES = 2;
 const LOAD_MAX_AGE_MS = 10_000;
+const LOAD_PERIOD_MS = 1000;
 const PROBE_PERIOD_MS = 500;
 /** The way to another data centre of the region, and to another region. */
 const NEAR_MS = 8;
@@ -200,6 +201,7 @@
     for (const follower of this.#followers()) void follower.run(signal);
     void this.#exchange.run(signal);
     void this.#tick(signal);
+    void this.#tellLoad(signal);
     void this.#loadMetrics(signal);
     logger.info("started", { callers: settings.callerAddress });
   }
@@ -410,6 +412,20 @@
     this.#options.logger.info("ready");
   }
 
+  /** Tells how much of a whole core is not to be had here. */
+  async #tellLoad(signal: AbortSignal): Promise<void> {
+    const coreShare = Math.min(1, this.#options.settings.coreShare);
+    let before = performance.eventLoopUtilization();
+    while (!signal.aborted) {
+      await this.#options.sleep(LOAD_PERIOD_MS, signal);
+      const now = performance.eventLoopUtilization();
+      const { utilization } = performance.eventLoopUtilization(now, before);
+      before = now;
+      this.#peers.setLoad(1 - coreShare * (1 - utilization));
+      this.#metrics.set("event_loop_busy_share", utilization);
+    }
+  }
+
   async #loadMetrics(signal: AbortSignal): Promise<void> {
     await this.#options.sleep(METRICS_DELAY_MS, signal);
     if (!signal.aborted) await this.#metrics.load();
--- a/src/gateway/peer_exchange.ts
+++ b/src/gateway/peer_exchange.ts
@@ -47,6 +47,8 @@
 const PERIOD_MS = 400;
 /** Readers read for themselves and ask each other only for what they saw. */
 const READER_PERIOD_MS = 700;
+/** So many VMs ask their reader at the usual pace. */
+const VMS_ASKING_AT_ONCE = 6;
 const ANSWER_TIMEOUT_MS = 800;
 const MAX_AGE_MS = 2 ** 31;
 
@@ -84,8 +86,7 @@
     while (!signal.aborted) {
       const vm = this.#partner();
       if (vm !== undefined) this.#isAnswered = await this.#ask(vm);
-      const periodMs = this.rank() === undefined ? PERIOD_MS : READER_PERIOD_MS;
-      await sleep(periodMs * (0.75 + random() / 2), signal);
+      await sleep(this.#periodMs() * (0.75 + random() / 2), signal);
     }
   }
 
@@ -118,6 +119,15 @@
     }
   }
 
+  /** Longer in a large data centre, so that its reader is not asked more. */
+  #periodMs(): number {
+    if (this.rank() !== undefined) return READER_PERIOD_MS;
+    const state = this.#options.node().membership();
+    const nearCount = presentMembers(state)
+      .filter(({ update }) => update.place === state.self.place).length;
+    return PERIOD_MS * Math.max(1, nearCount / VMS_ASKING_AT_ONCE);
+  }
+
   /** Whom to ask: a reader, or anyone after a reader did not answer. */
   #partner(): string | undefined {
     const { vm, node, random } = this.#options;
