--- a/src/decision/ordered_rollout.ts
+++ b/src/decision/ordered_rollout.ts
@@ -35,6 +35,11 @@
 /** What is to be written next. */
 export type RolloutStep = RolloutStage | undefined;
 
+/** Whether a roll-out is over, one way or the other. */
+export function isEnded(stage: RolloutStage | undefined): boolean {
+  return stage === "completed" || stage === "reverted";
+}
+
 /** The part of its time that a roll-out has used. */
 export function usedPart(rollout: OrderedRollout, nowMs: number): number {
   return (nowMs - rollout.startedAtMs) / rollout.order.durationMs;
@@ -65,7 +70,7 @@
   options: { readonly nowMs: number; readonly otherInFlightCount: number },
 ): RolloutStep {
   const { stage, fault } = rollout;
-  if (stage === "completed" || stage === "reverted") return undefined;
+  if (isEnded(stage)) return undefined;
   if (fault !== undefined) return "reverted";
   const part = usedPart(rollout, options.nowMs);
   const isEmpty = options.otherInFlightCount === 0;
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -27,6 +27,8 @@
 const LEAST_TRY_MS = 20;
 /** What one more request costs an engine's other requests. */
 const ENGINE_LOAD_STEP_MS = 40;
+/** A stream and its prompt send that much more over a distance. */
+const STREAM_DISTANCE_FACTOR = 3;
 /** Bounds of the time after which a refused caller may come back. */
 const RETURN_MS = { least: 300, most: 1000 } as const;
 
@@ -131,9 +133,11 @@
       : fleet.candidates({ ...query, excludedIds: new Set() });
     const workMs = fleet.workMsOf(service);
     const slotCount = candidates[0]?.slotCount ?? 1;
+    const isEngine = caller.promptTokens > 0;
     return chooseBackend(candidates, {
-      distanceMs,
-      loadStepMs: caller.promptTokens > 0
+      distanceMs: (place) =>
+        distanceMs(place) * (isEngine ? STREAM_DISTANCE_FACTOR : 1),
+      loadStepMs: isEngine
         ? ENGINE_LOAD_STEP_MS
         : workMs / Math.max(1, slotCount),
       workMs,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -81,12 +81,15 @@
   readonly logger: Logger;
 }
 
-/** How long a poll for the operators' records waits, at most. */
-const OPERATOR_WAIT_MS = 2500;
-/** Between two reads of the servers' records, which change all the time. */
-const SERVER_PAUSE_MS = 800;
-/** A VM that is no reader reads for itself when it heard nothing for so long. */
-const STALE_MS = { operators: 1600, servers: 1700 } as const;
+/**
+ * Of the time within which a manifest is in force, how long one poll waits, and
+ * of the time within which a server that leaves gets nothing, how long the
+ * reader rests between two reads of entries that change all the time.
+ */
+const OPERATOR_WAIT_PART = 0.5;
+const SERVER_PAUSE_PART = 0.3;
+/** A VM that is no reader reads for itself when its news are older by this. */
+const STALE_MARGIN_MS = 900;
 const TICK_MS = 200;
 /** After the rush of a start. */
 const METRICS_DELAY_MS = 5000;
@@ -348,7 +351,9 @@
 
   #followers(): TopicFollower[] {
     const isReader = (): boolean => this.#exchange.rank() !== undefined;
-    const { operatorTopic, serverTopic } = this.#options;
+    const { operatorTopic, serverTopic, settings } = this.#options;
+    const operatorWaitMs = OPERATOR_WAIT_PART * settings.convergeMs;
+    const serverPauseMs = SERVER_PAUSE_PART * settings.drainMs;
     return [
       new TopicFollower({
         ...this.#options,
@@ -356,9 +361,9 @@
         name: "operators",
         source: operatorTopic,
         mirror: this.#mirrors.operators,
-        waitMs: OPERATOR_WAIT_MS,
+        waitMs: operatorWaitMs,
         pauseMs: 0,
-        staleMs: STALE_MS.operators,
+        staleMs: operatorWaitMs + STALE_MARGIN_MS,
       }),
       new TopicFollower({
         ...this.#options,
@@ -367,8 +372,8 @@
         source: serverTopic,
         mirror: this.#mirrors.servers,
         waitMs: 0,
-        pauseMs: SERVER_PAUSE_MS,
-        staleMs: STALE_MS.servers,
+        pauseMs: serverPauseMs,
+        staleMs: serverPauseMs + STALE_MARGIN_MS,
       }),
     ];
   }
--- a/src/gateway/peer_exchange.ts
+++ b/src/gateway/peer_exchange.ts
@@ -6,6 +6,7 @@
  * between regions, and a VM that the store turns away learns all the same.
  */
 import {
+  isEnded,
   presentMembers,
   type ReaderCandidate,
   readersOf,
@@ -184,7 +185,7 @@
     });
   }
 
-  /** Tallies go to readers only: a reader's all, another VM's own. */
+  /** While it matters, tallies go to readers: a reader's all, others' own. */
   #rolloutNewsFor(vm: string): RolloutNews[] {
     const { book, clock } = this.#options;
     const readers = this.readers().map((reader) => reader.vm);
@@ -203,7 +204,7 @@
         fault: rollout.fault ?? null,
         stage: rollout.stage ?? null,
         isStageKnown: rollout.isStageKnown,
-        tallies: isForReader ? all : [],
+        tallies: isForReader && !isEnded(rollout.stage) ? all : [],
       };
     });
   }
--- a/src/gateway/rollout_book.ts
+++ b/src/gateway/rollout_book.ts
@@ -4,6 +4,7 @@
  * appears, since its order may still be on its way.
  */
 import {
+  isEnded,
   isFirstHalf,
   type OrderedRollout,
   targetShare,
@@ -82,9 +83,7 @@
     if (rollout === undefined) return;
     if (rollout.order.offset !== status.orderOffset) return;
     if (rollout.stage === status.stage) return;
-    const isEnded = rollout.stage === "completed" ||
-      rollout.stage === "reverted";
-    if (isEnded) return;
+    if (isEnded(rollout.stage)) return;
     rollout.stage = status.stage;
     if (status.stage === "reverted") rollout.fault ??= "reverted";
     this.#options.logger.info("roll-out stage", {
--- a/src/gateway/rollout_duty.ts
+++ b/src/gateway/rollout_duty.ts
@@ -6,7 +6,7 @@
  * written again, so two writers cannot contradict each other.
  */
 import { type Result } from "neverthrow";
-import { dueStage } from "../decision/mod.ts";
+import { dueStage, isEnded } from "../decision/mod.ts";
 import {
   type Clock,
   type Logger,
@@ -135,7 +135,3 @@
     this.#notBeforeMs = this.#options.clock() + RETRY_MS;
   }
 }
-
-function isEnded(stage: RolloutStage | undefined): boolean {
-  return stage === "completed" || stage === "reverted";
-}
