--- /dev/null
+++ b/src/gateway/gateway_test.ts
@@ -0,0 +1,167 @@
+/** Tests of whole gateways: readiness, news between VMs, and shutdown. */
+import assert from "node:assert/strict";
+import { setTimeout as delay } from "node:timers/promises";
+import { test, type TestContext } from "node:test";
+import { routeOf } from "../decision/manifest_fixture.ts";
+import {
+  answerWhole,
+  type BackendHandler,
+  call,
+  LOOKUP_ROUTE,
+  MemoryTopic,
+  startBackend,
+  startGateway,
+  type TestBackend,
+  type TestGateway,
+  untilReady,
+} from "./gateway_fixture.ts";
+
+const MANIFEST = { routes: [LOOKUP_ROUTE] };
+
+async function backendOf(
+  context: TestContext,
+  handler: BackendHandler = answerWhole,
+): Promise<TestBackend> {
+  const backend = await startBackend("server", handler);
+  context.after(() => backend.close());
+  return backend;
+}
+
+function endWith(context: TestContext, ...gateways: TestGateway[]): void {
+  context.after(async () => {
+    await Promise.all(gateways.map(({ gateway }) => gateway.stop()));
+  });
+}
+
+async function until(isDone: () => boolean, limitMs = 5000): Promise<void> {
+  const endMs = performance.now() + limitMs;
+  while (!isDone()) {
+    if (performance.now() > endMs) throw new Error("the state never came");
+    await delay(10);
+  }
+}
+
+test("a VM that knows no manifest asks callers to come back", async (context) => {
+  const operators = new MemoryTopic();
+  operators.isDown = true;
+  const gateway = await startGateway({ operators });
+  endWith(context, gateway);
+  assert.equal(gateway.gateway.isReady(), false);
+  const answer = await call(gateway.callerAddress, { path: "/lookups/a" });
+  assert.equal(answer.status, 503);
+  assert.ok(Number(answer.headers["retry-after"]) > 0);
+});
+
+test("a VM that the store turns away learns from another one", async (context) => {
+  const backend = await backendOf(context);
+  const first = await startGateway({
+    backends: [backend],
+    manifest: MANIFEST,
+  });
+  await untilReady(first);
+  const [operators, servers] = [new MemoryTopic(), new MemoryTopic()];
+  operators.isDown = true;
+  servers.isDown = true;
+  const second = await startGateway({
+    vm: "vm-2",
+    operators,
+    servers,
+    seeds: [first.peerAddress],
+  });
+  endWith(context, first, second);
+  await untilReady(second);
+  const answer = await call(second.callerAddress, { path: "/lookups/a" });
+  assert.equal(answer.body, "whole");
+
+  // A manifest that takes the route away is in force there as well.
+  const routes = [routeOf({ pathPrefix: "/elsewhere/" })];
+  first.operators.put("manifest", {
+    ...MANIFEST,
+    version: 9,
+    services: [],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 4_194_304,
+      headerTimeoutMs: 3000,
+      idleTimeoutMs: 15_000,
+    },
+    routes,
+  });
+  const refusedAt = async (): Promise<number> =>
+    (await call(second.callerAddress, { path: "/lookups/a" })).status;
+  const endMs = performance.now() + 2500;
+  while (await refusedAt() !== 404) {
+    assert.ok(performance.now() < endMs, "not in force in time");
+    await delay(50);
+  }
+});
+
+test("an older manifest changes nothing", async (context) => {
+  const backend = await backendOf(context);
+  const gateway = await startGateway({
+    backends: [backend],
+    manifest: { ...MANIFEST, version: 5 },
+  });
+  endWith(context, gateway);
+  await untilReady(gateway);
+  gateway.operators.put("manifest", { version: 4, routes: [] });
+  await delay(300);
+  const answer = await call(gateway.callerAddress, { path: "/lookups/a" });
+  assert.equal(answer.status, 200);
+});
+
+test("a server that drains gets no new work, also without a connection lost", async (context) => {
+  const backend = await backendOf(context);
+  const gateway = await startGateway({
+    backends: [backend],
+    manifest: MANIFEST,
+  });
+  endWith(context, gateway);
+  await untilReady(gateway);
+  const draining = { ...backend.server, status: "draining" };
+  gateway.servers.put(backend.server.id, draining);
+  await delay(1200);
+  const answer = await call(gateway.callerAddress, { path: "/lookups/a" });
+  assert.equal(answer.status, 503);
+  assert.equal(backend.seenIds.length, 0);
+});
+
+test("told to stop, a VM is not handed out, serves on, then refuses", async (context) => {
+  const backend = await backendOf(context);
+  const gateway = await startGateway({
+    backends: [backend],
+    manifest: MANIFEST,
+    settings: { graceMs: 4000, entryMaxAgeMs: 200 },
+  });
+  await untilReady(gateway);
+  const { callerAddress } = gateway;
+  const addresses = (): string[] =>
+    gateway.gateway.entryAddresses({ place: "khomas-a" });
+  assert.deepEqual(addresses(), [callerAddress]);
+  const stopped = gateway.gateway.stop();
+  await until(() => addresses().length === 0);
+  assert.equal(gateway.gateway.isReady(), false);
+  const served = await call(callerAddress, { path: "/lookups/a" });
+  assert.equal(served.status, 200);
+  assert.equal(served.headers["connection"], "close");
+  await stopped;
+  await assert.rejects(call(callerAddress, { path: "/lookups/a" }));
+});
+
+test("a request in progress is finished before a VM ends", async (context) => {
+  const backend = await backendOf(context, (request, response) => {
+    setTimeout(() => answerWhole(request, response), 1200);
+  });
+  const gateway = await startGateway({
+    backends: [backend],
+    manifest: { routes: [{ ...LOOKUP_ROUTE, maxAttempts: 1 }] },
+    settings: { graceMs: 5000 },
+  });
+  await untilReady(gateway);
+  const sent = call(gateway.callerAddress, { path: "/lookups/a" });
+  await delay(50);
+  await gateway.gateway.stop();
+  const answer = await sent;
+  assert.equal(answer.body, "whole");
+  assert.ok(answer.isComplete);
+});
