--- /dev/null
+++ b/src/gateway/forward_log.ts
@@ -0,0 +1,68 @@
+/** The log lines and figures of one request on its way. */
+import { type FleetCandidate } from "./backend_fleet.ts";
+import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
+
+const PERCENT = 100;
+
+/** Where a request stands when a line is written. */
+export interface LoggedPosition {
+  readonly model: string | undefined;
+  readonly version: string | undefined;
+  /** What came of each try so far. */
+  readonly trail: readonly string[];
+}
+
+/** A server was chosen. */
+export function logChoice(
+  { logger, clock }: ForwardContext,
+  { caller, route, manifestVersion, receivedAtMs }: ForwardRequest,
+  choice: LoggedPosition & {
+    readonly candidate: FleetCandidate;
+    readonly tryCount: number;
+  },
+): void {
+  const { server, loadCount, waitMs, failureShare } = choice.candidate;
+  logger.info("request sent", {
+    request: caller.id,
+    try: choice.tryCount,
+    cause: choice.trail.at(-1),
+    route: route.name,
+    server: server.id,
+    version: server.version,
+    model: choice.model ?? caller.model,
+    loadCount,
+    waitMs: Math.round(waitMs),
+    failurePercent: Math.round(failureShare * PERCENT),
+    manifestVersion,
+    ageMs: Math.round(clock() - receivedAtMs),
+  });
+}
+
+/** The caller has its final answer, or is gone. */
+export function logEnd(
+  { logger, clock, metrics }: ForwardContext,
+  request: ForwardRequest,
+  end: LoggedPosition & { readonly outcome: string; readonly status: number },
+): void {
+  const { caller, route, service, workspace, manifestVersion } = request;
+  const { outcome, status } = end;
+  const durationMs = clock() - request.receivedAtMs;
+  metrics.count("requests", { route: route.name, outcome, status });
+  if (workspace !== undefined) {
+    metrics.count("workspace_requests", { workspace: workspace.name, status });
+  }
+  metrics.time("request_ms", durationMs, { route: route.name });
+  logger.info("request ended", {
+    request: caller.id,
+    outcome,
+    status,
+    route: route.name,
+    service,
+    workspace: workspace?.name,
+    model: end.model,
+    version: end.version,
+    manifestVersion,
+    trail: end.trail.join(" "),
+    durationMs: Math.round(durationMs),
+  });
+}
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -5,30 +5,22 @@
  * stream goes on at another server where it broke off. Each request gets its
  * final answer as soon as it is known.
  */
-import {
-  chooseBackend,
-  firstModel,
-  type HealthEvent,
-  nextModel,
-} from "../decision/mod.ts";
+import { firstModel, type HealthEvent, nextModel } from "../decision/mod.ts";
 import { type FleetCandidate } from "./backend_fleet.ts";
 import { type CallerExchange, type WholeAnswer } from "./caller_exchange.ts";
 import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
+import { logChoice, logEnd, type LoggedPosition } from "./forward_log.ts";
 import { firstBytePatienceMs, gapPatienceMs } from "./patience.ts";
 import { type AnswerHead } from "./protocol.ts";
 import { type RepeatReason } from "./repeat_budget.ts";
+import { chooseForRequest } from "./request_choice.ts";
 import { ServerTry, type TryOutcome } from "./server_try.ts";
 import { StreamRelay } from "./stream_relay.ts";
 
 /** Tries beyond the route's attempts, for servers that were never reached. */
 const SPARE_TRIES = 2;
-const PERCENT = 100;
 /** With less time left another server is not worth asking. */
 const LEAST_TRY_MS = 20;
-/** What one more request costs an engine's other requests. */
-const ENGINE_LOAD_STEP_MS = 40;
-/** A stream and its prompt send that much more over a distance. */
-const STREAM_DISTANCE_FACTOR = 3;
 /** Bounds of the time after which a refused caller may come back. */
 const RETURN_MS = { least: 300, most: 1000 } as const;
 
@@ -92,7 +84,11 @@
     const { caller, route, workspace, body } = this.#request;
     this.#tryCount += 1;
     this.#triedIds.add(server.id);
-    this.#logChoice(candidate);
+    logChoice(this.#context, this.#request, {
+      ...this.#position(),
+      candidate,
+      tryCount: this.#tryCount,
+    });
     this.#try = new ServerTry({
       context: this.#context,
       server,
@@ -119,34 +115,11 @@
   }
 
   #choose(): FleetCandidate | undefined {
-    const { fleet, distanceMs, random } = this.#context;
-    const { caller, service } = this.#request;
-    const shared = sharedPartOf(this.#request);
-    const query = {
-      service,
+    return chooseForRequest(this.#context, this.#request, {
       acceptsVersion: this.#acceptsVersion,
-      mayProbe: this.#isRepeatable(),
-    };
-    const untried = fleet.candidates({ ...query, excludedIds: this.#triedIds });
-    const candidates = untried.length > 0
-      ? untried
-      : fleet.candidates({ ...query, excludedIds: new Set() });
-    const workMs = fleet.workMsOf(service);
-    const slotCount = candidates[0]?.slotCount ?? 1;
-    const isEngine = caller.promptTokens > 0;
-    return chooseBackend(candidates, {
-      distanceMs: (place) =>
-        distanceMs(place) * (isEngine ? STREAM_DISTANCE_FACTOR : 1),
-      loadStepMs: isEngine
-        ? ENGINE_LOAD_STEP_MS
-        : workMs / Math.max(1, slotCount),
-      workMs,
-      affinityKey: shared === undefined
-        ? undefined
-        : `${shared.id} ${this.#model ?? caller.model ?? ""}`,
-      sharedTokens: shared?.tokens ?? 0,
-      isRetriable: this.#isRepeatable(),
-      random,
+      triedIds: this.#triedIds,
+      model: this.#model,
+      isRepeatable: this.#isRepeatable(),
     });
   }
 
@@ -311,26 +284,6 @@
     this.#exchange.refuse({ status: 503, reason, retryAfterMs });
   }
 
-  #logChoice(
-    { server, loadCount, waitMs, failureShare }: FleetCandidate,
-  ): void {
-    const { caller, route, manifestVersion } = this.#request;
-    this.#context.logger.info("request sent", {
-      request: caller.id,
-      try: this.#tryCount,
-      cause: this.#trail.at(-1),
-      route: route.name,
-      server: server.id,
-      version: server.version,
-      model: this.#model ?? caller.model,
-      loadCount,
-      waitMs: Math.round(waitMs),
-      failurePercent: Math.round(failureShare * PERCENT),
-      manifestVersion,
-      timeLeftMs: Math.round(this.#timeLeftMs()),
-    });
-  }
-
   #cancelTry(event: HealthEvent | undefined): void {
     this.#try?.cancel(event);
   }
@@ -339,44 +292,21 @@
     clearTimeout(this.#deadlineTimer);
     clearTimeout(this.#patienceTimer);
     this.#cancelTry(undefined);
-    const { caller, route, service, workspace, manifestVersion } =
-      this.#request;
-    const { clock, logger, metrics } = this.#context;
-    const durationMs = clock() - this.#request.receivedAtMs;
-    const { status } = this.#exchange;
-    metrics.count("requests", { route: route.name, outcome, status });
-    metrics.time("request_ms", durationMs, { route: route.name });
-    logger.info("request ended", {
-      request: caller.id,
+    logEnd(this.#context, this.#request, {
+      ...this.#position(),
       outcome,
-      status,
-      route: route.name,
-      service,
-      workspace: workspace?.name,
-      model: this.#model,
-      version: this.#try?.server.version,
-      manifestVersion,
-      trail: this.#trail.join(" "),
-      durationMs: Math.round(durationMs),
+      status: this.#exchange.status,
     });
   }
 
+  #position(): LoggedPosition {
+    const version = this.#try?.server.version;
+    return { model: this.#model, version, trail: this.#trail };
+  }
+
   #timeLeftMs(): number {
     const { caller, route, receivedAtMs } = this.#request;
     const limitMs = Math.min(caller.deadlineMs ?? Infinity, route.timeoutMs);
     return receivedAtMs + limitMs - this.#context.clock();
   }
 }
-
-/** The longest run of a prompt that other requests share. */
-function sharedPartOf(
-  { caller }: ForwardRequest,
-): { readonly id: string; readonly tokens: number } | undefined {
-  const parts = caller.promptParts;
-  const last = parts.length > 2 ? parts.slice(0, -1) : parts;
-  const key = last.at(-1);
-  if (key === undefined) return undefined;
-  let tokens = 0;
-  for (const part of last) tokens += part.tokens;
-  return { id: key.id, tokens };
-}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,7 +3,6 @@
  * the other VMs, and the way of a request between them. Everything that differs
  * between platforms is passed in.
  */
-import { type Result } from "neverthrow";
 import {
   acceptsNewWork,
   applyShutdown,
@@ -12,99 +11,34 @@
   type ShutdownEvent,
   type ShutdownState,
 } from "../decision/mod.ts";
-import {
-  type BackendServer,
-  type Clock,
-  type Logger,
-  type Manifest,
-  noMetrics,
-  type Random,
-  type RolloutOrder,
-  type RolloutStatus,
-  type Sleep,
-} from "../model/mod.ts";
-import {
-  createPeerNode,
-  NO_BILLS,
-  NO_RECORDS,
-  type PeerNode,
-} from "../wire/mod.ts";
+import { type PeerNode } from "../wire/mod.ts";
 import { BackendFleet } from "./backend_fleet.ts";
 import { type OwnAnswer } from "./caller_exchange.ts";
 import { CallerServer, type ReceivedRequest } from "./caller_server.ts";
 import { type ForwardContext } from "./forward_context.ts";
 import { Forwarding } from "./forwarding.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
-import { type GatewaySettings } from "./gateway_settings.ts";
+import { type GatewayOptions } from "./gateway_options.ts";
+import { distances, openPeers, splitAddress } from "./gateway_peers.ts";
 import { GatewayState } from "./gateway_state.ts";
 import { PeerExchange } from "./peer_exchange.ts";
-import { type TopicName } from "./peer_news.ts";
 import { PrefillRates } from "./prefill_rates.ts";
-import { type CallerRequest, type GatewayProtocol } from "./protocol.ts";
+import { type CallerRequest } from "./protocol.ts";
 import { RepeatBudget } from "./repeat_budget.ts";
 import { admitRequest, type AllowedRequest } from "./request_gate.ts";
 import { RolloutBook } from "./rollout_book.ts";
 import { RolloutDuty } from "./rollout_duty.ts";
-import { type MirrorChange, StoreMirror } from "./store_mirror.ts";
-import {
-  type StoreFault,
-  type StoreRecord,
-  type TopicSource,
-} from "./store_record.ts";
-import { TopicFollower } from "./topic_follower.ts";
+import { StoreFeed } from "./store_feed.ts";
 
-/** What operators write into the store. */
-export type OperatorRecord =
-  | { readonly kind: "manifest"; readonly manifest: Manifest }
-  | { readonly kind: "order"; readonly order: RolloutOrder };
-
-/** What a gateway is made of. */
-export interface GatewayOptions {
-  readonly settings: GatewaySettings;
-  readonly protocol: GatewayProtocol;
-  readonly operatorTopic: TopicSource;
-  readonly serverTopic: TopicSource;
-  readonly statusTopic: TopicSource;
-  readonly readOperatorRecord: (
-    record: StoreRecord,
-  ) => OperatorRecord | undefined;
-  readonly readServer: (record: StoreRecord) => BackendServer | undefined;
-  readonly readStatus: (record: StoreRecord) => RolloutStatus | undefined;
-  /** Writes a status if the topic still ends at the offset. */
-  readonly appendStatus: (
-    status: RolloutStatus,
-    offset: number,
-  ) => Promise<Result<number, StoreFault>>;
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly sleep: Sleep;
-  readonly logger: Logger;
-}
-
-/**
- * Of the time within which a manifest is in force, how long one poll waits, and
- * of the time within which a server that leaves gets nothing, how long the
- * reader rests between two reads of entries that change all the time.
- */
-const OPERATOR_WAIT_PART = 0.5;
-const SERVER_PAUSE_PART = 0.3;
-/** A VM that is no reader reads for itself when its news are older by this. */
-const STALE_MARGIN_MS = 900;
 const TICK_MS = 200;
 /** After the rush of a start. */
 const METRICS_DELAY_MS = 5000;
-/** An order is new when the store was read just before. */
-const NEW_ORDER_MS = 4000;
 /** The most addresses that a caller is given; drawn by the room that VMs have. */
 const MAX_ENTRIES = 4;
 /** VMs of other data centres are named where a caller's own has fewer. */
 const LEAST_ENTRIES = 2;
 const LOAD_MAX_AGE_MS = 10_000;
 const LOAD_PERIOD_MS = 1000;
-const PROBE_PERIOD_MS = 500;
-/** The way to another data centre of the region, and to another region. */
-const NEAR_MS = 8;
-const FAR_MS = 80;
 /** Some callers keep an address for several times its age. */
 const KEPT_AGES = 3;
 /** How long other VMs may go on naming one that leaves. */
@@ -122,7 +56,7 @@
   readonly #state: GatewayState;
   readonly #rollouts: RolloutBook;
   readonly #duty: RolloutDuty;
-  readonly #mirrors: Readonly<Record<TopicName, StoreMirror>>;
+  readonly #feed: StoreFeed;
   readonly #exchange: PeerExchange;
   readonly #callers: CallerServer;
   readonly #peers: PeerNode;
@@ -147,12 +81,18 @@
       clock,
       logger,
     });
-    this.#mirrors = this.#openMirrors();
+    this.#feed = new StoreFeed({
+      gateway: options,
+      state: this.#state,
+      book: this.#rollouts,
+      isReader: () => this.#exchange.rank() !== undefined,
+      onTaken: () => this.#announceReady(),
+    });
     this.#exchange = new PeerExchange({
       ...options,
       vm: settings.vm,
       node: () => this.#peers,
-      mirrors: this.#mirrors,
+      mirrors: this.#feed.mirrors,
       book: this.#rollouts,
       fleet: this.#fleet,
     });
@@ -201,7 +141,7 @@
       logger.error("no peers", { reason: joined.error.message });
     }
     const { signal } = this.#ending;
-    for (const follower of this.#followers()) void follower.run(signal);
+    this.#feed.run(signal);
     void this.#exchange.run(signal);
     void this.#tick(signal);
     void this.#tellLoad(signal);
@@ -314,7 +254,7 @@
         status: admitted.status,
         reason: admitted.reason,
         manifestVersion: this.#state.routes?.manifest.version,
-        manifestAgeMs: Math.round(this.#mirrors.operators.ageMs),
+        manifestAgeMs: Math.round(this.#feed.mirrors.operators.ageMs),
       });
       exchange.refuse(admitted);
       return undefined;
@@ -333,82 +273,6 @@
     return { status: 503, reason: "leaving", retryAfterMs };
   }
 
-  #openMirrors(): Record<TopicName, StoreMirror> {
-    const { clock, readServer } = this.#options;
-    return {
-      operators: new StoreMirror({
-        clock,
-        isSame: (a, b) => a.equals(b),
-        onChange: (change) => this.#takeOperatorRecords(change),
-      }),
-      servers: new StoreMirror({
-        clock,
-        isSame: (a, b) => isSameServer(readServer, a, b),
-        onChange: (change) => this.#takeServerRecords(change),
-      }),
-    };
-  }
-
-  #followers(): TopicFollower[] {
-    const isReader = (): boolean => this.#exchange.rank() !== undefined;
-    const { operatorTopic, serverTopic, settings } = this.#options;
-    const operatorWaitMs = OPERATOR_WAIT_PART * settings.convergeMs;
-    const serverPauseMs = SERVER_PAUSE_PART * settings.drainMs;
-    return [
-      new TopicFollower({
-        ...this.#options,
-        isReader,
-        name: "operators",
-        source: operatorTopic,
-        mirror: this.#mirrors.operators,
-        waitMs: operatorWaitMs,
-        pauseMs: 0,
-        staleMs: operatorWaitMs + STALE_MARGIN_MS,
-      }),
-      new TopicFollower({
-        ...this.#options,
-        isReader,
-        name: "servers",
-        source: serverTopic,
-        mirror: this.#mirrors.servers,
-        waitMs: 0,
-        pauseMs: serverPauseMs,
-        staleMs: serverPauseMs + STALE_MARGIN_MS,
-      }),
-    ];
-  }
-
-  #takeOperatorRecords({ records }: MirrorChange): void {
-    const isRunning = this.#state.routes !== undefined &&
-      this.#mirrors.operators.ageMs < NEW_ORDER_MS;
-    for (const record of records) {
-      const read = this.#options.readOperatorRecord(record);
-      if (read?.kind === "manifest") this.#state.takeManifest(read.manifest);
-      if (read?.kind === "order") {
-        this.#rollouts.takeOrder(read.order, isRunning);
-      }
-    }
-    this.#announceReady();
-  }
-
-  #takeServerRecords({ records, isAfterOutage }: MirrorChange): void {
-    if (isAfterOutage) this.#state.changeRoster({ kind: "store_returned" });
-    this.#state.changeRoster({
-      kind: "changed",
-      records: records.map((record) => ({
-        id: record.key,
-        server: this.#options.readServer(record),
-        offset: record.offset,
-      })),
-    });
-    const services = new Set<string>();
-    for (const { server } of this.#state.roster.entries.values()) {
-      services.add(server.service);
-    }
-    this.#rollouts.noteVersions(services);
-    this.#announceReady();
-  }
-
   #announceReady(): void {
     if (!this.#state.isComplete) return;
     const { callerAddress } = this.#options.settings;
@@ -445,56 +309,3 @@
     }
   }
 }
-
-/** Heartbeats change an entry's bytes and nothing that is used of it. */
-function isSameServer(
-  readServer: GatewayOptions["readServer"],
-  a: Buffer,
-  b: Buffer,
-): boolean {
-  if (a.equals(b)) return true;
-  const [first, second] = [a, b].map((value) =>
-    readServer({ key: "", value, offset: 0 })
-  );
-  return JSON.stringify(first) === JSON.stringify(second);
-}
-
-function openPeers(options: GatewayOptions, exchange: PeerExchange): PeerNode {
-  const { settings, clock, random, sleep, logger } = options;
-  const [listenHost, listenPort] = splitAddress(settings.peerAddress);
-  return createPeerNode({
-    vm: settings.vm,
-    place: settings.place,
-    address: "",
-    listenHost,
-    listenPort,
-    deployment: "gateway",
-    sharedKey: "gateway",
-    seeds: settings.seeds,
-    membership: { periodMs: PROBE_PERIOD_MS, directTimeoutMs: 200 },
-    records: NO_RECORDS,
-    bills: NO_BILLS,
-    exchange: (vm, news) => exchange.answer(vm, news),
-    clock,
-    random,
-    sleep,
-    logger,
-    metrics: noMetrics,
-  });
-}
-
-function distances(settings: GatewaySettings): (place: string) => number {
-  const regions = new Map(
-    settings.places.map(({ place, region }) => [place, region]),
-  );
-  const own = regions.get(settings.place);
-  return (place) => {
-    if (place === settings.place) return 0;
-    return regions.get(place) === own ? NEAR_MS : FAR_MS;
-  };
-}
-
-function splitAddress(address: string): [string, number] {
-  const colon = address.lastIndexOf(":");
-  return [address.slice(0, colon), Number(address.slice(colon + 1))];
-}
--- a/src/gateway/gateway_fixture.ts
+++ b/src/gateway/gateway_fixture.ts
@@ -19,7 +19,8 @@
   silentLogger,
 } from "../model/mod.ts";
 import { processEffects } from "../client/effects.ts";
-import { Gateway, type GatewayOptions } from "./gateway.ts";
+import { Gateway } from "./gateway.ts";
+import { type GatewayOptions } from "./gateway_options.ts";
 import { type GatewayProtocol } from "./protocol.ts";
 import {
   type StoreFault,
--- /dev/null
+++ b/src/gateway/gateway_options.ts
@@ -0,0 +1,47 @@
+/** What a gateway is made of; all that differs between platforms. */
+import { type Result } from "neverthrow";
+import {
+  type BackendServer,
+  type Clock,
+  type Logger,
+  type Manifest,
+  type Random,
+  type RolloutOrder,
+  type RolloutStatus,
+  type Sleep,
+} from "../model/mod.ts";
+import { type GatewaySettings } from "./gateway_settings.ts";
+import { type GatewayProtocol } from "./protocol.ts";
+import {
+  type StoreFault,
+  type StoreRecord,
+  type TopicSource,
+} from "./store_record.ts";
+
+/** What operators write into the store. */
+export type OperatorRecord =
+  | { readonly kind: "manifest"; readonly manifest: Manifest }
+  | { readonly kind: "order"; readonly order: RolloutOrder };
+
+/** What a gateway is made of. */
+export interface GatewayOptions {
+  readonly settings: GatewaySettings;
+  readonly protocol: GatewayProtocol;
+  readonly operatorTopic: TopicSource;
+  readonly serverTopic: TopicSource;
+  readonly statusTopic: TopicSource;
+  readonly readOperatorRecord: (
+    record: StoreRecord,
+  ) => OperatorRecord | undefined;
+  readonly readServer: (record: StoreRecord) => BackendServer | undefined;
+  readonly readStatus: (record: StoreRecord) => RolloutStatus | undefined;
+  /** Writes a status if the topic still ends at the offset. */
+  readonly appendStatus: (
+    status: RolloutStatus,
+    offset: number,
+  ) => Promise<Result<number, StoreFault>>;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly sleep: Sleep;
+  readonly logger: Logger;
+}
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -8,6 +8,7 @@
 export * from "./forwarding.ts";
 export * from "./gateway.ts";
 export * from "./gateway_metrics.ts";
+export * from "./gateway_options.ts";
 export * from "./gateway_settings.ts";
 export * from "./gateway_state.ts";
 export * from "./json_logger.ts";
