--- a/src/gateway/forwarding_test.ts
+++ b/src/gateway/forwarding_test.ts
@@ -117,6 +117,17 @@
   assert.equal((await send({})).body, eventsOf(1, 3));
 });
 
+test("a stream of which nothing is left has the server's head all the same", async (context) => {
+  const { send } = await setUp(context, [(request, response) => {
+    beginStream(request, response);
+    response.end();
+  }]);
+  const answer = await send({ headers: { "test-last": "6" } });
+  assert.equal(answer.status, 200);
+  assert.equal(answer.headers["test-signature"], "signed");
+  assert.equal(answer.body, "");
+});
+
 test("a request that may not be repeated is not, after a reset", async (context) => {
   const reset: BackendHandler = (_request, response) => response.destroy();
   const { send, backends } = await setUp(context, [reset, reset]);
--- a/src/gateway/stream_relay.ts
+++ b/src/gateway/stream_relay.ts
@@ -65,10 +65,12 @@
    * only closed its connection, a caller that was promised an end gets none.
    */
   end(server: AnswerHead): void {
+    // A stream without a further event has attached no server.
+    this.#head ??= server;
     const { rest } = this.#splitter;
     if (rest.length > 0) this.#write(rest);
     this.#begin();
-    if (this.#head?.isFramed === true && !server.isFramed) {
+    if (this.#head.isFramed && !server.isFramed) {
       return this.#exchange.breakOff();
     }
     this.#exchange.end();
