--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -109,7 +109,7 @@
       onOutcome: (outcome) => this.#settle(outcome),
     });
     this.#armPatience(firstBytePatienceMs(route, {
-      meanMs: this.#context.fleet.workMsOf(`${this.#request.service}`),
+      meanMs: this.#context.fleet.workMsOf(this.#request.service),
       promptTokens: caller.promptTokens,
     }));
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -245,17 +245,8 @@
       ? { status: 400, reason: caller }
       : this.#admit(caller);
     if ("status" in admitted) {
-      this.#metrics.count("refused", {
-        status: admitted.status,
-        reason: admitted.reason,
-      });
-      this.#options.logger.info("request refused", {
-        request: typeof caller === "string" ? undefined : caller.id,
-        status: admitted.status,
-        reason: admitted.reason,
-        manifestVersion: this.#state.routes?.manifest.version,
-        manifestAgeMs: Math.round(this.#feed.mirrors.operators.ageMs),
-      });
+      const requestId = typeof caller === "string" ? undefined : caller.id;
+      this.#noteRefusal(admitted, requestId);
       exchange.refuse(admitted);
       return undefined;
     }
@@ -273,6 +264,21 @@
     return { status: 503, reason: "leaving", retryAfterMs };
   }
 
+  #noteRefusal(
+    { status, reason }: OwnAnswer,
+    requestId: string | undefined,
+  ): void {
+    this.#metrics.count("refused", { status, reason });
+    const { ageMs } = this.#feed.mirrors.operators;
+    this.#options.logger.info("request refused", {
+      request: requestId,
+      status,
+      reason,
+      manifestVersion: this.#state.routes?.manifest.version,
+      manifestAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
+    });
+  }
+
   #announceReady(): void {
     if (!this.#state.isComplete) return;
     const { callerAddress } = this.#options.settings;
