--- a/src/decision/manifest_fixture.ts
+++ b/src/decision/manifest_fixture.ts
@@ -10,7 +10,7 @@
   return {
     name: "drafts",
     host: "api.example",
-    pathPrefix: "/drafts/",
+    routePrefix: "/drafts/",
     kind: "streaming",
     timeoutMs: 25_000,
     targetMs: 3000,
--- a/src/decision/route_table.ts
+++ b/src/decision/route_table.ts
@@ -21,7 +21,7 @@
     this.manifest = manifest;
     for (const route of manifest.routes) {
       const byPrefix = this.#routes.get(route.host) ?? new Map();
-      byPrefix.set(route.pathPrefix, route);
+      byPrefix.set(route.routePrefix, route);
       this.#routes.set(route.host, byPrefix);
     }
     for (const workspace of manifest.workspaces ?? []) {
--- a/src/decision/route_table_test.ts
+++ b/src/decision/route_table_test.ts
@@ -6,9 +6,9 @@
 
 const table = new RouteTable(manifestOf({
   routes: [
-    routeOf({ name: "outer", pathPrefix: "/a/" }),
-    routeOf({ name: "inner", pathPrefix: "/a/b/" }),
-    routeOf({ name: "other", host: "other.example", pathPrefix: "/" }),
+    routeOf({ name: "outer", routePrefix: "/a/" }),
+    routeOf({ name: "inner", routePrefix: "/a/b/" }),
+    routeOf({ name: "other", host: "other.example", routePrefix: "/" }),
   ],
 }));
 
--- /dev/null
+++ b/src/gateway/backend_fixture.ts
@@ -0,0 +1,94 @@
+/** Backend servers on loopback ports for tests, which do as the test says. */
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
+import { type AddressInfo } from "node:net";
+import { serverOf } from "../decision/manifest_fixture.ts";
+import { type BackendServer } from "../model/mod.ts";
+
+const HOST = "127.0.0.1";
+
+/** Handles one request at a backend server. */
+export type BackendHandler = (
+  request: IncomingMessage,
+  response: ServerResponse,
+) => void;
+
+/** A backend server on a loopback port. */
+export interface TestBackend {
+  readonly server: BackendServer;
+  /** Ids of the requests that reached it, in order. */
+  readonly seenIds: readonly string[];
+  /** Headers of the requests that reached it. */
+  readonly seenHeaders: readonly IncomingMessage["headers"][];
+  readonly close: () => Promise<void>;
+}
+
+/** Starts a backend server. */
+export async function startBackend(
+  id: string,
+  handler: BackendHandler,
+  fields: Partial<BackendServer> = {},
+): Promise<TestBackend> {
+  const seenIds: string[] = [];
+  const seenHeaders: IncomingMessage["headers"][] = [];
+  const http = createServer((request, response) => {
+    seenIds.push(String(request.headers["test-id"]));
+    seenHeaders.push(request.headers);
+    request.resume();
+    handler(request, response);
+  });
+  await new Promise<void>((resolve) => http.listen(0, HOST, resolve));
+  const { port } = http.address() as AddressInfo;
+  return {
+    server: serverOf(id, { address: `${HOST}:${port}`, ...fields }),
+    seenIds,
+    seenHeaders,
+    close: () =>
+      new Promise((resolve) => {
+        http.close(() => resolve());
+        http.closeAllConnections();
+      }),
+  };
+}
+
+/** An answer with a length and a signature. */
+export function answerWhole(
+  request: IncomingMessage,
+  response: ServerResponse,
+  body = "whole",
+): void {
+  response.writeHead(200, {
+    "test-id": String(request.headers["test-id"]),
+    "test-signature": "signed",
+    "content-length": String(body.length),
+  });
+  response.end(body);
+}
+
+/** The head of a stream. */
+export function beginStream(
+  request: IncomingMessage,
+  response: ServerResponse,
+  headers: Record<string, string> = {},
+): void {
+  response.writeHead(200, {
+    "test-id": String(request.headers["test-id"]),
+    "test-signature": "signed",
+    ...headers,
+  });
+}
+
+/** One event of a stream. */
+export function eventOf(id: number): string {
+  return `id: ${id}\ndata: piece ${id}\n\n`;
+}
+
+/** Events from one number to another. */
+export function eventsOf(first: number, last: number): string {
+  let text = "";
+  for (let id = first; id <= last; id++) text += eventOf(id);
+  return text;
+}
--- a/src/gateway/caller_server_test.ts
+++ b/src/gateway/caller_server_test.ts
@@ -4,11 +4,13 @@
 import { test, type TestContext } from "node:test";
 import {
   answerWhole,
+  startBackend,
+  type TestBackend,
+} from "./backend_fixture.ts";
+import {
   call,
   LOOKUP_ROUTE,
-  startBackend,
   startGateway,
-  type TestBackend,
   type TestGateway,
   untilReady,
 } from "./gateway_fixture.ts";
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -5,7 +5,8 @@
  * stream goes on at another server where it broke off. Each request gets its
  * final answer as soon as it is known.
  */
-import { firstModel, type HealthEvent, nextModel } from "../decision/mod.ts";
+import { firstModel, nextModel } from "../decision/mod.ts";
+import { isRepeatable } from "../model/mod.ts";
 import { type FleetCandidate } from "./backend_fleet.ts";
 import { type CallerExchange, type WholeAnswer } from "./caller_exchange.ts";
 import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
@@ -119,7 +120,7 @@
       acceptsVersion: this.#acceptsVersion,
       triedIds: this.#triedIds,
       model: this.#model,
-      isRepeatable: this.#isRepeatable(),
+      isRepeatable: isRepeatable(this.#request.route),
     });
   }
 
@@ -169,7 +170,7 @@
     this.#note(outcome);
     switch (outcome.kind) {
       case "answer":
-        if (outcome.answer.status >= 500 && this.#isRepeatable()) {
+        if (outcome.answer.status >= 500 && isRepeatable(this.#request.route)) {
           this.#fallback = outcome.answer;
           return this.#repeat("backend_error");
         }
@@ -225,12 +226,8 @@
     if (this.#timeLeftMs() < LEAST_TRY_MS) return false;
     if (this.#tryCount >= route.maxAttempts + SPARE_TRIES) return false;
     if (this.#runCount === 0) return true;
-    return this.#isRepeatable() && this.#runCount < route.maxAttempts;
-  }
-
-  #isRepeatable(): boolean {
-    const { kind, isResumable } = this.#request.route;
-    return kind === "idempotent" || (kind === "streaming" && isResumable);
+    return isRepeatable(this.#request.route) &&
+      this.#runCount < route.maxAttempts;
   }
 
   /** The server has been silent for longer than usual. */
@@ -240,7 +237,7 @@
     const { maxAttempts } = this.#request.route;
     const wouldRun = this.#runCount + 1 < maxAttempts &&
       this.#tryCount < maxAttempts + SPARE_TRIES;
-    if (!wouldRun || !this.#isRepeatable()) return;
+    if (!wouldRun || !isRepeatable(this.#request.route)) return;
     if (this.#choose()?.id === server.server.id) return;
     if (!server.isUnsent && !this.#mayArriveAgain("failure")) return;
     const { metrics } = this.#context;
@@ -261,7 +258,7 @@
   #expire(): void {
     if (this.#exchange.isOver) return;
     const isSent = this.#sentCount > 0 || this.#try?.isUnsent === false;
-    this.#cancelTry(undefined);
+    this.#try?.cancel(undefined);
     if (this.#exchange.isBegun) this.#exchange.breakOff();
     else if (isSent) this.#exchange.refuse({ status: 504, reason: "timeout" });
     else this.#refuse("timeout");
@@ -284,14 +281,10 @@
     this.#exchange.refuse({ status: 503, reason, retryAfterMs });
   }
 
-  #cancelTry(event: HealthEvent | undefined): void {
-    this.#try?.cancel(event);
-  }
-
   #finish(outcome: string): void {
     clearTimeout(this.#deadlineTimer);
     clearTimeout(this.#patienceTimer);
-    this.#cancelTry(undefined);
+    this.#try?.cancel(undefined);
     logEnd(this.#context, this.#request, {
       ...this.#position(),
       outcome,
--- a/src/gateway/forwarding_test.ts
+++ b/src/gateway/forwarding_test.ts
@@ -7,16 +7,18 @@
   answerWhole,
   type BackendHandler,
   beginStream,
+  eventOf,
+  eventsOf,
+  startBackend,
+  type TestBackend,
+} from "./backend_fixture.ts";
+import {
   call,
   type CallerAnswer,
   type CallerCall,
-  eventOf,
-  eventsOf,
   LOOKUP_ROUTE,
   REGISTER_ROUTE,
-  startBackend,
   startGateway,
-  type TestBackend,
   type TestGateway,
   untilReady,
 } from "./gateway_fixture.ts";
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -23,6 +23,7 @@
 import { GatewayState } from "./gateway_state.ts";
 import { PeerExchange } from "./peer_exchange.ts";
 import { PrefillRates } from "./prefill_rates.ts";
+import { watchLoad } from "./process_load.ts";
 import { type CallerRequest } from "./protocol.ts";
 import { RepeatBudget } from "./repeat_budget.ts";
 import { admitRequest, type AllowedRequest } from "./request_gate.ts";
@@ -38,7 +39,6 @@
 /** VMs of other data centres are named where a caller's own has fewer. */
 const LEAST_ENTRIES = 2;
 const LOAD_MAX_AGE_MS = 10_000;
-const LOAD_PERIOD_MS = 1000;
 /** Some callers keep an address for several times its age. */
 const KEPT_AGES = 3;
 /** How long other VMs may go on naming one that leaves. */
@@ -144,7 +144,12 @@
     this.#feed.run(signal);
     void this.#exchange.run(signal);
     void this.#tick(signal);
-    void this.#tellLoad(signal);
+    void watchLoad({
+      ...this.#options,
+      coreShare: settings.coreShare,
+      metrics: this.#metrics,
+      onLoad: (loadShare) => this.#peers.setLoad(loadShare),
+    }, signal);
     void this.#loadMetrics(signal);
     logger.info("started", { callers: settings.callerAddress });
   }
@@ -287,20 +292,6 @@
     this.#options.logger.info("ready");
   }
 
-  /** Tells how much of a whole core is not to be had here. */
-  async #tellLoad(signal: AbortSignal): Promise<void> {
-    const coreShare = Math.min(1, this.#options.settings.coreShare);
-    let before = performance.eventLoopUtilization();
-    while (!signal.aborted) {
-      await this.#options.sleep(LOAD_PERIOD_MS, signal);
-      const now = performance.eventLoopUtilization();
-      const { utilization } = performance.eventLoopUtilization(now, before);
-      before = now;
-      this.#peers.setLoad(1 - coreShare * (1 - utilization));
-      this.#metrics.set("event_loop_busy_share", utilization);
-    }
-  }
-
   async #loadMetrics(signal: AbortSignal): Promise<void> {
     await this.#options.sleep(METRICS_DELAY_MS, signal);
     if (!signal.aborted) await this.#metrics.load();
--- a/src/gateway/gateway_fixture.ts
+++ b/src/gateway/gateway_fixture.ts
@@ -1,24 +1,19 @@
 /**
  * A gateway on loopback addresses for tests: a protocol with header names of
- * its own, backend servers that do as the test says, and a store in memory.
+ * its own, and a store in memory.
  */
-import {
-  createServer,
-  type IncomingMessage,
-  request,
-  type ServerResponse,
-} from "node:http";
+import { type IncomingMessage, request } from "node:http";
 import { type AddressInfo, createServer as createTcpServer } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import { err, ok, type Result } from "neverthrow";
-import { manifestOf, routeOf, serverOf } from "../decision/manifest_fixture.ts";
+import { manifestOf, routeOf } from "../decision/manifest_fixture.ts";
 import {
-  type BackendServer,
   type Manifest,
   type RolloutStatus,
   silentLogger,
 } from "../model/mod.ts";
 import { processEffects } from "../client/effects.ts";
+import { type TestBackend } from "./backend_fixture.ts";
 import { Gateway } from "./gateway.ts";
 import { type GatewayOptions } from "./gateway_options.ts";
 import { type GatewayProtocol } from "./protocol.ts";
@@ -81,89 +76,6 @@
   },
 };
 
-/** Handles one request at a backend server. */
-export type BackendHandler = (
-  request: IncomingMessage,
-  response: ServerResponse,
-) => void;
-
-/** A backend server on a loopback port. */
-export interface TestBackend {
-  readonly server: BackendServer;
-  /** Ids of the requests that reached it, in order. */
-  readonly seenIds: readonly string[];
-  /** Headers of the requests that reached it. */
-  readonly seenHeaders: readonly IncomingMessage["headers"][];
-  readonly close: () => Promise<void>;
-}
-
-/** Starts a backend server. */
-export async function startBackend(
-  id: string,
-  handler: BackendHandler,
-  fields: Partial<BackendServer> = {},
-): Promise<TestBackend> {
-  const seenIds: string[] = [];
-  const seenHeaders: IncomingMessage["headers"][] = [];
-  const http = createServer((request, response) => {
-    seenIds.push(String(request.headers["test-id"]));
-    seenHeaders.push(request.headers);
-    request.resume();
-    handler(request, response);
-  });
-  await new Promise<void>((resolve) => http.listen(0, HOST, resolve));
-  const { port } = http.address() as AddressInfo;
-  return {
-    server: serverOf(id, { address: `${HOST}:${port}`, ...fields }),
-    seenIds,
-    seenHeaders,
-    close: () =>
-      new Promise((resolve) => {
-        http.close(() => resolve());
-        http.closeAllConnections();
-      }),
-  };
-}
-
-/** An answer with a length and a signature. */
-export function answerWhole(
-  request: IncomingMessage,
-  response: ServerResponse,
-  body = "whole",
-): void {
-  response.writeHead(200, {
-    "test-id": String(request.headers["test-id"]),
-    "test-signature": "signed",
-    "content-length": String(body.length),
-  });
-  response.end(body);
-}
-
-/** The head of a stream. */
-export function beginStream(
-  request: IncomingMessage,
-  response: ServerResponse,
-  headers: Record<string, string> = {},
-): void {
-  response.writeHead(200, {
-    "test-id": String(request.headers["test-id"]),
-    "test-signature": "signed",
-    ...headers,
-  });
-}
-
-/** One event of a stream. */
-export function eventOf(id: number): string {
-  return `id: ${id}\ndata: piece ${id}\n\n`;
-}
-
-/** Events from one number to another. */
-export function eventsOf(first: number, last: number): string {
-  let text = "";
-  for (let id = first; id <= last; id++) text += eventOf(id);
-  return text;
-}
-
 /** A topic in memory. */
 export class MemoryTopic implements TopicSource {
   records: StoreRecord[] = [];
@@ -343,7 +255,7 @@
 /** A route of plain requests that may be repeated. */
 export const LOOKUP_ROUTE = routeOf({
   name: "lookups",
-  pathPrefix: "/lookups/",
+  routePrefix: "/lookups/",
   kind: "idempotent",
   timeoutMs: 2000,
   targetMs: 200,
@@ -354,7 +266,7 @@
 /** A route of requests that run at most once. */
 export const REGISTER_ROUTE = routeOf({
   name: "registrations",
-  pathPrefix: "/registrations/",
+  routePrefix: "/registrations/",
   kind: "non_idempotent",
   timeoutMs: 1000,
   targetMs: 200,
--- a/src/gateway/gateway_test.ts
+++ b/src/gateway/gateway_test.ts
@@ -6,12 +6,14 @@
 import {
   answerWhole,
   type BackendHandler,
+  startBackend,
+  type TestBackend,
+} from "./backend_fixture.ts";
+import {
   call,
   LOOKUP_ROUTE,
   MemoryTopic,
-  startBackend,
   startGateway,
-  type TestBackend,
   type TestGateway,
   untilReady,
 } from "./gateway_fixture.ts";
@@ -74,7 +76,7 @@
   assert.equal(answer.body, "whole");
 
   // A manifest that takes the route away is in force there as well.
-  const routes = [routeOf({ pathPrefix: "/elsewhere/" })];
+  const routes = [routeOf({ routePrefix: "/elsewhere/" })];
   first.operators.put("manifest", {
     ...MANIFEST,
     version: 9,
--- a/src/model/manifest.ts
+++ b/src/model/manifest.ts
@@ -18,8 +18,8 @@
 export interface ServiceRoute {
   readonly name: string;
   readonly host: string;
-  /** Begins and ends with a slash. */
-  readonly pathPrefix: string;
+  /** The beginning of the paths it takes; begins and ends with a slash. */
+  readonly routePrefix: string;
   readonly kind: RouteKind;
   /** The longest that a caller is kept waiting, in milliseconds. */
   readonly timeoutMs: number;
@@ -40,6 +40,11 @@
   readonly services: readonly ServiceWeight[];
 }
 
+/** Whether a request of the route may run more than once. */
+export function isRepeatable({ kind, isResumable }: ServiceRoute): boolean {
+  return kind === "idempotent" || (kind === "streaming" && isResumable);
+}
+
 /** What a model costs. */
 export interface ModelPrice {
   readonly model: string;
