--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -40,9 +40,9 @@
 const LEAST_ENTRIES = 2;
 const LOAD_MAX_AGE_MS = 10_000;
 /** Some callers keep an address for several times its age. */
-const KEPT_AGES = 3;
+export const KEPT_AGES = 3;
 /** How long other VMs may go on naming one that leaves. */
-const SPREAD_MS = 200;
+export const SPREAD_MS = 200;
 /** A caller that is refused by a VM that leaves may ask another at once. */
 const LEAVING_RETRY_MS = 50;
 const END_MARGIN_MS = 300;
