--- /dev/null
+++ b/tools/test_report.ts
@@ -0,0 +1,21 @@
+/** The failures in the output of a test run, without those that are known. */
+
+const FAILURE_PATTERN = /^\s*not ok \d+ - (.*?)(?: # .*)?$/;
+
+/** Names of the failed tests in lines of TAP. */
+export function failedTests(lines: Iterable<string>): string[] {
+  const names: string[] = [];
+  for (const line of lines) {
+    const name = FAILURE_PATTERN.exec(line)?.[1];
+    if (name !== undefined) names.push(name);
+  }
+  return names;
+}
+
+/** Whether a run failed in nothing but tests that are known to. */
+export function isKnownFailure(
+  failed: readonly string[],
+  known: readonly string[],
+): boolean {
+  return failed.length > 0 && failed.every((name) => known.includes(name));
+}
