Log when each answer began, its longest pause and whether that was late

The line of a server's change overwrote the VM's place with the server's. Change: AnswerPace, fields firstByteMs, longestPauseMs and isLate of 'request ended', histogram first_byte_ms and counter late by route; the server's place is serverPlace.

--- a/src/gateway/forward_log.ts
+++ b/src/gateway/forward_log.ts
@@ -1,4 +1,5 @@
 /** The log lines and figures of one request on its way. */
+import { type AnswerPace } from "./answer_pace.ts";
 import { type FleetCandidate } from "./backend_fleet.ts";
 import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
 
@@ -42,16 +43,25 @@
 export function logEnd(
   { logger, clock, metrics }: ForwardContext,
   request: ForwardRequest,
-  end: LoggedPosition & { readonly outcome: string; readonly status: number },
+  end: LoggedPosition & {
+    readonly outcome: string;
+    readonly status: number;
+    readonly pace: AnswerPace;
+  },
 ): void {
   const { caller, route, service, workspace, manifestVersion } = request;
-  const { outcome, status } = end;
+  const { outcome, status, pace } = end;
   const durationMs = clock() - request.receivedAtMs;
   metrics.count("requests", { route: route.name, outcome, status });
   if (workspace !== undefined) {
     metrics.count("workspace_requests", { workspace: workspace.name, status });
   }
   metrics.time("request_ms", durationMs, { route: route.name });
+  if (pace.firstByteMs !== undefined) {
+    metrics.time("first_byte_ms", pace.firstByteMs, { route: route.name });
+  }
+  const isLate = pace.isLate(route);
+  if (isLate) metrics.count("late", { route: route.name });
   logger.info("request ended", {
     request: caller.id,
     outcome,
@@ -64,5 +74,12 @@
     manifestVersion,
     trail: end.trail.join(" "),
     durationMs: Math.round(durationMs),
+    firstByteMs: rounded(pace.firstByteMs),
+    longestPauseMs: Math.round(pace.longestPauseMs),
+    isLate,
   });
 }
+
+function rounded(ms: number | undefined): number | undefined {
+  return ms === undefined ? undefined : Math.round(ms);
+}
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -7,6 +7,7 @@
  */
 import { firstModel, nextModel } from "../decision/mod.ts";
 import { isRepeatable } from "../model/mod.ts";
+import { AnswerPace } from "./answer_pace.ts";
 import { type FleetCandidate } from "./backend_fleet.ts";
 import { type CallerExchange, type WholeAnswer } from "./caller_exchange.ts";
 import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
@@ -32,6 +33,7 @@
   readonly #exchange: CallerExchange;
   readonly #acceptsVersion: (version: string) => boolean;
   readonly #relay: StreamRelay | undefined;
+  readonly #pace: AnswerPace;
   readonly #triedIds = new Set<string>();
   readonly #trail: string[] = [];
   #try: ServerTry | undefined;
@@ -51,6 +53,7 @@
     this.#context = context;
     this.#request = request;
     this.#exchange = exchange;
+    this.#pace = new AnswerPace(request);
     const { caller, route, service } = request;
     this.#acceptsVersion = context.versions.acceptorOf(
       service,
@@ -154,6 +157,7 @@
       relay.attach(server.head);
     }
     const step = relay.push(chunk);
+    this.#pace.notePart(this.#context.clock());
     if (step === "slow_caller") {
       clearTimeout(this.#patienceTimer);
       return server.pause();
@@ -174,6 +178,7 @@
           this.#fallback = outcome.answer;
           return this.#repeat("backend_error");
         }
+        this.#pace.notePart(this.#context.clock());
         this.#exchange.answer(outcome.answer);
         return this.#finish("answered");
       case "stream_end":
@@ -289,6 +294,7 @@
       ...this.#position(),
       outcome,
       status: this.#exchange.status,
+      pace: this.#pace,
     });
   }
 
--- a/src/gateway/gateway_state.ts
+++ b/src/gateway/gateway_state.ts
@@ -85,8 +85,14 @@
       if (isSame) continue;
       const { service, version, status, place } = server;
       const isLapsed = goneAtMs !== undefined;
-      const fields = { server: id, service, version, status, place, isLapsed };
-      this.#logger.info("server changed", fields);
+      this.#logger.info("server changed", {
+        server: id,
+        service,
+        version,
+        status,
+        serverPlace: place,
+        isLapsed,
+      });
     }
     for (const id of before.entries.keys()) {
       if (this.#roster.entries.has(id)) continue;
