Repeat a failed request on the version before, and keep a target found bad out of repeats

Cause: a request chose its versions once, at its start. Change: the versions are asked for again after a failure; a request that belongs to no session leaves the target, one of a session keeps its version until the target is found bad. Tests: two in rollout_book_test.ts, failing before.

--- a/src/gateway/forward_context.ts
+++ b/src/gateway/forward_context.ts
@@ -24,12 +24,21 @@
   readonly firstByteMs: number;
 }
 
+/** Of which session a request is, as far as versions are concerned. */
+export interface VersionSession {
+  readonly key: string;
+  /** Whether more requests of the session may follow. */
+  readonly isLasting: boolean;
+  /** The version on which the request has failed before. */
+  readonly failedVersion: string | undefined;
+}
+
 /** Which versions of a service a request may run on. */
 export interface VersionGuide {
   /** Versions for the requests of one session; the same for all VMs. */
   readonly acceptorOf: (
     service: string,
-    session: { readonly key: string; readonly isLasting: boolean },
+    session: VersionSession,
   ) => (version: string) => boolean;
   readonly note: (sample: VersionSample) => void;
   /** A request starts or ends at a server of a version. */
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -18,9 +18,8 @@
 import { chooseForRequest } from "./request_choice.ts";
 import { ServerTry, type TryOutcome } from "./server_try.ts";
 import { StreamRelay } from "./stream_relay.ts";
+import { TryHistory } from "./try_history.ts";
 
-/** Tries beyond the route's attempts, for servers that were never reached. */
-const SPARE_TRIES = 2;
 /** With less time left another server is not worth asking. */
 const LEAST_TRY_MS = 20;
 /** Bounds of the time after which a refused caller may come back. */
@@ -31,16 +30,12 @@
   readonly #context: ForwardContext;
   readonly #request: ForwardRequest;
   readonly #exchange: CallerExchange;
-  readonly #acceptsVersion: (version: string) => boolean;
+  readonly #history: TryHistory;
   readonly #relay: StreamRelay | undefined;
   readonly #pace: AnswerPace;
-  readonly #triedIds = new Set<string>();
-  readonly #trail: string[] = [];
+  #acceptsVersion: (version: string) => boolean;
   #try: ServerTry | undefined;
   #model: string | undefined;
-  #tryCount = 0;
-  #sentCount = 0;
-  #runCount = 0;
   #fallback: WholeAnswer | undefined;
   #deadlineTimer: NodeJS.Timeout | undefined;
   #patienceTimer: NodeJS.Timeout | undefined;
@@ -54,14 +49,9 @@
     this.#request = request;
     this.#exchange = exchange;
     this.#pace = new AnswerPace(request);
-    const { caller, route, service } = request;
-    this.#acceptsVersion = context.versions.acceptorOf(
-      service,
-      {
-        key: caller.session ?? caller.id,
-        isLasting: caller.session !== undefined,
-      },
-    );
+    const { caller, route } = request;
+    this.#history = new TryHistory(route);
+    this.#acceptsVersion = this.#versionsFor(undefined);
     if (route.kind === "streaming") {
       this.#relay = new StreamRelay(exchange, caller.lastEventId);
     }
@@ -86,12 +76,11 @@
     if (candidate === undefined) return this.#giveUp("no_backend");
     const { server } = candidate;
     const { caller, route, workspace, body } = this.#request;
-    this.#tryCount += 1;
-    this.#triedIds.add(server.id);
+    this.#history.noteTry(server.id);
     logChoice(this.#context, this.#request, {
       ...this.#position(),
       candidate,
-      tryCount: this.#tryCount,
+      tryCount: this.#history.tryCount,
     });
     this.#try = new ServerTry({
       context: this.#context,
@@ -121,7 +110,7 @@
   #choose(): FleetCandidate | undefined {
     return chooseForRequest(this.#context, this.#request, {
       acceptsVersion: this.#acceptsVersion,
-      triedIds: this.#triedIds,
+      triedIds: this.#history.triedIds,
       model: this.#model,
       isRepeatable: isRepeatable(this.#request.route),
     });
@@ -138,12 +127,10 @@
       model: this.#model,
       confidence,
     });
-    if (model === undefined || this.#runCount + 1 >= route.maxAttempts) {
-      return "take";
-    }
+    if (model === undefined || !this.#history.mayRunAgain()) return "take";
     if (!this.#mayArriveAgain("escalation")) return "take";
     this.#context.metrics.count("escalations", { service });
-    this.#trail.push(`escalate:${this.#model}>${model}@${confidence}`);
+    this.#history.noteEscalation({ from: this.#model, to: model }, confidence);
     this.#model = model;
     return "drop";
   }
@@ -185,10 +172,7 @@
         this.#relay?.end(outcome.head);
         return this.#finish("answered");
       case "dropped":
-        this.#sentCount += 1;
-        this.#runCount += 1;
         this.#relay?.detach();
-        this.#triedIds.clear();
         return this.#next();
       case "not_run":
         return this.#repeat("not_run");
@@ -198,21 +182,18 @@
   }
 
   #note(outcome: TryOutcome): void {
-    const id = this.#try?.server.id ?? "";
-    const detail = outcome.kind === "fault" ? outcome.cause : outcome.kind;
-    this.#trail.push(`${id}:${detail}`);
-    if (outcome.kind === "dropped") return;
-    const isUnsent = outcome.kind === "fault" && outcome.isUnsent;
-    if (!isUnsent) this.#sentCount += 1;
-    if (!isUnsent && outcome.kind !== "not_run") this.#runCount += 1;
+    this.#history.noteOutcome(this.#try?.server.id ?? "", outcome);
   }
 
   /** Asks another server, if that is allowed and of use. */
   #repeat(cause: string): void {
     if (!this.#canRepeat()) return this.#giveUp(cause);
-    if (this.#sentCount > 0 && !this.#mayArriveAgain("failure")) {
+    if (this.#history.wasSent && !this.#mayArriveAgain("failure")) {
       return this.#giveUp(cause);
     }
+    if (this.#history.mayHaveRun) {
+      this.#acceptsVersion = this.#versionsFor(this.#try?.server.version);
+    }
     this.#context.metrics.count("repeats", { cause });
     this.#next();
   }
@@ -227,22 +208,26 @@
   }
 
   #canRepeat(): boolean {
-    const { route } = this.#request;
-    if (this.#timeLeftMs() < LEAST_TRY_MS) return false;
-    if (this.#tryCount >= route.maxAttempts + SPARE_TRIES) return false;
-    if (this.#runCount === 0) return true;
-    return isRepeatable(this.#request.route) &&
-      this.#runCount < route.maxAttempts;
+    return this.#timeLeftMs() >= LEAST_TRY_MS && this.#history.mayTryAgain();
+  }
+
+  /** Versions that may answer; after a failure rather not the one that failed. */
+  #versionsFor(
+    failedVersion: string | undefined,
+  ): (version: string) => boolean {
+    const { caller, service } = this.#request;
+    return this.#context.versions.acceptorOf(service, {
+      key: caller.session ?? caller.id,
+      isLasting: caller.session !== undefined,
+      failedVersion,
+    });
   }
 
   /** The server has been silent for longer than usual. */
   #endPatience(): void {
     const server = this.#try;
     if (server === undefined || this.#exchange.isOver) return;
-    const { maxAttempts } = this.#request.route;
-    const wouldRun = this.#runCount + 1 < maxAttempts &&
-      this.#tryCount < maxAttempts + SPARE_TRIES;
-    if (!wouldRun || !isRepeatable(this.#request.route)) return;
+    if (!this.#history.mayLeaveServer()) return;
     if (this.#choose()?.id === server.server.id) return;
     if (!server.isUnsent && !this.#mayArriveAgain("failure")) return;
     const { metrics } = this.#context;
@@ -262,7 +247,7 @@
 
   #expire(): void {
     if (this.#exchange.isOver) return;
-    const isSent = this.#sentCount > 0 || this.#try?.isUnsent === false;
+    const isSent = this.#history.wasSent || this.#try?.isUnsent === false;
     this.#try?.cancel(undefined);
     if (this.#exchange.isBegun) this.#exchange.breakOff();
     else if (isSent) this.#exchange.refuse({ status: 504, reason: "timeout" });
@@ -274,7 +259,7 @@
     if (this.#exchange.isBegun) this.#exchange.breakOff();
     else if (this.#fallback !== undefined) {
       this.#exchange.answer(this.#fallback);
-    } else if (this.#runCount > 0) {
+    } else if (this.#history.mayHaveRun) {
       this.#exchange.refuse({ status: 502, reason: cause });
     } else this.#refuse(cause);
     this.#finish(cause);
@@ -300,7 +285,7 @@
 
   #position(): LoggedPosition {
     const version = this.#try?.server.version;
-    return { model: this.#model, version, trail: this.#trail };
+    return { model: this.#model, version, trail: this.#history.trail };
   }
 
   #timeLeftMs(): number {
--- a/src/gateway/rollout_book.ts
+++ b/src/gateway/rollout_book.ts
@@ -17,7 +17,11 @@
   type RolloutStatus,
 } from "../model/mod.ts";
 import { type BackendFleet } from "./backend_fleet.ts";
-import { type VersionGuide, type VersionSample } from "./forward_context.ts";
+import {
+  type VersionGuide,
+  type VersionSample,
+  type VersionSession,
+} from "./forward_context.ts";
 import { type RolloutNews } from "./peer_news.ts";
 import { RolloutRecord } from "./rollout_record.ts";
 import { SessionMemory } from "./session_memory.ts";
@@ -137,7 +141,7 @@
 
   acceptorOf(
     service: string,
-    session: { readonly key: string; readonly isLasting: boolean },
+    session: VersionSession,
   ): (version: string) => boolean {
     const rollout = this.#rollouts.get(service);
     const target = rollout?.order.target;
@@ -148,7 +152,9 @@
       this.#sessions.note(key, isOnTarget ? target : undefined);
     }
     if (rollout === undefined) return this.#unordered(service);
-    return (version) => (version === target) === isOnTarget;
+    // The target may be found bad while the request is under way.
+    return (version) =>
+      (version === target) === (isOnTarget && rollout.fault === undefined);
   }
 
   note(sample: VersionSample): void {
@@ -183,24 +189,28 @@
 
   #isOnTarget(
     rollout: RolloutRecord,
-    session: { readonly key: string; readonly isLasting: boolean },
+    session: VersionSession,
   ): boolean {
     const { service, target } = rollout.order;
     const there = this.#readyVersions(service);
     const hasOthers = [...there].some((version) => version !== target);
     if (!hasOthers) return rollout.fault === undefined;
     if (!there.has(target)) return false;
+    const { key, isLasting, failedVersion } = session;
+    const hasFailed = failedVersion === target && !isEnded(rollout.stage);
+    // A session keeps to its version, however its requests fare.
+    if (hasFailed && !isLasting) return false;
     const { clock, canaryShare } = this.#options;
     const nowMs = clock();
     if (!rollout.isStageKnown && rollout.stage !== "completed") return false;
     const share = targetShare(rollout, { nowMs, canaryShare });
     if (share === 0 || share === 1) return share === 1;
-    const seen = session.isLasting
-      ? this.#sessions.find(`${service} ${session.key}`)
+    const seen = isLasting
+      ? this.#sessions.find(`${service} ${key}`)
       : undefined;
     if (seen?.target === target) return true;
     if (seen !== undefined && isFirstHalf(rollout, nowMs)) return false;
-    return hashShare(`${target} ${session.key}`) < share;
+    return hashShare(`${target} ${key}`) < share;
   }
 
   /** Versions that nobody ordered, without those that just appeared. */
--- a/src/gateway/rollout_book_test.ts
+++ b/src/gateway/rollout_book_test.ts
@@ -5,6 +5,7 @@
 import { applyRoster, EMPTY_ROSTER } from "../decision/mod.ts";
 import { type BackendServer, silentLogger } from "../model/mod.ts";
 import { BackendFleet } from "./backend_fleet.ts";
+import { type VersionSession } from "./forward_context.ts";
 import { RolloutBook } from "./rollout_book.ts";
 
 const SERVICE = "drafting";
@@ -12,6 +13,15 @@
 const CANARY_SHARE = 0.15;
 const SESSION_MS = 5000;
 
+function sessionOf(fields: Partial<VersionSession>): VersionSession {
+  return {
+    key: "session",
+    isLasting: true,
+    failedVersion: undefined,
+    ...fields,
+  };
+}
+
 interface Setup {
   readonly book: RolloutBook;
   readonly clock: { nowMs: number };
@@ -40,7 +50,7 @@
     book.noteVersions([SERVICE]);
   };
   const versionOf = (session: string): string | undefined => {
-    const accepts = book.acceptorOf(SERVICE, { key: session, isLasting: true });
+    const accepts = book.acceptorOf(SERVICE, sessionOf({ key: session }));
     return ["v1", "v2"].find(accepts);
   };
   return { book, clock, register, versionOf };
@@ -193,3 +203,44 @@
   });
   assert.notEqual(setup.versionOf("any"), "v2");
 });
+
+test("a request that failed on the target is repeated on the version before", () => {
+  const setup = setUp();
+  setup.register(BOTH);
+  order(setup.book);
+  const single = { isLasting: false };
+  const keys = Array.from({ length: 400 }, (_, index) => `request-${index}`);
+  const onTarget = keys.filter((key) =>
+    setup.book.acceptorOf(SERVICE, sessionOf({ ...single, key }))("v2")
+  );
+  assert.ok(onTarget.length > 0);
+  for (const key of onTarget) {
+    const failed = { ...single, key, failedVersion: "v2" };
+    const accepts = setup.book.acceptorOf(SERVICE, sessionOf(failed));
+    assert.deepEqual(["v1", "v2"].filter(accepts), ["v1"]);
+    // A session is not moved between versions for one failure.
+    const kept = sessionOf({ key, failedVersion: "v2" });
+    const acceptsKept = setup.book.acceptorOf(SERVICE, kept);
+    assert.deepEqual(["v1", "v2"].filter(acceptsKept), ["v2"]);
+  }
+});
+
+test("a target found bad takes no repeat of a request under way", () => {
+  const setup = setUp();
+  setup.register(BOTH);
+  order(setup.book);
+  const keys = Array.from({ length: 400 }, (_, index) => `session-${index}`);
+  const accepting = keys
+    .map((key) => setup.book.acceptorOf(SERVICE, sessionOf({ key })))
+    .filter((accepts) => accepts("v2"));
+  assert.ok(accepting.length > 0);
+  setup.book.takeStatus({
+    service: SERVICE,
+    target: "v2",
+    stage: "reverted",
+    orderOffset: 4,
+  });
+  for (const accepts of accepting) {
+    assert.deepEqual(["v1", "v2"].filter(accepts), ["v1"]);
+  }
+});
