Pass on only the tallies that a data centre's own VMs told

Cause: a reader passed on every VM's tally to every other reader. With 77 VMs in six data centres a message carried 77 tallies, and the cost of a reader grew with the fleet. Change: readers pass on what was told directly and ask each other by turns, each once in 2.1 s; up to 16 VMs ask their reader at the usual pace. Versions long gone are forgotten.

--- a/src/gateway/peer_exchange.ts
+++ b/src/gateway/peer_exchange.ts
@@ -1,9 +1,10 @@
 /**
  * Keeps the VMs in step with each other. Each one asks its data centre's reader
  * of the store every half second, and tells what it knows in turn; the readers
- * ask each other, less often. Where no reader answers, any member is asked. So
- * the cost of a VM that is no reader does not grow with the fleet, little goes
- * between regions, and a VM that the store turns away learns all the same.
+ * ask each other by turns, and pass on what their own data centre's VMs told.
+ * Where no reader answers, any member is asked. So the cost of a VM that is no
+ * reader does not grow with the fleet, little goes between regions, and a VM
+ * that the store turns away learns all the same.
  */
 import {
   isEnded,
@@ -48,8 +49,13 @@
 const PERIOD_MS = 400;
 /** Readers read for themselves and ask each other only for what they saw. */
 const READER_PERIOD_MS = 700;
-/** So many VMs ask their reader at the usual pace. */
-const VMS_ASKING_AT_ONCE = 6;
+/** Within this a reader has asked each of the others once. */
+const READER_ROUND_MS = 2100;
+/**
+ * So many VMs ask their reader at the usual pace. With a longer one a VM's news
+ * are older than it accepts, and it reads the store for itself.
+ */
+const VMS_ASKING_AT_ONCE = 16;
 const ANSWER_TIMEOUT_MS = 800;
 const MAX_AGE_MS = 2 ** 31;
 
@@ -59,6 +65,7 @@
   /** Tells this process's tallies from those of an earlier life. */
   readonly #life: string;
   #isAnswered = true;
+  #turn = 0;
 
   constructor(options: PeerExchangeOptions) {
     this.#options = options;
@@ -122,7 +129,11 @@
 
   /** Longer in a large data centre, so that its reader is not asked more. */
   #periodMs(): number {
-    if (this.rank() !== undefined) return READER_PERIOD_MS;
+    const readers = this.readers();
+    if (readers.some(({ vm }) => vm === this.#options.vm)) {
+      const otherCount = Math.max(1, readers.length - 1);
+      return Math.min(READER_PERIOD_MS, READER_ROUND_MS / otherCount);
+    }
     const state = this.#options.node().membership();
     const nearCount = presentMembers(state)
       .filter(({ update }) => update.place === state.self.place).length;
@@ -139,8 +150,9 @@
       .map(({ update }) => update);
     const preferred = near.length > 0 ? near : readers;
     const isLost = !this.#isAnswered || preferred.length === 0;
-    const partners = isLost ? members : preferred;
-    return partners[Math.floor(random() * partners.length)]?.vm;
+    if (isLost) return members[Math.floor(random() * members.length)]?.vm;
+    this.#turn += 1;
+    return preferred[this.#turn % preferred.length]?.vm;
   }
 
   async #ask(vm: string): Promise<boolean> {
@@ -176,6 +188,7 @@
       topics[name] = { ...given, ageMs: Math.max(0, given.ageMs) };
     }
     return writePeerNews({
+      teller: this.#life,
       have: {
         operators: mirrors.operators.nextOffset ?? null,
         servers: mirrors.servers.nextOffset ?? null,
@@ -185,7 +198,7 @@
     });
   }
 
-  /** While it matters, tallies go to readers: a reader's all, others' own. */
+  /** While it matters, tallies go to readers; readers pass on what was told. */
   #rolloutNewsFor(vm: string): RolloutNews[] {
     const { book, clock } = this.#options;
     const readers = this.readers().map((reader) => reader.vm);
@@ -196,7 +209,7 @@
         this.#life,
         book.otherInFlightCount(rollout),
       );
-      const all = isReader ? [own, ...rollout.heardTallies()] : [own];
+      const all = isReader ? [own, ...rollout.directTallies()] : [own];
       return {
         service: rollout.order.service,
         orderOffset: rollout.order.offset,
@@ -217,7 +230,8 @@
     }
     for (const rollout of news.rollouts) {
       const tallies = rollout.tallies.filter(({ vm }) => vm !== this.#life);
-      book.takeNews({ ...rollout, tallies }, clock());
+      const teller = news.teller;
+      book.takeNews({ ...rollout, tallies }, { nowMs: clock(), teller });
     }
   }
 }
--- a/src/gateway/peer_news.ts
+++ b/src/gateway/peer_news.ts
@@ -65,6 +65,8 @@
 });
 
 const newsSchema = z.object({
+  /** The life of the VM that tells; empty from one of an earlier release. */
+  teller: z.string().max(MAX_KEY_LENGTH).default(""),
   /** The offset up to which the sender has read each topic. */
   have: z.record(z.enum(TOPICS), countSchema.nullable()),
   topics: z.partialRecord(z.enum(TOPICS), mirrorNewsSchema),
@@ -99,6 +101,7 @@
 
 /** News as they go over the wire. */
 export function writePeerNews(news: {
+  readonly teller: string;
   readonly have: PeerNews["have"];
   readonly topics: Partial<Record<TopicName, MirrorNews>>;
   readonly rollouts: readonly RolloutNews[];
--- a/src/gateway/rollout_book.ts
+++ b/src/gateway/rollout_book.ts
@@ -38,6 +38,8 @@
 
 /** A version without an order is used this long after it appeared. */
 const NEWCOMER_MS = 3000;
+/** Known versions of a service above which those that are gone are forgotten. */
+const MAX_VERSIONS = 64;
 
 interface KnownVersion {
   readonly seenAtMs: number;
@@ -98,8 +100,11 @@
     });
   }
 
-  /** Takes what another VM knows of a roll-out. */
-  takeNews(news: RolloutNews, nowMs: number): void {
+  /** Takes what another VM knows of a roll-out; `teller` is that VM's life. */
+  takeNews(
+    news: RolloutNews,
+    { nowMs, teller }: { readonly nowMs: number; readonly teller: string },
+  ): void {
     const rollout = this.#rollouts.get(news.service);
     if (rollout?.order.offset !== news.orderOffset) return;
     const startedAtMs = nowMs - news.ageMs;
@@ -113,7 +118,9 @@
       rollout.fault = news.fault;
       this.#logFault(rollout);
     }
-    for (const tally of news.tallies) rollout.hear(tally, nowMs);
+    for (const tally of news.tallies) {
+      rollout.hear(tally, { nowMs, isDirect: tally.vm === teller });
+    }
   }
 
   /** Looks at what was seen of all targets. */
@@ -135,6 +142,7 @@
         const seenAtMs = known === undefined ? -Infinity : nowMs;
         versions.set(version, { seenAtMs });
       }
+      if (versions.size > MAX_VERSIONS) this.#forgetGone(service, versions);
       this.#versions.set(service, versions);
     }
   }
@@ -182,6 +190,14 @@
     return total;
   }
 
+  #forgetGone(service: string, versions: Map<string, KnownVersion>): void {
+    const servers = this.#options.fleet.serversOf(service);
+    const there = new Set(servers.map(({ version }) => version));
+    for (const version of versions.keys()) {
+      if (!there.has(version)) versions.delete(version);
+    }
+  }
+
   #logFault({ order, fault }: RolloutRecord): void {
     const { service, target } = order;
     this.#options.logger.warn("version found bad", { service, target, fault });
--- a/src/gateway/rollout_book_test.ts
+++ b/src/gateway/rollout_book_test.ts
@@ -185,7 +185,7 @@
     stage: null,
     isStageKnown: true,
     tallies: [],
-  }, 20_000);
+  }, { nowMs: 20_000, teller: "vm-9" });
   assert.equal(targetCount(other, "session"), 0);
 });
 
--- a/src/gateway/rollout_record.ts
+++ b/src/gateway/rollout_record.ts
@@ -36,6 +36,7 @@
 interface HeardTally {
   readonly given: VmTally;
   readonly atMs: number;
+  readonly isDirect: boolean;
 }
 
 /** A roll-out; its fields change as things become known. */
@@ -73,17 +74,24 @@
     return { vm, sequence, tally: this.#own, otherInFlightCount };
   }
 
-  /** The tallies that other VMs have told. */
-  heardTallies(): VmTally[] {
-    return [...this.#heard.values()].map(({ given }) => given);
+  /**
+   * The tallies that VMs have told themselves. Only these are passed on: what
+   * one reader has heard of another would otherwise go round between all.
+   */
+  directTallies(): VmTally[] {
+    const direct = [...this.#heard.values()].filter((one) => one.isDirect);
+    return direct.map(({ given }) => given);
   }
 
-  /** Takes another VM's tally. */
-  hear(given: VmTally, nowMs: number): void {
+  /** Takes another VM's tally, told by that VM itself or passed on. */
+  hear(
+    given: VmTally,
+    { nowMs, isDirect }: { readonly nowMs: number; readonly isDirect: boolean },
+  ): void {
     const known = this.#heard.get(given.vm);
     if (known !== undefined && known.given.sequence >= given.sequence) return;
     if (known === undefined && this.#heard.size >= MAX_VMS) return;
-    this.#heard.set(given.vm, { given, atMs: nowMs });
+    this.#heard.set(given.vm, { given, atMs: nowMs, isDirect });
   }
 
   /** Requests of other VMs at servers of other versions. */
@@ -102,7 +110,7 @@
     }
     const all = mergeTallies([
       this.#own,
-      ...this.heardTallies().map(({ tally }) => tally),
+      ...[...this.#heard.values()].map(({ given }) => given.tally),
     ]);
     this.#remember(all, nowMs);
     this.fault = faultOfTarget(all) ?? this.#recentFault(all, nowMs);
