--- /dev/null
+++ b/src/gateway/long_day_test.ts
@@ -0,0 +1,106 @@
+/**
+ * A day of many times the usual length: requests of ever new sessions, and
+ * backend servers that are replaced under way, leave nothing behind.
+ */
+import assert from "node:assert/strict";
+import { createServer, type Server } from "node:http";
+import { type AddressInfo } from "node:net";
+import { test, type TestContext } from "node:test";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import { serverOf } from "../decision/manifest_fixture.ts";
+import { answerWhole } from "./backend_fixture.ts";
+import {
+  call,
+  LOOKUP_ROUTE,
+  startGateway,
+  type TestGateway,
+  untilReady,
+} from "./gateway_fixture.ts";
+
+const ROUNDS = 10;
+const CALLS_BY_ROUND = 800;
+const CALLERS = 16;
+const SERVERS_BY_ROUND = 20;
+/** So long that what is kept in error stands out. */
+const LONG_NAME = "s".repeat(600);
+/** A third of a name. */
+const MAX_BYTES_BY_CALL = 200;
+const SESSION_MS = 200;
+
+setFlagsFromString("--expose-gc");
+const collect = runInNewContext("gc") as () => void;
+
+/** Unlike the fixture's server it keeps nothing of what it sees. */
+async function startServer(context: TestContext): Promise<string> {
+  const http: Server = createServer((request, response) => {
+    request.resume();
+    answerWhole(request, response);
+  });
+  await new Promise<void>((resolve) => http.listen(0, "127.0.0.1", resolve));
+  context.after(() => {
+    http.close();
+    http.closeAllConnections();
+  });
+  return `127.0.0.1:${(http.address() as AddressInfo).port}`;
+}
+
+/** Registers servers with new ids at one address and takes the last ones away. */
+function replaceServers(
+  { servers }: TestGateway,
+  round: number,
+  address: string,
+): void {
+  for (let index = 0; index < SERVERS_BY_ROUND; index++) {
+    const id = `server-${round}-${index}`;
+    servers.put(id, serverOf(id, { address }));
+    if (round === 0) continue;
+    const key = `server-${round - 1}-${index}`;
+    const offset = servers.records.length;
+    servers.records.push({ key, value: undefined, offset });
+  }
+}
+
+async function playRound(address: string, round: number): Promise<void> {
+  let next = 0;
+  const ask = async (): Promise<void> => {
+    while (next < CALLS_BY_ROUND) {
+      const id = `request-${round}-${next++}`;
+      const session = `${id}-${LONG_NAME}`;
+      const headers = { "test-id": id, "test-session": session };
+      const path = "/lookups/one";
+      const answer = await call(address, { path, method: "GET", headers });
+      assert.equal(answer.status, 200);
+    }
+  };
+  await Promise.all(Array.from({ length: CALLERS }, ask));
+}
+
+function heapBytes(): number {
+  collect();
+  return process.memoryUsage().heapUsed;
+}
+
+test("a long day leaves memory flat", async (context) => {
+  const address = await startServer(context);
+  const gateway = await startGateway({
+    manifest: { routes: [LOOKUP_ROUTE] },
+    settings: { sessionMs: SESSION_MS },
+  });
+  context.after(() => gateway.gateway.stop());
+  replaceServers(gateway, 0, address);
+  await untilReady(gateway);
+  const used: number[] = [];
+  for (let round = 0; round < ROUNDS; round++) {
+    if (round > 0) replaceServers(gateway, round, address);
+    await playRound(gateway.callerAddress, round);
+    used.push(heapBytes());
+  }
+  // The first rounds fill caches and compile code.
+  const grownBytes = (used.at(-1) ?? 0) - (used[2] ?? 0);
+  const calls = (ROUNDS - 3) * CALLS_BY_ROUND;
+  assert.ok(
+    grownBytes < calls * MAX_BYTES_BY_CALL,
+    `${Math.round(grownBytes / calls)} bytes a call: ${used.join(" ")}`,
+  );
+});
