--- a/src/report/request_story.ts
+++ b/src/report/request_story.ts
@@ -78,7 +78,11 @@
   const outcome = String(last.fields["outcome"]);
   const trail = String(last.fields["trail"] ?? "");
   const cause = CAUSES.get(outcome) ?? outcome;
-  return trail === "" ? cause : `${cause} (${trail})`;
+  const told = trail === "" ? cause : `${cause} (${trail})`;
+  const { isLate, firstByteMs, longestPauseMs } = last.fields;
+  if (isLate !== true) return told;
+  return `${told}; late: it began after ${String(firstByteMs)} ms, its ` +
+    `longest pause was ${String(longestPauseMs)} ms`;
 }
 
 /** A line may have words of a collector before its JSON. */
--- a/src/report/request_story_test.ts
+++ b/src/report/request_story_test.ts
@@ -50,3 +50,18 @@
   assert.equal(story.lines.length, 1);
   assert.match(readStory("r9", [SENT]).cause, /no line/);
 });
+
+test("an answer that came late is said to be, with its longest pause", () => {
+  const ended = lineOf(900, "request ended", {
+    request: "r1",
+    outcome: "answered",
+    status: 200,
+    trail: "i-1:stream_end",
+    firstByteMs: 80,
+    longestPauseMs: 2100,
+    isLate: true,
+  });
+  const { cause } = readStory("r1", [SENT, ended]);
+  assert.match(cause, /late: it began after 80 ms, .* pause was 2100 ms/);
+  assert.doesNotMatch(readStory("r1", [SENT, ENDED]).cause, /late/);
+});
