--- a/src/gateway/gateway_fixture.ts
+++ b/src/gateway/gateway_fixture.ts
@@ -5,7 +5,7 @@
 import { type IncomingMessage, request } from "node:http";
 import { type AddressInfo, createServer as createTcpServer } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
-import { err, ok, type Result } from "neverthrow";
+import { ok } from "neverthrow";
 import { manifestOf, routeOf } from "../decision/manifest_fixture.ts";
 import {
   type Manifest,
@@ -16,13 +16,8 @@
 import { type TestBackend } from "./backend_fixture.ts";
 import { Gateway } from "./gateway.ts";
 import { type GatewayOptions } from "./gateway_options.ts";
+import { MemoryTopic } from "./memory_topic_fixture.ts";
 import { type GatewayProtocol } from "./protocol.ts";
-import {
-  type StoreFault,
-  type StoreRecord,
-  type StoreRecords,
-  type TopicSource,
-} from "./store_record.ts";
 
 const HOST = "127.0.0.1";
 /** The host of the fixture's routes. */
@@ -76,41 +71,6 @@
   },
 };
 
-/** A topic in memory. */
-export class MemoryTopic implements TopicSource {
-  records: StoreRecord[] = [];
-  isDown = false;
-
-  /** Writes a key's value, as an operator or server does. */
-  put(key: string, value: unknown): void {
-    const bytes = Buffer.from(JSON.stringify(value));
-    this.records.push({ key, value: bytes, offset: this.records.length });
-  }
-
-  async list(): Promise<Result<StoreRecords, StoreFault>> {
-    await delay(1);
-    if (this.isDown) return down();
-    const newest = new Map<string, StoreRecord>();
-    for (const record of this.records) newest.set(record.key, record);
-    const records = [...newest.values()];
-    return ok({ records, nextOffset: this.records.length });
-  }
-
-  async readAfter(
-    offset: number,
-    waitMs: number,
-  ): Promise<Result<StoreRecords, StoreFault>> {
-    const endMs = performance.now() + waitMs;
-    while (this.records.length <= offset && performance.now() < endMs) {
-      await delay(10);
-    }
-    await delay(1);
-    if (this.isDown) return down();
-    const records = this.records.slice(offset);
-    return ok({ records, nextOffset: this.records.length });
-  }
-}
-
 /** A gateway under test. */
 export interface TestGateway {
   readonly gateway: Gateway;
@@ -295,7 +255,3 @@
   }
   return headers;
 }
-
-function down(): Result<StoreRecords, StoreFault> {
-  return err({ kind: "refused", message: "down" });
-}
--- a/src/gateway/gateway_test.ts
+++ b/src/gateway/gateway_test.ts
@@ -12,11 +12,11 @@
 import {
   call,
   LOOKUP_ROUTE,
-  MemoryTopic,
   startGateway,
   type TestGateway,
   untilReady,
 } from "./gateway_fixture.ts";
+import { MemoryTopic } from "./memory_topic_fixture.ts";
 
 const MANIFEST = { routes: [LOOKUP_ROUTE] };
 
--- /dev/null
+++ b/src/gateway/memory_topic_fixture.ts
@@ -0,0 +1,48 @@
+/** A topic of the platform's store for tests, in memory. */
+import { setTimeout as delay } from "node:timers/promises";
+import { err, ok, type Result } from "neverthrow";
+import {
+  type StoreFault,
+  type StoreRecord,
+  type StoreRecords,
+  type TopicSource,
+} from "./store_record.ts";
+
+/** A topic in memory. */
+export class MemoryTopic implements TopicSource {
+  records: StoreRecord[] = [];
+  isDown = false;
+
+  /** Writes a key's value, as an operator or server does. */
+  put(key: string, value: unknown): void {
+    const bytes = Buffer.from(JSON.stringify(value));
+    this.records.push({ key, value: bytes, offset: this.records.length });
+  }
+
+  async list(): Promise<Result<StoreRecords, StoreFault>> {
+    await delay(1);
+    if (this.isDown) return down();
+    const newest = new Map<string, StoreRecord>();
+    for (const record of this.records) newest.set(record.key, record);
+    const records = [...newest.values()];
+    return ok({ records, nextOffset: this.records.length });
+  }
+
+  async readAfter(
+    offset: number,
+    waitMs: number,
+  ): Promise<Result<StoreRecords, StoreFault>> {
+    const endMs = performance.now() + waitMs;
+    while (this.records.length <= offset && performance.now() < endMs) {
+      await delay(10);
+    }
+    await delay(1);
+    if (this.isDown) return down();
+    const records = this.records.slice(offset);
+    return ok({ records, nextOffset: this.records.length });
+  }
+}
+
+function down(): Result<StoreRecords, StoreFault> {
+  return err({ kind: "refused", message: "down" });
+}
