--- a/src/gateway/log_sink_test.ts
+++ b/src/gateway/log_sink_test.ts
@@ -5,6 +5,13 @@
 import { createLineSink, MAX_QUEUED_BYTES } from "./log_sink.ts";
 
 const LINE = "x".repeat(1000);
+const WAIT_LIMIT_MS = 5000;
+
+/** Waits for what the sink does later; the assertion after it decides. */
+async function until(isDone: () => boolean): Promise<void> {
+  const endMs = performance.now() + WAIT_LIMIT_MS;
+  while (!isDone() && performance.now() < endMs) await delay(1);
+}
 
 test("a full pipe keeps lines up to a bound, and counts the rest", async () => {
   const written: string[] = [];
@@ -14,12 +21,12 @@
     finish = () => onDone(null, bytes.length);
   });
   sink("first");
-  await delay(5);
+  await until(() => written.length === 1);
   const startedAtMs = performance.now();
   for (let count = 0; count < 1000; count++) sink(LINE);
   assert.ok(performance.now() - startedAtMs < 200);
   finish?.();
-  await delay(5);
+  await until(() => written.length === 2);
   const kept = (written[1] ?? "").split("\n").filter((line) => line === LINE);
   assert.equal(kept.length, Math.floor(MAX_QUEUED_BYTES / LINE.length));
   assert.match(written[1] ?? "", /"count":738/);
@@ -33,6 +40,6 @@
     setImmediate(() => onDone(null, part.length));
   });
   sink("one whole line");
-  await delay(30);
+  await until(() => written.join("").endsWith("\n"));
   assert.equal(written.join(""), "one whole line\n");
 });
