Mend what a second reading of the gateway found

Taken out, as nothing used it: prices and services of the manifest, the middle model's branch of the ladder, isLeaving, maxOutputTokens, the load's slots, the canary's slack, the relay's event count, a flag of the mirror's. Said once: host and port of an address (five places), the backoff of calls to the log, waiting in tests, the tests' server. Hot path: ready versions of a service are kept with the roster, not gathered for each request; readers are drawn in one pass, not by a sort of all members. Two assertions went with their fields: the caller's output tokens and the load's slots are no longer decoded; the headers pass as before.

--- a/src/client/backoff.ts
+++ b/src/client/backoff.ts
@@ -8,6 +8,14 @@
   readonly random: Random;
 }
 
+const LOG_BASE_MS = 50;
+const LOG_CAP_MS = 2000;
+
+/** The backoff of calls to the log, reads and appends alike. */
+export function logBackoff(random: Random): Backoff {
+  return new Backoff({ baseMs: LOG_BASE_MS, capMs: LOG_CAP_MS, random });
+}
+
 /** Counts failures in a row and gives the delay before the next attempt. */
 export class Backoff {
   readonly #options: BackoffOptions;
--- a/src/client/log_tail.ts
+++ b/src/client/log_tail.ts
@@ -10,7 +10,7 @@
   type Random,
   type Sleep,
 } from "../model/mod.ts";
-import { Backoff } from "./backoff.ts";
+import { type Backoff, logBackoff } from "./backoff.ts";
 import { type LogClient, type LogPage } from "./log_client.ts";
 
 /** What a tail needs. */
@@ -31,8 +31,6 @@
 }
 
 const MAX_PAGE_ENTRIES = 500;
-const RETRY_BASE_MS = 50;
-const RETRY_CAP_MS = 2000;
 
 /** The reader of one stream. */
 export class LogTail {
@@ -45,11 +43,7 @@
 
   constructor(options: TailOptions) {
     this.#options = options;
-    this.#backoff = new Backoff({
-      baseMs: RETRY_BASE_MS,
-      capMs: RETRY_CAP_MS,
-      random: options.random,
-    });
+    this.#backoff = logBackoff(options.random);
   }
 
   /** Whether the log answered the last read. */
--- a/src/client/log_writer.ts
+++ b/src/client/log_writer.ts
@@ -22,7 +22,7 @@
   positionOf,
   type RawEntry,
 } from "../state/mod.ts";
-import { Backoff } from "./backoff.ts";
+import { type Backoff, logBackoff } from "./backoff.ts";
 import { type JournalError, JournalError as Fault } from "./journal.ts";
 import { type LogClient, type LogFailure } from "./log_client.ts";
 import { type AppendPace } from "./log_pace.ts";
@@ -54,8 +54,6 @@
   readonly waiters: Set<(outcome: Outcome) => void>;
 }
 
-const RETRY_BASE_MS = 50;
-const RETRY_CAP_MS = 2000;
 const MAX_BATCH_CHARS = 256 * 1024;
 
 /** Appends records to one stream and confirms them by replay. */
@@ -69,11 +67,7 @@
 
   constructor(options: WriterOptions) {
     this.#options = options;
-    this.#backoff = new Backoff({
-      baseMs: RETRY_BASE_MS,
-      capMs: RETRY_CAP_MS,
-      random: options.random,
-    });
+    this.#backoff = logBackoff(options.random);
   }
 
   /** Records that wait for their confirmation. */
--- a/src/decision/manifest_fixture.ts
+++ b/src/decision/manifest_fixture.ts
@@ -30,7 +30,6 @@
   return {
     version: 1,
     routes: [routeOf()],
-    services: [{ name: "drafting", prices: [] }],
     limits: {
       maxHeaderBytes: 16_384,
       maxBodyBytes: 4_194_304,
--- a/src/decision/model_ladder.ts
+++ b/src/decision/model_ladder.ts
@@ -1,15 +1,13 @@
 /**
  * The cascade over models of one service: which model answers first, and
  * whether its answer is dropped for one of a larger model. A model's own
- * confidence decides. An escalation goes straight to the model that the
- * confidence calls for, so that a request costs at most one answer in vain, and
- * is one arrival more against the budget of repeats.
+ * confidence decides. An escalation goes straight to the largest model, so that
+ * a request costs at most one answer in vain, and is one arrival more against
+ * the budget of repeats.
  */
 
 /** Confidence below which an answer is not good enough. */
 export const LEAST_CONFIDENCE = 55;
-/** Confidence below which the model between is passed over. */
-export const LOW_CONFIDENCE = 101;
 
 /** Where a request stands on its ladder. */
 export interface LadderQuery {
@@ -30,8 +28,6 @@
   if (confidence === undefined || confidence >= LEAST_CONFIDENCE) {
     return undefined;
   }
-  const index = models.indexOf(model);
-  if (index < 0 || index === models.length - 1) return undefined;
-  if (confidence < LOW_CONFIDENCE) return models.at(-1);
-  return models[index + 1];
+  const largest = models.at(-1);
+  return models.includes(model) && model !== largest ? largest : undefined;
 }
--- a/src/decision/reader_duty.ts
+++ b/src/decision/reader_duty.ts
@@ -16,12 +16,23 @@
 export function readersOf(
   members: readonly ReaderCandidate[],
 ): ReaderCandidate[] {
-  const ranked = members
-    .map((member) => ({ member, draw: hash32(`reader ${member.vm}`) }))
-    .sort((a, b) => a.draw - b.draw || (a.member.vm < b.member.vm ? -1 : 1));
-  const byPlace = new Map<string, ReaderCandidate>();
-  for (const { member } of ranked) {
-    if (!byPlace.has(member.place)) byPlace.set(member.place, member);
+  const firstByPlace = new Map<string, Drawn>();
+  for (const member of members) {
+    const drawn = { member, draw: hash32(`reader ${member.vm}`) };
+    const first = firstByPlace.get(member.place);
+    if (first === undefined || compareDraws(drawn, first) < 0) {
+      firstByPlace.set(member.place, drawn);
+    }
   }
-  return [...byPlace.values()];
+  return [...firstByPlace.values()].sort(compareDraws)
+    .map(({ member }) => member);
+}
+
+interface Drawn {
+  readonly member: ReaderCandidate;
+  readonly draw: number;
+}
+
+function compareDraws(a: Drawn, b: Drawn): number {
+  return a.draw - b.draw || (a.member.vm < b.member.vm ? -1 : 1);
 }
--- a/src/decision/route_table.ts
+++ b/src/decision/route_table.ts
@@ -15,7 +15,6 @@
   readonly manifest: Manifest;
   readonly #routes = new Map<string, Map<string, ServiceRoute>>();
   readonly #workspaces = new Map<string, WorkspaceAccess>();
-  readonly #prices = new Map<string, number>();
 
   constructor(manifest: Manifest) {
     this.manifest = manifest;
@@ -27,11 +26,6 @@
     for (const workspace of manifest.workspaces ?? []) {
       for (const key of workspace.keys) this.#workspaces.set(key, workspace);
     }
-    for (const { name, prices } of manifest.services) {
-      for (const { model, pricePer1000Tokens } of prices) {
-        this.#prices.set(`${name} ${model}`, pricePer1000Tokens);
-      }
-    }
   }
 
   /** The route with the longest prefix that begins the path, if any. */
@@ -57,11 +51,6 @@
   workspaceOf(key: string): WorkspaceAccess | undefined {
     return this.#workspaces.get(key);
   }
-
-  /** The price of 1,000 generated tokens; 0 where none is stated. */
-  priceOf(service: string, model: string): number {
-    return this.#prices.get(`${service} ${model}`) ?? 0;
-  }
 }
 
 /** The service for one request, by weight; the same key gets the same one. */
--- a/src/gateway/backend_attempt.ts
+++ b/src/gateway/backend_attempt.ts
@@ -5,8 +5,13 @@
  * puts at risk. The module uses node's own client, since undici takes a reset
  * for the end of an answer that has no length.
  */
-import { type ClientRequest, type IncomingMessage, request } from "node:http";
-import { Agent } from "node:http";
+import {
+  Agent,
+  type ClientRequest,
+  type IncomingMessage,
+  request,
+} from "node:http";
+import { splitAddress } from "../model/mod.ts";
 
 /** What is sent and to whom. */
 export interface AttemptCall {
@@ -51,11 +56,9 @@
 
   constructor(call: AttemptCall, events: AttemptEvents) {
     this.#events = events;
-    const colon = call.address.lastIndexOf(":");
     this.#request = request({
       agent: connectionAgent,
-      host: call.address.slice(0, colon),
-      port: Number(call.address.slice(colon + 1)),
+      ...splitAddress(call.address),
       method: call.method,
       path: call.target,
       headers: call.headers as string[],
--- a/src/gateway/backend_fleet.ts
+++ b/src/gateway/backend_fleet.ts
@@ -28,6 +28,7 @@
 const USUAL_FIRST_BYTE_MS = 200;
 /** Another VM's word holds no longer. */
 const MAX_BUSY_MS = 5000;
+const NO_VERSIONS: ReadonlySet<string> = new Set();
 
 interface BackendState {
   readonly server: BackendServer;
@@ -67,6 +68,7 @@
 export class BackendFleet {
   readonly #clock: Clock;
   #byService = new Map<string, BackendState[]>();
+  #readyVersions = new Map<string, Set<string>>();
   #states = new Map<string, BackendState>();
   readonly #workMs = new Map<string, number>();
 
@@ -78,15 +80,21 @@
   update(roster: Roster): void {
     const states = new Map<string, BackendState>();
     const byService = new Map<string, BackendState[]>();
+    const readyVersions = new Map<string, Set<string>>();
     for (const { server } of roster.entries.values()) {
       const state = this.#stateOf(server);
       states.set(server.id, state);
       const group = byService.get(server.service) ?? [];
       group.push(state);
       byService.set(server.service, group);
+      if (server.status !== "ready") continue;
+      const versions = readyVersions.get(server.service) ?? new Set();
+      versions.add(server.version);
+      readyVersions.set(server.service, versions);
     }
     this.#states = states;
     this.#byService = byService;
+    this.#readyVersions = readyVersions;
   }
 
   /** The servers registered for a service, in any state. */
@@ -94,6 +102,11 @@
     return (this.#byService.get(service) ?? []).map(({ server }) => server);
   }
 
+  /** The versions of a service that some server is ready to run. */
+  readyVersionsOf(service: string): ReadonlySet<string> {
+    return this.#readyVersions.get(service) ?? NO_VERSIONS;
+  }
+
   /** Servers that may get a request. */
   candidates(query: FleetQuery): FleetCandidate[] {
     const nowMs = this.#clock();
--- a/src/gateway/forward_log.ts
+++ b/src/gateway/forward_log.ts
@@ -56,9 +56,13 @@
   if (workspace !== undefined) {
     metrics.count("workspace_requests", { workspace: workspace.name, status });
   }
-  metrics.time("request_ms", durationMs, { route: route.name });
-  if (pace.firstByteMs !== undefined) {
-    metrics.time("first_byte_ms", pace.firstByteMs, { route: route.name });
+  metrics.time("request_ms", { durationMs, route: route.name });
+  const { firstByteMs } = pace;
+  if (firstByteMs !== undefined) {
+    metrics.time("first_byte_ms", {
+      durationMs: firstByteMs,
+      route: route.name,
+    });
   }
   const isLate = pace.isLate(route);
   if (isLate) metrics.count("late", { route: route.name });
@@ -74,7 +78,7 @@
     manifestVersion,
     trail: end.trail.join(" "),
     durationMs: Math.round(durationMs),
-    firstByteMs: rounded(pace.firstByteMs),
+    firstByteMs: rounded(firstByteMs),
     longestPauseMs: Math.round(pace.longestPauseMs),
     isLate,
   });
--- a/src/gateway/forwarding_test.ts
+++ b/src/gateway/forwarding_test.ts
@@ -101,11 +101,11 @@
   const answer = await send({});
   assert.equal(answer.body, eventsOf(1, 6));
   assert.ok(answer.isComplete);
-  // What each arrival was asked to go on from, should there be one too many.
-  const lastIds = backends.map(({ seenHeaders }) =>
-    seenHeaders.map((headers) => headers["test-last"] ?? "start")
+  // Whose each arrival was and from where, should there be one too many.
+  const arrivals = backends.map(({ seenHeaders }) =>
+    seenHeaders.map((headers) => [headers["test-id"], headers["test-last"]])
   );
-  assert.equal(totalSeen(backends), 2, JSON.stringify(lastIds));
+  assert.equal(totalSeen(backends), 2, JSON.stringify(arrivals));
 });
 
 test("a stream whose events do not follow on is not passed on", async (context) => {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,14 +3,8 @@
  * the other VMs, and the way of a request between them. Everything that differs
  * between platforms is passed in.
  */
-import {
-  acceptsNewWork,
-  applyShutdown,
-  chooseEntries,
-  createShutdown,
-  type ShutdownEvent,
-  type ShutdownState,
-} from "../decision/mod.ts";
+import { chooseEntries } from "../decision/mod.ts";
+import { splitAddress } from "../model/mod.ts";
 import { type PeerNode } from "../wire/mod.ts";
 import { BackendFleet } from "./backend_fleet.ts";
 import { type OwnAnswer } from "./caller_exchange.ts";
@@ -19,7 +13,8 @@
 import { Forwarding } from "./forwarding.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { type GatewayOptions } from "./gateway_options.ts";
-import { distances, openPeers, splitAddress } from "./gateway_peers.ts";
+import { distances, openPeers } from "./gateway_peers.ts";
+import { GatewayShutdown, STOP_POLL_MS } from "./gateway_shutdown.ts";
 import { GatewayState } from "./gateway_state.ts";
 import { PeerExchange } from "./peer_exchange.ts";
 import { PrefillRates } from "./prefill_rates.ts";
@@ -39,14 +34,8 @@
 /** VMs of other data centres are named where a caller's own has fewer. */
 const LEAST_ENTRIES = 2;
 const LOAD_MAX_AGE_MS = 10_000;
-/** Some callers keep an address for several times its age. */
-export const KEPT_AGES = 3;
-/** How long other VMs may go on naming one that leaves. */
-export const SPREAD_MS = 200;
 /** A caller that is refused by a VM that leaves may ask another at once. */
 const LEAVING_RETRY_MS = 50;
-const END_MARGIN_MS = 300;
-const STOP_POLL_MS = 50;
 
 /** The gateway of one VM. */
 export class Gateway {
@@ -61,22 +50,17 @@
   readonly #callers: CallerServer;
   readonly #peers: PeerNode;
   readonly #context: ForwardContext;
+  readonly #shutdown: GatewayShutdown;
   readonly #ending = new AbortController();
-  #shutdown: ShutdownState;
 
   constructor(options: GatewayOptions) {
     this.#options = options;
     const { clock, random, logger, protocol, settings } = options;
-    this.#shutdown = createShutdown({
-      entryMaxAgeMs: KEPT_AGES * settings.entryMaxAgeMs,
-      spreadMs: SPREAD_MS,
-      flushTimeoutMs: 0,
-    });
     this.#fleet = new BackendFleet({ clock });
     this.#state = new GatewayState({ fleet: this.#fleet, clock, logger });
     this.#rollouts = new RolloutBook({
       fleet: this.#fleet,
-      canaryShare: settings.canary.share,
+      canaryShare: settings.canaryShare,
       sessionMs: settings.sessionMs,
       clock,
       logger,
@@ -107,6 +91,11 @@
     });
     this.#peers = openPeers(options, this.#exchange);
     this.#callers = this.#openCallers();
+    this.#shutdown = new GatewayShutdown({
+      ...options,
+      announce: (status) => this.#peers.announce(status),
+      openCount: () => this.#callers.openCount,
+    });
     this.#context = {
       protocol,
       fleet: this.#fleet,
@@ -156,7 +145,7 @@
 
   /** Whether the VM may get new callers. */
   isReady(): boolean {
-    return this.#state.isComplete && this.#shutdown.phase === "serving";
+    return this.#state.isComplete && this.#shutdown.isServing;
   }
 
   /** Addresses for a caller, those of its data centre first. */
@@ -186,22 +175,11 @@
 
   /** Ends gracefully: no new callers, then no new requests, then all done. */
   async stop(): Promise<void> {
-    if (this.#shutdown.phase !== "serving") return;
-    const { settings, clock, sleep, logger } = this.#options;
-    const endMs = clock() + settings.graceMs - END_MARGIN_MS;
-    logger.info("stopping", { openCount: this.#callers.openCount });
-    this.#changeShutdown({ kind: "terminate" });
+    if (!this.#shutdown.isServing) return;
+    const { sleep, logger } = this.#options;
+    const isOver = this.#shutdown.run();
     this.#callers.beginClosing();
-    while (!this.#hasLeft() && clock() < endMs) {
-      await sleep(STOP_POLL_MS);
-      const { openCount } = this.#callers;
-      this.#changeShutdown({
-        kind: "progress",
-        openCount,
-        unconfirmedCount: 0,
-      });
-    }
-    this.#peers.announce("left");
+    await isOver;
     this.#ending.abort();
     logger.info("stopped", { openCount: this.#callers.openCount });
     await sleep(STOP_POLL_MS);
@@ -209,28 +187,10 @@
     await this.#peers.close();
   }
 
-  #hasLeft(): boolean {
-    return this.#shutdown.phase === "left";
-  }
-
-  #changeShutdown(event: ShutdownEvent): void {
-    const { clock, logger } = this.#options;
-    const before = this.#shutdown.phase;
-    const { state, effects } = applyShutdown(this.#shutdown, event, clock());
-    this.#shutdown = state;
-    for (const effect of effects) {
-      if (effect.kind === "announce") this.#peers.announce(effect.status);
-    }
-    if (state.phase === before) return;
-    logger.info("shutdown", { phase: state.phase });
-  }
-
   #openCallers(): CallerServer {
     const { settings, clock } = this.#options;
-    const [host, port] = splitAddress(settings.callerAddress);
     return new CallerServer({
-      host,
-      port,
+      ...splitAddress(settings.callerAddress),
       memoryBytes: settings.memoryBytes,
       clock,
       limits: () => this.#state.routes?.manifest.limits,
@@ -262,7 +222,7 @@
   }
 
   #admit(caller: CallerRequest): AllowedRequest | OwnAnswer {
-    if (acceptsNewWork(this.#shutdown)) {
+    if (this.#shutdown.isAccepting) {
       return admitRequest(this.#state, caller);
     }
     const retryAfterMs = LEAVING_RETRY_MS;
--- a/src/gateway/gateway_fixture.ts
+++ b/src/gateway/gateway_fixture.ts
@@ -4,7 +4,6 @@
  */
 import { type IncomingMessage, request } from "node:http";
 import { type AddressInfo, createServer as createTcpServer } from "node:net";
-import { setTimeout as delay } from "node:timers/promises";
 import { ok } from "neverthrow";
 import { manifestOf, routeOf } from "../decision/manifest_fixture.ts";
 import {
@@ -18,6 +17,7 @@
 import { type GatewayOptions } from "./gateway_options.ts";
 import { MemoryTopic } from "./memory_topic_fixture.ts";
 import { type GatewayProtocol } from "./protocol.ts";
+import { until } from "./until_fixture.ts";
 
 const HOST = "127.0.0.1";
 /** The host of the fixture's routes. */
@@ -41,7 +41,6 @@
       model: undefined,
       isModelOpen: headers.get("test-model") === "any",
       promptTokens: 0,
-      maxOutputTokens: 0,
       promptParts: [],
       lastEventId: headers.get("test-last"),
       passedHeaders: ["Host", API_HOST, "test-id", id],
@@ -59,7 +58,6 @@
     return {
       status,
       isNotRun: headers.has("test-not-run"),
-      isLeaving: false,
       requestId: headers.get("test-id"),
       isGenuine: headers.has("test-signature"),
       isFramed: headers.has("content-length") ||
@@ -122,7 +120,7 @@
       graceMs: 2000,
       entryMaxAgeMs: 100,
       repeats: { ratio: 0.9, slackCount: 56, windowMs: 10_000 },
-      canary: { share: 0.15, slackCount: 30 },
+      canaryShare: 0.15,
       sessionMs: 5000,
       ...options.settings,
     },
@@ -152,11 +150,7 @@
 
 /** Waits until the gateway is ready. */
 export async function untilReady({ gateway }: TestGateway): Promise<void> {
-  const endMs = performance.now() + 5000;
-  while (!gateway.isReady()) {
-    if (performance.now() > endMs) throw new Error("the gateway is not ready");
-    await delay(5);
-  }
+  await until(() => gateway.isReady());
 }
 
 /** What a caller got. */
@@ -188,7 +182,7 @@
       agent: false,
       headers: {
         host: API_HOST,
-        "test-id": "request-1",
+        "test-id": `request-${process.pid}`,
         "test-key": "a-key",
         ...headers,
       },
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -36,14 +36,14 @@
   }
 
   /** Adds to a counter. */
-  count(name: string, labels: MetricLabels = {}, amount = 1): void {
+  count(name: string, labels: MetricLabels): void {
     const series = seriesOf(name, labels);
     const before = this.#counters.get(series);
     if (before === undefined && this.#counters.size >= MAX_SERIES) {
-      this.#leftOutCount += amount;
+      this.#leftOutCount += 1;
       return;
     }
-    this.#counters.set(series, (before ?? 0) + amount);
+    this.#counters.set(series, (before ?? 0) + 1);
   }
 
   /** Sets a gauge. */
@@ -52,7 +52,10 @@
   }
 
   /** Records a duration. */
-  time(name: string, durationMs: number, labels: MetricLabels = {}): void {
+  time(
+    name: string,
+    { durationMs, ...labels }: MetricLabels & { readonly durationMs: number },
+  ): void {
     this.#record(seriesOf(name, labels), durationMs);
   }
 
--- a/src/gateway/gateway_peers.ts
+++ b/src/gateway/gateway_peers.ts
@@ -1,5 +1,5 @@
 /** The other VMs of a gateway, and how far places are. */
-import { noMetrics } from "../model/mod.ts";
+import { noMetrics, splitAddress } from "../model/mod.ts";
 import {
   createPeerNode,
   NO_BILLS,
@@ -21,13 +21,13 @@
   exchange: PeerExchange,
 ): PeerNode {
   const { settings, clock, random, sleep, logger } = options;
-  const [listenHost, listenPort] = splitAddress(settings.peerAddress);
+  const { host, port } = splitAddress(settings.peerAddress);
   return createPeerNode({
     vm: settings.vm,
     place: settings.place,
     address: "",
-    listenHost,
-    listenPort,
+    listenHost: host,
+    listenPort: port,
     deployment: "gateway",
     sharedKey: "gateway",
     seeds: settings.seeds,
@@ -56,9 +56,3 @@
     return regions.get(place) === own ? NEAR_MS : FAR_MS;
   };
 }
-
-/** Host and port of an address. */
-export function splitAddress(address: string): [string, number] {
-  const colon = address.lastIndexOf(":");
-  return [address.slice(0, colon), Number(address.slice(colon + 1))];
-}
--- a/src/gateway/gateway_settings.ts
+++ b/src/gateway/gateway_settings.ts
@@ -7,14 +7,6 @@
   readonly region: string;
 }
 
-/** How much of a service's traffic a version may get before it is proved. */
-export interface CanaryBound {
-  /** Of the requests between an order and its limit. */
-  readonly share: number;
-  /** Beside that share. */
-  readonly slackCount: number;
-}
-
 /** Settings of one VM. */
 export interface GatewaySettings {
   readonly vm: string;
@@ -39,7 +31,8 @@
   readonly entryMaxAgeMs: number;
   /** Over all VMs. */
   readonly repeats: RepeatBound;
-  readonly canary: CanaryBound;
+  /** Of a service's requests, what a version may get before it is proved. */
+  readonly canaryShare: number;
   /** Requests of a session follow each other within this. */
   readonly sessionMs: number;
 }
--- a/src/gateway/gateway_state.ts
+++ b/src/gateway/gateway_state.ts
@@ -1,7 +1,7 @@
 /**
  * What is in force on this VM: the newest manifest and the roster of backend
- * servers. Nothing here ever goes back: an older
- * manifest or record changes nothing, wherever it comes from.
+ * servers. Nothing here ever goes back: an older manifest or record changes
+ * nothing, wherever it comes from.
  */
 import {
   applyRoster,
--- a/src/gateway/gateway_test.ts
+++ b/src/gateway/gateway_test.ts
@@ -17,6 +17,7 @@
   untilReady,
 } from "./gateway_fixture.ts";
 import { MemoryTopic } from "./memory_topic_fixture.ts";
+import { until } from "./until_fixture.ts";
 
 const MANIFEST = { routes: [LOOKUP_ROUTE] };
 
@@ -35,14 +36,6 @@
   });
 }
 
-async function until(isDone: () => boolean, limitMs = 5000): Promise<void> {
-  const endMs = performance.now() + limitMs;
-  while (!isDone()) {
-    if (performance.now() > endMs) throw new Error("the state never came");
-    await delay(10);
-  }
-}
-
 test("a VM that knows no manifest asks callers to come back", async (context) => {
   const operators = new MemoryTopic();
   operators.isDown = true;
--- a/src/gateway/log_sink_test.ts
+++ b/src/gateway/log_sink_test.ts
@@ -1,17 +1,10 @@
 /** Tests of the log's sink: a reader that does not read holds nothing up. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { setTimeout as delay } from "node:timers/promises";
 import { createLineSink, MAX_QUEUED_BYTES } from "./log_sink.ts";
+import { until } from "./until_fixture.ts";
 
 const LINE = "x".repeat(1000);
-const WAIT_LIMIT_MS = 5000;
-
-/** Waits for what the sink does later; the assertion after it decides. */
-async function until(isDone: () => boolean): Promise<void> {
-  const endMs = performance.now() + WAIT_LIMIT_MS;
-  while (!isDone() && performance.now() < endMs) await delay(1);
-}
 
 test("a full pipe keeps lines up to a bound, and counts the rest", async () => {
   const written: string[] = [];
--- a/src/gateway/peer_exchange.ts
+++ b/src/gateway/peer_exchange.ts
@@ -73,7 +73,7 @@
   }
 
   /** The readers of the store as this VM sees them, first in rank first. */
-  readers(): ReaderCandidate[] {
+  #readers(): ReaderCandidate[] {
     const state = this.#options.node().membership();
     const members = presentMembers(state).map(({ update }) => update);
     const alive = [state.self, ...members].filter(({ status }) =>
@@ -84,7 +84,7 @@
 
   /** This VM's rank among the readers. */
   rank(): number | undefined {
-    const rank = this.readers().findIndex(({ vm }) => vm === this.#options.vm);
+    const rank = this.#readers().findIndex(({ vm }) => vm === this.#options.vm);
     return rank < 0 ? undefined : rank;
   }
 
@@ -129,7 +129,7 @@
 
   /** Longer in a large data centre, so that its reader is not asked more. */
   #periodMs(): number {
-    const readers = this.readers();
+    const readers = this.#readers();
     if (readers.some(({ vm }) => vm === this.#options.vm)) {
       const otherCount = Math.max(1, readers.length - 1);
       return Math.min(READER_PERIOD_MS, READER_ROUND_MS / otherCount);
@@ -143,7 +143,7 @@
   /** Whom to ask: a reader, or anyone after a reader did not answer. */
   #partner(): string | undefined {
     const { vm, node, random } = this.#options;
-    const readers = this.readers().filter((reader) => reader.vm !== vm);
+    const readers = this.#readers().filter((reader) => reader.vm !== vm);
     const { self } = node().membership();
     const near = readers.filter(({ place }) => place === self.place);
     const members = presentMembers(node().membership())
@@ -201,7 +201,7 @@
   /** While it matters, tallies go to readers; readers pass on what was told. */
   #rolloutNewsFor(vm: string): RolloutNews[] {
     const { book, clock } = this.#options;
-    const readers = this.readers().map((reader) => reader.vm);
+    const readers = this.#readers().map((reader) => reader.vm);
     const isForReader = readers.includes(vm);
     const isReader = readers.includes(this.#options.vm);
     return [...book.rollouts.values()].map((rollout) => {
--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -37,7 +37,6 @@
   /** Whether the gateway is to choose among the route's models. */
   readonly isModelOpen: boolean;
   readonly promptTokens: number;
-  readonly maxOutputTokens: number;
   readonly promptParts: readonly PromptPart[];
   /** The last event that the caller has, when it goes on with a stream. */
   readonly lastEventId: string | undefined;
@@ -63,7 +62,6 @@
 export interface BackendLoad {
   readonly runningCount: number;
   readonly waitingCount: number;
-  readonly slotCount: number;
 }
 
 /** The head of a backend server's answer, decoded. */
@@ -71,8 +69,6 @@
   readonly status: number;
   /** The server states that it has not run the request. */
   readonly isNotRun: boolean;
-  /** The server leaves. */
-  readonly isLeaving: boolean;
   /** The request that the answer belongs to; absent where it names none. */
   readonly requestId: string | undefined;
   /** The answer carries the server's signature and its body is its own. */
--- a/src/gateway/rollout_book.ts
+++ b/src/gateway/rollout_book.ts
@@ -208,7 +208,7 @@
     session: VersionSession,
   ): boolean {
     const { service, target } = rollout.order;
-    const there = this.#readyVersions(service);
+    const there = this.#options.fleet.readyVersionsOf(service);
     const hasOthers = [...there].some((version) => version !== target);
     if (!hasOthers) return rollout.fault === undefined;
     if (!there.has(target)) return false;
@@ -235,15 +235,8 @@
     const latestMs = this.#options.clock() - NEWCOMER_MS;
     const isSettled = (version: string): boolean =>
       (versions?.get(version)?.seenAtMs ?? -Infinity) <= latestMs;
-    const hasSettled = [...this.#readyVersions(service)].some(isSettled);
+    const ready = this.#options.fleet.readyVersionsOf(service);
+    const hasSettled = [...ready].some(isSettled);
     return hasSettled ? isSettled : () => true;
   }
-
-  #readyVersions(service: string): Set<string> {
-    const versions = new Set<string>();
-    for (const server of this.#options.fleet.serversOf(service)) {
-      if (server.status === "ready") versions.add(server.version);
-    }
-    return versions;
-  }
 }
--- a/src/gateway/store_mirror.ts
+++ b/src/gateway/store_mirror.ts
@@ -73,12 +73,12 @@
         changed.push({ key, value: undefined, offset: nextOffset - 1 });
       }
     }
-    this.#take(changed, { nextOffset, knownAtMs, isFirst: true });
+    this.#take(changed, { nextOffset, knownAtMs });
   }
 
   /** Takes records that follow on those known. */
   takeRecords({ records, nextOffset }: StoreRecords, knownAtMs: number): void {
-    this.#take(records, { nextOffset, knownAtMs, isFirst: false });
+    this.#take(records, { nextOffset, knownAtMs });
   }
 
   /** What a VM that has read up to an offset lacks. */
@@ -106,11 +106,7 @@
 
   #take(
     records: readonly StoreRecord[],
-    given: {
-      readonly nextOffset: number;
-      readonly knownAtMs: number;
-      readonly isFirst: boolean;
-    },
+    given: { readonly nextOffset: number; readonly knownAtMs: number },
   ): void {
     const isAfterOutage = this.#nextOffset !== undefined &&
       this.ageMs > OUTAGE_MS;
--- a/src/gateway/stream_relay.ts
+++ b/src/gateway/stream_relay.ts
@@ -17,7 +17,6 @@
   #splitter = new EventSplitter();
   #head: AnswerHead | undefined;
   #lastId: number | undefined;
-  #eventCount = 0;
 
   constructor(exchange: CallerExchange, lastEventId: string | undefined) {
     this.#exchange = exchange;
@@ -32,11 +31,6 @@
     return this.#lastId;
   }
 
-  /** Events relayed so far. */
-  get eventCount(): number {
-    return this.#eventCount;
-  }
-
   /** A server begins to send; the first head is the one the caller gets. */
   attach(head: AnswerHead): void {
     this.#splitter = new EventSplitter();
@@ -54,7 +48,6 @@
     for (const { bytes, id } of this.#splitter.push(chunk)) {
       if (!this.#followsOn(id)) return "out_of_order";
       if (id !== undefined) this.#lastId = id;
-      this.#eventCount += 1;
       if (!this.#write(bytes)) step = "slow_caller";
     }
     return this.#splitter.rest.length > MAX_EVENT_BYTES ? "oversize" : step;
--- a/src/model/manifest.ts
+++ b/src/model/manifest.ts
@@ -45,19 +45,6 @@
   return kind === "idempotent" || (kind === "streaming" && isResumable);
 }
 
-/** What a model costs. */
-export interface ModelPrice {
-  readonly model: string;
-  /** For 1,000 generated tokens; a token read costs a quarter of one made. */
-  readonly pricePer1000Tokens: number;
-}
-
-/** A service and what is known of its backend servers. */
-export interface ServiceDefinition {
-  readonly name: string;
-  readonly prices: readonly ModelPrice[];
-}
-
 /** What callers may send and how long they may take. */
 export interface CallerLimits {
   readonly maxHeaderBytes: number;
@@ -78,7 +65,6 @@
 export interface Manifest {
   readonly version: number;
   readonly routes: readonly ServiceRoute[];
-  readonly services: readonly ServiceDefinition[];
   readonly limits: CallerLimits;
   /** Absent where requests need no key at all. */
   readonly workspaces: readonly WorkspaceAccess[] | undefined;
--- a/src/model/mod.ts
+++ b/src/model/mod.ts
@@ -1,4 +1,5 @@
 /** The model: immutable values of the domain, without I/O. */
+export * from "./address.ts";
 export * from "./allowance.ts";
 export * from "./effects.ts";
 export * from "./error.ts";
--- a/src/wire/mod.ts
+++ b/src/wire/mod.ts
@@ -4,6 +4,7 @@
 export { type Answer, type Ask, PROTOCOL_VERSION } from "./message.ts";
 export * from "./no_records.ts";
 export * from "./peer_node.ts";
+export * from "./peer_node_options.ts";
 export * from "./subscriber.ts";
 export { type RecordFreshness, type RecordSource } from "./record_exchange.ts";
 export { type BillHolder, type ExchangeNews } from "./responder.ts";
--- a/src/wire/peer_fixture.ts
+++ b/src/wire/peer_fixture.ts
@@ -10,11 +10,8 @@
   positionOf,
   type RawEntry,
 } from "../state/mod.ts";
-import {
-  createPeerNode,
-  type PeerNode,
-  type PeerNodeOptions,
-} from "./peer_node.ts";
+import { createPeerNode, type PeerNode } from "./peer_node.ts";
+import { type PeerNodeOptions } from "./peer_node_options.ts";
 import { type RecordFreshness, type RecordSource } from "./record_exchange.ts";
 import { type BillHolder } from "./responder.ts";
 
--- a/src/wire/peer_node.ts
+++ b/src/wire/peer_node.ts
@@ -9,66 +9,27 @@
   createMembership,
   type MembershipEffect,
   type MembershipEvent,
-  type MembershipOptions,
   type MembershipState,
   type MemberUpdate,
   nextTickAtMs,
   presentMembers,
 } from "../decision/mod.ts";
-import {
-  type Clock,
-  type Logger,
-  type Metrics,
-  type Random,
-  type Sleep,
-  type Vm,
-} from "../model/mod.ts";
+import { type Vm } from "../model/mod.ts";
 import { AskTable } from "./ask_table.ts";
-import { type BillHolder, type ExchangeNews, Responder } from "./responder.ts";
-import {
-  RecordExchange,
-  type RecordSource,
-  tellFreshness,
-} from "./record_exchange.ts";
+import { type PeerNodeOptions } from "./peer_node_options.ts";
+import { Responder } from "./responder.ts";
+import { RecordExchange, tellFreshness } from "./record_exchange.ts";
 import { type PeerConnection } from "./connection.ts";
 import { WireError } from "./error.ts";
 import { type Answer, type Ask, type PeerMessage } from "./message.ts";
 import {
   DEFAULT_BOUNDS,
   Transport,
-  type TransportBounds,
   type TransportCounts,
 } from "./transport.ts";
 
 const MIN_WAIT_MS = 5;
 
-/** What a node is and needs. */
-export interface PeerNodeOptions {
-  readonly vm: string;
-  readonly place: string;
-  /** Where callers reach this VM; "" while it is not to be handed out. */
-  readonly address: string;
-  readonly listenHost: string;
-  readonly listenPort: number;
-  /** Where peers reach this VM, when it isn't where it listens. */
-  readonly advertisedPeerAddress?: string;
-  readonly deployment: string;
-  readonly sharedKey: string;
-  /** Peer addresses to try while no member is known. */
-  readonly seeds: readonly string[];
-  readonly membership?: Partial<MembershipOptions>;
-  readonly bounds?: Partial<TransportBounds>;
-  readonly records: RecordSource;
-  readonly bills: BillHolder;
-  /** Absent where a process has no news for others. */
-  readonly exchange?: ExchangeNews;
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly sleep: Sleep;
-  readonly logger: Logger;
-  readonly metrics: Metrics;
-}
-
 /** A node among its peers. */
 export interface PeerNode {
   /** Listens and begins to probe; answers where it listens. */
