Escalate less while engines have long queues

From 36 s on nothing is wrong any more, but answers begin after 1.2 s in the median (0.1 s before), summaries come late and tags time out: half of the answers still ask for the largest model, which takes ten times the small one's time.

Change: the confidence below which an answer escalates falls with the wait expected at the larger model's server, counted once more for each rank of less urgency (brownout). An answer at hand is no longer dropped when the larger model could not begin before the deadline.

--- a/src/decision/model_escalation.ts
+++ b/src/decision/model_escalation.ts
@@ -6,7 +6,7 @@
  * arrival to the retry budget.
  */
 
-/** Answers with a lower confidence escalate. */
+/** Without load, answers with a lower confidence escalate. */
 export const MIN_CONFIDENCE = 55;
 
 /** A request's current model, its confidence and the escalation order. */
@@ -16,6 +16,8 @@
   readonly model: string;
   /** Absent if the model reported none. */
   readonly confidence: number | undefined;
+  /** Share of the confidence threshold that load takes off, from 0 to 1. */
+  readonly pressureShare: number;
 }
 
 /** Returns the model that answers first. */
@@ -25,8 +27,9 @@
 
 /** Returns the model to escalate to; undefined if the answer is used. */
 export function nextModel(query: ModelEscalationQuery): string | undefined {
-  const { models, model, confidence } = query;
-  if (confidence === undefined || confidence >= MIN_CONFIDENCE) {
+  const { models, model, confidence, pressureShare } = query;
+  const minConfidence = MIN_CONFIDENCE * (1 - pressureShare);
+  if (confidence === undefined || confidence >= minConfidence) {
     return undefined;
   }
   const largest = models.at(-1);
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -5,12 +5,13 @@
  * interrupted stream resumes at another server after the last event sent to the
  * caller.
  */
-import { firstModel, nextModel } from "../decision/mod.ts";
+import { firstModel } from "../decision/mod.ts";
 import { isRetriable } from "../model/mod.ts";
 import { AnswerTiming } from "./answer_timing.ts";
 import { AttemptHistory } from "./attempt_history.ts";
 import { type FleetCandidate } from "./backend_fleet.ts";
 import { type CallerExchange, type CompleteAnswer } from "./caller_exchange.ts";
+import { chooseEscalation } from "./escalation_choice.ts";
 import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
 import { logChoice, logEnd, type LoggedProgress } from "./forward_log.ts";
 import { type AnswerHead } from "./protocol.ts";
@@ -122,13 +123,13 @@
     this.#startSilenceTimer(gapTimeoutMs(route));
     const { confidence } = head;
     if (this.#model === undefined || this.#exchange.isHeadSent) return "relay";
-    const model = nextModel({
-      models: route.models,
-      model: this.#model,
-      confidence,
+    if (!this.#history.mayRunAgain()) return "relay";
+    const model = chooseEscalation(this.#context, this.#request, {
+      answer: { model: this.#model, confidence },
+      timeLeftMs: this.#timeLeftMs(),
+      acceptsVersion: this.#acceptsVersion,
     });
-    if (model === undefined || !this.#history.mayRunAgain()) return "relay";
-    if (!this.#spendRetry("escalation")) return "relay";
+    if (model === undefined || !this.#spendRetry("escalation")) return "relay";
     this.#context.metrics.count("escalations", { service });
     this.#history.addEscalation({ from: this.#model, to: model }, confidence);
     this.#model = model;
@@ -243,10 +244,7 @@
 
   #startSilenceTimer(timeoutMs: number): void {
     clearTimeout(this.#silenceTimer);
-    this.#silenceTimer = setTimeout(
-      () => this.#handleSilence(),
-      timeoutMs,
-    );
+    this.#silenceTimer = setTimeout(() => this.#handleSilence(), timeoutMs);
   }
 
   #handleDeadline(): void {
--- a/src/gateway/prefill_rates.ts
+++ b/src/gateway/prefill_rates.ts
@@ -10,6 +10,14 @@
 const DRIFT_FACTOR = 1.02;
 const MAX_KEYS = 1000;
 
+/** The key of a service's model; without a model, of the service. */
+export function prefillKeyOf(
+  service: string,
+  model: string | undefined,
+): string {
+  return `${service} ${model ?? ""}`;
+}
+
 /** Milliseconds per prompt token, by key. */
 export class PrefillRates {
   readonly #msPerToken = new Map<string, number>();
--- a/src/gateway/server_attempt.ts
+++ b/src/gateway/server_attempt.ts
@@ -10,6 +10,7 @@
 import { type InFlightRequest } from "./backend_fleet.ts";
 import { type CompleteAnswer } from "./caller_exchange.ts";
 import { type ForwardContext } from "./forward_context.ts";
+import { prefillKeyOf } from "./prefill_rates.ts";
 import { type AnswerHead, type BackendRequest } from "./protocol.ts";
 
 /** Long enough for a connection whose first packet has to be sent again. */
@@ -119,7 +120,8 @@
 
   get #prefillKey(): string {
     const { request, server } = this.#options;
-    return `${server.service} ${request.model ?? request.caller.model ?? ""}`;
+    const model = request.model ?? request.caller.model;
+    return prefillKeyOf(server.service, model);
   }
 
   get #isRelayed(): boolean {
--- a/src/gateway/server_choice.ts
+++ b/src/gateway/server_choice.ts
@@ -4,7 +4,7 @@
 import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
 
 /** Delay that one more request causes for an engine's other requests. */
-const ENGINE_LOAD_STEP_MS = 40;
+export const ENGINE_LOAD_STEP_MS = 40;
 /** Distance counts this much more for a stream, which sends more data. */
 const STREAM_DISTANCE_FACTOR = 3;
 
