Share the servers' loads between VMs, and compare few servers

Cause: a VM knew a server's load from its own answers of the last 1.5 s only, and took every other server for idle. With 6 VMs that is little, with 61 and 195 VMs, each serving one to five requests a second, mostly nothing: servers differ in speed, and nobody sees the queue of the slow ones.

Change: the messages that VMs exchange anyway carry the newest observations, at most 64 of the last 2 s, 20 bytes each; the newer one wins. None goes back where it came from. An observation counts in full for 1.5 s and fades until 4 s.

--- a/src/decision/backend_choice.ts
+++ b/src/decision/backend_choice.ts
@@ -4,6 +4,10 @@
  * prompt and the risk of failure are all converted to that unit. Rendezvous
  * hashing sends requests with the same prompt to the same server without
  * communication between VMs, until its queue costs more than the prefill.
+ *
+ * Known loads are a moment old and the same on many VMs. So that these don't
+ * all choose the server that was idle, a request compares only a few random
+ * servers of each distance (power of d choices), and the one with its prompt.
  */
 import { hashShare, type Random } from "../model/mod.ts";
 
@@ -19,6 +23,8 @@
 const FINAL_RISK_MS = 6000;
 /** Failure shares up to this are treated as noise. */
 const NOISE_FAILURE_SHARE = 0.02;
+/** Servers compared at each distance, besides the one with the prompt. */
+const SAMPLES_PER_DISTANCE = 3;
 /** Random part of the cost, so that VMs don't all break a tie the same way. */
 const TIE_BREAK_MS = 2;
 
@@ -62,7 +68,10 @@
   const prefillMs = prefillCosts(eligible, query);
   let best: Candidate | undefined;
   let bestMs = Infinity;
+  const sampledIds = sampleByDistance(eligible, query);
   for (const candidate of eligible) {
+    const isFirstByPrompt = prefillMs.get(candidate.id) === 0;
+    if (!isFirstByPrompt && !sampledIds.has(candidate.id)) continue;
     const costMs = costOf(candidate, query) +
       (prefillMs.get(candidate.id) ?? 0);
     if (costMs >= bestMs) continue;
@@ -72,6 +81,29 @@
   return best;
 }
 
+/** Returns the ids of a few random candidates of each distance. */
+function sampleByDistance(
+  candidates: readonly BackendCandidate[],
+  { distanceMs, random }: ChoiceQuery,
+): ReadonlySet<string> {
+  const groups = new Map<number, string[]>();
+  for (const { id, place } of candidates) {
+    const distance = distanceMs(place);
+    const group = groups.get(distance);
+    if (group === undefined) groups.set(distance, [id]);
+    else group.push(id);
+  }
+  const sampled = new Set<string>();
+  for (const ids of groups.values()) {
+    for (let count = 0; count < SAMPLES_PER_DISTANCE; count++) {
+      const index = Math.floor(random() * ids.length);
+      const [id] = ids.splice(index, 1);
+      if (id !== undefined) sampled.add(id);
+    }
+  }
+  return sampled;
+}
+
 function costOf(candidate: BackendCandidate, query: ChoiceQuery): number {
   const { loadCount, slotCount, failureShare } = candidate;
   const excess = Math.max(0, loadCount + 1 - slotCount);
--- a/src/gateway/backend_fleet.ts
+++ b/src/gateway/backend_fleet.ts
@@ -7,11 +7,17 @@
   applyHealth,
   type BackendCandidate,
   type BackendHealth,
+  expectedRequestCount,
   failureShareOf,
   type HealthEvent,
   isPassing,
   isProbeNeeded,
+  type LoadObservation,
+  loadsToShare,
+  newerLoad,
+  receivedLoad,
   type Roster,
+  type SharedLoad,
   UNKNOWN_HEALTH,
 } from "../decision/mod.ts";
 import { type BackendServer, type Clock } from "../model/mod.ts";
@@ -19,8 +25,6 @@
 
 /** A server that sends nothing for this long despite requests is suspect. */
 export const SUSPECT_SILENCE_MS = 700;
-/** Older load reports are ignored. */
-const LOAD_MAX_AGE_MS = 1500;
 /** Weight of the latest request in a service's mean service time. */
 const SERVICE_TIME_WEIGHT = 0.05;
 const INITIAL_SERVICE_TIME_MS = 50;
@@ -36,8 +40,8 @@
   inFlightCount: number;
   /** Time of the last activity while requests were in flight. */
   lastActivityAtMs: number;
-  load: BackendLoad | undefined;
-  loadAtMs: number;
+  /** The newest load that this VM or another one observed. */
+  load: LoadObservation | undefined;
   /** Requests waiting for a first byte, oldest first. */
   readonly pending: Set<PendingRequest>;
   /** Until when the long prompts of other VMs occupy the server. */
@@ -144,6 +148,24 @@
     state.busyUntilMs = Math.max(nowMs, state.busyUntilMs) + busyMs;
   }
 
+  /** Returns recent loads that were passed on at most `maxHopCount` times. */
+  sharedLoads(options: { readonly maxHopCount: number }): SharedLoad[] {
+    const loads = [...this.#states].map(([id, { load }]) =>
+      [id, load] as const
+    );
+    return loadsToShare(loads, { ...options, nowMs: this.#clock() });
+  }
+
+  /** Applies the loads that another VM sent. */
+  mergeLoads(loads: readonly SharedLoad[]): void {
+    const nowMs = this.#clock();
+    for (const load of loads) {
+      const state = this.#states.get(load.id);
+      if (state === undefined) continue;
+      state.load = newerLoad(state.load, receivedLoad(load, nowMs));
+    }
+  }
+
   /** Adds a request's duration to the mean service time of a service. */
   recordServiceTime(service: string, durationMs: number): void {
     const meanMs = this.#serviceTimesMs.get(service) ?? INITIAL_SERVICE_TIME_MS;
@@ -190,8 +212,11 @@
 
   /** Records the load that the server reported. */
   recordLoad(load: BackendLoad): void {
-    this.#state.load = load;
-    this.#state.loadAtMs = this.#clock();
+    this.#state.load = {
+      requestCount: load.runningCount + load.waitingCount,
+      observedAtMs: this.#clock(),
+      hopCount: 0,
+    };
   }
 
   /** Ends the request; without an event, the server's health stays as it is. */
@@ -213,7 +238,6 @@
     inFlightCount: 0,
     lastActivityAtMs: 0,
     load: undefined,
-    loadAtMs: 0,
     pending: new Set(),
     busyUntilMs: 0,
   };
@@ -252,9 +276,8 @@
 }
 
 function loadCountOf(state: BackendState, nowMs: number): number {
-  const { load, loadAtMs, inFlightCount } = state;
-  if (load === undefined || nowMs - loadAtMs > LOAD_MAX_AGE_MS) {
-    return inFlightCount;
-  }
-  return Math.max(inFlightCount, load.runningCount + load.waitingCount);
+  return Math.max(
+    state.inFlightCount,
+    expectedRequestCount(state.load, nowMs),
+  );
 }
--- a/src/gateway/forward_log.ts
+++ b/src/gateway/forward_log.ts
@@ -31,7 +31,7 @@
     server: server.id,
     version: server.version,
     model: choice.model ?? caller.model,
-    loadCount,
+    loadCount: Math.round(loadCount),
     waitMs: Math.round(waitMs),
     failurePercent: Math.round(failureShare * PERCENT),
     manifestVersion,
--- a/src/gateway/peer_exchange.ts
+++ b/src/gateway/peer_exchange.ts
@@ -1,5 +1,5 @@
 /**
- * Synchronises store records and roll-out tallies between VMs. Each VM sends an
+ * Synchronises store records, roll-out tallies and loads between VMs. Each VM sends an
  * update to its data centre's store reader about every half second and receives
  * one in reply. The readers query each other in rotation and forward the
  * tallies of their own data centre's VMs. When no reader answers, the VM
@@ -10,7 +10,9 @@
 import {
   chooseStoreReaders,
   isEnded,
+  maxHopCountFor,
   presentMembers,
+  type SharedLoad,
   type StoreReaderCandidate,
 } from "../decision/mod.ts";
 import {
@@ -203,9 +205,19 @@
       },
       topics,
       rollouts: this.#rolloutReportsFor(vm),
+      loads: this.#loadsFor(vm),
     });
   }
 
+  #loadsFor(vm: string): SharedLoad[] {
+    const readers = this.#storeReaders().map((reader) => reader.vm);
+    const maxHopCount = maxHopCountFor({
+      isSenderReader: readers.includes(this.#options.vm),
+      isReceiverReader: readers.includes(vm),
+    });
+    return this.#options.fleet.sharedLoads({ maxHopCount });
+  }
+
   /**
    * Tallies are sent only to store readers and only until the roll-out ends.
    * Readers also forward the tallies that VMs sent them directly.
@@ -236,7 +248,8 @@
   }
 
   #apply(update: PeerUpdate): void {
-    const { replicas, registry, clock } = this.#options;
+    const { replicas, registry, fleet, clock } = this.#options;
+    fleet.mergeLoads(update.loads);
     for (const name of TOPICS) {
       const topic = update.topics[name];
       if (topic !== undefined) replicas[name].applyUpdate(topic);
--- a/src/gateway/peer_update.ts
+++ b/src/gateway/peer_update.ts
@@ -1,9 +1,11 @@
 /**
  * The messages that gateways exchange: how far each has read the store, the
- * records that the receiver lacks, and the state and tallies of roll-outs.
+ * records that the receiver lacks, the state and tallies of roll-outs, and the
+ * loads of backend servers.
  * Received messages are validated against the schemas here.
  */
 import { z } from "zod";
+import { MAX_SHARED_LOADS, type SharedLoad } from "../decision/mod.ts";
 import { type TopicUpdate } from "./topic_replica.ts";
 
 /** The store's topics that VMs replicate to each other. */
@@ -64,6 +66,19 @@
   tallies: z.array(vmTallySchema).max(MAX_TALLIES),
 });
 
+/** Id, requests, age in milliseconds and hops; a tuple to stay small. */
+const sharedLoadSchema = z.tuple([
+  nameSchema,
+  countSchema,
+  countSchema,
+  countSchema,
+]).transform(([id, requestCount, ageMs, hopCount]): SharedLoad => ({
+  id,
+  requestCount,
+  ageMs,
+  hopCount,
+}));
+
 const peerUpdateSchema = z.object({
   /** The sender's process instance; empty from VMs of an earlier release. */
   teller: z.string().max(MAX_KEY_LENGTH).default(""),
@@ -71,6 +86,8 @@
   have: z.record(z.enum(TOPICS), countSchema.nullable()),
   topics: z.partialRecord(z.enum(TOPICS), topicUpdateSchema),
   rollouts: z.array(rolloutReportSchema).max(MAX_ROLLOUTS),
+  /** Absent from VMs of an earlier release. */
+  loads: z.array(sharedLoadSchema).max(MAX_SHARED_LOADS).default([]),
 });
 
 const busyNoticeSchema = z.object({
@@ -105,6 +122,7 @@
   readonly have: PeerUpdate["have"];
   readonly topics: Partial<Record<TopicName, TopicUpdate>>;
   readonly rollouts: readonly RolloutReport[];
+  readonly loads: readonly SharedLoad[];
 }): unknown {
   const topics: Record<string, unknown> = {};
   for (const [name, topic] of Object.entries(update.topics)) {
@@ -115,5 +133,11 @@
     }));
     topics[name] = { ...topic, records };
   }
-  return { ...update, topics };
+  const loads = update.loads.map(({ id, requestCount, ageMs, hopCount }) => [
+    id,
+    requestCount,
+    ageMs,
+    hopCount,
+  ]);
+  return { ...update, topics, loads };
 }
