Listen on any free port in the gateway's tests

Change: the gateway listens on port 0, as a backend server of the tests does, reads the port, and advertises that. Settings with a port work as before.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -52,10 +52,14 @@
   readonly #context: ForwardContext;
   readonly #shutdown: GatewayShutdown;
   readonly #stopController = new AbortController();
+  #callerAddress: string;
+  #peerAddress: string;
 
   constructor(options: GatewayOptions) {
     this.#options = options;
     const { clock, random, logger, protocol, settings } = options;
+    this.#callerAddress = settings.callerAddress;
+    this.#peerAddress = settings.peerAddress;
     this.#fleet = new BackendFleet({ clock });
     this.#state = new GatewayState({ fleet: this.#fleet, clock, logger });
     this.#rollouts = new RolloutRegistry({
@@ -121,12 +125,27 @@
     return this.#options.settings.entryMaxAgeMs;
   }
 
-  /** Listens, joins the other VMs and starts to follow the store. */
+  /** The address for callers; after `start`, with the port in use. */
+  get callerAddress(): string {
+    return this.#callerAddress;
+  }
+
+  /** The address for other VMs; after `start`, with the port in use. */
+  get peerAddress(): string {
+    return this.#peerAddress;
+  }
+
+  /**
+   * Listens, joins the other VMs and starts to follow the store. Port 0 in the
+   * settings stands for any free port.
+   */
   async start(): Promise<void> {
     const { logger, settings } = this.#options;
-    await this.#callers.listen();
+    const { host } = splitAddress(settings.callerAddress);
+    this.#callerAddress = `${host}:${await this.#callers.listen()}`;
     const joined = await this.#peers.start();
-    if (joined.isErr()) {
+    if (joined.isOk()) this.#peerAddress = joined.value;
+    else {
       logger.error("peer node failed to start", {
         reason: joined.error.message,
       });
@@ -142,7 +161,7 @@
       onLoad: (loadShare) => this.#peers.setLoad(loadShare),
     }, signal);
     void this.#loadMetrics(signal);
-    logger.info("started", { callers: settings.callerAddress });
+    logger.info("started", { callers: this.#callerAddress });
   }
 
   /** Whether the VM's address may be advertised to new callers. */
@@ -251,9 +270,8 @@
 
   #announceReady(): void {
     if (!this.#state.isComplete) return;
-    const { callerAddress } = this.#options.settings;
-    if (this.#peers.membership().self.address === callerAddress) return;
-    this.#peers.setAddress(callerAddress);
+    if (this.#peers.membership().self.address === this.#callerAddress) return;
+    this.#peers.setAddress(this.#callerAddress);
     this.#options.logger.info("ready");
   }
 
--- a/src/gateway/gateway_fixture.ts
+++ b/src/gateway/gateway_fixture.ts
@@ -3,7 +3,6 @@
  * an in-memory store.
  */
 import { type IncomingMessage, request } from "node:http";
-import { type AddressInfo, createServer as createTcpServer } from "node:net";
 import { ok } from "neverthrow";
 import { manifestOf, routeOf } from "../decision/manifest_fixture.ts";
 import {
@@ -102,16 +101,14 @@
     operators.put("manifest", manifestOf(options.manifest));
   }
   for (const { server } of backends) servers.put(server.id, server);
-  const callerAddress = `${HOST}:${await freePort()}`;
-  const peerAddress = `${HOST}:${await freePort()}`;
   const gateway = new Gateway({
     ...processEffects,
     settings: {
       vm,
       place: "khomas-a",
       places: [{ place: "khomas-a", region: "khomas" }],
-      callerAddress,
-      peerAddress,
+      callerAddress: `${HOST}:0`,
+      peerAddress: `${HOST}:0`,
       seeds: options.seeds ?? [],
       memoryBytes: 350 * 1024 * 1024,
       coreShare: 1,
@@ -145,6 +142,7 @@
     logger: silentLogger,
   });
   await gateway.start();
+  const { callerAddress, peerAddress } = gateway;
   return { gateway, operators, servers, statuses, callerAddress, peerAddress };
 }
 
@@ -228,17 +226,6 @@
   isResumable: false,
 });
 
-/** Returns a port that was free a moment ago. */
-export function freePort(): Promise<number> {
-  return new Promise((resolve) => {
-    const server = createTcpServer();
-    server.listen(0, HOST, () => {
-      const { port } = server.address() as AddressInfo;
-      server.close(() => resolve(port));
-    });
-  });
-}
-
 function headersOf(rawHeaders: readonly string[]): Map<string, string> {
   const headers = new Map<string, string>();
   for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
