Key the bills of a decoded checkpoint by workspace and request

Cause: `ledgerOf` keyed them by request id alone. After a VM had loaded a checkpoint `billOf` found nothing and a repeated bill counted twice; the same request id of two workspaces lost one bill.

The property test of a round trip fails without the change: a decoded ledger answers every query as the encoded one, and the same bills again change nothing.

--- a/src/state/ledger.ts
+++ b/src/state/ledger.ts
@@ -61,7 +61,7 @@
     workspace: SettingsPath,
     requestId: string,
   ): RecordOf<"bill"> | undefined {
-    return this.fields.bills.get(keyOf({ workspace, requestId }));
+    return this.fields.bills.get(billKeyOf({ workspace, requestId }));
   }
 
   /** Number of billed requests. */
@@ -94,7 +94,7 @@
 }
 
 function withBill(fields: LedgerFields, bill: RecordOf<"bill">): LedgerFields {
-  const key = keyOf(bill);
+  const key = billKeyOf(bill);
   const current = fields.bills.get(key);
   if (current !== undefined && !isSuperseding(bill, current)) return fields;
   const prior = fields.totals.get(bill.workspace);
@@ -120,7 +120,8 @@
   return bill.isWhole && !current.isWhole;
 }
 
-function keyOf(
+/** Returns the key of the bills that compete for one request. */
+export function billKeyOf(
   bill: Pick<RecordOf<"bill">, "workspace" | "requestId">,
 ): string {
   return `${bill.workspace} ${bill.requestId}`;
--- a/src/state/ledger_test.ts
+++ b/src/state/ledger_test.ts
@@ -4,6 +4,7 @@
 import fc from "fast-check";
 import { LedgerState } from "./ledger.ts";
 import { type RecordOf } from "./record.ts";
+import { ledgerCodec } from "./state_codec.ts";
 
 function billOf(changes: Partial<RecordOf<"bill">>): RecordOf<"bill"> {
   return {
@@ -73,3 +74,29 @@
     { seed: 11 },
   );
 });
+
+test("a decoded ledger answers as the encoded one and counts no bill twice", () => {
+  const anyBill = fc.record({
+    id: fc.uuid(),
+    requestId: fc.constantFrom("r1", "r2", "r3"),
+    workspace: fc.constantFrom("/khomas/heritage", "/erongo/x"),
+    isWhole: fc.boolean(),
+    priceMicroEur: fc.nat(100),
+  }).map(billOf);
+  fc.assert(
+    fc.property(fc.array(anyBill, { maxLength: 20 }), (bills) => {
+      const ledger = ledgerOf(bills);
+      const decoded = ledgerCodec.decode(ledgerCodec.encode(ledger))
+        ._unsafeUnwrap();
+      for (const { workspace, requestId } of bills) {
+        const expected = ledger.billOf(workspace, requestId);
+        assert.deepEqual(decoded.billOf(workspace, requestId), expected);
+      }
+      const again = decoded.apply({ offset: bills.length, records: bills });
+      const direct = ledger.apply({ offset: bills.length, records: bills });
+      assert.equal(again.billCount, ledger.billCount);
+      assert.deepEqual(again.totals.toJS(), direct.totals.toJS());
+    }),
+    { seed: 20_261_204, numRuns: 200 },
+  );
+});
--- a/src/state/state_codec.ts
+++ b/src/state/state_codec.ts
@@ -14,7 +14,7 @@
 import { CONTROL_LIMITS, ControlState } from "./control.ts";
 import { EditHistory } from "./edit_history.ts";
 import { ExpiredKeys, expiredKeysSchema } from "./expired_keys.ts";
-import { LedgerState, MAX_BILLS } from "./ledger.ts";
+import { billKeyOf, LedgerState, MAX_BILLS } from "./ledger.ts";
 import {
   billSchema,
   burnSchema,
@@ -209,7 +209,7 @@
     position: json.position,
     billCount: json.billCount,
     bills: BoundedMap.of(
-      json.bills.map((bill) => [bill.requestId, bill]),
+      json.bills.map((bill) => [billKeyOf(bill), bill]),
       MAX_BILLS,
     ),
     totals: PersistentMap(json.totals),
