--- /dev/null
+++ b/src/gateway/peer_update_test.ts
@@ -0,0 +1,102 @@
+/** Tests of the messages between gateways, as other VMs may send them. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { decode, encode } from "cbor-x";
+import fc from "fast-check";
+import { MAX_SHARED_LOADS } from "../decision/mod.ts";
+import {
+  encodePeerUpdate,
+  parseBusyNotice,
+  parsePeerUpdate,
+} from "./peer_update.ts";
+
+const SEED = 20_261_204;
+
+/** As a decoder makes them. */
+const PLAIN = { noNullPrototype: true } as const;
+
+const offset = fc.nat(2 ** 31);
+const name = fc.string({ minLength: 1, maxLength: 20 });
+
+const recordArbitrary = fc.record({
+  key: name,
+  value: fc.option(
+    fc.uint8Array({ maxLength: 40 }).map((bytes) => Buffer.from(bytes)),
+    { nil: undefined },
+  ),
+  offset,
+}, PLAIN);
+
+const updateArbitrary = fc.record({
+  teller: name,
+  have: fc.record({
+    operators: fc.option(offset),
+    servers: fc.option(offset),
+  }, PLAIN),
+  topics: fc.record({
+    servers: fc.record({
+      records: fc.array(recordArbitrary, { maxLength: 5 }),
+      isWhole: fc.boolean(),
+      nextOffset: offset,
+      ageMs: fc.nat(10_000),
+    }, PLAIN),
+  }, PLAIN),
+  rollouts: fc.constant([]),
+  loads: fc.array(
+    fc.record({
+      id: name,
+      requestCount: fc.nat(500),
+      ageMs: fc.nat(2000),
+      hopCount: fc.nat(2),
+    }, PLAIN),
+    { maxLength: MAX_SHARED_LOADS },
+  ),
+}, PLAIN);
+
+test("an update arrives as it was sent", () => {
+  fc.assert(
+    fc.property(updateArbitrary, (update) => {
+      const parsed = parsePeerUpdate(decode(encode(encodePeerUpdate(update))));
+      assert.deepEqual(parsed, update);
+    }),
+    { seed: SEED, numRuns: 200 },
+  );
+});
+
+test("a value that is no update is refused and never throws", () => {
+  fc.assert(
+    fc.property(fc.anything({ withBigInt: true, maxDepth: 3 }), (value) => {
+      parseBusyNotice(value);
+      assert.equal(parsePeerUpdate(value), undefined);
+    }),
+    { seed: SEED, numRuns: 1000 },
+  );
+});
+
+test("an update with one part replaced by something else never throws", () => {
+  const parts = ["teller", "have", "topics", "rollouts", "loads"] as const;
+  fc.assert(
+    fc.property(
+      updateArbitrary,
+      fc.constantFrom(...parts),
+      fc.anything({ maxDepth: 2 }),
+      (update, part, other) => {
+        const sent = encodePeerUpdate(update) as Record<string, unknown>;
+        const parsed = parsePeerUpdate({ ...sent, [part]: other });
+        if (parsed === undefined) return;
+        assert.ok(parsed.loads.length <= MAX_SHARED_LOADS);
+      },
+    ),
+    { seed: SEED, numRuns: 1000 },
+  );
+});
+
+test("more loads than a message may hold are refused", () => {
+  const loads = Array.from(
+    { length: MAX_SHARED_LOADS + 1 },
+    (_, index) => [`server-${index}`, 1, 0, 0],
+  );
+  const have = { operators: null, servers: null };
+  const update = { have, topics: {}, rollouts: [], loads };
+  assert.equal(parsePeerUpdate(update), undefined);
+});
