Read logs for explain as a stream, and name the line that shows an end

Cause: `explain` read standard input with one synchronous call, which fails with EAGAIN on a pipe that is empty at that moment, and held whole files in memory. "Its process ended or froze" left open which of the two.

The cause names the line of the VM's next start, or of its stop. For an unknown request it says which VMs' logs cover which time.

--- a/src/command/explain.ts
+++ b/src/command/explain.ts
@@ -1,9 +1,8 @@
 /** `goldcrestpost explain REQUEST_ID [FILES]` prints a request's timeline. */
-import { readFileSync } from "node:fs";
 import { Args, Command } from "@oclif/core";
-import { formatTimeline, readTimeline } from "../report/request_timeline.ts";
+import { formatTimeline, TimelineReader } from "../report/request_timeline.ts";
+import { readLogLines } from "./log_lines.ts";
 
-const STANDARD_INPUT = 0;
 const NOT_FOUND_STATUS = 1;
 
 /** Prints the timeline of one request. */
@@ -22,14 +21,9 @@
   async run(): Promise<void> {
     const { args, argv } = await this.parse(ExplainRequestCommand);
     const files = argv.slice(1).map(String);
-    const sources = files.length > 0 ? files : [STANDARD_INPUT];
-    const lines: string[] = [];
-    for (const source of sources) {
-      for (const line of readFileSync(source, "utf8").split("\n")) {
-        lines.push(line);
-      }
-    }
-    const timeline = readTimeline(args.request, lines);
+    const reader = new TimelineReader(args.request);
+    for await (const line of readLogLines(files)) reader.add(line);
+    const timeline = reader.timeline();
     this.log(formatTimeline(args.request, timeline));
     if (timeline.lines.length === 0) this.exit(NOT_FOUND_STATUS);
   }
--- a/src/report/request_timeline.ts
+++ b/src/report/request_timeline.ts
@@ -1,8 +1,11 @@
 /**
  * Builds the timeline of one request from the log lines of several processes:
  * its decisions in the order of time and the cause of its end. The cause states
- * whether the last lines of a killed process are missing.
+ * whether the last lines of a killed process are missing, and which line shows
+ * that. Lines are added one by one; memory is bounded by the number of VMs and
+ * of their starts and stops, not by the size of the logs.
  */
+import { type LogCoverage, ProcessLives } from "./process_lives.ts";
 
 /** A log line about the request. */
 export interface TimelineEntry {
@@ -48,14 +51,35 @@
   requestId: string,
   lines: Iterable<string>,
 ): RequestTimeline {
-  const entries: TimelineEntry[] = [];
-  for (const line of lines) {
-    if (!line.includes(requestId)) continue;
+  const reader = new TimelineReader(requestId);
+  for (const line of lines) reader.add(line);
+  return reader.timeline();
+}
+
+/** Reads log lines one by one and keeps what concerns one request. */
+export class TimelineReader {
+  readonly #requestId: string;
+  readonly #entries: TimelineEntry[] = [];
+  readonly #lives = new ProcessLives();
+
+  constructor(requestId: string) {
+    this.#requestId = requestId;
+  }
+
+  /** Adds a line; one that is not a log line is ignored. */
+  add(line: string): void {
+    this.#lives.add(line);
+    if (!line.includes(this.#requestId)) return;
     const entry = parseLine(line);
-    if (entry?.fields["request"] === requestId) entries.push(entry);
+    if (entry?.fields["request"] !== this.#requestId) return;
+    this.#entries.push(entry);
+  }
+
+  /** The timeline of the lines added so far. */
+  timeline(): RequestTimeline {
+    const lines = [...this.#entries].sort((a, b) => a.atMs - b.atMs);
+    return { lines, cause: causeOf(lines, this.#lives) };
   }
-  entries.sort((a, b) => a.atMs - b.atMs);
-  return { lines: entries, cause: causeOf(entries) };
 }
 
 /** Formats a timeline as text, one line per entry and the cause last. */
@@ -76,15 +100,20 @@
   );
 }
 
-function causeOf(lines: readonly TimelineEntry[]): string {
+function causeOf(
+  lines: readonly TimelineEntry[],
+  lives: ProcessLives,
+): string {
   const last = lines.at(-1);
-  if (last === undefined) return "no line mentions this request";
+  if (last === undefined) {
+    return `no line mentions this request; ${coverageText(lives.coverage())}`;
+  }
   if (last.event === "request refused") {
     return `refused on arrival: ${String(last.fields["reason"])}, status ` +
       String(last.fields["status"]);
   }
   if (last.event !== "request ended") {
-    return `${last.vm} wrote nothing more of it: its process ended or froze`;
+    return `${last.vm} wrote nothing more of it: ` + endText(last, lives);
   }
   const outcome = String(last.fields["outcome"]);
   const attempts = String(last.fields["trail"] ?? "");
@@ -96,6 +125,28 @@
     `longest pause was ${String(longestPauseMs)} ms`;
 }
 
+function endText({ vm, atMs }: TimelineEntry, lives: ProcessLives): string {
+  const next = lives.changeAfter(vm, atMs);
+  if (next === undefined) return "its process ended or froze";
+  const afterMs = next.atMs - atMs;
+  return next.event === "stopped"
+    ? `its process stopped ${afterMs} ms later (line "stopped")`
+    : `its process ended; the next one began ${afterMs} ms later ` +
+      '(line "started")';
+}
+
+function coverageText(coverage: readonly LogCoverage[]): string {
+  if (coverage.length === 0) return "the logs have no line of any VM";
+  const rows = coverage.map(({ vm, firstAtMs, lastAtMs }) =>
+    `${vm} from ${timeOf(firstAtMs)} to ${timeOf(lastAtMs)}`
+  );
+  return `the logs have lines of ${rows.join(", ")}`;
+}
+
+function timeOf(atMs: number): string {
+  return new Date(atMs).toISOString();
+}
+
 /** Parses a log line; a log collector may have put a prefix before the JSON. */
 function parseLine(line: string): TimelineEntry | undefined {
   const start = line.indexOf("{");
