Use the target of a completed roll-out, also if it was found bad

Change: `completed` is the last word: the operators stop the other versions on it, so a fault found at the same moment no longer keeps requests from the target, whichever comes first. A writer that learns of a fault while it reads the statuses does not write `completed`.

--- a/src/gateway/rollout_registry.ts
+++ b/src/gateway/rollout_registry.ts
@@ -86,7 +86,11 @@
     });
   }
 
-  /** Applies a status that is in the store; an ended roll-out stays ended. */
+  /**
+   * Applies a status that is in the store; an ended roll-out stays ended. On
+   * `completed` the operators stop the other versions, so a fault found at the
+   * same moment no longer keeps requests from the target.
+   */
   applyStatus(status: RolloutStatus): void {
     const rollout = this.#rollouts.get(status.service);
     if (rollout === undefined) return;
@@ -101,6 +105,7 @@
       stage: status.stage,
       fault: rollout.fault,
     });
+    if (status.stage === "completed") rollout.fault = undefined;
   }
 
   /** Applies another VM's report; `sender` is that VM's process instance. */
@@ -117,7 +122,8 @@
       const { service, target, offset: orderOffset } = rollout.order;
       this.applyStatus({ service, target, stage: report.stage, orderOffset });
     }
-    if (report.fault !== null && rollout.fault === undefined) {
+    const isOpen = !isEnded(rollout.stage) && rollout.fault === undefined;
+    if (report.fault !== null && isOpen) {
       rollout.fault = report.fault;
       this.#logFault(rollout);
     }
--- a/src/gateway/rollout_registry_test.ts
+++ b/src/gateway/rollout_registry_test.ts
@@ -244,3 +244,27 @@
     assert.deepEqual(["v1", "v2"].filter(accepts), ["v1"]);
   }
 });
+
+test("a target found bad as its roll-out completes is used where it is left", () => {
+  const setup = setUp();
+  setup.register(BOTH);
+  order(setup.registry);
+  const report = {
+    service: SERVICE,
+    orderOffset: 4,
+    ageMs: 21_500,
+    isStageKnown: true,
+    tallies: [],
+  };
+  const options = { nowMs: 21_500, sender: "vm-2" };
+  const fault = "all routes: 6 answers several times slower";
+  setup.registry.applyReport({ ...report, fault, stage: null }, options);
+  assert.equal(targetCount(setup, "session"), 0);
+  const completed = { ...report, fault: null, stage: "completed" } as const;
+  setup.registry.applyReport(completed, options);
+  setup.register(BOTH.filter(({ version }) => version === "v2"));
+  assert.equal(targetCount(setup, "session"), 400);
+  // Another VM that found the fault may not know yet that it is completed.
+  setup.registry.applyReport({ ...report, fault, stage: null }, options);
+  assert.equal(targetCount(setup, "other"), 400);
+});
--- a/src/gateway/rollout_status_writer.ts
+++ b/src/gateway/rollout_status_writer.ts
@@ -103,6 +103,8 @@
     const offset = await this.#readStatuses();
     if (offset === undefined) return;
     if (rollout.stage === stage || isEnded(rollout.stage)) return;
+    // A fault may have been found while the statuses were read.
+    if (stage === "completed" && rollout.fault !== undefined) return;
     const { service, target } = rollout.order;
     const orderOffset = rollout.order.offset;
     const status: RolloutStatus = { service, target, stage, orderOffset };
--- a/src/gateway/rollout_status_writer_test.ts
+++ b/src/gateway/rollout_status_writer_test.ts
@@ -135,3 +135,18 @@
   await writer.writeDue();
   assert.deepEqual(stagesOf(store), ["reverted"]);
 });
+
+test("a fault found while the statuses are read stops the completion", async () => {
+  const store = new StatusStore();
+  const clock = { nowMs: 0 };
+  const { registry, writer } = vmOf(store, clock, 0);
+  await writer.writeDue();
+  clock.nowMs = 22_000;
+  const writing = writer.writeDue();
+  const rollout = registry.rollouts.get("drafting");
+  assert.ok(rollout);
+  rollout.fault = "all routes: 3 of 3 failed";
+  await writing;
+  await writer.writeDue();
+  assert.deepEqual(stagesOf(store), ["active", "reverted"]);
+});
