Find a version slow only beyond chance

Cause: a version counted as several times slower when the geometric mean of six answers was 3.5 times that of six others. Times to the first byte scatter by a factor of 3.3 (models and prompts differ): equal versions look so in 1 of 28 comparisons (6 and 6 answers; 1 of 54 with 12 and 6).

--- a/src/decision/version_tally_test.ts
+++ b/src/decision/version_tally_test.ts
@@ -1,6 +1,8 @@
 /** Tests of the faults of a target version: failures and slow answers. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { type Random } from "../model/mod.ts";
+import { seededRandom } from "./membership_fixture.ts";
 import {
   addSample,
   EMPTY_TALLY,
@@ -11,6 +13,10 @@
   type VersionTally,
 } from "./version_tally.ts";
 
+/** Standard deviation of the logarithm of times, as on played days. */
+const SCATTER = 1.2;
+const TRIALS = 3000;
+
 function sampleOf(fields: Partial<TallySample> = {}): TallySample {
   return {
     route: "drafts",
@@ -96,3 +102,41 @@
   const tally = tallyOf(HEALTHY_OTHERS, [30, { firstByteMs: 240 }]);
   assert.equal(targetFault(tally), undefined);
 });
+
+/** Times of prompts and models that differ: log-normal, by Box and Muller. */
+function scatteredMs(random: Random, medianMs: number): number {
+  const normal = Math.sqrt(-2 * Math.log(1 - random())) *
+    Math.cos(2 * Math.PI * random());
+  return medianMs * Math.exp(SCATTER * normal);
+}
+
+/** The share of trials in which the target counts as slow. */
+function slowShare(
+  counts: { readonly target: number; readonly others: number },
+  factor: number,
+): number {
+  const random = seededRandom(20_261_204);
+  let slowCount = 0;
+  for (let trial = 0; trial < TRIALS; trial++) {
+    let tally = EMPTY_TALLY;
+    for (let index = 0; index < counts.target + counts.others; index++) {
+      const isTarget = index < counts.target;
+      const firstByteMs = scatteredMs(random, isTarget ? 200 * factor : 200);
+      tally = addSample(tally, sampleOf({ isTarget, firstByteMs }));
+    }
+    if (targetFault(tally) !== undefined) slowCount += 1;
+  }
+  return slowCount / TRIALS;
+}
+
+test("a few answers that scatter as those of the others are no fault", () => {
+  for (const counts of [{ target: 8, others: 8 }, { target: 12, others: 8 }]) {
+    const share = slowShare(counts, 1);
+    assert.ok(share <= 0.001, `${share} of ${counts.target} answers`);
+  }
+});
+
+test("scattered answers eight times slower are a fault before the 50th", () => {
+  const share = slowShare({ target: 45, others: 100 }, 8);
+  assert.ok(share >= 0.98, `${share}`);
+});
