--- /dev/null
+++ b/src/gateway/escalation_choice_test.ts
@@ -0,0 +1,109 @@
+/** Tests of the escalation of an answer, by confidence and load. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { routeOf, serverOf } from "../decision/manifest_fixture.ts";
+import { applyRoster, EMPTY_ROSTER } from "../decision/mod.ts";
+import { silentLogger } from "../model/mod.ts";
+import { BackendFleet } from "./backend_fleet.ts";
+import { chooseEscalation } from "./escalation_choice.ts";
+import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
+import { testProtocol } from "./gateway_fixture.ts";
+import { GatewayMetrics } from "./gateway_metrics.ts";
+import { PrefillRates } from "./prefill_rates.ts";
+import { RetryBudget } from "./retry_budget.ts";
+
+const SERVER = serverOf("server-1");
+
+interface Setup {
+  readonly context: ForwardContext;
+  /** Another VM tells that this many requests are at the server. */
+  readonly setLoad: (requestCount: number) => void;
+}
+
+function setUp(): Setup {
+  let nowMs = 10_000;
+  const clock = (): number => nowMs;
+  const fleet = new BackendFleet({ clock });
+  const records = [{ id: SERVER.id, server: SERVER, offset: 1 }];
+  fleet.update(applyRoster(EMPTY_ROSTER, { kind: "changed", records }, 0));
+  const fleetBound = { ratio: 1, slackCount: 10, windowMs: 10_000 };
+  const context: ForwardContext = {
+    protocol: testProtocol,
+    fleet,
+    budget: new RetryBudget({ fleetBound, clock, vmCount: () => 1 }),
+    versions: {
+      acceptorOf: () => () => true,
+      record: () => {},
+      adjustInFlight: () => {},
+    },
+    prefill: new PrefillRates(),
+    reportBusy: () => {},
+    distanceMs: () => 0,
+    clock,
+    random: () => 0.5,
+    logger: silentLogger,
+    metrics: new GatewayMetrics(),
+  };
+  const setLoad = (requestCount: number): void => {
+    nowMs += 1;
+    fleet.mergeLoads([
+      { id: SERVER.id, requestCount, ageMs: 0, hopCount: 0 },
+    ]);
+  };
+  return { context, setLoad };
+}
+
+function requestOf(priority: number): ForwardRequest {
+  const caller = testProtocol.readRequest({
+    method: "POST",
+    target: "/drafts/one",
+    rawHeaders: ["test-id", "request-1", "test-model", "any"],
+  });
+  assert.ok(typeof caller !== "string");
+  return {
+    caller: { ...caller, promptTokens: 1000 },
+    route: routeOf({ models: ["small", "large"], priority }),
+    service: SERVER.service,
+    workspace: undefined,
+    manifestVersion: 1,
+    body: Buffer.alloc(0),
+    receivedAtMs: 10_000,
+  };
+}
+
+function escalate(
+  { context }: Setup,
+  options: { readonly priority: number; readonly timeLeftMs?: number },
+): string | undefined {
+  return chooseEscalation(context, requestOf(options.priority), {
+    answer: { model: "small", confidence: 40 },
+    timeLeftMs: options.timeLeftMs ?? 20_000,
+    acceptsVersion: () => true,
+  });
+}
+
+test("an answer of low confidence escalates while the server has few requests", () => {
+  const setup = setUp();
+  setup.setLoad(5);
+  assert.equal(escalate(setup, { priority: 0 }), "large");
+});
+
+test("at a busy server the least urgent routes escalate less first", () => {
+  const setup = setUp();
+  setup.setLoad(25);
+  assert.equal(escalate(setup, { priority: 0 }), "large");
+  assert.equal(escalate(setup, { priority: 2 }), undefined);
+  setup.setLoad(90);
+  assert.equal(escalate(setup, { priority: 0 }), undefined);
+  assert.match(
+    setup.context.metrics.text(),
+    /escalations_forgone\{service="drafting"\}\s+2/,
+  );
+});
+
+test("with little time left an answer is used instead of a better one", () => {
+  const setup = setUp();
+  setup.setLoad(5);
+  const options = { priority: 0, timeLeftMs: 150 };
+  assert.equal(escalate(setup, options), undefined);
+});
