--- /dev/null
+++ b/src/gateway/attempt_history_test.ts
@@ -0,0 +1,60 @@
+/** Tests of how often a request may be sent and run. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { routeOf } from "../decision/manifest_fixture.ts";
+import { type ServiceRoute } from "../model/mod.ts";
+import { AttemptHistory } from "./attempt_history.ts";
+import { type AttemptOutcome } from "./server_attempt.ts";
+
+const RESET: AttemptOutcome = {
+  kind: "fault",
+  isUnsent: false,
+  cause: "reset",
+};
+const NOT_RUN: AttemptOutcome = { kind: "not_run" };
+const UNREACHED: AttemptOutcome = {
+  kind: "fault",
+  isUnsent: true,
+  cause: "unreachable",
+};
+
+/** The number of attempts with the same outcome before no other is allowed. */
+function attemptsUntilEnd(
+  outcome: AttemptOutcome,
+  fields: Partial<ServiceRoute> = {},
+): number {
+  const history = new AttemptHistory(routeOf({ maxAttempts: 3, ...fields }));
+  for (let count = 1; count < 100; count++) {
+    history.addAttempt(`server-${count}`);
+    history.addOutcome(`server-${count}`, outcome);
+    if (!history.mayRetry()) return count;
+  }
+  return Infinity;
+}
+
+test("at most as many servers run a request as its route allows", () => {
+  assert.equal(attemptsUntilEnd(RESET), 3);
+  assert.equal(attemptsUntilEnd(RESET, { maxAttempts: 1 }), 1);
+});
+
+test("a request that may run once is not sent again after it may have run", () => {
+  const fields = { kind: "non_idempotent", isResumable: false } as const;
+  assert.equal(attemptsUntilEnd(RESET, fields), 1);
+  assert.ok(attemptsUntilEnd(NOT_RUN, fields) > 1);
+});
+
+test("refusals and servers that were not reached end after a few attempts", () => {
+  for (const outcome of [NOT_RUN, UNREACHED]) {
+    const count = attemptsUntilEnd(outcome);
+    assert.ok(count >= 3 && count <= 5, `${count}`);
+  }
+});
+
+test("an escalation leaves no more runs than the route allows", () => {
+  const history = new AttemptHistory(routeOf({ maxAttempts: 2 }));
+  history.addAttempt("small");
+  assert.ok(history.mayRunAgain());
+  history.addOutcome("small", { kind: "dropped" });
+  history.addAttempt("large");
+  assert.ok(!history.mayRunAgain());
+});
--- a/src/gateway/escalation_choice_test.ts
+++ b/src/gateway/escalation_choice_test.ts
@@ -2,15 +2,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { routeOf, serverOf } from "../decision/manifest_fixture.ts";
-import { applyRoster, EMPTY_ROSTER } from "../decision/mod.ts";
-import { silentLogger } from "../model/mod.ts";
-import { BackendFleet } from "./backend_fleet.ts";
 import { chooseEscalation } from "./escalation_choice.ts";
 import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
+import { forwardContextOf } from "./forward_context_fixture.ts";
 import { testProtocol } from "./gateway_fixture.ts";
-import { GatewayMetrics } from "./gateway_metrics.ts";
-import { PrefillRates } from "./prefill_rates.ts";
-import { RetryBudget } from "./retry_budget.ts";
 
 const SERVER = serverOf("server-1");
 
@@ -21,32 +16,10 @@
 }
 
 function setUp(): Setup {
-  let nowMs = 10_000;
-  const clock = (): number => nowMs;
-  const fleet = new BackendFleet({ clock });
-  const records = [{ id: SERVER.id, server: SERVER, offset: 1 }];
-  fleet.update(applyRoster(EMPTY_ROSTER, { kind: "changed", records }, 0));
-  const fleetBound = { ratio: 1, slackCount: 10, windowMs: 10_000 };
-  const context: ForwardContext = {
-    protocol: testProtocol,
-    fleet,
-    budget: new RetryBudget({ fleetBound, clock, vmCount: () => 1 }),
-    versions: {
-      acceptorOf: () => () => true,
-      record: () => {},
-      adjustInFlight: () => {},
-    },
-    prefill: new PrefillRates(),
-    reportBusy: () => {},
-    distanceMs: () => 0,
-    clock,
-    random: () => 0.5,
-    logger: silentLogger,
-    metrics: new GatewayMetrics(),
-  };
+  const { context, clock } = forwardContextOf([SERVER]);
   const setLoad = (requestCount: number): void => {
-    nowMs += 1;
-    fleet.mergeLoads([
+    clock.nowMs += 1;
+    context.fleet.mergeLoads([
       { id: SERVER.id, requestCount, ageMs: 0, hopCount: 0 },
     ]);
   };
--- /dev/null
+++ b/src/gateway/forward_context_fixture.ts
@@ -0,0 +1,49 @@
+/** The dependencies of request forwarding for tests, with a clock to set. */
+import { applyRoster, EMPTY_ROSTER } from "../decision/mod.ts";
+import { type BackendServer, silentLogger } from "../model/mod.ts";
+import { BackendFleet } from "./backend_fleet.ts";
+import { type ForwardContext } from "./forward_context.ts";
+import { testProtocol } from "./gateway_fixture.ts";
+import { GatewayMetrics } from "./gateway_metrics.ts";
+import { PrefillRates } from "./prefill_rates.ts";
+import { RetryBudget } from "./retry_budget.ts";
+
+/** A context, and the clock that it uses. */
+export interface TestContext {
+  readonly context: ForwardContext;
+  readonly clock: { nowMs: number };
+}
+
+/** Creates the context of a VM that knows the servers. */
+export function forwardContextOf(
+  servers: readonly BackendServer[],
+): TestContext {
+  const clock = { nowMs: 10_000 };
+  const now = (): number => clock.nowMs;
+  const fleet = new BackendFleet({ clock: now });
+  const records = servers.map((server) => ({
+    id: server.id,
+    server,
+    offset: 1,
+  }));
+  fleet.update(applyRoster(EMPTY_ROSTER, { kind: "changed", records }, 0));
+  const fleetBound = { ratio: 1, slackCount: 10, windowMs: 10_000 };
+  const context: ForwardContext = {
+    protocol: testProtocol,
+    fleet,
+    budget: new RetryBudget({ fleetBound, clock: now, vmCount: () => 1 }),
+    versions: {
+      acceptorOf: () => () => true,
+      record: () => {},
+      adjustInFlight: () => {},
+    },
+    prefill: new PrefillRates(),
+    reportBusy: () => {},
+    distanceMs: () => 0,
+    clock: now,
+    random: () => 0.5,
+    logger: silentLogger,
+    metrics: new GatewayMetrics(),
+  };
+  return { context, clock };
+}
--- /dev/null
+++ b/tools/mechanisms.ts
@@ -0,0 +1,280 @@
+/**
+ * The mechanisms of the gateway, each with the line that carries it, a change
+ * that takes it out, and the test files of which one has to fail then.
+ */
+
+/** A mechanism, and how it is taken out. */
+export interface Mechanism {
+  readonly name: string;
+  readonly file: string;
+  /** Occurs exactly once in the file. */
+  readonly source: string;
+  readonly replacement: string;
+  readonly tests: readonly string[];
+}
+
+const FORWARDING_TEST = "src/gateway/forwarding_test.ts";
+const GATEWAY_TEST = "src/gateway/gateway_test.ts";
+const REGISTRY_TEST = "src/gateway/rollout_registry_test.ts";
+const CHOICE_TEST = "src/decision/backend_choice_test.ts";
+
+export const MECHANISMS: readonly Mechanism[] = [
+  {
+    name: "retry window",
+    file: "src/decision/retry_window.ts",
+    source: "return { leftCount: allowedCount - retryCount, allowedCount };",
+    replacement: "return { leftCount: Infinity, allowedCount };",
+    tests: ["src/decision/retry_window_test.ts"],
+  },
+  {
+    name: "silence timeout",
+    file: "src/gateway/forwarding.ts",
+    source: "if (attempt === undefined || this.#exchange.isOver) return;",
+    replacement: "if (attempt !== undefined) return;",
+    tests: [FORWARDING_TEST],
+  },
+  {
+    name: "at most one run of other requests",
+    file: "src/gateway/attempt_history.ts",
+    source: "return isRetriable(this.#route) &&\n      this.#runCount <",
+    replacement: "return this.#runCount <",
+    tests: ["src/gateway/attempt_history_test.ts"],
+  },
+  {
+    name: "attempt limit",
+    file: "src/gateway/attempt_history.ts",
+    source: "return this.#attemptCount < this.#route.maxAttempts +",
+    replacement: "return this.#attemptCount < 1000 +",
+    tests: ["src/gateway/attempt_history_test.ts"],
+  },
+  {
+    name: "limit of servers that may run a request",
+    file: "src/gateway/attempt_history.ts",
+    source: "this.#runCount < this.#route.maxAttempts;",
+    replacement: "this.#runCount < 1000;",
+    tests: ["src/gateway/attempt_history_test.ts"],
+  },
+  {
+    name: "resumption after the last event",
+    file: "src/gateway/forwarding.ts",
+    source: "this.#relay?.lastId?.toString() ?? caller.lastEventId",
+    replacement: "caller.lastEventId",
+    tests: [FORWARDING_TEST],
+  },
+  {
+    name: "consecutive events",
+    file: "src/gateway/stream_relay.ts",
+    source: 'if (!this.#isNextId(id)) return "out_of_order";',
+    replacement: "",
+    tests: [FORWARDING_TEST],
+  },
+  {
+    name: "answer belongs to the request",
+    file: "src/gateway/server_attempt.ts",
+    source: 'if (isForeign) return this.#fail("broken", "foreign_answer");',
+    replacement: "",
+    tests: [FORWARDING_TEST],
+  },
+  {
+    name: "answer is genuine",
+    file: "src/gateway/server_attempt.ts",
+    source: "if (status < 300 && !head.isGenuine) {",
+    replacement: "if (status < 0) {",
+    tests: ["src/gateway/server_attempt_test.ts"],
+  },
+  {
+    name: "framing is passed on",
+    file: "src/gateway/caller_exchange.ts",
+    source: "this.#response.useChunkedEncodingByDefault = false;",
+    replacement: "",
+    tests: [FORWARDING_TEST],
+  },
+  {
+    name: "cancellation when the caller leaves",
+    file: "src/gateway/forwarding.ts",
+    source: '() => this.#finish("caller_gone")',
+    replacement: "() => {}",
+    tests: [FORWARDING_TEST],
+  },
+  {
+    name: "route's time limit",
+    file: "src/gateway/forwarding.ts",
+    source: "Math.min(caller.deadlineMs ?? Infinity, route.timeoutMs)",
+    replacement: "caller.deadlineMs ?? 60_000",
+    tests: [FORWARDING_TEST],
+  },
+  {
+    name: "circuit breaker",
+    file: "src/decision/breaker.ts",
+    source: 'return state.phase === "closed" || nowMs >= state.openUntilMs;',
+    replacement: "return state.phase !== undefined || nowMs > 0;",
+    tests: ["src/decision/breaker_test.ts"],
+  },
+  {
+    name: "failure share",
+    file: "src/decision/backend_choice.ts",
+    source: "loadCount * query.loadStepMs + risk * riskMs +",
+    replacement: "loadCount * query.loadStepMs + 0 * risk * riskMs +",
+    tests: [CHOICE_TEST],
+  },
+  {
+    name: "suspect servers are avoided",
+    file: "src/decision/backend_choice.ts",
+    source: "candidates.filter((candidate) => !candidate.isSuspect)",
+    replacement: "candidates.filter((candidate) => candidate.id !== undefined)",
+    tests: [CHOICE_TEST],
+  },
+  {
+    name: "prompt affinity",
+    file: "src/decision/backend_choice.ts",
+    source: "(prefillMs.get(candidate.id) ?? 0);",
+    replacement: "0 * (prefillMs.get(candidate.id) ?? 0);",
+    tests: [CHOICE_TEST],
+  },
+  {
+    name: "few random servers of each distance",
+    file: "src/decision/backend_choice.ts",
+    source: "const SAMPLES_PER_DISTANCE = 3;",
+    replacement: "const SAMPLES_PER_DISTANCE = 1000;",
+    tests: ["src/decision/shared_load_test.ts"],
+  },
+  {
+    name: "newest load wins",
+    file: "src/decision/shared_load.ts",
+    source: "next.observedAtMs > current.observedAtMs ? next : current",
+    replacement: "next.observedAtMs > -1 ? next : current",
+    tests: [
+      "src/decision/shared_load_test.ts",
+      "src/gateway/backend_fleet_test.ts",
+    ],
+  },
+  {
+    name: "loads are shared",
+    file: "src/gateway/backend_fleet.ts",
+    source: "state.load = newerLoad(state.load, receivedLoad(load, nowMs));",
+    replacement: "newerLoad(state.load, receivedLoad(load, nowMs));",
+    tests: ["src/gateway/backend_fleet_test.ts"],
+  },
+  {
+    name: "brownout",
+    file: "src/gateway/escalation_choice.ts",
+    source: "if (nextModel({ ...answer, pressureShare }) !== undefined) return",
+    replacement: "if (pressureShare >= 0) return",
+    tests: ["src/gateway/escalation_choice_test.ts"],
+  },
+  {
+    name: "version pin of a session",
+    file: "src/gateway/rollout_registry.ts",
+    source: "if (stored !== undefined && isCanaryPhase(rollout, nowMs)) return",
+    replacement: "if (stored === null) return",
+    tests: [REGISTRY_TEST],
+  },
+  {
+    name: "exposure share",
+    file: "src/decision/ordered_rollout.ts",
+    source: "return options.canaryShare * CANARY_USE_SHARE;",
+    replacement: "return 2 * options.canaryShare;",
+    tests: ["src/decision/ordered_rollout_test.ts"],
+  },
+  {
+    name: "a bad version gets no requests",
+    file: "src/decision/ordered_rollout.ts",
+    source: 'stage === "reverted" || fault !== undefined) return 0;',
+    replacement: 'stage === "reverted") return 0;',
+    tests: ["src/decision/ordered_rollout_test.ts"],
+  },
+  {
+    name: "slow only beyond chance",
+    file: "src/decision/version_tally.ts",
+    source: "const CHANCE_ERRORS = 4;",
+    replacement: "const CHANCE_ERRORS = 0;",
+    tests: ["src/decision/version_tally_test.ts"],
+  },
+  {
+    name: "tallies of other VMs",
+    file: "src/gateway/rollout_record.ts",
+    source:
+      "...[...this.#received.values()].map(({ vmTally }) => vmTally.tally),",
+    replacement: "",
+    tests: ["src/gateway/rollout_record_test.ts"],
+  },
+  {
+    name: "completed is final",
+    file: "src/gateway/rollout_registry.ts",
+    source: 'if (status.stage === "completed") rollout.fault = undefined;',
+    replacement: "",
+    tests: [REGISTRY_TEST],
+  },
+  {
+    name: "one writer of statuses",
+    file: "src/gateway/rollout_status_writer.ts",
+    source: "if (rank === undefined) return false;",
+    replacement: "if (rank === undefined) return true;",
+    tests: ["src/gateway/rollout_status_writer_test.ts"],
+  },
+  {
+    name: "store reader fallback",
+    file: "src/gateway/peer_exchange.ts",
+    source: "if (topic !== undefined) replicas[name].applyUpdate(topic);",
+    replacement: "",
+    tests: [GATEWAY_TEST],
+  },
+  {
+    name: "record order",
+    file: "src/gateway/topic_replica.ts",
+    source: "current.offset >= record.offset) return false;",
+    replacement: "current.offset > record.offset + 1e9) return false;",
+    tests: ["src/gateway/topic_replica_test.ts"],
+  },
+  {
+    name: "manifest order",
+    file: "src/gateway/gateway_state.ts",
+    source: "if (manifest.version <= before) return;",
+    replacement: "",
+    tests: [GATEWAY_TEST],
+  },
+  {
+    name: "draining servers get no new work",
+    file: "src/gateway/backend_fleet.ts",
+    source: 'if (server.status !== "ready") continue;\n      if (!query',
+    replacement: "if (!query",
+    tests: [GATEWAY_TEST],
+  },
+  {
+    name: "shutdown ages",
+    file: "src/gateway/gateway_shutdown.ts",
+    source: "entryMaxAgeMs: ENTRY_AGE_FACTOR * options.settings.entryMaxAgeMs,",
+    replacement: "entryMaxAgeMs: 0,",
+    tests: [GATEWAY_TEST],
+  },
+  {
+    name: "admission by route",
+    file: "src/gateway/request_admission.ts",
+    source: 'return { status: 404, reason: "no_route" };',
+    replacement: 'return { status: 503, reason: "no_route" };',
+    tests: ["src/gateway/caller_server_test.ts"],
+  },
+  {
+    name: "admission by key",
+    file: "src/gateway/request_admission.ts",
+    source:
+      "if (routes.needsKey && !route.isPublic && workspace === undefined) {",
+    replacement:
+      "if (routes.needsKey && !route.isPublic && route.name === '') {",
+    tests: ["src/gateway/caller_server_test.ts"],
+  },
+  {
+    name: "body bound",
+    file: "src/gateway/caller_server.ts",
+    source: "if (length > maxBodyBytes) return {",
+    replacement: "if (length < 0) return {",
+    tests: ["src/gateway/caller_server_test.ts"],
+  },
+  {
+    name: "head bound",
+    file: "src/gateway/caller_server.ts",
+    source: "if (headSizeBytes(request) > maxHeaderBytes) {",
+    replacement: "if (headSizeBytes(request) < 0) {",
+    tests: ["src/gateway/caller_server_test.ts"],
+  },
+];
