--- a/src/decision/version_tally.ts
+++ b/src/decision/version_tally.ts
@@ -2,9 +2,7 @@
  * Failures and times to the first byte of the target version of a roll-out and
  * of the other versions of its service, by route. The target is worse if its
  * failures are far more likely at the failure rate of a bad version than at the
- * rate of the other versions, or if its answers are several times slower by more
- * than chance: times scatter widely, as prompts and models differ, and many VMs
- * compare a few answers each, again and again.
+ * rate of the other versions, or if its answers are several times slower.
  */
 
 /** Request counts and times of one route. */
@@ -13,8 +11,6 @@
   readonly errorCount: number;
   /** Sum of the natural logarithms of the times to the first byte, in ms. */
   readonly logMsSum: number;
-  /** Sum of the squares of these logarithms. */
-  readonly logMsSquareSum: number;
 }
 
 export type RouteTallies = Readonly<Record<string, RouteTally>>;
@@ -60,13 +56,9 @@
 /** Ratio of geometric mean times from which the target counts as slow. */
 const SLOW_FACTOR = 3.5;
 /** Requests needed on each side to compare times. */
-const MIN_SLOW_COUNT = 8;
+const MIN_SLOW_COUNT = 6;
 /** A lower geometric mean time never counts as slow. */
 const MIN_SLOW_MS = 150;
-/** The ratio of times must exceed this beyond chance. */
-const SURE_SLOW_FACTOR = 2;
-/** Standard errors that chance may explain. */
-const CHANCE_ERRORS = 4;
 
 /** Returns the tally with one more request. */
 export function addSample(
@@ -133,12 +125,7 @@
   return undefined;
 }
 
-const EMPTY_ROUTE: RouteTally = {
-  count: 0,
-  errorCount: 0,
-  logMsSum: 0,
-  logMsSquareSum: 0,
-};
+const EMPTY_ROUTE: RouteTally = { count: 0, errorCount: 0, logMsSum: 0 };
 
 function errorEvidence(target: RouteTally, others: RouteTally): number {
   if (target.errorCount < MIN_ERRORS) return 0;
@@ -158,20 +145,8 @@
   }
   const targetMean = target.logMsSum / target.count;
   const othersMean = others.logMsSum / others.count;
-  const logRatio = targetMean - othersMean;
-  if (logRatio <= Math.log(SLOW_FACTOR)) return false;
-  if (targetMean <= Math.log(MIN_SLOW_MS)) return false;
-  const standardError = Math.sqrt(
-    varianceOfMean(target) + varianceOfMean(others),
-  );
-  return logRatio - CHANCE_ERRORS * standardError > Math.log(SURE_SLOW_FACTOR);
-}
-
-function varianceOfMean(
-  { count, logMsSum, logMsSquareSum }: RouteTally,
-): number {
-  const deviation = logMsSquareSum - logMsSum ** 2 / count;
-  return Math.max(0, deviation) / (count - 1) / count;
+  return targetMean - othersMean > Math.log(SLOW_FACTOR) &&
+    targetMean > Math.log(MIN_SLOW_MS);
 }
 
 function total(tallies: RouteTallies): RouteTally {
@@ -197,7 +172,6 @@
     count: a.count + sign * b.count,
     errorCount: a.errorCount + sign * b.errorCount,
     logMsSum: a.logMsSum + sign * b.logMsSum,
-    logMsSquareSum: a.logMsSquareSum + sign * b.logMsSquareSum,
   };
 }
 
@@ -207,12 +181,10 @@
     return tallies;
   }
   const ms = Math.min(MAX_FIRST_BYTE_MS, Math.max(1, sample.firstByteMs));
-  const logMs = Math.log(ms);
   const sampleTally: RouteTally = {
     count: 1,
     errorCount: sample.isError ? 1 : 0,
-    logMsSum: logMs,
-    logMsSquareSum: logMs ** 2,
+    logMsSum: Math.log(ms),
   };
   return {
     ...tallies,
--- a/src/gateway/peer_update.ts
+++ b/src/gateway/peer_update.ts
@@ -43,8 +43,6 @@
   count: countSchema,
   errorCount: countSchema,
   logMsSum: z.number(),
-  /** Absent from VMs of an earlier release, whose times count as even. */
-  logMsSquareSum: z.number().default(0),
 });
 
 const vmTallySchema = z.object({
--- a/tools/mechanisms.ts
+++ b/tools/mechanisms.ts
@@ -183,13 +183,6 @@
     replacement: 'stage === "reverted") return 0;',
     tests: ["src/decision/ordered_rollout_test.ts"],
   },
-  {
-    name: "slow only beyond chance",
-    file: "src/decision/version_tally.ts",
-    source: "const CHANCE_ERRORS = 4;",
-    replacement: "const CHANCE_ERRORS = 0;",
-    tests: ["src/decision/version_tally_test.ts"],
-  },
   {
     name: "tallies of other VMs",
     file: "src/gateway/rollout_record.ts",
