Test how long a stopping VM accepts, and both bounds of bodies

Taken out one by one, three mechanisms had no test that noticed: the ages of a shutdown, the bound of a body by its length and the one as it arrives.

--- a/src/gateway/caller_server_test.ts
+++ b/src/gateway/caller_server_test.ts
@@ -75,6 +75,23 @@
   assert.equal(backend.requestIds.length, 0);
 });
 
+test("an oversize body is refused by its length before it arrives", async (context) => {
+  const { gateway } = await setUp(context);
+  const text = `${HEAD}Content-Length: 1500\r\n\r\n`;
+  const startedAtMs = performance.now();
+  assert.match(await sendText(gateway.callerAddress, text), /^HTTP\/1.1 413 /);
+  assert.ok(performance.now() - startedAtMs < LIMITS.idleTimeoutMs);
+});
+
+test("an oversize body without a length is refused as it arrives", async (context) => {
+  const { gateway, backend } = await setUp(context);
+  const chunk = `1f4\r\n${"x".repeat(500)}\r\n`;
+  const text = `${HEAD}Transfer-Encoding: chunked\r\n\r\n` +
+    `${chunk.repeat(3)}0\r\n\r\n`;
+  assert.match(await sendText(gateway.callerAddress, text), /^HTTP\/1.1 413 /);
+  assert.equal(backend.requestIds.length, 0);
+});
+
 test("an incomplete head is refused after the head timeout", async (context) => {
   const { gateway } = await setUp(context);
   const startedAtMs = performance.now();
--- a/tools/break_mechanisms.ts
+++ b/tools/break_mechanisms.ts
@@ -14,7 +14,7 @@
   symlinkSync,
   writeFileSync,
 } from "node:fs";
-import { join, resolve } from "node:path";
+import { basename, join, resolve } from "node:path";
 import process from "node:process";
 import { type Mechanism, MECHANISMS } from "./mechanisms.ts";
 import { failedTests } from "./test_report.ts";
@@ -77,7 +77,8 @@
     ...tests,
   ], { cwd: SCRATCH, encoding: "utf8" });
   writeFileSync(path, text);
-  const failed = failedTests(run.stdout.split("\n"));
+  const failed = failedTests(run.stdout.split("\n"))
+    .map((name) => name.endsWith(".ts") ? basename(name) : name);
   if (failed.length > 0) return failed;
   return run.status === 0 ? [] : ["(the run ends)"];
 }
--- a/tools/mechanisms.ts
+++ b/tools/mechanisms.ts
@@ -238,7 +238,7 @@
     file: "src/gateway/gateway_shutdown.ts",
     source: "entryMaxAgeMs: ENTRY_AGE_FACTOR * options.settings.entryMaxAgeMs,",
     replacement: "entryMaxAgeMs: 0,",
-    tests: [GATEWAY_TEST],
+    tests: ["src/gateway/gateway_shutdown_test.ts"],
   },
   {
     name: "admission by route",
@@ -257,7 +257,14 @@
     tests: ["src/gateway/caller_server_test.ts"],
   },
   {
-    name: "body bound",
+    name: "body bound as it arrives",
+    file: "src/gateway/caller_server.ts",
+    source: "if (length > maxBodyBytes) {",
+    replacement: "if (length < 0) {",
+    tests: ["src/gateway/caller_server_test.ts"],
+  },
+  {
+    name: "body bound by its length",
     file: "src/gateway/caller_server.ts",
     source: "if (length > maxBodyBytes) return {",
     replacement: "if (length < 0) return {",
