--- a/src/gateway/peer_exchange.ts
+++ b/src/gateway/peer_exchange.ts
@@ -1,8 +1,8 @@
 /**
- * Synchronises store records, roll-out tallies and loads between VMs. Each VM sends an
- * update to its data centre's store reader about every half second and receives
- * one in reply. The readers query each other in rotation and forward the
- * tallies of their own data centre's VMs. When no reader answers, the VM
+ * Synchronises store records, roll-out tallies and servers' loads between VMs.
+ * Each VM sends an update to its data centre's store reader about every half
+ * second and receives one in reply. The readers query each other in rotation and
+ * forward what their own data centre's VMs sent. When no reader answers, the VM
  * queries a random member. So the cost of a VM that is not a reader does not
  * grow with the fleet, traffic between regions stays small, and a VM that the
  * store refuses still receives its records.
