--- a/src/decision/cascade_load_fixture.ts
+++ b/src/decision/cascade_load_fixture.ts
@@ -4,6 +4,7 @@
  * confidence ask for the larger model. Virtual time, without a network. Counts
  * what callers get.
  */
+import { type Random } from "../model/mod.ts";
 import { seededRandom } from "./membership_fixture.ts";
 import { type EscalationLoad } from "./escalation_pressure.ts";
 import { nextModel } from "./model_escalation.ts";
@@ -67,68 +68,91 @@
 }
 
 /** Plays the load on a number of engines. */
-export function playCascade(options: {
+export function playCascade(options: CascadeOptions): RouteResult[] {
+  const load = new CascadeLoad(options);
+  for (let nowMs = 0; nowMs < DURATION_MS; nowMs += STEP_MS) load.step(nowMs);
+  return load.results;
+}
+
+/** The number of engines, and how much load takes off the escalations. */
+export interface CascadeOptions {
   readonly seed: number;
   readonly engineCount: number;
   readonly pressureOf: (load: EscalationLoad) => number;
-}): RouteResult[] {
-  const random = seededRandom(options.seed);
-  const queues = Array.from(
-    { length: options.engineCount },
-    (): Prompt[] => [],
-  );
-  const freeAtMs = queues.map(() => 0);
-  const results = ROUTES.map(({ priority }): RouteResult => ({
+}
+
+class CascadeLoad {
+  readonly results = ROUTES.map(({ priority }): RouteResult => ({
     priority,
     requestCount: 0,
     timelyCount: 0,
     unservedCount: 0,
     largeCount: 0,
   }));
-  const send = (prompt: Prompt): void => {
-    shortest(queues).push(prompt);
-  };
-  for (let nowMs = 0; nowMs < DURATION_MS; nowMs += STEP_MS) {
+  readonly #options: CascadeOptions;
+  readonly #random: Random;
+  readonly #queues: Prompt[][];
+  readonly #freeAtMs: number[];
+
+  constructor(options: CascadeOptions) {
+    this.#options = options;
+    this.#random = seededRandom(options.seed);
+    const { engineCount } = options;
+    this.#queues = Array.from({ length: engineCount }, () => []);
+    this.#freeAtMs = this.#queues.map(() => 0);
+  }
+
+  /** Sends the requests of one step, and begins prompts at free engines. */
+  step(nowMs: number): void {
     for (const [index, route] of ROUTES.entries()) {
-      if (random() >= route.requestsPerS * STEP_MS / 1000) continue;
-      (results[index] as RouteResult).requestCount += 1;
-      const confidence = random() * MAX_CONFIDENCE;
-      send({ route, sentAtMs: nowMs, confidence, model: "small" });
+      if (this.#random() >= route.requestsPerS * STEP_MS / 1000) continue;
+      (this.results[index] as RouteResult).requestCount += 1;
+      const confidence = this.#random() * MAX_CONFIDENCE;
+      this.#send({ route, sentAtMs: nowMs, confidence, model: "small" });
     }
-    for (const [engine, queue] of queues.entries()) {
-      if (nowMs < (freeAtMs[engine] ?? 0)) continue;
+    for (const [engine, queue] of this.#queues.entries()) {
+      if (nowMs < (this.#freeAtMs[engine] ?? 0)) continue;
       const prompt = takeMostUrgent(queue);
       if (prompt === undefined) continue;
-      const result = results[ROUTES.indexOf(prompt.route)] as RouteResult;
-      const { route, sentAtMs, confidence, model } = prompt;
-      const readAtMs = nowMs + route.prefillMs[model];
-      const ageMs = readAtMs - sentAtMs;
-      if (ageMs > route.timeoutMs) {
-        result.unservedCount += 1;
-        continue;
-      }
-      freeAtMs[engine] = readAtMs;
-      const next = model === "large" ? undefined : nextModel({
-        models: MODELS,
-        model,
-        confidence,
-        pressureShare: options.pressureOf({
-          waitMs: waitOf(shortest(queues)),
-          prefillMs: route.prefillMs.large,
-          targetMs: route.targetMs,
-          timeLeftMs: route.timeoutMs - ageMs,
-          priority: route.priority,
-        }),
-      });
-      if (next !== undefined) {
-        send({ ...prompt, model: "large" });
-        continue;
-      }
-      if (ageMs <= route.targetMs) result.timelyCount += 1;
-      if (model === "large") result.largeCount += 1;
+      const readAtMs = nowMs + prompt.route.prefillMs[prompt.model];
+      const isRead = this.#read(prompt, readAtMs);
+      if (isRead) this.#freeAtMs[engine] = readAtMs;
     }
   }
-  return results;
+
+  #send(prompt: Prompt): void {
+    shortest(this.#queues).push(prompt);
+  }
+
+  /** Answers or escalates; returns false for a prompt past its deadline. */
+  #read(prompt: Prompt, readAtMs: number): boolean {
+    const { route, model } = prompt;
+    const result = this.results[ROUTES.indexOf(route)] as RouteResult;
+    const ageMs = readAtMs - prompt.sentAtMs;
+    if (ageMs > route.timeoutMs) {
+      result.unservedCount += 1;
+      return false;
+    }
+    if (model === "small" && this.#escalates(prompt, ageMs)) {
+      this.#send({ ...prompt, model: "large" });
+      return true;
+    }
+    if (ageMs <= route.targetMs) result.timelyCount += 1;
+    if (model === "large") result.largeCount += 1;
+    return true;
+  }
+
+  #escalates({ route, model, confidence }: Prompt, ageMs: number): boolean {
+    const pressureShare = this.#options.pressureOf({
+      waitMs: waitOf(shortest(this.#queues)),
+      prefillMs: route.prefillMs.large,
+      targetMs: route.targetMs,
+      timeLeftMs: route.timeoutMs - ageMs,
+      priority: route.priority,
+    });
+    const answer = { models: MODELS, model, confidence, pressureShare };
+    return nextModel(answer) !== undefined;
+  }
 }
 
 function shortest(queues: readonly Prompt[][]): Prompt[] {
