--- a/src/state/checkpoint_test.ts
+++ b/src/state/checkpoint_test.ts
@@ -48,9 +48,20 @@
       reason: "",
     };
   }
+  const workspace = `/a/w${index % 2}` as const;
+  if (kind === 4) {
+    const spend = { id, kind: "spend", workspace } as const;
+    return { ...spend, billCount: index, priceMicroEur: 10 * index };
+  }
   const sums = { count: 1, scoreSum: 1, scoreSquareSum: 1 };
   const vm = `vm-${index % 3}`;
   const requestClass = "lookup" as const;
+  if (kind === 5) {
+    const window = { windowStartMs: 1000 * index, windowMs: 1000 };
+    const burn = { id, kind: "burn", vm, workspace, requestClass } as const;
+    const counts = { good: 1, refused: 0, late: 0, lost: 0, badVersion: 0 };
+    return { ...burn, ...window, ...counts };
+  }
   return {
     id,
     kind: "quality",
@@ -94,7 +105,7 @@
   return JSON.parse(codec.encode(state));
 }
 
-const kindsArbitrary = fc.array(fc.nat(3), { minLength: 1, maxLength: 30 });
+const kindsArbitrary = fc.array(fc.nat(5), { minLength: 1, maxLength: 30 });
 
 test("a control state decoded from a checkpoint replays like the original", () => {
   fc.assert(
