Log the request limits that backend servers name

The platform's header is decoded now, changes are logged, and each line "request sent" has the limit in force at its server. Nothing else changes.

--- a/src/gateway/forward_context.ts
+++ b/src/gateway/forward_context.ts
@@ -11,6 +11,7 @@
 import { type PrefillRates } from "./prefill_rates.ts";
 import { type CallerRequest, type GatewayProtocol } from "./protocol.ts";
 import { type RetryBudget } from "./retry_budget.ts";
+import { type ServerLimits } from "./server_limits.ts";
 
 /** One attempt's result for the statistics of the version that ran it. */
 export interface VersionSample {
@@ -53,6 +54,7 @@
 export interface ForwardContext {
   readonly protocol: GatewayProtocol;
   readonly fleet: BackendFleet;
+  readonly limits: ServerLimits;
   readonly budget: RetryBudget;
   readonly versions: VersionSelector;
   /** Network distance to a place, as a cost in milliseconds. */
--- a/src/gateway/forward_context_fixture.ts
+++ b/src/gateway/forward_context_fixture.ts
@@ -7,6 +7,7 @@
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { PrefillRates } from "./prefill_rates.ts";
 import { RetryBudget } from "./retry_budget.ts";
+import { ServerLimits } from "./server_limits.ts";
 
 /** A context, and the clock that it uses. */
 export interface TestContext {
@@ -31,6 +32,7 @@
   const context: ForwardContext = {
     protocol: testProtocol,
     fleet,
+    limits: new ServerLimits({ logger: silentLogger }),
     budget: new RetryBudget({ fleetBound, clock: now, vmCount: () => 1 }),
     versions: {
       acceptorOf: () => () => true,
--- a/src/gateway/forward_log.ts
+++ b/src/gateway/forward_log.ts
@@ -15,7 +15,7 @@
 
 /** Logs the server chosen for an attempt. */
 export function logChoice(
-  { logger, clock }: ForwardContext,
+  { logger, clock, limits }: ForwardContext,
   { caller, route, manifestVersion, receivedAtMs }: ForwardRequest,
   choice: LoggedProgress & {
     readonly candidate: FleetCandidate;
@@ -33,6 +33,7 @@
     model: choice.model ?? caller.model,
     loadCount: Math.round(loadCount),
     waitMs: Math.round(waitMs),
+    limitPerSecond: limits.limitOf(server),
     failurePercent: Math.round(failureShare * PERCENT),
     manifestVersion,
     ageMs: Math.round(clock() - receivedAtMs),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -24,6 +24,7 @@
 import { admitRequest, type AdmittedRequest } from "./request_admission.ts";
 import { RolloutRegistry } from "./rollout_registry.ts";
 import { RolloutStatusWriter } from "./rollout_status_writer.ts";
+import { ServerLimits } from "./server_limits.ts";
 import { StoreFeed } from "./store_feed.ts";
 
 const TICK_MS = 200;
@@ -42,6 +43,7 @@
   readonly #options: GatewayOptions;
   readonly #metrics = new GatewayMetrics();
   readonly #fleet: BackendFleet;
+  readonly #limits: ServerLimits;
   readonly #state: GatewayState;
   readonly #rollouts: RolloutRegistry;
   readonly #statusWriter: RolloutStatusWriter;
@@ -61,6 +63,7 @@
     this.#callerAddress = settings.callerAddress;
     this.#peerAddress = settings.peerAddress;
     this.#fleet = new BackendFleet({ clock });
+    this.#limits = new ServerLimits({ logger });
     this.#state = new GatewayState({ fleet: this.#fleet, clock, logger });
     this.#rollouts = new RolloutRegistry({
       fleet: this.#fleet,
@@ -103,6 +106,7 @@
     this.#context = {
       protocol,
       fleet: this.#fleet,
+      limits: this.#limits,
       budget: new RetryBudget({
         fleetBound: settings.retryBound,
         clock,
@@ -283,6 +287,7 @@
   async #tick(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.#state.applyRosterEvent({ kind: "tick" });
+      this.#limits.retain((id) => this.#state.roster.entries.has(id));
       this.#rollouts.evaluate();
       void this.#statusWriter.writeDue();
       await this.#options.sleep(TICK_MS, signal);
--- a/src/gateway/gateway_fixture.ts
+++ b/src/gateway/gateway_fixture.ts
@@ -54,6 +54,7 @@
   readAnswer: (status, rawHeaders) => {
     const headers = headersOf(rawHeaders);
     const confidence = headers.get("test-confidence");
+    const limit = headers.get("test-limit");
     return {
       status,
       isNotRun: headers.has("test-not-run"),
@@ -63,6 +64,7 @@
         headers.has("transfer-encoding"),
       confidence: confidence === undefined ? undefined : Number(confidence),
       load: undefined,
+      limitPerSecond: limit === undefined ? undefined : Number(limit),
       passedHeaders: ["test-signature", headers.get("test-signature") ?? ""],
     };
   },
--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -78,6 +78,11 @@
   /** The model's confidence in its answer, from 0 to 100. */
   readonly confidence: number | undefined;
   readonly load: BackendLoad | undefined;
+  /**
+   * Requests a second that the server takes from all VMs together; `undefined`
+   * without a limit, NaN for one that cannot be read.
+   */
+  readonly limitPerSecond: number | undefined;
   /** Alternating names and values, forwarded to the caller unchanged. */
   readonly passedHeaders: readonly string[];
 }
--- a/src/gateway/server_attempt.ts
+++ b/src/gateway/server_attempt.ts
@@ -130,7 +130,7 @@
   }
 
   #handleHead(status: number, rawHeaders: readonly string[]): void {
-    const { context, request } = this.#options;
+    const { context, server, request } = this.#options;
     const head = context.protocol.readAnswer(status, rawHeaders);
     this.#head = head;
     this.#inFlight.recordActivity();
@@ -139,6 +139,8 @@
       : status < 400;
     if (isForeign) return this.#fail("broken", "foreign_answer");
     if (head.load !== undefined) this.#inFlight.recordLoad(head.load);
+    // A 421 comes from another server that now has the address.
+    if (status !== 421) context.limits.record(server, head.limitPerSecond);
     if (head.isNotRun) {
       this.#end(status === 421 ? "down" : "full");
       this.#exchange.cancel();
