--- /dev/null
+++ b/src/gateway/limited_server_test.ts
@@ -0,0 +1,110 @@
+/** Tests of VMs that share a backend server with a request limit. */
+import assert from "node:assert/strict";
+import { setTimeout as delay } from "node:timers/promises";
+import { test, type TestContext } from "node:test";
+import {
+  type BackendHandler,
+  sendCompleteAnswer,
+  startBackend,
+} from "./backend_fixture.ts";
+import {
+  call,
+  LOOKUP_ROUTE,
+  startGateway,
+  type TestGateway,
+  untilReady,
+} from "./gateway_fixture.ts";
+import { MemoryTopic } from "./memory_topic_fixture.ts";
+import { until } from "./until_fixture.ts";
+
+const VM_COUNT = 4;
+const LIMIT_PER_SECOND = 1;
+/** The platform's rule: 1.5 times the limit and 5 requests in 4 s. */
+const WINDOW_MS = 4000;
+const ALLOWED_COUNT = 1.5 * LIMIT_PER_SECOND * WINDOW_MS / 1000 + 5;
+/** From this time on after the first answer with a limit the rule holds. */
+const CONNECTED_MS = 4000;
+const CALL_PERIOD_MS = 25;
+
+async function startVms(
+  context: TestContext,
+  handlers: Readonly<Record<string, BackendHandler>>,
+): Promise<TestGateway[]> {
+  const backends = await Promise.all(
+    Object.entries(handlers).map(([id, handler]) => startBackend(id, handler)),
+  );
+  const [operators, servers] = [new MemoryTopic(), new MemoryTopic()];
+  const vms: TestGateway[] = [];
+  for (let index = 1; index <= VM_COUNT; index++) {
+    vms.push(
+      await startGateway({
+        vm: `vm-${index}`,
+        operators,
+        servers,
+        seeds: vms.slice(0, 1).map(({ peerAddress }) => peerAddress),
+        ...index === 1
+          ? { backends, manifest: { routes: [LOOKUP_ROUTE] } }
+          : {},
+      }),
+    );
+  }
+  context.after(async () => {
+    await Promise.all(vms.map(({ gateway }) => gateway.stop()));
+    await Promise.all(backends.map((backend) => backend.close()));
+  });
+  for (const vm of vms) await untilReady(vm);
+  await until(() =>
+    vms.every(({ gateway }) =>
+      gateway.entryAddresses({ place: undefined }).length === VM_COUNT
+    )
+  );
+  return vms;
+}
+
+/** The most arrivals in a window that begins `fromMs` or later. */
+function mostInWindow(arrivalsMs: readonly number[], fromMs: number): number {
+  const counted = arrivalsMs.filter((atMs) => atMs >= fromMs);
+  let most = 0;
+  for (const startMs of counted) {
+    const inWindow = counted.filter((atMs) =>
+      atMs >= startMs && atMs < startMs + WINDOW_MS
+    );
+    most = Math.max(most, inWindow.length);
+  }
+  return most;
+}
+
+test("a server gets no more requests from all VMs than its limit allows", async (context) => {
+  const limitedAtMs: number[] = [];
+  const otherAtMs: number[] = [];
+  const vms = await startVms(context, {
+    limited: (request, response) => {
+      limitedAtMs.push(performance.now());
+      response.setHeader("test-limit", String(LIMIT_PER_SECOND));
+      sendCompleteAnswer(request, response);
+    },
+    other: (request, response) => {
+      otherAtMs.push(performance.now());
+      sendCompleteAnswer(request, response);
+    },
+  });
+  const startMs = performance.now();
+  const calls: Promise<{ readonly status: number }>[] = [];
+  while (performance.now() - startMs < CONNECTED_MS + 1.5 * WINDOW_MS) {
+    const vm = vms[calls.length % VM_COUNT];
+    calls.push(
+      call(vm?.callerAddress ?? "", {
+        path: "/lookups/a",
+        headers: { "test-id": `request-${calls.length}` },
+      }),
+    );
+    await delay(CALL_PERIOD_MS);
+  }
+  const answers = await Promise.all(calls);
+  const [firstAtMs = 0] = limitedAtMs;
+  const most = mostInWindow(limitedAtMs, firstAtMs + CONNECTED_MS);
+  assert.ok(most <= ALLOWED_COUNT, `${most} requests in ${WINDOW_MS} ms`);
+  assert.ok(most > 0, "the limited server is still used");
+  assert.ok(otherAtMs.length > limitedAtMs.length);
+  assert.ok(answers.every(({ status }) => status === 200));
+});
