--- a/src/decision/mod.ts
+++ b/src/decision/mod.ts
@@ -33,6 +33,7 @@
 export * from "./route_table.ts";
 export * from "./selection.ts";
 export * from "./shared_load.ts";
+export * from "./shared_observation.ts";
 export * from "./shutdown.ts";
 export * from "./slowness.ts";
 export * from "./subset.ts";
--- a/src/decision/shared_load_fixture.ts
+++ b/src/decision/shared_load_fixture.ts
@@ -7,11 +7,8 @@
 import { type Random } from "../model/mod.ts";
 import { type BackendCandidate, type ChoiceQuery } from "./backend_choice.ts";
 import { seededRandom } from "./membership_fixture.ts";
-import {
-  expectedRequestCount,
-  type LoadObservation,
-  newerLoad,
-} from "./shared_load.ts";
+import { expectedRequestCount, type LoadObservation } from "./shared_load.ts";
+import { newerOf } from "./shared_observation.ts";
 
 const VM_COUNT = 33;
 const SERVER_COUNT = 10;
@@ -148,7 +145,7 @@
   const newest: Knowledge = new Map();
   for (const view of views) {
     for (const [id, load] of view) {
-      newest.set(id, newerLoad(newest.get(id), load));
+      newest.set(id, newerOf(newest.get(id), load));
     }
   }
   for (const view of views) {
--- a/src/decision/shared_load_test.ts
+++ b/src/decision/shared_load_test.ts
@@ -7,11 +7,13 @@
   expectedRequestCount,
   type LoadObservation,
   loadsToShare,
-  MAX_SHARED_LOADS,
-  maxHopCountFor,
-  newerLoad,
   receivedLoad,
 } from "./shared_load.ts";
+import {
+  MAX_SHARED_OBSERVATIONS,
+  maxHopCountFor,
+  newerOf,
+} from "./shared_observation.ts";
 import { playRareTraffic, type ServerChoice } from "./shared_load_fixture.ts";
 
 function loadOf(fields: Partial<LoadObservation> = {}): LoadObservation {
@@ -39,7 +41,7 @@
       );
       let current: LoadObservation | undefined;
       for (const load of [...order, ...loads]) {
-        current = newerLoad(current, load);
+        current = newerOf(current, load);
       }
       assert.deepEqual(current, newest);
     }),
@@ -62,9 +64,9 @@
     (_, index) => [`server-${index}`, loadOf({ observedAtMs: index })] as const,
   );
   const shared = loadsToShare(loads, { nowMs: 4800, maxHopCount: 0 });
-  assert.equal(shared.length, MAX_SHARED_LOADS);
+  assert.equal(shared.length, MAX_SHARED_OBSERVATIONS);
   assert.equal(shared[0]?.id, "server-4799");
-  assert.ok(shared.every(({ ageMs }) => ageMs <= MAX_SHARED_LOADS));
+  assert.ok(shared.every(({ ageMs }) => ageMs <= MAX_SHARED_OBSERVATIONS));
 });
 
 test("old observations are not passed on", () => {
--- a/src/gateway/backend_fleet.ts
+++ b/src/gateway/backend_fleet.ts
@@ -14,7 +14,7 @@
   isProbeNeeded,
   type LoadObservation,
   loadsToShare,
-  newerLoad,
+  newerOf,
   receivedLoad,
   type Roster,
   type SharedLoad,
@@ -162,7 +162,7 @@
     for (const load of loads) {
       const state = this.#states.get(load.id);
       if (state === undefined) continue;
-      state.load = newerLoad(state.load, receivedLoad(load, nowMs));
+      state.load = newerOf(state.load, receivedLoad(load, nowMs));
     }
   }
 
--- a/src/gateway/peer_update.ts
+++ b/src/gateway/peer_update.ts
@@ -5,7 +5,7 @@
  * Received messages are validated against the schemas here.
  */
 import { z } from "zod";
-import { MAX_SHARED_LOADS, type SharedLoad } from "../decision/mod.ts";
+import { MAX_SHARED_OBSERVATIONS, type SharedLoad } from "../decision/mod.ts";
 import { type TopicUpdate } from "./topic_replica.ts";
 
 /** The store's topics that VMs replicate to each other. */
@@ -87,7 +87,7 @@
   topics: z.partialRecord(z.enum(TOPICS), topicUpdateSchema),
   rollouts: z.array(rolloutReportSchema).max(MAX_ROLLOUTS),
   /** Absent from VMs of an earlier release. */
-  loads: z.array(sharedLoadSchema).max(MAX_SHARED_LOADS).default([]),
+  loads: z.array(sharedLoadSchema).max(MAX_SHARED_OBSERVATIONS).default([]),
 });
 
 const busyNoticeSchema = z.object({
--- a/src/gateway/peer_update_test.ts
+++ b/src/gateway/peer_update_test.ts
@@ -3,7 +3,7 @@
 import { test } from "node:test";
 import { decode, encode } from "cbor-x";
 import fc from "fast-check";
-import { MAX_SHARED_LOADS } from "../decision/mod.ts";
+import { MAX_SHARED_OBSERVATIONS } from "../decision/mod.ts";
 import {
   encodePeerUpdate,
   parseBusyNotice,
@@ -49,7 +49,7 @@
       ageMs: fc.nat(2000),
       hopCount: fc.nat(2),
     }, PLAIN),
-    { maxLength: MAX_SHARED_LOADS },
+    { maxLength: MAX_SHARED_OBSERVATIONS },
   ),
 }, PLAIN);
 
@@ -84,7 +84,7 @@
         const sent = encodePeerUpdate(update) as Record<string, unknown>;
         const parsed = parsePeerUpdate({ ...sent, [part]: other });
         if (parsed === undefined) return;
-        assert.ok(parsed.loads.length <= MAX_SHARED_LOADS);
+        assert.ok(parsed.loads.length <= MAX_SHARED_OBSERVATIONS);
       },
     ),
     { seed: SEED, numRuns: 1000 },
@@ -93,7 +93,7 @@
 
 test("more loads than a message may hold are refused", () => {
   const loads = Array.from(
-    { length: MAX_SHARED_LOADS + 1 },
+    { length: MAX_SHARED_OBSERVATIONS + 1 },
     (_, index) => [`server-${index}`, 1, 0, 0],
   );
   const have = { operators: null, servers: null };
--- a/tools/mechanisms.ts
+++ b/tools/mechanisms.ts
@@ -140,7 +140,7 @@
   },
   {
     name: "newest load wins",
-    file: "src/decision/shared_load.ts",
+    file: "src/decision/shared_observation.ts",
     source: "next.observedAtMs > current.observedAtMs ? next : current",
     replacement: "next.observedAtMs > -1 ? next : current",
     tests: [
@@ -151,8 +151,8 @@
   {
     name: "loads are shared",
     file: "src/gateway/backend_fleet.ts",
-    source: "state.load = newerLoad(state.load, receivedLoad(load, nowMs));",
-    replacement: "newerLoad(state.load, receivedLoad(load, nowMs));",
+    source: "state.load = newerOf(state.load, receivedLoad(load, nowMs));",
+    replacement: "newerOf(state.load, receivedLoad(load, nowMs));",
     tests: ["src/gateway/backend_fleet_test.ts"],
   },
   {
