Keep to the request limit that a backend server names, over all VMs

All sends counted, first attempts and escalations alike; arrivals did not fall at all.

Ruled out: repeats or escalations alone (a third of the sends), VMs that keep the limit each for itself (no VM knew of it).

Now a server's limit is divided among a few VMs, which every VM computes from the members it knows, by token buckets; no VM asks another. One check in the choice of a server covers first attempts, repeats, resumed streams and escalations. VMs pass on limits and their end with the exchange that exists. Past the limit of all servers a request is refused at once, with the time to the next token. An answer at hand is no longer dropped for a larger model that no server may take.

--- a/src/decision/mod.ts
+++ b/src/decision/mod.ts
@@ -8,6 +8,7 @@
 export * from "./budget.ts";
 export * from "./cascade.ts";
 export * from "./change_watch.ts";
+export * from "./server_limit.ts";
 export * from "./server_status.ts";
 export * from "./entry_addresses.ts";
 export * from "./escalation_pressure.ts";
--- a/src/gateway/backend_fleet.ts
+++ b/src/gateway/backend_fleet.ts
@@ -64,6 +64,8 @@
   readonly service: string;
   readonly acceptsVersion: (version: string) => boolean;
   readonly excludedIds: ReadonlySet<string>;
+  /** Whether a server's limit allows a request now. */
+  readonly isWithinLimit: (server: BackendServer) => boolean;
   /** Whether this request may probe a server that was down. */
   readonly mayProbe: boolean;
 }
@@ -120,6 +122,7 @@
       if (server.status !== "ready") continue;
       if (!query.acceptsVersion(server.version)) continue;
       if (query.excludedIds.has(server.id)) continue;
+      if (!query.isWithinLimit(server)) continue;
       candidates.push(candidateOf(state, { nowMs, mayProbe: query.mayProbe }));
     }
     return candidates;
--- a/src/gateway/backend_fleet_test.ts
+++ b/src/gateway/backend_fleet_test.ts
@@ -48,6 +48,7 @@
     topics: {},
     rollouts: [],
     loads: from.fleet.sharedLoads({ maxHopCount }),
+    limits: [],
   }));
   assert.ok(update);
   to.fleet.mergeLoads(update.loads);
@@ -59,6 +60,7 @@
     acceptsVersion: () => true,
     excludedIds: new Set(),
     mayProbe: true,
+    isWithinLimit: () => true,
   });
   return Object.fromEntries(
     candidates.map(({ id, loadCount }) => [id, loadCount]),
--- a/src/gateway/escalation_choice.ts
+++ b/src/gateway/escalation_choice.ts
@@ -33,18 +33,21 @@
   const next = nextModel({ ...answer, pressureShare: 0 });
   if (next === undefined) return undefined;
   const pressureShare = pressureOn(context, request, { ...constraints, next });
-  if (nextModel({ ...answer, pressureShare }) !== undefined) return next;
+  const isWorthwhile = pressureShare !== undefined &&
+    nextModel({ ...answer, pressureShare }) !== undefined;
+  if (isWorthwhile) return next;
   context.metrics.count("escalations_forgone", { service });
   return undefined;
 }
 
+/** Returns the pressure on the larger model; undefined without a server. */
 function pressureOn(
   context: ForwardContext,
   request: ForwardRequest,
   { next, timeLeftMs, acceptsVersion }: EscalationConstraints & {
     readonly next: string;
   },
-): number {
+): number | undefined {
   const { caller, route, service, workspace } = request;
   const candidate = chooseServer(context, request, {
     acceptsVersion,
@@ -52,6 +55,7 @@
     model: next,
     isRetriable: isRetriable(route),
   });
+  if (candidate === undefined) return undefined;
   return escalationPressure({
     waitMs: expectedWaitMs(candidate),
     prefillMs: context.prefill.estimateMs(
@@ -65,8 +69,6 @@
 }
 
 /** The wait for the prompts that are known, or for the requests running. */
-function expectedWaitMs(candidate: FleetCandidate | undefined): number {
-  if (candidate === undefined) return 0;
-  const { waitMs, loadCount } = candidate;
+function expectedWaitMs({ waitMs, loadCount }: FleetCandidate): number {
   return Math.max(waitMs, loadCount * ENGINE_LOAD_STEP_MS);
 }
--- a/src/gateway/escalation_choice_test.ts
+++ b/src/gateway/escalation_choice_test.ts
@@ -80,3 +80,16 @@
   const options = { priority: 0, timeLeftMs: 150 };
   assert.equal(escalate(setup, options), undefined);
 });
+
+test("an answer is used when no server may take the larger model's request", () => {
+  const { context } = setUp();
+  const constraints = {
+    answer: { model: "small", confidence: 1 },
+    timeLeftMs: 10_000,
+    acceptsVersion: () => true,
+  };
+  const request = requestOf(0);
+  assert.equal(chooseEscalation(context, request, constraints), "large");
+  context.limits.record(SERVER, 1);
+  assert.equal(chooseEscalation(context, request, constraints), undefined);
+});
--- a/src/gateway/forward_context_fixture.ts
+++ b/src/gateway/forward_context_fixture.ts
@@ -32,7 +32,12 @@
   const context: ForwardContext = {
     protocol: testProtocol,
     fleet,
-    limits: new ServerLimits({ logger: silentLogger }),
+    limits: new ServerLimits({
+      self: { vm: "vm-1", place: "khomas-a" },
+      otherVms: () => [],
+      clock: now,
+      logger: silentLogger,
+    }),
     budget: new RetryBudget({ fleetBound, clock: now, vmCount: () => 1 }),
     versions: {
       acceptorOf: () => () => true,
--- a/src/gateway/forward_log.ts
+++ b/src/gateway/forward_log.ts
@@ -1,6 +1,7 @@
 /** Log lines and metrics of a forwarded request. */
 import { type AnswerTiming } from "./answer_timing.ts";
 import { type FleetCandidate } from "./backend_fleet.ts";
+import { type GatewayRefusal } from "./caller_exchange.ts";
 import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
 
 const PERCENT = 100;
@@ -13,6 +14,29 @@
   readonly attempts: readonly string[];
 }
 
+/** Logs and counts a request that is refused by its head. */
+export function logRefusal(
+  { logger, metrics }: ForwardContext,
+  { status, reason }: GatewayRefusal,
+  { requestId, manifestVersion, manifestAgeMs }: {
+    readonly requestId: string | undefined;
+    readonly manifestVersion: number | undefined;
+    /** Infinity before the first manifest. */
+    readonly manifestAgeMs: number;
+  },
+): void {
+  metrics.count("refused", { status, reason });
+  logger.info("request refused", {
+    request: requestId,
+    status,
+    reason,
+    manifestVersion,
+    manifestAgeMs: Number.isFinite(manifestAgeMs)
+      ? Math.round(manifestAgeMs)
+      : undefined,
+  });
+}
+
 /** Logs the server chosen for an attempt. */
 export function logChoice(
   { logger, clock, limits }: ForwardContext,
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -16,6 +16,7 @@
 import { logChoice, logEnd, type LoggedProgress } from "./forward_log.ts";
 import { type AnswerHead } from "./protocol.ts";
 import { type RetryReason } from "./retry_budget.ts";
+import { noServerReason, retryDelayMs } from "./retry_delay.ts";
 import { type AttemptOutcome, ServerAttempt } from "./server_attempt.ts";
 import { chooseServer } from "./server_choice.ts";
 import { firstByteTimeoutMs, gapTimeoutMs } from "./silence_timeouts.ts";
@@ -23,8 +24,6 @@
 
 /** With less time left, a request is not sent again. */
 const MIN_ATTEMPT_MS = 20;
-/** Bounds of the random retry delay sent with a refusal. */
-const RETRY_AFTER_MS = { min: 300, max: 1000 } as const;
 
 /** The forwarding of one caller's request. */
 export class Forwarding {
@@ -74,7 +73,9 @@
 
   #startAttempt(): void {
     const candidate = this.#choose();
-    if (candidate === undefined) return this.#giveUp("no_backend");
+    if (candidate === undefined) {
+      return this.#giveUp(noServerReason(this.#context, this.#request));
+    }
     const { server } = candidate;
     const { caller, route, workspace, body } = this.#request;
     this.#history.addAttempt(server.id);
@@ -268,8 +269,7 @@
   }
 
   #refuse(reason: string): void {
-    const { min, max } = RETRY_AFTER_MS;
-    const retryAfterMs = min + this.#context.random() * (max - min);
+    const retryAfterMs = retryDelayMs(this.#context, this.#request);
     this.#exchange.refuse({ status: 503, reason, retryAfterMs });
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -10,10 +10,15 @@
 import { type GatewayRefusal } from "./caller_exchange.ts";
 import { CallerServer, type ReceivedRequest } from "./caller_server.ts";
 import { type ForwardContext } from "./forward_context.ts";
+import { logRefusal } from "./forward_log.ts";
 import { Forwarding } from "./forwarding.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { type GatewayOptions } from "./gateway_options.ts";
-import { createDistanceLookup, createGatewayPeers } from "./gateway_peers.ts";
+import {
+  aliveMembers,
+  createDistanceLookup,
+  createGatewayPeers,
+} from "./gateway_peers.ts";
 import { GatewayShutdown, STOP_POLL_MS } from "./gateway_shutdown.ts";
 import { GatewayState } from "./gateway_state.ts";
 import { PeerExchange } from "./peer_exchange.ts";
@@ -63,7 +68,12 @@
     this.#callerAddress = settings.callerAddress;
     this.#peerAddress = settings.peerAddress;
     this.#fleet = new BackendFleet({ clock });
-    this.#limits = new ServerLimits({ logger });
+    this.#limits = new ServerLimits({
+      self: settings,
+      otherVms: () => aliveMembers(this.#peers.membership()),
+      clock,
+      logger,
+    });
     this.#state = new GatewayState({ fleet: this.#fleet, clock, logger });
     this.#rollouts = new RolloutRegistry({
       fleet: this.#fleet,
@@ -86,6 +96,7 @@
       replicas: this.#feed.replicas,
       registry: this.#rollouts,
       fleet: this.#fleet,
+      limits: this.#limits,
     });
     this.#statusWriter = new RolloutStatusWriter({
       registry: this.#rollouts,
@@ -239,7 +250,11 @@
       : this.#admit(caller);
     if ("status" in admitted) {
       const requestId = typeof caller === "string" ? undefined : caller.id;
-      this.#recordRefusal(admitted, requestId);
+      logRefusal(this.#context, admitted, {
+        requestId,
+        manifestVersion: this.#state.routes?.manifest.version,
+        manifestAgeMs: this.#feed.replicas.operators.ageMs,
+      });
       exchange.refuse(admitted);
       return undefined;
     }
@@ -257,21 +272,6 @@
     return { status: 503, reason: "leaving", retryAfterMs };
   }
 
-  #recordRefusal(
-    { status, reason }: GatewayRefusal,
-    requestId: string | undefined,
-  ): void {
-    this.#metrics.count("refused", { status, reason });
-    const { ageMs } = this.#feed.replicas.operators;
-    this.#options.logger.info("request refused", {
-      request: requestId,
-      status,
-      reason,
-      manifestVersion: this.#state.routes?.manifest.version,
-      manifestAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
-    });
-  }
-
   #announceReady(): void {
     if (!this.#state.isComplete) return;
     if (this.#peers.membership().self.address === this.#callerAddress) return;
--- a/src/gateway/gateway_peers.ts
+++ b/src/gateway/gateway_peers.ts
@@ -1,4 +1,9 @@
 /** The node that connects a gateway to the other VMs, and place latencies. */
+import {
+  type MembershipState,
+  type MemberUpdate,
+  presentMembers,
+} from "../decision/mod.ts";
 import { noMetrics, splitAddress } from "../model/mod.ts";
 import {
   createPeerNode,
@@ -44,6 +49,12 @@
   });
 }
 
+/** Returns the other VMs that take requests. */
+export function aliveMembers(state: MembershipState): MemberUpdate[] {
+  return presentMembers(state).map(({ update }) => update)
+    .filter(({ status }) => status === "alive");
+}
+
 /** Returns a function from a place to its added latency in milliseconds. */
 export function createDistanceLookup(
   settings: GatewaySettings,
--- a/src/gateway/limited_server_test.ts
+++ b/src/gateway/limited_server_test.ts
@@ -9,6 +9,7 @@
 } from "./backend_fixture.ts";
 import {
   call,
+  type CallerAnswer,
   LOOKUP_ROUTE,
   startGateway,
   type TestGateway,
@@ -108,3 +109,32 @@
   assert.ok(otherAtMs.length > limitedAtMs.length);
   assert.ok(answers.every(({ status }) => status === 200));
 });
+
+test("requests past the limit of all servers are refused at once until it ends", async (context) => {
+  let limitPerSecond: number | undefined = LIMIT_PER_SECOND;
+  const [vm] = await startVms(context, {
+    limited: (request, response) => {
+      if (limitPerSecond !== undefined) {
+        response.setHeader("test-limit", String(limitPerSecond));
+      }
+      sendCompleteAnswer(request, response);
+    },
+  });
+  const send = (): Promise<CallerAnswer> =>
+    call(vm?.callerAddress ?? "", { path: "/lookups/a" });
+  assert.equal((await send()).status, 200);
+  const startMs = performance.now();
+  const refused = await send();
+  assert.equal(refused.status, 503);
+  assert.ok(Number(refused.headers["retry-after"]) > 0);
+  assert.ok(performance.now() - startMs < LOOKUP_ROUTE.targetMs);
+
+  limitPerSecond = undefined;
+  const endMs = performance.now() + 2 * WINDOW_MS;
+  let answeredInRow = 0;
+  while (answeredInRow < 20 && performance.now() < endMs) {
+    answeredInRow = (await send()).status === 200 ? answeredInRow + 1 : 0;
+    await delay(CALL_PERIOD_MS);
+  }
+  assert.equal(answeredInRow, 20);
+});
--- a/src/gateway/peer_exchange.ts
+++ b/src/gateway/peer_exchange.ts
@@ -12,7 +12,6 @@
   isEnded,
   maxHopCountFor,
   presentMembers,
-  type SharedLoad,
   type StoreReaderCandidate,
 } from "../decision/mod.ts";
 import {
@@ -34,6 +33,7 @@
   TOPICS,
 } from "./peer_update.ts";
 import { type RolloutRegistry } from "./rollout_registry.ts";
+import { type ServerLimits } from "./server_limits.ts";
 import { type TopicReplica } from "./topic_replica.ts";
 
 export interface PeerExchangeOptions {
@@ -42,6 +42,7 @@
   readonly replicas: Readonly<Record<TopicName, TopicReplica>>;
   readonly registry: RolloutRegistry;
   readonly fleet: BackendFleet;
+  readonly limits: ServerLimits;
   readonly clock: Clock;
   readonly sleep: Sleep;
   readonly random: Random;
@@ -189,7 +190,12 @@
    * holds this VM's offsets only and no records.
    */
   #updateFor(vm: string, readOffsets: PeerUpdate["have"] | undefined): unknown {
-    const { replicas } = this.#options;
+    const { replicas, fleet, limits } = this.#options;
+    const readers = this.#storeReaders().map((reader) => reader.vm);
+    const maxHopCount = maxHopCountFor({
+      isSenderReader: readers.includes(this.#options.vm),
+      isReceiverReader: readers.includes(vm),
+    });
     const topics: Parameters<typeof encodePeerUpdate>[0]["topics"] = {};
     for (const name of TOPICS) {
       if (readOffsets === undefined) continue;
@@ -205,17 +211,9 @@
       },
       topics,
       rollouts: this.#rolloutReportsFor(vm),
-      loads: this.#loadsFor(vm),
-    });
-  }
-
-  #loadsFor(vm: string): SharedLoad[] {
-    const readers = this.#storeReaders().map((reader) => reader.vm);
-    const maxHopCount = maxHopCountFor({
-      isSenderReader: readers.includes(this.#options.vm),
-      isReceiverReader: readers.includes(vm),
+      loads: fleet.sharedLoads({ maxHopCount }),
+      limits: limits.toShare({ maxHopCount }),
     });
-    return this.#options.fleet.sharedLoads({ maxHopCount });
   }
 
   /**
@@ -248,8 +246,9 @@
   }
 
   #apply(update: PeerUpdate): void {
-    const { replicas, registry, fleet, clock } = this.#options;
+    const { replicas, registry, fleet, limits, clock } = this.#options;
     fleet.mergeLoads(update.loads);
+    limits.merge(update.limits);
     for (const name of TOPICS) {
       const topic = update.topics[name];
       if (topic !== undefined) replicas[name].applyUpdate(topic);
--- a/src/gateway/peer_update.ts
+++ b/src/gateway/peer_update.ts
@@ -1,11 +1,12 @@
 /**
  * The messages that gateways exchange: how far each has read the store, the
  * records that the receiver lacks, the state and tallies of roll-outs, and the
- * loads of backend servers.
+ * loads and request limits of backend servers.
  * Received messages are validated against the schemas here.
  */
 import { z } from "zod";
 import { MAX_SHARED_OBSERVATIONS, type SharedLoad } from "../decision/mod.ts";
+import { type SharedLimit } from "./server_limits.ts";
 import { type TopicUpdate } from "./topic_replica.ts";
 
 /** The store's topics that VMs replicate to each other. */
@@ -79,6 +80,23 @@
   hopCount,
 }));
 
+/** Id, start of its process, limit (null without), age and hops. */
+const sharedLimitSchema = z.tuple([
+  nameSchema,
+  z.number(),
+  z.number().nonnegative().nullable(),
+  countSchema,
+  countSchema,
+]).transform((
+  [id, processStartedAtMs, limitPerSecond, ageMs, hopCount],
+): SharedLimit => ({
+  id,
+  processStartedAtMs,
+  limitPerSecond: limitPerSecond ?? undefined,
+  ageMs,
+  hopCount,
+}));
+
 const peerUpdateSchema = z.object({
   /** The sender's process instance; empty from VMs of an earlier release. */
   teller: z.string().max(MAX_KEY_LENGTH).default(""),
@@ -88,6 +106,8 @@
   rollouts: z.array(rolloutReportSchema).max(MAX_ROLLOUTS),
   /** Absent from VMs of an earlier release. */
   loads: z.array(sharedLoadSchema).max(MAX_SHARED_OBSERVATIONS).default([]),
+  /** Absent from VMs of an earlier release. */
+  limits: z.array(sharedLimitSchema).max(MAX_SHARED_OBSERVATIONS).default([]),
 });
 
 const busyNoticeSchema = z.object({
@@ -123,6 +143,7 @@
   readonly topics: Partial<Record<TopicName, TopicUpdate>>;
   readonly rollouts: readonly RolloutReport[];
   readonly loads: readonly SharedLoad[];
+  readonly limits: readonly SharedLimit[];
 }): unknown {
   const topics: Record<string, unknown> = {};
   for (const [name, topic] of Object.entries(update.topics)) {
@@ -139,5 +160,12 @@
     ageMs,
     hopCount,
   ]);
-  return { ...update, topics, loads };
+  const limits = update.limits.map((limit) => [
+    limit.id,
+    limit.processStartedAtMs,
+    limit.limitPerSecond ?? null,
+    limit.ageMs,
+    limit.hopCount,
+  ]);
+  return { ...update, topics, loads, limits };
 }
--- a/src/gateway/peer_update_test.ts
+++ b/src/gateway/peer_update_test.ts
@@ -51,6 +51,18 @@
     }, PLAIN),
     { maxLength: MAX_SHARED_OBSERVATIONS },
   ),
+  limits: fc.array(
+    fc.record({
+      id: name,
+      processStartedAtMs: fc.nat(),
+      limitPerSecond: fc.option(fc.double({ min: 0, max: 1e6, noNaN: true }), {
+        nil: undefined,
+      }),
+      ageMs: fc.nat(2000),
+      hopCount: fc.nat(2),
+    }, PLAIN),
+    { maxLength: MAX_SHARED_OBSERVATIONS },
+  ),
 }, PLAIN);
 
 test("an update arrives as it was sent", () => {
@@ -74,7 +86,14 @@
 });
 
 test("an update with one part replaced by something else never throws", () => {
-  const parts = ["teller", "have", "topics", "rollouts", "loads"] as const;
+  const parts = [
+    "teller",
+    "have",
+    "topics",
+    "rollouts",
+    "loads",
+    "limits",
+  ] as const;
   fc.assert(
     fc.property(
       updateArbitrary,
@@ -85,6 +104,7 @@
         const parsed = parsePeerUpdate({ ...sent, [part]: other });
         if (parsed === undefined) return;
         assert.ok(parsed.loads.length <= MAX_SHARED_OBSERVATIONS);
+        assert.ok(parsed.limits.length <= MAX_SHARED_OBSERVATIONS);
       },
     ),
     { seed: SEED, numRuns: 1000 },
@@ -100,3 +120,9 @@
   const update = { have, topics: {}, rollouts: [], loads };
   assert.equal(parsePeerUpdate(update), undefined);
 });
+
+test("an update of an earlier release names no limits", () => {
+  const have = { operators: null, servers: null };
+  const update = { have, topics: {}, rollouts: [], loads: [] };
+  assert.deepEqual(parsePeerUpdate(update)?.limits, []);
+});
--- a/src/gateway/server_attempt.ts
+++ b/src/gateway/server_attempt.ts
@@ -72,6 +72,7 @@
       this.#prefillKey,
       request.caller.promptTokens,
     );
+    context.limits.countRequest(server);
     this.#inFlight = context.fleet.trackRequest(server, prefillMs);
     if (prefillMs > LONG_PREFILL_MS) context.reportBusy(server.id, prefillMs);
     context.versions.adjustInFlight(server.service, server.version, 1);
--- a/src/gateway/server_choice.ts
+++ b/src/gateway/server_choice.ts
@@ -1,5 +1,6 @@
 /** Chooses a request's next server from the request and the fleet's state. */
 import { chooseBackend } from "../decision/mod.ts";
+import { type BackendServer } from "../model/mod.ts";
 import { type FleetCandidate } from "./backend_fleet.ts";
 import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
 
@@ -18,12 +19,17 @@
 
 /** Returns the next server; one tried before only if there is no other. */
 export function chooseServer(
-  { fleet, distanceMs, random }: ForwardContext,
+  { fleet, limits, distanceMs, random }: ForwardContext,
   request: ForwardRequest,
   { acceptsVersion, triedIds, model, isRetriable }: ChoiceConstraints,
 ): FleetCandidate | undefined {
   const { caller, service } = request;
-  const query = { service, acceptsVersion, mayProbe: isRetriable };
+  const query = {
+    service,
+    acceptsVersion,
+    mayProbe: isRetriable,
+    isWithinLimit: (server: BackendServer) => limits.waitMs(server) === 0,
+  };
   const untried = fleet.candidates({ ...query, excludedIds: triedIds });
   const candidates = untried.length > 0
     ? untried
--- a/src/gateway/server_limits.ts
+++ b/src/gateway/server_limits.ts
@@ -1,60 +1,175 @@
 /**
- * The request limits that backend servers name in their answers. A limit holds
- * from the first answer with it until one without it, for one start of the
- * server's process.
+ * The request limits that backend servers name in their answers, and this VM's
+ * part of each. A limit holds from the first answer with it until one without
+ * it, for one start of the server's process. VMs pass on what they observe, as
+ * only some of them use a limited server and see when its limit ends.
  */
-import { type BackendServer, type Logger } from "../model/mod.ts";
+import {
+  emptyBucket,
+  type LimitBucket,
+  type LimitedVm,
+  type LimitShare,
+  limitShareOf,
+  newerOf,
+  type Observation,
+  recentObservations,
+  refillBucket,
+  takeToken,
+  timeToTokenMs,
+} from "../decision/mod.ts";
+import { type BackendServer, type Clock, type Logger } from "../model/mod.ts";
 
-interface NamedLimit {
+/** Members change rarely compared with requests. */
+const SHARE_MAX_AGE_MS = 500;
+
+interface LimitObservation extends Observation {
+  /** `undefined` after an answer without a limit. */
   readonly limitPerSecond: number | undefined;
   readonly processStartedAtMs: number;
 }
 
+/** An observation as sent to another VM. */
+export interface SharedLimit {
+  readonly id: string;
+  readonly processStartedAtMs: number;
+  readonly limitPerSecond: number | undefined;
+  readonly ageMs: number;
+  readonly hopCount: number;
+}
+
+interface LimitUse {
+  bucket: LimitBucket;
+  share: LimitShare;
+  shareAtMs: number;
+}
+
+export interface ServerLimitsOptions {
+  readonly self: LimitedVm;
+  /** The other VMs that are present. */
+  readonly otherVms: () => readonly LimitedVm[];
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
 /** The limits that this VM knows. */
 export class ServerLimits {
-  readonly #logger: Logger;
-  readonly #limits = new Map<string, NamedLimit>();
+  readonly #options: ServerLimitsOptions;
+  readonly #observations = new Map<string, LimitObservation>();
+  readonly #uses = new Map<string, LimitUse>();
   readonly #malformedIds = new Set<string>();
 
-  constructor(options: { readonly logger: Logger }) {
-    this.#logger = options.logger;
+  constructor(options: ServerLimitsOptions) {
+    this.#options = options;
   }
 
   /** The limit in force at a server; `undefined` without one. */
-  limitOf(server: BackendServer): number | undefined {
-    const limit = this.#limits.get(server.id);
-    return limit?.processStartedAtMs === server.processStartedAtMs
-      ? limit.limitPerSecond
+  limitOf({ id, processStartedAtMs }: BackendServer): number | undefined {
+    const observation = this.#observations.get(id);
+    return observation?.processStartedAtMs === processStartedAtMs
+      ? observation.limitPerSecond
       : undefined;
   }
 
+  /** Time until this VM may send the server a request; 0 if it may now. */
+  waitMs(server: BackendServer): number {
+    const limitPerSecond = this.limitOf(server);
+    if (limitPerSecond === undefined) return 0;
+    const { bucket, share } = this.#useOf(server, limitPerSecond);
+    return timeToTokenMs(bucket, share);
+  }
+
+  /** Counts a request that is now sent to a server. */
+  countRequest(server: BackendServer): void {
+    const limitPerSecond = this.limitOf(server);
+    if (limitPerSecond === undefined) return;
+    const use = this.#useOf(server, limitPerSecond);
+    use.bucket = takeToken(use.bucket);
+  }
+
   /** Records an answer's limit; NaN, a malformed one, changes nothing. */
   record(server: BackendServer, limitPerSecond: number | undefined): void {
-    if (Number.isNaN(limitPerSecond)) return this.#logMalformed(server.id);
-    const before = this.limitOf(server);
-    if (before === limitPerSecond) return;
     const { id, processStartedAtMs } = server;
-    this.#limits.set(id, { limitPerSecond, processStartedAtMs });
-    this.#logger.info("server limit changed", {
-      server: id,
+    if (Number.isNaN(limitPerSecond)) return this.#logMalformed(id);
+    const isKnown = this.#observations.has(id);
+    if (limitPerSecond === undefined && !isKnown) return;
+    this.#apply(id, {
       limitPerSecond,
-      before,
+      processStartedAtMs,
+      observedAtMs: this.#options.clock(),
+      hopCount: 0,
     });
   }
 
+  /** Returns recent observations that were passed on `maxHopCount` times. */
+  toShare(options: { readonly maxHopCount: number }): SharedLimit[] {
+    const nowMs = this.#options.clock();
+    return recentObservations(this.#observations, { ...options, nowMs }).map(
+      ({ id, ageMs, observation }) => ({
+        id,
+        processStartedAtMs: observation.processStartedAtMs,
+        limitPerSecond: observation.limitPerSecond,
+        ageMs,
+        hopCount: observation.hopCount,
+      }),
+    );
+  }
+
+  /** Applies the observations that another VM sent. */
+  merge(limits: readonly SharedLimit[]): void {
+    const nowMs = this.#options.clock();
+    for (const { id, ageMs, hopCount, ...limit } of limits) {
+      this.#apply(id, {
+        ...limit,
+        observedAtMs: nowMs - ageMs,
+        hopCount: hopCount + 1,
+      });
+    }
+  }
+
   /** Discards what is known of servers that are no longer registered. */
   retain(isRegistered: (id: string) => boolean): void {
-    for (const id of this.#limits.keys()) {
-      if (!isRegistered(id)) this.#limits.delete(id);
+    for (const known of [this.#observations, this.#uses, this.#malformedIds]) {
+      for (const id of known.keys()) if (!isRegistered(id)) known.delete(id);
     }
-    for (const id of this.#malformedIds) {
-      if (!isRegistered(id)) this.#malformedIds.delete(id);
+  }
+
+  #apply(id: string, next: LimitObservation): void {
+    const before = this.#observations.get(id);
+    const newest = newerOf(before, next);
+    this.#observations.set(id, newest);
+    const isSameProcess =
+      before?.processStartedAtMs === newest.processStartedAtMs;
+    const { limitPerSecond } = newest;
+    if (isSameProcess && before?.limitPerSecond === limitPerSecond) return;
+    const use = this.#uses.get(id);
+    if (use !== undefined) use.shareAtMs = -Infinity;
+    if (!isSameProcess || limitPerSecond === undefined) this.#uses.delete(id);
+    this.#options.logger.info("server limit changed", {
+      server: id,
+      limitPerSecond,
+      before: before?.limitPerSecond,
+      hopCount: newest.hopCount,
+    });
+  }
+
+  #useOf(server: BackendServer, limitPerSecond: number): LimitUse {
+    const { self, otherVms, clock } = this.#options;
+    const nowMs = clock();
+    let use = this.#uses.get(server.id);
+    if (use === undefined || nowMs - use.shareAtMs > SHARE_MAX_AGE_MS) {
+      const others = otherVms();
+      const share = limitShareOf(limitPerSecond, { server, self, others });
+      const bucket = use?.bucket ?? emptyBucket(nowMs);
+      use = { bucket, share, shareAtMs: nowMs };
+      this.#uses.set(server.id, use);
     }
+    use.bucket = refillBucket(use.bucket, { share: use.share, nowMs });
+    return use;
   }
 
   #logMalformed(id: string): void {
     if (this.#malformedIds.has(id)) return;
     this.#malformedIds.add(id);
-    this.#logger.warn("malformed server limit", { server: id });
+    this.#options.logger.warn("malformed server limit", { server: id });
   }
 }
