--- a/src/gateway/forward_log.ts
+++ b/src/gateway/forward_log.ts
@@ -1,4 +1,5 @@
 /** Log lines and metrics of a forwarded request. */
+import { type BackendServer } from "../model/mod.ts";
 import { type AnswerTiming } from "./answer_timing.ts";
 import { type FleetCandidate } from "./backend_fleet.ts";
 import { type GatewayRefusal } from "./caller_exchange.ts";
@@ -64,6 +65,32 @@
   });
 }
 
+/** An answer that a server broke off, or did not begin. */
+export interface BrokenAnswer {
+  readonly requestId: string;
+  readonly server: BackendServer;
+  readonly cause: string;
+  readonly sentForMs: number;
+  /** Time since the first data; undefined if there was none. */
+  readonly answeredForMs: number | undefined;
+  readonly partIds: readonly string[];
+}
+
+/** Logs an answer that broke off, with the parts of its prompt. */
+export function logBreak(
+  { logger }: ForwardContext,
+  broken: BrokenAnswer,
+): void {
+  logger.info("answer broke off", {
+    request: broken.requestId,
+    server: broken.server.id,
+    cause: broken.cause,
+    sentForMs: Math.round(broken.sentForMs),
+    answeredForMs: rounded(broken.answeredForMs),
+    promptParts: broken.partIds.join(" "),
+  });
+}
+
 /** Logs and counts a request that has ended or whose caller disconnected. */
 export function logEnd(
   { logger, clock, metrics }: ForwardContext,
--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -44,6 +44,11 @@
   readonly passedHeaders: readonly string[];
 }
 
+/** Returns the prompt's parts that other requests may have, all but the last. */
+export function sharedPartIds({ promptParts }: CallerRequest): string[] {
+  return promptParts.slice(0, -1).map(({ id }) => id);
+}
+
 /** A request to a backend server, before encoding. */
 export interface BackendRequest {
   readonly caller: CallerRequest;
--- a/src/gateway/server_attempt.ts
+++ b/src/gateway/server_attempt.ts
@@ -10,8 +10,13 @@
 import { type InFlightRequest } from "./backend_fleet.ts";
 import { type CompleteAnswer } from "./caller_exchange.ts";
 import { type ForwardContext } from "./forward_context.ts";
+import { logBreak } from "./forward_log.ts";
 import { prefillKeyOf } from "./prefill_rates.ts";
-import { type AnswerHead, type BackendRequest } from "./protocol.ts";
+import {
+  type AnswerHead,
+  type BackendRequest,
+  sharedPartIds,
+} from "./protocol.ts";
 
 /** Long enough for a connection whose first packet has to be sent again. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -60,6 +65,7 @@
   readonly #startedAtMs: number;
   readonly #chunks: Buffer[] = [];
   #bufferedBytes = 0;
+  #firstDataAtMs: number | undefined;
   #head: AnswerHead | undefined;
   #isOver = false;
 
@@ -160,6 +166,7 @@
 
   #handleData(chunk: Buffer): void {
     this.#inFlight.recordActivity();
+    this.#firstDataAtMs ??= this.#options.context.clock();
     if (this.#isRelayed) return this.#options.onData(chunk);
     this.#bufferedBytes += chunk.length;
     if (this.#bufferedBytes > MAX_BUFFERED_BYTES) {
@@ -187,6 +194,7 @@
   }
 
   #handleFault(fault: ExchangeFault): void {
+    if (!fault.isUnsent) this.#logBreak(fault.kind);
     this.#end(fault.kind === "unreachable" ? "down" : "broken");
     this.#options.onOutcome({
       kind: "fault",
@@ -195,6 +203,22 @@
     });
   }
 
+  #logBreak(cause: string): void {
+    const { context, request, server } = this.#options;
+    const nowMs = context.clock();
+    const firstDataAtMs = this.#firstDataAtMs;
+    logBreak(context, {
+      requestId: request.caller.id,
+      server,
+      cause,
+      sentForMs: nowMs - this.#startedAtMs,
+      answeredForMs: firstDataAtMs === undefined
+        ? undefined
+        : nowMs - firstDataAtMs,
+      partIds: sharedPartIds(request.caller),
+    });
+  }
+
   #fail(event: HealthEvent, cause: string): void {
     this.#end(event);
     this.#exchange.cancel();
