--- a/src/gateway/gateway_fixture.ts
+++ b/src/gateway/gateway_fixture.ts
@@ -29,6 +29,7 @@
     const id = headers.get("test-id");
     if (id === undefined) return "no id";
     const deadline = headers.get("test-deadline");
+    const parts = headers.get("test-parts");
     return {
       id,
       method,
@@ -40,9 +41,18 @@
       model: undefined,
       isAnyModelAllowed: headers.get("test-model") === "any",
       promptTokens: 0,
-      promptParts: [],
+      promptParts: (parts?.split(" ") ?? []).map((part) => ({
+        id: part,
+        tokens: 10,
+      })),
       lastEventId: headers.get("test-last"),
-      passedHeaders: ["Host", API_HOST, "test-id", id],
+      passedHeaders: [
+        "Host",
+        API_HOST,
+        "test-id",
+        id,
+        ...parts === undefined ? [] : ["test-parts", parts],
+      ],
     };
   },
   writeRequest: ({ caller, model, lastEventId, workspace }) => [
--- a/src/gateway/memory_topic_fixture.ts
+++ b/src/gateway/memory_topic_fixture.ts
@@ -19,12 +19,18 @@
     this.records.push({ key, value: bytes, offset: this.records.length });
   }
 
+  /** Drops a key, as the platform does when a server's entry expires. */
+  drop(key: string): void {
+    this.records.push({ key, value: undefined, offset: this.records.length });
+  }
+
   async list(): Promise<Result<StoreRecords, StoreFault>> {
     await delay(1);
     if (this.isDown) return down();
     const newest = new Map<string, StoreRecord>();
     for (const record of this.records) newest.set(record.key, record);
-    const records = [...newest.values()];
+    const records = [...newest.values()]
+      .filter(({ value }) => value !== undefined);
     return ok({ records, nextOffset: this.records.length });
   }
 
