--- a/src/decision/server_limit.ts
+++ b/src/decision/server_limit.ts
@@ -31,7 +31,8 @@
 const LEAST_BURST_COUNT = 3;
 /** A server that takes nothing is asked this often whether that still holds. */
 const LEAST_PER_SECOND = 0.25;
-const NO_SHARE: LimitShare = { perSecond: 0, burstCount: 0 };
+/** The share of a VM that may not use the server. */
+export const NO_SHARE: LimitShare = { perSecond: 0, burstCount: 0 };
 const SECOND_MS = 1000;
 
 /** Returns the share of a VM; VMs of the server's place come first. */
--- a/src/gateway/server_limits.ts
+++ b/src/gateway/server_limits.ts
@@ -11,6 +11,7 @@
   type LimitShare,
   limitShareOf,
   newerOf,
+  NO_SHARE,
   type Observation,
   recentObservations,
   refillBucket,
@@ -38,9 +39,10 @@
 }
 
 interface LimitUse {
-  bucket: LimitBucket;
-  share: LimitShare;
-  shareAtMs: number;
+  readonly bucket: LimitBucket;
+  readonly share: LimitShare;
+  /** When the share was computed. */
+  readonly shareAtMs: number;
 }
 
 export interface ServerLimitsOptions {
@@ -83,7 +85,8 @@
     const limitPerSecond = this.limitOf(server);
     if (limitPerSecond === undefined) return;
     const use = this.#useOf(server, limitPerSecond);
-    use.bucket = takeToken(use.bucket);
+    const bucket = takeToken(use.bucket);
+    this.#uses.set(server.id, { ...use, bucket });
   }
 
   /** Records an answer's limit; NaN, a malformed one, changes nothing. */
@@ -141,9 +144,12 @@
       before?.processStartedAtMs === newest.processStartedAtMs;
     const { limitPerSecond } = newest;
     if (isSameProcess && before?.limitPerSecond === limitPerSecond) return;
-    const use = this.#uses.get(id);
-    if (use !== undefined) use.shareAtMs = -Infinity;
-    if (!isSameProcess || limitPerSecond === undefined) this.#uses.delete(id);
+    const use = isSameProcess ? this.#uses.get(id) : undefined;
+    if (limitPerSecond === undefined) this.#uses.delete(id);
+    else {
+      const { bucket, share } = use ?? newUse(this.#options.clock());
+      this.#uses.set(id, { bucket, share, shareAtMs: -Infinity });
+    }
     this.#options.logger.info("server limit changed", {
       server: id,
       limitPerSecond,
@@ -155,15 +161,17 @@
   #useOf(server: BackendServer, limitPerSecond: number): LimitUse {
     const { self, otherVms, clock } = this.#options;
     const nowMs = clock();
-    let use = this.#uses.get(server.id);
-    if (use === undefined || nowMs - use.shareAtMs > SHARE_MAX_AGE_MS) {
-      const others = otherVms();
-      const share = limitShareOf(limitPerSecond, { server, self, others });
-      const bucket = use?.bucket ?? emptyBucket(nowMs);
-      use = { bucket, share, shareAtMs: nowMs };
-      this.#uses.set(server.id, use);
-    }
-    use.bucket = refillBucket(use.bucket, { share: use.share, nowMs });
+    const before = this.#uses.get(server.id) ?? newUse(nowMs);
+    const isRecent = nowMs - before.shareAtMs < SHARE_MAX_AGE_MS;
+    const share = isRecent
+      ? before.share
+      : limitShareOf(limitPerSecond, { server, self, others: otherVms() });
+    const use: LimitUse = {
+      bucket: refillBucket(before.bucket, { share, nowMs }),
+      share,
+      shareAtMs: isRecent ? before.shareAtMs : nowMs,
+    };
+    this.#uses.set(server.id, use);
     return use;
   }
 
@@ -173,3 +181,8 @@
     this.#options.logger.warn("malformed server limit", { server: id });
   }
 }
+
+function newUse(nowMs: number): LimitUse {
+  const bucket = emptyBucket(nowMs);
+  return { bucket, share: NO_SHARE, shareAtMs: -Infinity };
+}
