Leave a silent request at its server when no other may take it

Cause: a silent attempt was cancelled when the choice had no server at all, and its caller got 502 or 503. With limits that is common: every server may be closed for a moment while the answer is still on its way.

--- /dev/null
+++ b/src/decision/crash_evidence.ts
@@ -0,0 +1,159 @@
+/**
+ * Finds the prompt parts under which servers end. A report says that a server's
+ * process ended before a request's answer had got anywhere, and which parts the
+ * request's prompt shares with others. Most of the requests reported with a
+ * crash are its victims. So a part is fatal only if its requests were there at
+ * several crashes and no answer to it has got far since. The part that explains
+ * the most crashes goes first, and what it explains does not count against the
+ * others; parts with answers of late come last and need more crashes.
+ */
+
+/** A request that was at a server whose process ended. */
+export interface CrashReport {
+  readonly requestId: string;
+  /** The server and the start of its process. */
+  readonly serverKey: string;
+  readonly partIds: readonly string[];
+  /** By the clock of the VM that holds the report. */
+  readonly atMs: number;
+}
+
+/** Parts that always come together; a request with all of them is fatal. */
+export interface FatalParts {
+  readonly partIds: readonly string[];
+  /** The reports that speak against them, oldest first. */
+  readonly reports: readonly CrashReport[];
+}
+
+/** Crashes that speak against a part without an answer of late. */
+const MIN_CRASHES = 3;
+/** Crashes since the last answer that speak against any other part. */
+const MIN_CRASHES_SINCE_ANSWER = 6;
+/** One request that is repeated may be a victim several times. */
+const MIN_REQUESTS = 2;
+/** Servers that end within this time may have one cause, other than a prompt. */
+const SAME_MOMENT_MS = 80;
+
+interface Suspect {
+  readonly partId: string;
+  readonly reports: readonly CrashReport[];
+  readonly crashCount: number;
+  readonly requestIds: ReadonlySet<string>;
+}
+
+/** Returns the fatal parts, in the order in which they explain the crashes. */
+export function findFatalParts(
+  reports: readonly CrashReport[],
+  { answeredAtMs }: {
+    /** When an answer to a part last got far; undefined if not of late. */
+    readonly answeredAtMs: (partId: string) => number | undefined;
+  },
+): FatalParts[] {
+  const crashAtMs = crashTimes(reports);
+  const fatal: FatalParts[] = [];
+  let unexplained = reports;
+  for (const hasAnswer of [false, true]) {
+    for (;;) {
+      const suspects = suspectsOf(unexplained, {
+        hasAnswer,
+        answeredAtMs,
+        crashAtMs,
+      });
+      const worst = suspects.reduce<Suspect | undefined>(worseOf, undefined);
+      if (worst === undefined) break;
+      fatal.push({
+        partIds: suspects.filter((one) => isInseparable(one, worst))
+          .map(({ partId }) => partId).sort(),
+        reports: [...worst.reports].sort((a, b) => a.atMs - b.atMs),
+      });
+      const explained = new Set(
+        worst.reports.map(({ serverKey }) => serverKey),
+      );
+      unexplained = unexplained.filter(({ serverKey }) =>
+        !explained.has(serverKey)
+      );
+    }
+  }
+  return fatal;
+}
+
+/** When each server ended: the time of its first report. */
+function crashTimes(
+  reports: readonly CrashReport[],
+): ReadonlyMap<string, number> {
+  const times = new Map<string, number>();
+  for (const { serverKey, atMs } of reports) {
+    times.set(serverKey, Math.min(atMs, times.get(serverKey) ?? Infinity));
+  }
+  return times;
+}
+
+function suspectsOf(
+  reports: readonly CrashReport[],
+  { hasAnswer, answeredAtMs, crashAtMs }: {
+    readonly hasAnswer: boolean;
+    readonly answeredAtMs: (partId: string) => number | undefined;
+    readonly crashAtMs: ReadonlyMap<string, number>;
+  },
+): Suspect[] {
+  const suspects: Suspect[] = [];
+  const minCrashes = hasAnswer ? MIN_CRASHES_SINCE_ANSWER : MIN_CRASHES;
+  for (const [partId, group] of groupByPart(reports)) {
+    const lastAnswerMs = answeredAtMs(partId);
+    if ((lastAnswerMs !== undefined) !== hasAnswer) continue;
+    const counted = lastAnswerMs === undefined
+      ? group
+      : group.filter(({ atMs }) => atMs > lastAnswerMs);
+    const requestIds = new Set(counted.map(({ requestId }) => requestId));
+    const crashCount = countCrashes(counted, crashAtMs);
+    if (crashCount < minCrashes || requestIds.size < MIN_REQUESTS) continue;
+    suspects.push({ partId, reports: counted, crashCount, requestIds });
+  }
+  return suspects;
+}
+
+function groupByPart(
+  reports: readonly CrashReport[],
+): ReadonlyMap<string, CrashReport[]> {
+  const groups = new Map<string, CrashReport[]>();
+  for (const report of reports) {
+    for (const partId of new Set(report.partIds)) {
+      const group = groups.get(partId);
+      if (group === undefined) groups.set(partId, [report]);
+      else group.push(report);
+    }
+  }
+  return groups;
+}
+
+/** Counts the servers that ended, those of one moment once. */
+function countCrashes(
+  reports: readonly CrashReport[],
+  crashAtMs: ReadonlyMap<string, number>,
+): number {
+  const keys = new Set(reports.map(({ serverKey }) => serverKey));
+  const times = [...keys].map((key) => crashAtMs.get(key) ?? 0)
+    .sort((a, b) => a - b);
+  let count = 0;
+  let lastMs = -Infinity;
+  for (const atMs of times) {
+    if (atMs - lastMs <= SAME_MOMENT_MS) continue;
+    count += 1;
+    lastMs = atMs;
+  }
+  return count;
+}
+
+function worseOf(a: Suspect | undefined, b: Suspect): Suspect {
+  if (a === undefined) return b;
+  if (a.crashCount !== b.crashCount) {
+    return a.crashCount > b.crashCount ? a : b;
+  }
+  return a.requestIds.size <= b.requestIds.size ? a : b;
+}
+
+/** Whether two parts were in the same requests at the same crashes. */
+function isInseparable(a: Suspect, b: Suspect): boolean {
+  return a.reports.length === b.reports.length &&
+    a.reports.every((report) => b.reports.includes(report));
+}
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -230,7 +230,8 @@
     const attempt = this.#attempt;
     if (attempt === undefined || this.#exchange.isOver) return;
     if (!this.#history.mayLeaveServer()) return;
-    if (this.#choose()?.id === attempt.server.id) return;
+    const nextId = this.#choose()?.id;
+    if (nextId === undefined || nextId === attempt.server.id) return;
     if (!attempt.isUnsent && !this.#spendRetry("failure")) return;
     const { metrics } = this.#context;
     metrics.count("repeats", { cause: "silent" });
