Quarantine the prompt parts under which servers end

Cause: a VM judged every request alone. A crash counted against the server that ended, never against the prompt it had begun to answer, so each request with the part was sent, and repeated at up to three servers.

Ruled out: servers that end for other reasons (those requests ended each server that began them, at every one), and VMs that know the part each for itself (nothing remembered a prompt).

Now an answer that breaks off before it got anywhere is reported with the parts of its prompt that others may share. VMs exchange the reports, and when answers to the parts in question last got far. A part that was there as three or more servers ended one after the other, under two requests or more, and to which no answer got far, is in quarantine; the part that explains the most crashes goes first, and what it explains does not count against the parts of its victims. A request in quarantine is refused at once with the time of the next trial, which one VM makes after one, two, four minutes. Answers that the cascade dropped as they began count if their server ends.

--- a/src/decision/crash_evidence.ts
+++ b/src/decision/crash_evidence.ts
@@ -37,7 +37,7 @@
 interface Suspect {
   readonly partId: string;
   readonly reports: readonly CrashReport[];
-  readonly crashCount: number;
+  readonly serverCount: number;
   readonly requestIds: ReadonlySet<string>;
 }
 
@@ -105,9 +105,12 @@
       ? group
       : group.filter(({ atMs }) => atMs > lastAnswerMs);
     const requestIds = new Set(counted.map(({ requestId }) => requestId));
-    const crashCount = countCrashes(counted, crashAtMs);
-    if (crashCount < minCrashes || requestIds.size < MIN_REQUESTS) continue;
-    suspects.push({ partId, reports: counted, crashCount, requestIds });
+    if (requestIds.size < MIN_REQUESTS) continue;
+    const serverKeys = new Set(counted.map(({ serverKey }) => serverKey));
+    const times = [...serverKeys].map((key) => crashAtMs.get(key) ?? 0);
+    if (countMoments(times) < minCrashes) continue;
+    const serverCount = serverKeys.size;
+    suspects.push({ partId, reports: counted, serverCount, requestIds });
   }
   return suspects;
 }
@@ -126,17 +129,11 @@
   return groups;
 }
 
-/** Counts the servers that ended, those of one moment once. */
-function countCrashes(
-  reports: readonly CrashReport[],
-  crashAtMs: ReadonlyMap<string, number>,
-): number {
-  const keys = new Set(reports.map(({ serverKey }) => serverKey));
-  const times = [...keys].map((key) => crashAtMs.get(key) ?? 0)
-    .sort((a, b) => a - b);
+/** Counts times, those of one moment once. */
+function countMoments(timesMs: readonly number[]): number {
   let count = 0;
   let lastMs = -Infinity;
-  for (const atMs of times) {
+  for (const atMs of timesMs.toSorted((a, b) => a - b)) {
     if (atMs - lastMs <= SAME_MOMENT_MS) continue;
     count += 1;
     lastMs = atMs;
@@ -144,10 +141,14 @@
   return count;
 }
 
+/**
+ * The part of fewer requests is worse where servers ended equally often: the
+ * part of all requests was at every crash as well.
+ */
 function worseOf(a: Suspect | undefined, b: Suspect): Suspect {
   if (a === undefined) return b;
-  if (a.crashCount !== b.crashCount) {
-    return a.crashCount > b.crashCount ? a : b;
+  if (a.serverCount !== b.serverCount) {
+    return a.serverCount > b.serverCount ? a : b;
   }
   return a.requestIds.size <= b.requestIds.size ? a : b;
 }
--- a/src/decision/mod.ts
+++ b/src/decision/mod.ts
@@ -10,6 +10,7 @@
 export * from "./change_watch.ts";
 export * from "./server_limit.ts";
 export * from "./server_status.ts";
+export * from "./crash_evidence.ts";
 export * from "./entry_addresses.ts";
 export * from "./escalation_pressure.ts";
 export * from "./evidence.ts";
--- a/src/gateway/backend_fleet_test.ts
+++ b/src/gateway/backend_fleet_test.ts
@@ -49,6 +49,8 @@
     rollouts: [],
     loads: from.fleet.sharedLoads({ maxHopCount }),
     limits: [],
+    crashes: [],
+    survived: [],
   }));
   assert.ok(update);
   to.fleet.mergeLoads(update.loads);
--- a/src/gateway/forward_context.ts
+++ b/src/gateway/forward_context.ts
@@ -9,6 +9,7 @@
 import { type BackendFleet } from "./backend_fleet.ts";
 import { type GatewayMetrics } from "./gateway_metrics.ts";
 import { type PrefillRates } from "./prefill_rates.ts";
+import { type PromptQuarantine } from "./prompt_quarantine.ts";
 import { type CallerRequest, type GatewayProtocol } from "./protocol.ts";
 import { type RetryBudget } from "./retry_budget.ts";
 import { type ServerLimits } from "./server_limits.ts";
@@ -55,6 +56,7 @@
   readonly protocol: GatewayProtocol;
   readonly fleet: BackendFleet;
   readonly limits: ServerLimits;
+  readonly prompts: PromptQuarantine;
   readonly budget: RetryBudget;
   readonly versions: VersionSelector;
   /** Network distance to a place, as a cost in milliseconds. */
--- a/src/gateway/forward_context_fixture.ts
+++ b/src/gateway/forward_context_fixture.ts
@@ -6,6 +6,7 @@
 import { testProtocol } from "./gateway_fixture.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { PrefillRates } from "./prefill_rates.ts";
+import { PromptQuarantine } from "./prompt_quarantine.ts";
 import { RetryBudget } from "./retry_budget.ts";
 import { ServerLimits } from "./server_limits.ts";
 
@@ -38,6 +39,11 @@
       clock: now,
       logger: silentLogger,
     }),
+    prompts: new PromptQuarantine({
+      isTrialVm: () => true,
+      clock: now,
+      logger: silentLogger,
+    }),
     budget: new RetryBudget({ fleetBound, clock: now, vmCount: () => 1 }),
     versions: {
       acceptorOf: () => () => true,
--- a/src/gateway/forward_log.ts
+++ b/src/gateway/forward_log.ts
@@ -1,9 +1,9 @@
 /** Log lines and metrics of a forwarded request. */
-import { type BackendServer } from "../model/mod.ts";
 import { type AnswerTiming } from "./answer_timing.ts";
 import { type FleetCandidate } from "./backend_fleet.ts";
 import { type GatewayRefusal } from "./caller_exchange.ts";
 import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
+import { type PromptAttempt } from "./prompt_quarantine.ts";
 
 const PERCENT = 100;
 
@@ -66,14 +66,11 @@
 }
 
 /** An answer that a server broke off, or did not begin. */
-export interface BrokenAnswer {
-  readonly requestId: string;
-  readonly server: BackendServer;
+export interface BrokenAnswer extends PromptAttempt {
   readonly cause: string;
   readonly sentForMs: number;
   /** Time since the first data; undefined if there was none. */
   readonly answeredForMs: number | undefined;
-  readonly partIds: readonly string[];
 }
 
 /** Logs an answer that broke off, with the parts of its prompt. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -15,9 +15,10 @@
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { type GatewayOptions } from "./gateway_options.ts";
 import {
-  aliveMembers,
   createDistanceLookup,
   createGatewayPeers,
+  createPromptQuarantine,
+  createServerLimits,
 } from "./gateway_peers.ts";
 import { GatewayShutdown, STOP_POLL_MS } from "./gateway_shutdown.ts";
 import { GatewayState } from "./gateway_state.ts";
@@ -29,7 +30,7 @@
 import { admitRequest, type AdmittedRequest } from "./request_admission.ts";
 import { RolloutRegistry } from "./rollout_registry.ts";
 import { RolloutStatusWriter } from "./rollout_status_writer.ts";
-import { ServerLimits } from "./server_limits.ts";
+import { type ServerLimits } from "./server_limits.ts";
 import { StoreFeed } from "./store_feed.ts";
 
 const TICK_MS = 200;
@@ -68,12 +69,9 @@
     this.#callerAddress = settings.callerAddress;
     this.#peerAddress = settings.peerAddress;
     this.#fleet = new BackendFleet({ clock });
-    this.#limits = new ServerLimits({
-      self: settings,
-      otherVms: () => aliveMembers(this.#peers.membership()),
-      clock,
-      logger,
-    });
+    const membership = () => this.#peers.membership();
+    this.#limits = createServerLimits(options, membership);
+    const prompts = createPromptQuarantine(options, membership);
     this.#state = new GatewayState({ fleet: this.#fleet, clock, logger });
     this.#rollouts = new RolloutRegistry({
       fleet: this.#fleet,
@@ -97,6 +95,7 @@
       registry: this.#rollouts,
       fleet: this.#fleet,
       limits: this.#limits,
+      prompts,
     });
     this.#statusWriter = new RolloutStatusWriter({
       registry: this.#rollouts,
@@ -118,6 +117,7 @@
       protocol,
       fleet: this.#fleet,
       limits: this.#limits,
+      prompts,
       budget: new RetryBudget({
         fleetBound: settings.retryBound,
         clock,
--- a/src/gateway/gateway_peers.ts
+++ b/src/gateway/gateway_peers.ts
@@ -4,7 +4,7 @@
   type MemberUpdate,
   presentMembers,
 } from "../decision/mod.ts";
-import { noMetrics, splitAddress } from "../model/mod.ts";
+import { noMetrics, rendezvous, splitAddress } from "../model/mod.ts";
 import {
   createPeerNode,
   NO_BILLS,
@@ -14,6 +14,8 @@
 import { type GatewayOptions } from "./gateway_options.ts";
 import { type GatewaySettings } from "./gateway_settings.ts";
 import { type PeerExchange } from "./peer_exchange.ts";
+import { PromptQuarantine } from "./prompt_quarantine.ts";
+import { ServerLimits } from "./server_limits.ts";
 
 const PROBE_PERIOD_MS = 500;
 /** Added latency of another data centre of the same region. */
@@ -55,6 +57,28 @@
     .filter(({ status }) => status === "alive");
 }
 
+/** Creates the limits of servers, divided among the VMs that are present. */
+export function createServerLimits(
+  { settings, clock, logger }: GatewayOptions,
+  membership: () => MembershipState,
+): ServerLimits {
+  const otherVms = (): MemberUpdate[] => aliveMembers(membership());
+  return new ServerLimits({ self: settings, otherVms, clock, logger });
+}
+
+/** Creates the quarantine of prompts, whose trials one VM makes for all. */
+export function createPromptQuarantine(
+  { settings, clock, logger }: GatewayOptions,
+  membership: () => MembershipState,
+): PromptQuarantine {
+  const isTrialVm = (key: string): boolean => {
+    const vms = [settings, ...aliveMembers(membership())];
+    const options = { key, count: 1, nameOf: ({ vm }: { vm: string }) => vm };
+    return rendezvous(vms, options)[0]?.vm === settings.vm;
+  };
+  return new PromptQuarantine({ isTrialVm, clock, logger });
+}
+
 /** Returns a function from a place to its added latency in milliseconds. */
 export function createDistanceLookup(
   settings: GatewaySettings,
--- a/src/gateway/peer_exchange.ts
+++ b/src/gateway/peer_exchange.ts
@@ -32,6 +32,7 @@
   type TopicName,
   TOPICS,
 } from "./peer_update.ts";
+import { type PromptQuarantine } from "./prompt_quarantine.ts";
 import { type RolloutRegistry } from "./rollout_registry.ts";
 import { type ServerLimits } from "./server_limits.ts";
 import { type TopicReplica } from "./topic_replica.ts";
@@ -43,6 +44,7 @@
   readonly registry: RolloutRegistry;
   readonly fleet: BackendFleet;
   readonly limits: ServerLimits;
+  readonly prompts: PromptQuarantine;
   readonly clock: Clock;
   readonly sleep: Sleep;
   readonly random: Random;
@@ -190,7 +192,7 @@
    * holds this VM's offsets only and no records.
    */
   #updateFor(vm: string, readOffsets: PeerUpdate["have"] | undefined): unknown {
-    const { replicas, fleet, limits } = this.#options;
+    const { replicas, fleet, limits, prompts } = this.#options;
     const readers = this.#storeReaders().map((reader) => reader.vm);
     const maxHopCount = maxHopCountFor({
       isSenderReader: readers.includes(this.#options.vm),
@@ -213,6 +215,7 @@
       rollouts: this.#rolloutReportsFor(vm),
       loads: fleet.sharedLoads({ maxHopCount }),
       limits: limits.toShare({ maxHopCount }),
+      ...prompts.toShare(),
     });
   }
 
@@ -246,9 +249,10 @@
   }
 
   #apply(update: PeerUpdate): void {
-    const { replicas, registry, fleet, limits, clock } = this.#options;
+    const { replicas, registry, fleet, limits, prompts, clock } = this.#options;
     fleet.mergeLoads(update.loads);
     limits.merge(update.limits);
+    prompts.merge(update);
     for (const name of TOPICS) {
       const topic = update.topics[name];
       if (topic !== undefined) replicas[name].applyUpdate(topic);
--- a/src/gateway/peer_update.ts
+++ b/src/gateway/peer_update.ts
@@ -1,11 +1,19 @@
 /**
  * The messages that gateways exchange: how far each has read the store, the
- * records that the receiver lacks, the state and tallies of roll-outs, and the
- * loads and request limits of backend servers.
+ * records that the receiver lacks, the state and tallies of roll-outs, the loads
+ * and request limits of backend servers, and the crashes under prompts.
  * Received messages are validated against the schemas here.
  */
 import { z } from "zod";
 import { MAX_SHARED_OBSERVATIONS, type SharedLoad } from "../decision/mod.ts";
+import {
+  type CrashNews,
+  MAX_REPORTED_PARTS,
+  MAX_SERVER_KEY_LENGTH,
+  MAX_SHARED_CRASHES,
+  MAX_SHARED_SURVIVED,
+  type SharedCrash,
+} from "./crash_news.ts";
 import { type SharedLimit } from "./server_limits.ts";
 import { type TopicUpdate } from "./topic_replica.ts";
 
@@ -97,6 +105,17 @@
   hopCount,
 }));
 
+/** Request, server, parts, age and whether it is withdrawn. */
+const sharedCrashSchema = z.tuple([
+  nameSchema,
+  z.string().min(1).max(MAX_SERVER_KEY_LENGTH),
+  z.array(nameSchema).min(1).max(MAX_REPORTED_PARTS),
+  countSchema,
+  z.boolean(),
+]).transform((
+  [requestId, serverKey, partIds, ageMs, isWithdrawn],
+): SharedCrash => ({ requestId, serverKey, partIds, ageMs, isWithdrawn }));
+
 const peerUpdateSchema = z.object({
   /** The sender's process instance; empty from VMs of an earlier release. */
   teller: z.string().max(MAX_KEY_LENGTH).default(""),
@@ -108,6 +127,9 @@
   loads: z.array(sharedLoadSchema).max(MAX_SHARED_OBSERVATIONS).default([]),
   /** Absent from VMs of an earlier release. */
   limits: z.array(sharedLimitSchema).max(MAX_SHARED_OBSERVATIONS).default([]),
+  crashes: z.array(sharedCrashSchema).max(MAX_SHARED_CRASHES).default([]),
+  survived: z.array(z.tuple([nameSchema, countSchema]))
+    .max(MAX_SHARED_SURVIVED).default([]),
 });
 
 const busyNoticeSchema = z.object({
@@ -137,14 +159,16 @@
 }
 
 /** Encodes an update for the wire, where a dropped key's value is null. */
-export function encodePeerUpdate(update: {
-  readonly teller: string;
-  readonly have: PeerUpdate["have"];
-  readonly topics: Partial<Record<TopicName, TopicUpdate>>;
-  readonly rollouts: readonly RolloutReport[];
-  readonly loads: readonly SharedLoad[];
-  readonly limits: readonly SharedLimit[];
-}): unknown {
+export function encodePeerUpdate(
+  update: CrashNews & {
+    readonly teller: string;
+    readonly have: PeerUpdate["have"];
+    readonly topics: Partial<Record<TopicName, TopicUpdate>>;
+    readonly rollouts: readonly RolloutReport[];
+    readonly loads: readonly SharedLoad[];
+    readonly limits: readonly SharedLimit[];
+  },
+): unknown {
   const topics: Record<string, unknown> = {};
   for (const [name, topic] of Object.entries(update.topics)) {
     const records = topic.records.map(({ key, value, offset }) => ({
@@ -167,5 +191,12 @@
     limit.ageMs,
     limit.hopCount,
   ]);
-  return { ...update, topics, loads, limits };
+  const crashes = update.crashes.map((crash) => [
+    crash.requestId,
+    crash.serverKey,
+    crash.partIds,
+    crash.ageMs,
+    crash.isWithdrawn,
+  ]);
+  return { ...update, topics, loads, limits, crashes };
 }
--- a/src/gateway/retry_delay.ts
+++ b/src/gateway/retry_delay.ts
@@ -1,5 +1,6 @@
 /** Why a request has no server, and when a refused one may come back. */
 import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
+import { sharedPartIds } from "./protocol.ts";
 
 /** Bounds of the random delay, so that callers don't return together. */
 const RETRY_AFTER_MS = { min: 300, max: 1000 } as const;
@@ -25,7 +26,10 @@
 export function noServerReason(
   context: ForwardContext,
   request: ForwardRequest,
-): "no_backend" | "server_limit" {
+): "no_backend" | "server_limit" | "prompt_quarantined" {
+  if (quarantineWaitMs(context, request) !== undefined) {
+    return "prompt_quarantined";
+  }
   return limitWaitMs(context, request) === undefined
     ? "no_backend"
     : "server_limit";
@@ -38,7 +42,15 @@
 ): number {
   const { min, max } = RETRY_AFTER_MS;
   const delayMs = min + context.random() * (max - min);
-  const waitMs = limitWaitMs(context, request) ?? 0;
+  const waitMs = quarantineWaitMs(context, request) ??
+    limitWaitMs(context, request) ?? 0;
   // Without a share of any limit this VM can't tell; another one may.
   return Number.isFinite(waitMs) ? delayMs + waitMs : delayMs;
 }
+
+function quarantineWaitMs(
+  { prompts }: ForwardContext,
+  { caller }: ForwardRequest,
+): number | undefined {
+  return prompts.waitMs(sharedPartIds(caller));
+}
--- a/src/gateway/server_attempt.ts
+++ b/src/gateway/server_attempt.ts
@@ -12,6 +12,7 @@
 import { type ForwardContext } from "./forward_context.ts";
 import { logBreak } from "./forward_log.ts";
 import { prefillKeyOf } from "./prefill_rates.ts";
+import { type PromptAttempt } from "./prompt_quarantine.ts";
 import {
   type AnswerHead,
   type BackendRequest,
@@ -22,6 +23,8 @@
 const CONNECT_TIMEOUT_MS = 400;
 /** A prompt that occupies a server for longer is reported to nearby VMs. */
 const LONG_PREFILL_MS = 300;
+/** A server that crashes under a prompt ends sooner after the first data. */
+const SURVIVED_MS = 500;
 /** Largest answer that is buffered before it is sent to the caller. */
 const MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
 
@@ -63,9 +66,11 @@
   readonly #inFlight: InFlightRequest;
   readonly #exchange: BackendExchange;
   readonly #startedAtMs: number;
+  readonly #promptAttempt: PromptAttempt;
   readonly #chunks: Buffer[] = [];
   #bufferedBytes = 0;
   #firstDataAtMs: number | undefined;
+  #hasSurvived = false;
   #head: AnswerHead | undefined;
   #isOver = false;
 
@@ -78,7 +83,13 @@
       this.#prefillKey,
       request.caller.promptTokens,
     );
+    this.#promptAttempt = {
+      requestId: request.caller.id,
+      server,
+      partIds: sharedPartIds(request.caller),
+    };
     context.limits.countRequest(server);
+    context.prompts.countAttempt(this.#promptAttempt.partIds);
     this.#inFlight = context.fleet.trackRequest(server, prefillMs);
     if (prefillMs > LONG_PREFILL_MS) context.reportBusy(server.id, prefillMs);
     context.versions.adjustInFlight(server.service, server.version, 1);
@@ -147,7 +158,10 @@
     if (isForeign) return this.#fail("broken", "foreign_answer");
     if (head.load !== undefined) this.#inFlight.recordLoad(head.load);
     // A 421 comes from another server that now has the address.
-    if (status !== 421) context.limits.record(server, head.limitPerSecond);
+    if (status !== 421) {
+      context.limits.record(server, head.limitPerSecond);
+      context.prompts.recordServerAnswer(server, this.#startedAtMs);
+    }
     if (head.isNotRun) {
       this.#end(status === 421 ? "down" : "full");
       this.#exchange.cancel();
@@ -161,12 +175,13 @@
     if (this.#options.onHead(head) === "relay") return;
     this.#end("success");
     this.#exchange.cancel();
+    context.prompts.recordDrop(this.#promptAttempt);
     this.#options.onOutcome({ kind: "dropped" });
   }
 
   #handleData(chunk: Buffer): void {
     this.#inFlight.recordActivity();
-    this.#firstDataAtMs ??= this.#options.context.clock();
+    this.#recordProgress();
     if (this.#isRelayed) return this.#options.onData(chunk);
     this.#bufferedBytes += chunk.length;
     if (this.#bufferedBytes > MAX_BUFFERED_BYTES) {
@@ -180,6 +195,10 @@
     if (head === undefined) return this.#fail("broken", "no_answer");
     const { context, server } = this.#options;
     this.#end(head.status >= 500 ? "error" : "success");
+    // Without a length or chunks a crash may look like the end.
+    const isProof = head.status < 300 && head.isFramed &&
+      this.#firstDataAtMs !== undefined;
+    if (isProof) context.prompts.recordSurvival(this.#promptAttempt.partIds);
     if (this.#isRelayed) {
       return this.#options.onOutcome({ kind: "stream_end", head });
     }
@@ -194,7 +213,9 @@
   }
 
   #handleFault(fault: ExchangeFault): void {
-    if (!fault.isUnsent) this.#logBreak(fault.kind);
+    const { context, server } = this.#options;
+    if (fault.isUnsent) context.prompts.recordUnreachable(server);
+    else this.#recordBreak(fault.kind);
     this.#end(fault.kind === "unreachable" ? "down" : "broken");
     this.#options.onOutcome({
       kind: "fault",
@@ -203,20 +224,32 @@
     });
   }
 
-  #logBreak(cause: string): void {
-    const { context, request, server } = this.#options;
+  #recordBreak(cause: string): void {
+    const { context } = this.#options;
     const nowMs = context.clock();
-    const firstDataAtMs = this.#firstDataAtMs;
+    const answeredForMs = this.#firstDataAtMs === undefined
+      ? undefined
+      : nowMs - this.#firstDataAtMs;
+    const sentForMs = nowMs - this.#startedAtMs;
     logBreak(context, {
-      requestId: request.caller.id,
-      server,
+      ...this.#promptAttempt,
       cause,
-      sentForMs: nowMs - this.#startedAtMs,
-      answeredForMs: firstDataAtMs === undefined
-        ? undefined
-        : nowMs - firstDataAtMs,
-      partIds: sharedPartIds(request.caller),
+      sentForMs,
+      answeredForMs,
     });
+    if ((answeredForMs ?? 0) < SURVIVED_MS) {
+      context.prompts.recordBreak(this.#promptAttempt);
+    }
+  }
+
+  /** An answer that has gone on for a while did not end its server. */
+  #recordProgress(): void {
+    const { prompts, clock } = this.#options.context;
+    const nowMs = clock();
+    this.#firstDataAtMs ??= nowMs;
+    if (this.#hasSurvived || nowMs - this.#firstDataAtMs < SURVIVED_MS) return;
+    this.#hasSurvived = true;
+    prompts.recordSurvival(this.#promptAttempt.partIds);
   }
 
   #fail(event: HealthEvent, cause: string): void {
--- a/src/gateway/server_choice.ts
+++ b/src/gateway/server_choice.ts
@@ -3,6 +3,7 @@
 import { type BackendServer } from "../model/mod.ts";
 import { type FleetCandidate } from "./backend_fleet.ts";
 import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
+import { sharedPartIds } from "./protocol.ts";
 
 /** Delay that one more request causes for an engine's other requests. */
 export const ENGINE_LOAD_STEP_MS = 40;
@@ -17,13 +18,17 @@
   readonly isRetriable: boolean;
 }
 
-/** Returns the next server; one tried before only if there is no other. */
+/**
+ * Returns the next server; one tried before only if there is no other. None for
+ * a prompt in quarantine.
+ */
 export function chooseServer(
-  { fleet, limits, distanceMs, random }: ForwardContext,
+  { fleet, limits, prompts, distanceMs, random }: ForwardContext,
   request: ForwardRequest,
   { acceptsVersion, triedIds, model, isRetriable }: ChoiceConstraints,
 ): FleetCandidate | undefined {
   const { caller, service } = request;
+  if (prompts.waitMs(sharedPartIds(caller)) !== undefined) return undefined;
   const query = {
     service,
     acceptsVersion,
