Compare the pace of two versions' answers, corrected for load

Cause: only times to the first byte were compared. In the first half of a roll-out the target has few sessions and its servers are idle, those of the other versions are busy; the slow version's first bytes take as long as theirs (0.8 to 1.3 times), and so few scattered times were called slow or not by chance.

What tells them apart is the pause between the parts of an answer: 83 to 103 ms at the slow version, 18 to 22 at a good one, both idle, 27 to 34 at the busy others. The median of an answer's first pauses is compared by model, divided by 1 + 0.05 for each request at the server, from four answers of two servers on, with 3.5 standard errors and twice as slow; and pauses of the others count from the whole roll-out. First bytes are compared within a route, and have to differ by four standard errors as well.

--- a/src/decision/mod.ts
+++ b/src/decision/mod.ts
@@ -19,6 +19,7 @@
 export * from "./load.ts";
 export * from "./local_stops.ts";
 export * from "./member.ts";
+export * from "./log_sums.ts";
 export * from "./membership.ts";
 export * from "./model_escalation.ts";
 export * from "./version_candidate.ts";
--- a/src/decision/version_tally.ts
+++ b/src/decision/version_tally.ts
@@ -2,15 +2,22 @@
  * Failures and times to the first byte of the target version of a roll-out and
  * of the other versions of its service, by route. The target is worse if its
  * failures are far more likely at the failure rate of a bad version than at the
- * rate of the other versions, or if its answers are several times slower.
+ * rate of the other versions, if its answers begin several times later, or if
+ * the parts of its answers come several times slower.
  */
+import {
+  combineGroups,
+  combineLogSums,
+  compareLogSums,
+  EMPTY_LOG_SUMS,
+  type GroupedLogSums,
+  type LogSums,
+  logSumsOf,
+} from "./log_sums.ts";
 
-/** Request counts and times of one route. */
-export interface RouteTally {
-  readonly count: number;
+/** Request counts of one route, and the times to the first byte. */
+export interface RouteTally extends LogSums {
   readonly errorCount: number;
-  /** Sum of the natural logarithms of the times to the first byte, in ms. */
-  readonly logMsSum: number;
 }
 
 export type RouteTallies = Readonly<Record<string, RouteTally>>;
@@ -21,6 +28,11 @@
   readonly others: RouteTallies;
   /** Some of the target's servers that failed requests. */
   readonly failingIds: readonly string[];
+  /** Pauses between the parts of an answer, by model. */
+  readonly targetPaces: GroupedLogSums;
+  readonly otherPaces: GroupedLogSums;
+  /** Some of the target's servers whose pace is known. */
+  readonly pacedIds: readonly string[];
 }
 
 /** Outcome of one request. */
@@ -32,16 +44,30 @@
   readonly backendId: string;
 }
 
+/** The pace of one answer. */
+export interface PaceSample {
+  readonly model: string;
+  readonly isTarget: boolean;
+  /** The median pause between two parts. */
+  readonly pauseMs: number;
+  /** Requests that ran at the server when it began the answer. */
+  readonly runningCount: number;
+  readonly backendId: string;
+}
+
 export const EMPTY_TALLY: VersionTally = {
   target: {},
   others: {},
   failingIds: [],
+  targetPaces: {},
+  otherPaces: {},
+  pacedIds: [],
 };
 
-/** Requests of further routes are not counted. */
-const MAX_ROUTES = 64;
-/** Maximum number of failing servers in one VM's tally. */
-const MAX_FAILING_IDS = 4;
+/** Requests of further routes or models are not counted. */
+const MAX_GROUPS = 64;
+/** Maximum number of servers of each kind in one VM's tally. */
+const MAX_IDS = 4;
 /** Longer times to the first byte are clamped to this. */
 const MAX_FIRST_BYTE_MS = 10_000;
 /** Failure share of a bad version. */
@@ -53,12 +79,22 @@
 const MIN_ERRORS = 3;
 /** Threshold of the log likelihood ratio for a bad version. */
 const MIN_EVIDENCE = 5;
-/** Ratio of geometric mean times from which the target counts as slow. */
+/** Standard deviation of the logarithm of times of one group, at least. */
+const MIN_SCATTER = 0.4;
+/** Ratio of times to the first byte from which the target counts as slow. */
 const SLOW_FACTOR = 3.5;
+/** Standard errors by which the difference has to differ from 0. */
+const SLOW_ERRORS = 4;
 /** Requests needed on each side to compare times. */
 const MIN_SLOW_COUNT = 6;
 /** A lower geometric mean time never counts as slow. */
 const MIN_SLOW_MS = 150;
+/** The same for the pauses between parts, which scatter less. */
+const SLOW_PACE_FACTOR = 2;
+const SLOW_PACE_ERRORS = 3.5;
+const MIN_PACE_COUNT = 4;
+/** Share by which each running request prolongs the others' pauses. */
+const PAUSE_SHARE_PER_REQUEST = 0.05;
 
 /** Returns the tally with one more request. */
 export function addSample(
@@ -66,67 +102,122 @@
   sample: TallySample,
 ): VersionTally {
   const { isTarget, isError, backendId } = sample;
-  const isNewFailure = isTarget && isError &&
-    !tally.failingIds.includes(backendId) &&
-    tally.failingIds.length < MAX_FAILING_IDS;
   return {
+    ...tally,
     target: isTarget ? addTo(tally.target, sample) : tally.target,
     others: isTarget ? tally.others : addTo(tally.others, sample),
-    failingIds: isNewFailure
-      ? [...tally.failingIds, backendId]
+    failingIds: isTarget && isError
+      ? withId(tally.failingIds, backendId)
       : tally.failingIds,
   };
 }
 
+/** Returns the tally with the pace of one more answer. */
+export function addPace(tally: VersionTally, pace: PaceSample): VersionTally {
+  const { model, isTarget, pauseMs, runningCount, backendId } = pace;
+  const paces = isTarget ? tally.targetPaces : tally.otherPaces;
+  const isFull = Object.keys(paces).length >= MAX_GROUPS;
+  if (isFull && paces[model] === undefined) return tally;
+  const loadFactor = 1 + PAUSE_SHARE_PER_REQUEST * runningCount;
+  const added = combineGroups(paces, {
+    [model]: logSumsOf(pauseMs / loadFactor),
+  }, 1);
+  if (!isTarget) return { ...tally, otherPaces: added };
+  const pacedIds = withId(tally.pacedIds, backendId);
+  return { ...tally, targetPaces: added, pacedIds };
+}
+
 /** Returns the sum of the tallies of several VMs. */
 export function mergeTallies(tallies: Iterable<VersionTally>): VersionTally {
   let merged = EMPTY_TALLY;
   for (const tally of tallies) {
-    const ids = new Set([...merged.failingIds, ...tally.failingIds]);
     merged = {
       target: combineRoutes(merged.target, tally.target, 1),
       others: combineRoutes(merged.others, tally.others, 1),
-      failingIds: [...ids],
+      failingIds: union(merged.failingIds, tally.failingIds),
+      targetPaces: combineGroups(merged.targetPaces, tally.targetPaces, 1),
+      otherPaces: combineGroups(merged.otherPaces, tally.otherPaces, 1),
+      pacedIds: union(merged.pacedIds, tally.pacedIds),
     };
   }
   return merged;
 }
 
-/** Returns the counts added since an earlier state of the same tally. */
+/**
+ * Returns the counts added since an earlier state of the same tally. The pace of
+ * the other versions is that of the whole time: at the end of a roll-out they
+ * have few requests left, and their servers are idle.
+ */
 export function tallySince(
   tally: VersionTally,
   earlier: VersionTally,
 ): VersionTally {
   return {
+    ...tally,
     target: combineRoutes(tally.target, earlier.target, -1),
     others: combineRoutes(tally.others, earlier.others, -1),
-    failingIds: tally.failingIds,
+    targetPaces: combineGroups(tally.targetPaces, earlier.targetPaces, -1),
   };
 }
 
 /** Returns why the target is worse than the other versions, if it is. */
-export function targetFault(
+export function targetFault(tally: VersionTally): string | undefined {
+  return timeFault(tally) ?? errorFault(tally) ?? paceFault(tally);
+}
+
+const EMPTY_ROUTE: RouteTally = { ...EMPTY_LOG_SUMS, errorCount: 0 };
+
+function timeFault({ target, others }: VersionTally): string | undefined {
+  const groups: [string, RouteTallies][] = Object.entries(target).map((
+    [route, tally],
+  ) => [route, { [route]: tally }]);
+  groups.push(["all routes", target]);
+  for (const [name, routes] of groups) {
+    if (meanOf(total(routes)) < Math.log(MIN_SLOW_MS)) continue;
+    const compared = compareLogSums(routes, others, {
+      minScatter: MIN_SCATTER,
+    });
+    if (compared === undefined) continue;
+    const { count, otherCount, difference, standardError } = compared;
+    if (Math.min(count, otherCount) < MIN_SLOW_COUNT) continue;
+    if (difference < Math.log(SLOW_FACTOR)) continue;
+    if (difference < SLOW_ERRORS * standardError) continue;
+    return `${name}: ${count} answers several times slower`;
+  }
+  return undefined;
+}
+
+function paceFault(
+  { targetPaces, otherPaces, pacedIds }: VersionTally,
+): string | undefined {
+  // One slow server is a fault of the server, not the version.
+  if (pacedIds.length < 2) return undefined;
+  const compared = compareLogSums(targetPaces, otherPaces, {
+    minScatter: MIN_SCATTER,
+  });
+  if (compared === undefined) return undefined;
+  const { count, otherCount, difference, standardError } = compared;
+  if (Math.min(count, otherCount) < MIN_PACE_COUNT) return undefined;
+  if (difference < Math.log(SLOW_PACE_FACTOR)) return undefined;
+  if (difference < SLOW_PACE_ERRORS * standardError) return undefined;
+  return `the parts of ${count} answers came several times slower`;
+}
+
+function errorFault(
   { target, others, failingIds }: VersionTally,
 ): string | undefined {
-  const routes = Object.entries(target);
-  const groups: [string, RouteTally, RouteTally][] = routes.map((
-    [route, tally],
-  ) => [route, tally, others[route] ?? EMPTY_ROUTE]);
+  // Failures of a single server are a fault of the server, not the version.
+  if (failingIds.length < 2) return undefined;
+  const groups: [string, RouteTally, RouteTally][] = Object.entries(target)
+    .map(([route, tally]) => [route, tally, others[route] ?? EMPTY_ROUTE]);
   groups.push(["all routes", total(target), total(others)]);
   for (const [name, targetTally, othersTally] of groups) {
-    if (isSlower(targetTally, othersTally)) {
-      return `${name}: ${targetTally.count} answers several times slower`;
-    }
-    // Failures of a single server are a fault of the server, not the version.
-    if (failingIds.length < 2) continue;
     if (errorEvidence(targetTally, othersTally) < MIN_EVIDENCE) continue;
     return `${name}: ${targetTally.errorCount} of ${targetTally.count} failed`;
   }
   return undefined;
 }
 
-const EMPTY_ROUTE: RouteTally = { count: 0, errorCount: 0, logMsSum: 0 };
-
 function errorEvidence(target: RouteTally, others: RouteTally): number {
   if (target.errorCount < MIN_ERRORS) return 0;
   const othersShare = Math.min(
@@ -139,14 +230,16 @@
     successCount * Math.log((1 - BAD_SHARE) / (1 - othersShare));
 }
 
-function isSlower(target: RouteTally, others: RouteTally): boolean {
-  if (target.count < MIN_SLOW_COUNT || others.count < MIN_SLOW_COUNT) {
-    return false;
-  }
-  const targetMean = target.logMsSum / target.count;
-  const othersMean = others.logMsSum / others.count;
-  return targetMean - othersMean > Math.log(SLOW_FACTOR) &&
-    targetMean > Math.log(MIN_SLOW_MS);
+function meanOf({ count, logSum }: LogSums): number {
+  return count === 0 ? 0 : logSum / count;
+}
+
+function withId(ids: readonly string[], id: string): readonly string[] {
+  return ids.includes(id) || ids.length >= MAX_IDS ? ids : [...ids, id];
+}
+
+function union(a: readonly string[], b: readonly string[]): readonly string[] {
+  return [...new Set([...a, ...b])];
 }
 
 function total(tallies: RouteTallies): RouteTally {
@@ -169,22 +262,19 @@
 
 function combineRoute(a: RouteTally, b: RouteTally, sign: 1 | -1): RouteTally {
   return {
-    count: a.count + sign * b.count,
+    ...combineLogSums(a, b, sign),
     errorCount: a.errorCount + sign * b.errorCount,
-    logMsSum: a.logMsSum + sign * b.logMsSum,
   };
 }
 
 function addTo(tallies: RouteTallies, sample: TallySample): RouteTallies {
   const current = tallies[sample.route];
-  if (current === undefined && Object.keys(tallies).length >= MAX_ROUTES) {
+  if (current === undefined && Object.keys(tallies).length >= MAX_GROUPS) {
     return tallies;
   }
-  const ms = Math.min(MAX_FIRST_BYTE_MS, Math.max(1, sample.firstByteMs));
   const sampleTally: RouteTally = {
-    count: 1,
+    ...logSumsOf(Math.min(MAX_FIRST_BYTE_MS, sample.firstByteMs)),
     errorCount: sample.isError ? 1 : 0,
-    logMsSum: Math.log(ms),
   };
   return {
     ...tallies,
--- a/src/gateway/forward_context.ts
+++ b/src/gateway/forward_context.ts
@@ -26,6 +26,18 @@
   readonly firstByteMs: number;
 }
 
+/** The pace of one answer for the statistics of the version that made it. */
+export interface VersionPace {
+  readonly service: string;
+  readonly version: string;
+  readonly backendId: string;
+  readonly model: string;
+  /** The median pause between two parts of the answer. */
+  readonly pauseMs: number;
+  /** Requests that ran at the server when it began the answer. */
+  readonly runningCount: number;
+}
+
 /** A request's session, for the choice of a version. */
 export interface VersionSession {
   readonly key: string;
@@ -43,6 +55,7 @@
     session: VersionSession,
   ) => (version: string) => boolean;
   readonly record: (sample: VersionSample) => void;
+  readonly recordPace: (pace: VersionPace) => void;
   /** Counts a request that starts (1) or ends (-1) on a version. */
   readonly adjustInFlight: (
     service: string,
--- a/src/gateway/forward_context_fixture.ts
+++ b/src/gateway/forward_context_fixture.ts
@@ -48,6 +48,7 @@
     versions: {
       acceptorOf: () => () => true,
       record: () => {},
+      recordPace: () => {},
       adjustInFlight: () => {},
     },
     prefill: new PrefillRates(),
--- a/src/gateway/forward_log.ts
+++ b/src/gateway/forward_log.ts
@@ -96,6 +96,7 @@
     readonly outcome: string;
     readonly status: number;
     readonly timing: AnswerTiming;
+    readonly medianPauseMs: number | undefined;
   },
 ): void {
   const { caller, route, service, workspace, manifestVersion } = request;
@@ -128,6 +129,7 @@
     trail: end.attempts.join(" "),
     durationMs: Math.round(durationMs),
     firstByteMs: rounded(firstByteMs),
+    medianPauseMs: rounded(end.medianPauseMs),
     longestPauseMs: Math.round(timing.longestPauseMs),
     isLate,
   });
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -283,6 +283,7 @@
       outcome,
       status: this.#exchange.status,
       timing: this.#timing,
+      medianPauseMs: this.#attempt?.medianPauseMs,
     });
   }
 
--- a/src/gateway/peer_update.ts
+++ b/src/gateway/peer_update.ts
@@ -5,7 +5,11 @@
  * Received messages are validated against the schemas here.
  */
 import { z } from "zod";
-import { MAX_SHARED_OBSERVATIONS, type SharedLoad } from "../decision/mod.ts";
+import {
+  MAX_SHARED_OBSERVATIONS,
+  type RouteTallies,
+  type SharedLoad,
+} from "../decision/mod.ts";
 import {
   type CrashNews,
   MAX_REPORTED_PARTS,
@@ -48,11 +52,24 @@
   ageMs: z.number().nonnegative(),
 });
 
+const logSumsSchema = z.object({
+  count: countSchema,
+  logSum: z.number(),
+  logSquareSum: z.number().nonnegative(),
+});
+
 const routeTallySchema = z.object({
   count: countSchema,
   errorCount: countSchema,
   logMsSum: z.number(),
-});
+  /** Absent from VMs of an earlier release: no scatter is known. */
+  logMsSquareSum: z.number().nonnegative().optional(),
+}).transform(({ count, errorCount, logMsSum, logMsSquareSum }) => ({
+  count,
+  errorCount,
+  logSum: logMsSum,
+  logSquareSum: logMsSquareSum ?? logMsSum ** 2 / Math.max(1, count),
+}));
 
 const vmTallySchema = z.object({
   vm: nameSchema,
@@ -62,6 +79,10 @@
     target: z.record(nameSchema, routeTallySchema),
     others: z.record(nameSchema, routeTallySchema),
     failingIds: z.array(nameSchema).max(MAX_FAILING_IDS).readonly(),
+    /** Absent from VMs of an earlier release. */
+    targetPaces: z.record(nameSchema, logSumsSchema).default({}),
+    otherPaces: z.record(nameSchema, logSumsSchema).default({}),
+    pacedIds: z.array(nameSchema).max(MAX_FAILING_IDS).readonly().default([]),
   }),
 });
 
@@ -198,5 +219,30 @@
     crash.ageMs,
     crash.isWithdrawn,
   ]);
-  return { ...update, topics, loads, limits, crashes };
+  const rollouts = update.rollouts.map((rollout) => ({
+    ...rollout,
+    tallies: rollout.tallies.map((vmTally) => ({
+      ...vmTally,
+      tally: {
+        ...vmTally.tally,
+        target: encodeRoutes(vmTally.tally.target),
+        others: encodeRoutes(vmTally.tally.others),
+      },
+    })),
+  }));
+  return { ...update, topics, rollouts, loads, limits, crashes };
+}
+
+function encodeRoutes(tallies: RouteTallies): Record<string, unknown> {
+  const encoded: Record<string, unknown> = {};
+  for (const [route, tally] of Object.entries(tallies)) {
+    const { count, errorCount, logSum, logSquareSum } = tally;
+    encoded[route] = {
+      count,
+      errorCount,
+      logMsSum: logSum,
+      logMsSquareSum: Math.max(0, logSquareSum),
+    };
+  }
+  return encoded;
 }
--- a/src/gateway/rollout_record.ts
+++ b/src/gateway/rollout_record.ts
@@ -3,10 +3,12 @@
  * from other VMs, and the fault that all of them together show.
  */
 import {
+  addPace,
   addSample,
   EMPTY_TALLY,
   mergeTallies,
   type OrderedRollout,
+  type PaceSample,
   type TallySample,
   tallySince,
   targetFault,
@@ -68,6 +70,11 @@
     this.#ownTally = addSample(this.#ownTally, sample);
   }
 
+  /** Adds the pace of one of this VM's answers to its tally. */
+  addPace(pace: PaceSample): void {
+    this.#ownTally = addPace(this.#ownTally, pace);
+  }
+
   /** Returns this VM's tally under the next sequence number. */
   createTallyReport(vm: string, otherInFlightCount: number): VmTally {
     this.#ownSequence += 1;
--- a/src/gateway/rollout_registry.ts
+++ b/src/gateway/rollout_registry.ts
@@ -18,6 +18,7 @@
 } from "../model/mod.ts";
 import { type BackendFleet } from "./backend_fleet.ts";
 import {
+  type VersionPace,
   type VersionSample,
   type VersionSelector,
   type VersionSession,
@@ -181,6 +182,13 @@
     rollout.add({ ...sample, isTarget });
   }
 
+  recordPace({ service, version, ...pace }: VersionPace): void {
+    const rollout = this.#rollouts.get(service);
+    if (rollout === undefined) return;
+    const isTarget = version === rollout.order.target;
+    rollout.addPace({ ...pace, isTarget });
+  }
+
   adjustInFlight(service: string, version: string, change: 1 | -1): void {
     const key = `${service} ${version}`;
     const count = (this.#inFlight.get(key) ?? 0) + change;
--- a/src/gateway/server_attempt.ts
+++ b/src/gateway/server_attempt.ts
@@ -6,6 +6,7 @@
  */
 import { type HealthEvent } from "../decision/mod.ts";
 import { type BackendServer } from "../model/mod.ts";
+import { AnswerProgress } from "./answer_progress.ts";
 import { BackendExchange, type ExchangeFault } from "./backend_exchange.ts";
 import { type InFlightRequest } from "./backend_fleet.ts";
 import { type CompleteAnswer } from "./caller_exchange.ts";
@@ -23,8 +24,6 @@
 const CONNECT_TIMEOUT_MS = 400;
 /** A prompt that occupies a server for longer is reported to nearby VMs. */
 const LONG_PREFILL_MS = 300;
-/** A server that crashes under a prompt ends sooner after the first data. */
-const SURVIVED_MS = 500;
 /** Largest answer that is buffered before it is sent to the caller. */
 const MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
 
@@ -67,10 +66,9 @@
   readonly #exchange: BackendExchange;
   readonly #startedAtMs: number;
   readonly #promptAttempt: PromptAttempt;
+  readonly #progress: AnswerProgress;
   readonly #chunks: Buffer[] = [];
   #bufferedBytes = 0;
-  #firstDataAtMs: number | undefined;
-  #hasSurvived = false;
   #head: AnswerHead | undefined;
   #isOver = false;
 
@@ -88,6 +86,11 @@
       server,
       partIds: sharedPartIds(request.caller),
     };
+    this.#progress = new AnswerProgress({
+      onSurvived: () =>
+        context.prompts.recordSurvival(this.#promptAttempt.partIds),
+      onPace: (pauseMs) => this.#recordPace(pauseMs),
+    });
     context.limits.countRequest(server);
     context.prompts.countAttempt(this.#promptAttempt.partIds);
     this.#inFlight = context.fleet.trackRequest(server, prefillMs);
@@ -113,6 +116,11 @@
     return this.#head;
   }
 
+  /** The median pause of the answer; undefined after too few parts. */
+  get medianPauseMs(): number | undefined {
+    return this.#progress.medianPauseMs;
+  }
+
   /** Whether no byte of the request can have been sent yet. */
   get isUnsent(): boolean {
     return this.#exchange.isUnsent;
@@ -181,7 +189,7 @@
 
   #handleData(chunk: Buffer): void {
     this.#inFlight.recordActivity();
-    this.#recordProgress();
+    this.#progress.recordData(this.#options.context.clock());
     if (this.#isRelayed) return this.#options.onData(chunk);
     this.#bufferedBytes += chunk.length;
     if (this.#bufferedBytes > MAX_BUFFERED_BYTES) {
@@ -197,7 +205,8 @@
     this.#end(head.status >= 500 ? "error" : "success");
     // Without a length or chunks a crash may look like the end.
     const isProof = head.status < 300 && head.isFramed &&
-      this.#firstDataAtMs !== undefined;
+      this.#progress.hasData;
+    this.#progress.end();
     if (isProof) context.prompts.recordSurvival(this.#promptAttempt.partIds);
     if (this.#isRelayed) {
       return this.#options.onOutcome({ kind: "stream_end", head });
@@ -227,29 +236,28 @@
   #recordBreak(cause: string): void {
     const { context } = this.#options;
     const nowMs = context.clock();
-    const answeredForMs = this.#firstDataAtMs === undefined
-      ? undefined
-      : nowMs - this.#firstDataAtMs;
-    const sentForMs = nowMs - this.#startedAtMs;
     logBreak(context, {
       ...this.#promptAttempt,
       cause,
-      sentForMs,
-      answeredForMs,
+      sentForMs: nowMs - this.#startedAtMs,
+      answeredForMs: this.#progress.answeredForMs(nowMs),
     });
-    if ((answeredForMs ?? 0) < SURVIVED_MS) {
+    if (this.#progress.mayHaveCrashed(nowMs)) {
       context.prompts.recordBreak(this.#promptAttempt);
     }
   }
 
-  /** An answer that has gone on for a while did not end its server. */
-  #recordProgress(): void {
-    const { prompts, clock } = this.#options.context;
-    const nowMs = clock();
-    this.#firstDataAtMs ??= nowMs;
-    if (this.#hasSurvived || nowMs - this.#firstDataAtMs < SURVIVED_MS) return;
-    this.#hasSurvived = true;
-    prompts.recordSurvival(this.#promptAttempt.partIds);
+  #recordPace(pauseMs: number): void {
+    if (!this.#isRelayed) return;
+    const { context, server, request } = this.#options;
+    context.versions.recordPace({
+      service: server.service,
+      version: server.version,
+      backendId: server.id,
+      model: request.model ?? request.caller.model ?? "none",
+      pauseMs,
+      runningCount: this.#head?.load?.runningCount ?? 0,
+    });
   }
 
   #fail(event: HealthEvent, cause: string): void {
