Bound what servers send without end

Seen in a test with a server of each kind beside a sound one and 24 callers at once: endless heads, first lines, interim answers, noise, bodies without a length and events end as a fault and go on elsewhere; endless small chunks kept the VM busy past the deadline (504), and endless blank lines of a stream were relayed as events.

Now what waits for its end is bounded: 64 KiB for each answer, a tenth of the memory for all longer ones together, 8 MiB and 4,096 parts for one. Blank lines and comments are no event by themselves; they go with the next event, and count towards the bound of an event, which is 128 KiB instead of 1 MiB.

--- a/src/gateway/event_splitter.ts
+++ b/src/gateway/event_splitter.ts
@@ -4,7 +4,10 @@
  * breaks.
  */
 
-/** One complete event, including its blank line. */
+/**
+ * One complete event, including its blank line, and blank lines and comments
+ * before it: by themselves these are no event.
+ */
 export interface StreamEvent {
   readonly bytes: Buffer;
   /** The event's number; `undefined` where it has no numeric id. */
@@ -12,15 +15,18 @@
 }
 
 /** Limit of the bytes buffered of an incomplete event; more end the attempt. */
-export const MAX_EVENT_BYTES = 1024 * 1024;
+export const MAX_EVENT_BYTES = 128 * 1024;
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+const FIELD_PATTERN = /(?:^|[\r\n])[^:\r\n]/;
 const ID_PATTERN = /(?:^|\n)id: ?(\d{1,15})\r?\n/;
 
 /** Collects bytes into complete events. */
 export class EventSplitter {
   #remainder: Buffer = Buffer.alloc(0);
+  /** Length of the blank lines and comments at the start of the remainder. */
+  #emptyLength = 0;
 
   /** Adds bytes and returns the events that they complete. */
   push(chunk: Buffer): StreamEvent[] {
@@ -29,15 +35,20 @@
       : Buffer.concat([this.#remainder, chunk]);
     const events: StreamEvent[] = [];
     let start = 0;
-    let searchFrom = Math.max(0, this.#remainder.length - 3);
+    let blockStart = this.#emptyLength;
+    let searchFrom = Math.max(blockStart, this.#remainder.length - 3);
     for (;;) {
-      const end = endOfEvent(bytes, Math.max(start, searchFrom));
+      const end = endOfEvent(bytes, searchFrom);
       if (end === undefined) break;
-      events.push(eventOf(bytes.subarray(start, end)));
-      start = end;
+      if (hasField(bytes.subarray(blockStart, end))) {
+        events.push(eventOf(bytes.subarray(start, end)));
+        start = end;
+      }
+      blockStart = end;
       searchFrom = end;
     }
     this.#remainder = bytes.subarray(start);
+    this.#emptyLength = blockStart - start;
     return events;
   }
 
@@ -52,6 +63,11 @@
   return { bytes, id: id === undefined ? undefined : Number(id) };
 }
 
+/** Whether a block has a line that is neither blank nor a comment. */
+function hasField(block: Buffer): boolean {
+  return FIELD_PATTERN.test(block.toString("latin1"));
+}
+
 /** Returns the index after the next blank line. */
 function endOfEvent(bytes: Buffer, from: number): number | undefined {
   let at = bytes.indexOf(LINE_FEED, from);
--- a/src/gateway/event_splitter_test.ts
+++ b/src/gateway/event_splitter_test.ts
@@ -5,7 +5,17 @@
 import { EventSplitter } from "./event_splitter.ts";
 
 /** Pieces that make events, ids and blank lines likely. */
-const PIECES = ["id: 7", "id:12", "id: x", "data: a", "\n", "\r\n", "\r", "ä"];
+const PIECES = [
+  ":c",
+  "id: 7",
+  "id:12",
+  "id: x",
+  "data: a",
+  "\n",
+  "\r\n",
+  "\r",
+  "ä",
+];
 
 const streamArbitrary = fc
   .array(fc.oneof(fc.constantFrom(...PIECES), fc.string({ maxLength: 3 })), {
@@ -27,13 +37,20 @@
   for (const character of bytes.toString("latin1")) {
     text += character;
     const isEnd = text.endsWith("\n\n") || text.endsWith("\n\r\n");
-    if (!isEnd) continue;
+    // Blank lines and comments alone are no event; they go with the next one.
+    if (!isEnd || !hasField(text)) continue;
     events.push({ text, id: idOf(text) });
     text = "";
   }
   return { events, rest: text };
 }
 
+function hasField(text: string): boolean {
+  return text.split(/\r\n|\r|\n/).some((line) =>
+    line !== "" && !line.startsWith(":")
+  );
+}
+
 function idOf(text: string): number | undefined {
   for (const line of text.split("\n").slice(0, -1)) {
     const [, digits] = /^id: ?(\d{1,15})\r?$/.exec(line) ?? [];
--- a/src/gateway/forward_context.ts
+++ b/src/gateway/forward_context.ts
@@ -6,6 +6,7 @@
   type ServiceRoute,
   type WorkspaceAccess,
 } from "../model/mod.ts";
+import { type AnswerMemory } from "./answer_buffer.ts";
 import { type BackendFleet } from "./backend_fleet.ts";
 import { type GatewayMetrics } from "./gateway_metrics.ts";
 import { type PrefillRates } from "./prefill_rates.ts";
@@ -72,6 +73,7 @@
   readonly prompts: PromptQuarantine;
   readonly budget: RetryBudget;
   readonly versions: VersionSelector;
+  readonly answerMemory: AnswerMemory;
   /** Network distance to a place, as a cost in milliseconds. */
   readonly distanceMs: (place: string) => number;
   readonly prefill: PrefillRates;
--- a/src/gateway/forward_context_fixture.ts
+++ b/src/gateway/forward_context_fixture.ts
@@ -1,6 +1,7 @@
 /** The dependencies of request forwarding for tests, with a clock to set. */
 import { applyRoster, EMPTY_ROSTER } from "../decision/mod.ts";
 import { type BackendServer, silentLogger } from "../model/mod.ts";
+import { AnswerMemory } from "./answer_buffer.ts";
 import { BackendFleet } from "./backend_fleet.ts";
 import { type ForwardContext } from "./forward_context.ts";
 import { testProtocol } from "./gateway_fixture.ts";
@@ -51,6 +52,7 @@
       recordPace: () => {},
       adjustInFlight: () => {},
     },
+    answerMemory: new AnswerMemory({ memoryBytes: 64 * 1024 * 1024 }),
     prefill: new PrefillRates(),
     reportBusy: () => {},
     distanceMs: () => 0,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,6 +6,7 @@
 import { chooseEntries } from "../decision/mod.ts";
 import { splitAddress } from "../model/mod.ts";
 import { type PeerNode } from "../wire/mod.ts";
+import { AnswerMemory } from "./answer_buffer.ts";
 import { BackendFleet } from "./backend_fleet.ts";
 import { type GatewayRefusal } from "./caller_exchange.ts";
 import { CallerServer, type ReceivedRequest } from "./caller_server.ts";
@@ -124,6 +125,7 @@
         vmCount: () => 1 + this.#peers.membership().members.size,
       }),
       versions: this.#rollouts,
+      answerMemory: new AnswerMemory(settings),
       prefill: new PrefillRates(),
       reportBusy: (id, forMs) => this.#exchange.reportBusy(id, forMs),
       distanceMs: createDistanceLookup(settings),
--- a/src/gateway/server_attempt.ts
+++ b/src/gateway/server_attempt.ts
@@ -7,6 +7,7 @@
 import { type HealthEvent } from "../decision/mod.ts";
 import { type BackendServer } from "../model/mod.ts";
 import { AnswerProgress } from "./answer_progress.ts";
+import { AnswerBuffer } from "./answer_buffer.ts";
 import { BackendExchange, type ExchangeFault } from "./backend_exchange.ts";
 import { type InFlightRequest } from "./backend_fleet.ts";
 import { type CompleteAnswer } from "./caller_exchange.ts";
@@ -24,8 +25,6 @@
 const CONNECT_TIMEOUT_MS = 400;
 /** A prompt that occupies a server for longer is reported to nearby VMs. */
 const LONG_PREFILL_MS = 300;
-/** Largest answer that is buffered before it is sent to the caller. */
-const MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
 
 /** The outcome of an attempt. */
 export type AttemptOutcome =
@@ -67,8 +66,7 @@
   readonly #startedAtMs: number;
   readonly #promptAttempt: PromptAttempt;
   readonly #progress: AnswerProgress;
-  readonly #chunks: Buffer[] = [];
-  #bufferedBytes = 0;
+  readonly #buffer: AnswerBuffer;
   #head: AnswerHead | undefined;
   #isOver = false;
 
@@ -76,6 +74,7 @@
     this.#options = options;
     const { context, server, request, body } = options;
     this.server = server;
+    this.#buffer = new AnswerBuffer(context.answerMemory);
     this.#startedAtMs = context.clock();
     const prefillMs = context.prefill.estimateMs(
       this.#prefillKey,
@@ -191,11 +190,7 @@
     this.#inFlight.recordActivity();
     this.#progress.recordData(this.#options.context.clock());
     if (this.#isRelayed) return this.#options.onData(chunk);
-    this.#bufferedBytes += chunk.length;
-    if (this.#bufferedBytes > MAX_BUFFERED_BYTES) {
-      return this.#fail("error", "oversize_answer");
-    }
-    this.#chunks.push(chunk);
+    if (!this.#buffer.push(chunk)) this.#fail("broken", "oversize_answer");
   }
 
   #handleEnd(): void {
@@ -216,7 +211,8 @@
       context.clock() - this.#startedAtMs,
     );
     const { status, passedHeaders, isFramed } = head;
-    const body = Buffer.concat(this.#chunks);
+    const body = this.#buffer.concat();
+    this.#buffer.release();
     const answer = { status, headers: passedHeaders, body, isFramed };
     this.#options.onOutcome({ kind: "answer", answer });
   }
@@ -287,6 +283,7 @@
   #end(event: HealthEvent | undefined): void {
     if (this.#isOver) return;
     this.#isOver = true;
+    if (event !== "success" && event !== "error") this.#buffer.release();
     this.#inFlight.end(event);
     const { context, server } = this.#options;
     context.versions.adjustInFlight(server.service, server.version, -1);
