Take a stream that ends inside an event for broken off

Before, the part of the event was passed on and the caller's connection closed in order, so that the answer looked complete; a stream that can't be resumed and has no framing was closed in order as well.

Now such a stream is resumed at another server, also one without framing that ends before its first event; where it can't be, the caller's connection is reset. A server that closes an unframed answer before any data counts as one that may have ended under the prompt.

--- a/src/gateway/caller_exchange.ts
+++ b/src/gateway/caller_exchange.ts
@@ -32,6 +32,7 @@
 export class CallerExchange {
   readonly #response: ServerResponse;
   #isOver = false;
+  #isFramed = true;
   #onDisconnect: () => void = () => {};
   #onDrain: () => void = () => {};
   #onClosed: () => void = () => {};
@@ -133,6 +134,7 @@
   ): void {
     if (this.#isOver) return;
     this.#status = status;
+    this.#isFramed = isFramed;
     if (!isFramed) {
       this.#response.useChunkedEncodingByDefault = false;
       this.closeAfterAnswer();
@@ -157,6 +159,8 @@
   abort(): void {
     if (this.#isOver) return;
     this.#isOver = true;
-    this.#response.destroy();
+    // Without framing a plain close would look like the end of the answer.
+    if (this.#isFramed) this.#response.destroy();
+    else this.#response.socket?.resetAndDestroy();
   }
 }
--- a/src/gateway/event_splitter.ts
+++ b/src/gateway/event_splitter.ts
@@ -52,6 +52,11 @@
     return events;
   }
 
+  /** Whether the bytes so far end with part of an event. */
+  get isInsideEvent(): boolean {
+    return hasField(this.#remainder.subarray(this.#emptyLength));
+  }
+
   /** Bytes of the last, still incomplete event. */
   get remainder(): Buffer {
     return this.#remainder;
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -60,8 +60,7 @@
 
   /** Starts the deadline timer and sends the request to its first server. */
   start(): void {
-    const { budget } = this.#context;
-    budget.earn(this.#request.service);
+    this.#context.budget.earn(this.#request.service);
     this.#exchange.onDisconnect = () => this.#finish("caller_gone");
     this.#exchange.onDrain = () => this.#attempt?.resume();
     this.#deadlineTimer = setTimeout(
@@ -171,7 +170,9 @@
         this.#exchange.answer(outcome.answer);
         return this.#finish("answered");
       case "stream_end":
-        this.#relay?.end(outcome.head);
+        if (this.#relay?.end(outcome.head) === false) {
+          return this.#retry("incomplete");
+        }
         return this.#finish("answered");
       case "dropped":
         this.#relay?.discardHead();
@@ -233,8 +234,7 @@
     const nextId = this.#choose()?.id;
     if (nextId === undefined || nextId === attempt.server.id) return;
     if (!attempt.isUnsent && !this.#spendRetry("failure")) return;
-    const { metrics } = this.#context;
-    metrics.count("repeats", { cause: "silent" });
+    this.#context.metrics.count("repeats", { cause: "silent" });
     attempt.cancel("down");
     this.#record({
       kind: "fault",
--- a/src/gateway/server_attempt.ts
+++ b/src/gateway/server_attempt.ts
@@ -202,6 +202,10 @@
     const isProof = head.status < 300 && head.isFramed &&
       this.#progress.hasData;
     this.#progress.end();
+    // A server that crashes may just close a connection without framing.
+    if (this.#isRelayed && !head.isFramed && !this.#progress.hasData) {
+      this.#recordBreak("ended");
+    }
     if (isProof) context.prompts.recordSurvival(this.#promptAttempt.partIds);
     if (this.#isRelayed) {
       return this.#options.onOutcome({ kind: "stream_end", head });
--- a/src/gateway/stream_relay.ts
+++ b/src/gateway/stream_relay.ts
@@ -21,6 +21,7 @@
   #splitter = new EventSplitter();
   #head: AnswerHead | undefined;
   #lastId: number | undefined;
+  #hasEvent = false;
 
   constructor(exchange: CallerExchange, lastEventId: string | undefined) {
     this.#exchange = exchange;
@@ -52,6 +53,7 @@
     for (const { bytes, id } of this.#splitter.push(chunk)) {
       if (!this.#isNextId(id)) return "out_of_order";
       if (id !== undefined) this.#lastId = id;
+      this.#hasEvent = true;
       if (!this.#write(bytes)) result = "slow_caller";
     }
     return this.#splitter.remainder.length > MAX_EVENT_BYTES
@@ -60,20 +62,23 @@
   }
 
   /**
-   * Ends the stream after the attached server has completed its answer. If
-   * that server marked the end only by closing its connection, but the caller's
+   * Ends the stream after the attached server has completed its answer; returns
+   * false if that server has broken it off, inside an event or before the first
+   * one. If it marked the end only by closing its connection, but the caller's
    * head announced a marked end, the caller's connection is closed without one.
    */
-  end(server: AnswerHead): void {
+  end(server: AnswerHead): boolean {
+    const hasNoEvent = this.#lastId === undefined && !this.#hasEvent;
+    if (this.#splitter.isInsideEvent) return false;
+    if (hasNoEvent && !server.isFramed) return false;
     // A stream without further events has not attached a server.
     this.#head ??= server;
     const { remainder } = this.#splitter;
     if (remainder.length > 0) this.#write(remainder);
     this.#sendHead();
-    if (this.#head.isFramed && !server.isFramed) {
-      return this.#exchange.abort();
-    }
-    this.#exchange.end();
+    if (this.#head.isFramed && !server.isFramed) this.#exchange.abort();
+    else this.#exchange.end();
+    return true;
   }
 
   #isNextId(id: number | undefined): boolean {
--- /dev/null
+++ b/src/gateway/unframed_stream_test.ts
@@ -0,0 +1,97 @@
+/** Tests of streams that end with their connection. */
+import assert from "node:assert/strict";
+import { type IncomingMessage, type ServerResponse } from "node:http";
+import { test, type TestContext } from "node:test";
+import { routeOf } from "../decision/manifest_fixture.ts";
+import {
+  type BackendHandler,
+  beginStream,
+  eventOf,
+  eventsOf,
+  startBackend,
+} from "./backend_fixture.ts";
+import {
+  call,
+  type CallerAnswer,
+  startGateway,
+  untilReady,
+} from "./gateway_fixture.ts";
+
+/** Begins a stream with neither a length nor chunks. */
+function beginUnframed(
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  response.useChunkedEncodingByDefault = false;
+  response.shouldKeepAlive = false;
+  beginStream(request, response);
+}
+
+async function stream(
+  context: TestContext,
+  options: { readonly isResumable: boolean },
+  handler: BackendHandler,
+): Promise<CallerAnswer> {
+  const backends = await Promise.all(
+    ["one", "two"].map((id) => startBackend(id, handler)),
+  );
+  const gateway = await startGateway({
+    backends,
+    manifest: { routes: [routeOf({ ...options, maxAttempts: 3 })] },
+  });
+  context.after(async () => {
+    await gateway.gateway.stop();
+    await Promise.all(backends.map((backend) => backend.close()));
+  });
+  await untilReady(gateway);
+  return await call(gateway.callerAddress, {});
+}
+
+/** Ends the first stream inside its fourth event, others after the sixth. */
+function breakFirst(): BackendHandler {
+  let count = 0;
+  return (request, response) => {
+    count += 1;
+    beginUnframed(request, response);
+    const next = Number(request.headers["test-last"] ?? 0) + 1;
+    if (count === 1) response.end(eventsOf(1, 3) + eventOf(4).slice(0, 9));
+    else response.end(eventsOf(next, 6));
+  };
+}
+
+test("a stream that ends inside an event has been broken off and is resumed", async (context) => {
+  const answer = await stream(context, { isResumable: true }, breakFirst());
+  assert.equal(answer.body, eventsOf(1, 6));
+});
+
+test("a stream that ends inside an event and can't be resumed is reset", async (context) => {
+  const answer = await stream(context, { isResumable: false }, breakFirst())
+    .catch(() => undefined);
+  assert.notEqual(answer?.isComplete, true);
+});
+
+test("a stream that ends after an event is complete", async (context) => {
+  const answer = await stream(
+    context,
+    { isResumable: false },
+    (request, response) => {
+      beginUnframed(request, response);
+      response.end(eventsOf(1, 3));
+    },
+  );
+  assert.equal(answer.body, eventsOf(1, 3));
+});
+
+test("a stream that ends before its first event goes on at another server", async (context) => {
+  let count = 0;
+  const answer = await stream(
+    context,
+    { isResumable: true },
+    (request, response) => {
+      count += 1;
+      beginUnframed(request, response);
+      response.end(count === 1 ? "" : eventsOf(1, 3));
+    },
+  );
+  assert.equal(answer.body, eventsOf(1, 3));
+});
