--- a/src/decision/crash_evidence.ts
+++ b/src/decision/crash_evidence.ts
@@ -34,6 +34,11 @@
 /** Servers that end within this time may have one cause, other than a prompt. */
 const SAME_MOMENT_MS = 80;
 
+/** Pause before the first trial after a crash; doubles with each failed one. */
+const FIRST_TRIAL_MS = 60_000;
+/** Crashes this far apart belong to different trials. */
+const TRIAL_GAP_MS = 10_000;
+
 interface Suspect {
   readonly partId: string;
   readonly reports: readonly CrashReport[];
@@ -77,6 +82,17 @@
   return fatal;
 }
 
+/** When the parts may be tried again, by when servers ended under them. */
+export function trialTimeMs({ reports }: FatalParts): number {
+  let pauseMs = FIRST_TRIAL_MS;
+  let lastMs = reports[0]?.atMs ?? -Infinity;
+  for (const { atMs } of reports) {
+    if (atMs - lastMs > TRIAL_GAP_MS) pauseMs *= 2;
+    lastMs = atMs;
+  }
+  return lastMs + pauseMs;
+}
+
 /** When each server ended: the time of its first report. */
 function crashTimes(
   reports: readonly CrashReport[],
--- a/src/gateway/crash_news.ts
+++ b/src/gateway/crash_news.ts
@@ -49,6 +49,11 @@
 export const MAX_SHARED_CRASHES = MAX_NEWS +
   MAX_QUARANTINES * REPORTS_PER_QUARANTINE;
 export const MAX_SHARED_SURVIVED = 64;
+/** Whether a report is recent enough to be passed on by itself. */
+export function isNews({ learnedAtMs }: HeldReport, nowMs: number): boolean {
+  return nowMs - learnedAtMs < NEWS_MS;
+}
+
 /** Returns the reports to send, each once. */
 export function crashesToShare(
   held: readonly HeldReport[],
@@ -57,7 +62,7 @@
     readonly nowMs: number;
   },
 ): SharedCrash[] {
-  const recent = held.filter((report) => nowMs - report.learnedAtMs < NEWS_MS)
+  const recent = held.filter((report) => isNews(report, nowMs))
     .slice(-MAX_NEWS);
   const shared = new Map<string, SharedReport>(
     recent.map((report) => [reportKeyOf(report), report]),
--- a/src/gateway/peer_exchange.ts
+++ b/src/gateway/peer_exchange.ts
@@ -54,6 +54,8 @@
 const PERIOD_MS = 400;
 /** Readers read the store themselves and need only tallies of each other. */
 const READER_PERIOD_MS = 700;
+/** Readers pass on crashes sooner: until all VMs know, servers go on to end. */
+const NEWS_PERIOD_MS = 200;
 /** A reader queries each other reader once within this time. */
 const READER_ROUND_MS = 2100;
 /**
@@ -142,7 +144,10 @@
     const readers = this.#storeReaders();
     if (readers.some(({ vm }) => vm === this.#options.vm)) {
       const otherCount = Math.max(1, readers.length - 1);
-      return Math.min(READER_PERIOD_MS, READER_ROUND_MS / otherCount);
+      return Math.min(
+        this.#options.prompts.hasNews ? NEWS_PERIOD_MS : READER_PERIOD_MS,
+        READER_ROUND_MS / otherCount,
+      );
     }
     const state = this.#options.node().membership();
     const nearCount = presentMembers(state)
--- a/src/gateway/prompt_quarantine.ts
+++ b/src/gateway/prompt_quarantine.ts
@@ -9,6 +9,7 @@
   type CrashReport,
   type FatalParts,
   findFatalParts,
+  trialTimeMs,
 } from "../decision/mod.ts";
 import { type BackendServer, type Clock, type Logger } from "../model/mod.ts";
 import {
@@ -16,6 +17,7 @@
   crashesToShare,
   type CrashNews,
   type HeldReport,
+  isNews,
   MAX_NAME_LENGTH,
   MAX_SHARED_SURVIVED,
   reportedParts,
@@ -47,10 +49,6 @@
 const ALIVE_WITHIN_MS = 2000;
 /** An answer that was dropped counts if its server ends this soon after. */
 const DROPPED_MS = 1000;
-/** Pause before the first trial after a crash; doubles with each failed one. */
-const FIRST_TRIAL_MS = 60_000;
-/** Crashes this far apart belong to different trials. */
-const TRIAL_GAP_MS = 10_000;
 /** Time in which a trial shows its outcome. */
 const TRIAL_MS = 5000;
 const REVIEW_MS = 1000;
@@ -122,7 +120,7 @@
     const nowMs = this.#options.clock();
     const fatal = this.#fatalIn(partIds, nowMs);
     if (fatal === undefined) return undefined;
-    const trialAtMs = trialTimeOf(fatal);
+    const trialAtMs = trialTimeMs(fatal);
     const lastTrialMs = this.#trialsAtMs.get(nameOf(fatal)) ?? -Infinity;
     const isDue = nowMs >= trialAtMs && nowMs >= lastTrialMs + TRIAL_MS;
     if (isDue && this.#options.isTrialVm(nameOf(fatal))) return undefined;
@@ -140,6 +138,12 @@
     });
   }
 
+  /** Whether there are reports that other VMs may not have yet. */
+  get hasNews(): boolean {
+    const nowMs = this.#options.clock();
+    return [...this.#reports.values()].some((report) => isNews(report, nowMs));
+  }
+
   /** Returns what another VM needs to come to the same judgement. */
   toShare(): CrashNews {
     const nowMs = this.#options.clock();
@@ -279,17 +283,6 @@
   }
 }
 
-/** When the parts may be tried again, by when servers ended under them. */
-function trialTimeOf({ reports }: FatalParts): number {
-  let pauseMs = FIRST_TRIAL_MS;
-  let lastMs = reports[0]?.atMs ?? -Infinity;
-  for (const { atMs } of reports) {
-    if (atMs - lastMs > TRIAL_GAP_MS) pauseMs *= 2;
-    lastMs = atMs;
-  }
-  return lastMs + pauseMs;
-}
-
 function nameOf({ partIds }: FatalParts): string {
   return partIds.join(" ");
 }
