--- a/src/report/request_timeline.ts
+++ b/src/report/request_timeline.ts
@@ -44,6 +44,16 @@
   ],
   ["unsigned_answer", "the backend server's answer lacked a valid signature"],
   ["silent", "the backend server stopped sending data"],
+  ["server_limit", "the backend servers' request limits were used up"],
+  [
+    "prompt_quarantined",
+    "a part of the prompt is in quarantine, as servers ended under it",
+  ],
+  ["incomplete", "the backend server ended the stream inside an event"],
+  ["out_of_order", "the backend server's stream lacked an event"],
+  ["oversize", "the backend server sent an event without end"],
+  ["oversize_answer", "the backend server sent an answer without end"],
+  ["no_answer", "the backend server closed the connection unanswered"],
 ]);
 
 /** Builds the timeline of a request from log lines in any order. */
--- a/src/report/request_timeline_test.ts
+++ b/src/report/request_timeline_test.ts
@@ -68,3 +68,13 @@
   assert.match(cause, /late: it began after 80 ms, .* pause was 2100 ms/);
   assert.doesNotMatch(readTimeline("r1", [SENT, ENDED]).cause, /late/);
 });
+
+test("a refusal for a limit or a quarantine names its cause", () => {
+  const causeOf = (outcome: string): string =>
+    readTimeline("r1", [
+      lineOf(3, "request ended", { request: "r1", outcome, status: 503 }),
+    ]).cause;
+  assert.match(causeOf("server_limit"), /request limits/);
+  assert.match(causeOf("prompt_quarantined"), /in quarantine/);
+  assert.match(causeOf("incomplete"), /inside an event/);
+});
