Keep to what servers say of leaving and of pauses

From the first answer with it a leaving server gets nothing new, until another start of its process, whatever the store says; VMs pass it on. A pause closes the server to this VM for the time named, a minute at most, and is no failure of the server. Leaving, pause and limit are one question in one place. Where every server is closed, a request is refused at once with the time at which the first one opens.

Not built: requests that wait for a server to open.

--- a/src/gateway/backend_fleet.ts
+++ b/src/gateway/backend_fleet.ts
@@ -64,8 +64,8 @@
   readonly service: string;
   readonly acceptsVersion: (version: string) => boolean;
   readonly excludedIds: ReadonlySet<string>;
-  /** Whether a server's limit allows a request now. */
-  readonly isWithinLimit: (server: BackendServer) => boolean;
+  /** Whether a server takes a request of this VM now. */
+  readonly isOpen: (server: BackendServer) => boolean;
   /** Whether this request may probe a server that was down. */
   readonly mayProbe: boolean;
 }
@@ -122,7 +122,7 @@
       if (server.status !== "ready") continue;
       if (!query.acceptsVersion(server.version)) continue;
       if (query.excludedIds.has(server.id)) continue;
-      if (!query.isWithinLimit(server)) continue;
+      if (!query.isOpen(server)) continue;
       candidates.push(candidateOf(state, { nowMs, mayProbe: query.mayProbe }));
     }
     return candidates;
--- a/src/gateway/backend_fleet_test.ts
+++ b/src/gateway/backend_fleet_test.ts
@@ -49,6 +49,7 @@
     rollouts: [],
     loads: from.fleet.sharedLoads({ maxHopCount }),
     limits: [],
+    leaving: [],
     crashes: [],
     survived: [],
   }));
@@ -62,7 +63,7 @@
     acceptsVersion: () => true,
     excludedIds: new Set(),
     mayProbe: true,
-    isWithinLimit: () => true,
+    isOpen: () => true,
   });
   return Object.fromEntries(
     candidates.map(({ id, loadCount }) => [id, loadCount]),
--- a/src/gateway/forward_context.ts
+++ b/src/gateway/forward_context.ts
@@ -14,6 +14,7 @@
 import { type CallerRequest, type GatewayProtocol } from "./protocol.ts";
 import { type RetryBudget } from "./retry_budget.ts";
 import { type ServerLimits } from "./server_limits.ts";
+import { type ServerStatements } from "./server_statements.ts";
 
 /** One attempt's result for the statistics of the version that ran it. */
 export interface VersionSample {
@@ -70,6 +71,7 @@
   readonly protocol: GatewayProtocol;
   readonly fleet: BackendFleet;
   readonly limits: ServerLimits;
+  readonly statements: ServerStatements;
   readonly prompts: PromptQuarantine;
   readonly budget: RetryBudget;
   readonly versions: VersionSelector;
--- a/src/gateway/forward_context_fixture.ts
+++ b/src/gateway/forward_context_fixture.ts
@@ -10,6 +10,7 @@
 import { PromptQuarantine } from "./prompt_quarantine.ts";
 import { RetryBudget } from "./retry_budget.ts";
 import { ServerLimits } from "./server_limits.ts";
+import { ServerStatements } from "./server_statements.ts";
 
 /** A context, and the clock that it uses. */
 export interface TestContext {
@@ -40,6 +41,7 @@
       clock: now,
       logger: silentLogger,
     }),
+    statements: new ServerStatements({ clock: now, logger: silentLogger }),
     prompts: new PromptQuarantine({
       isTrialVm: () => true,
       clock: now,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -18,8 +18,8 @@
 import {
   createDistanceLookup,
   createGatewayPeers,
-  createPromptQuarantine,
-  createServerLimits,
+  createServerGuards,
+  type ServerGuards,
 } from "./gateway_peers.ts";
 import { GatewayShutdown, STOP_POLL_MS } from "./gateway_shutdown.ts";
 import { GatewayState } from "./gateway_state.ts";
@@ -31,7 +31,6 @@
 import { admitRequest, type AdmittedRequest } from "./request_admission.ts";
 import { RolloutRegistry } from "./rollout_registry.ts";
 import { RolloutStatusWriter } from "./rollout_status_writer.ts";
-import { type ServerLimits } from "./server_limits.ts";
 import { StoreFeed } from "./store_feed.ts";
 
 const TICK_MS = 200;
@@ -50,7 +49,7 @@
   readonly #options: GatewayOptions;
   readonly #metrics = new GatewayMetrics();
   readonly #fleet: BackendFleet;
-  readonly #limits: ServerLimits;
+  readonly #guards: ServerGuards;
   readonly #state: GatewayState;
   readonly #rollouts: RolloutRegistry;
   readonly #statusWriter: RolloutStatusWriter;
@@ -70,9 +69,7 @@
     this.#callerAddress = settings.callerAddress;
     this.#peerAddress = settings.peerAddress;
     this.#fleet = new BackendFleet({ clock });
-    const membership = () => this.#peers.membership();
-    this.#limits = createServerLimits(options, membership);
-    const prompts = createPromptQuarantine(options, membership);
+    this.#guards = createServerGuards(options, () => this.#peers.membership());
     this.#state = new GatewayState({ fleet: this.#fleet, clock, logger });
     this.#rollouts = new RolloutRegistry({
       fleet: this.#fleet,
@@ -95,8 +92,7 @@
       replicas: this.#feed.replicas,
       registry: this.#rollouts,
       fleet: this.#fleet,
-      limits: this.#limits,
-      prompts,
+      ...this.#guards,
     });
     this.#statusWriter = new RolloutStatusWriter({
       registry: this.#rollouts,
@@ -117,8 +113,7 @@
     this.#context = {
       protocol,
       fleet: this.#fleet,
-      limits: this.#limits,
-      prompts,
+      ...this.#guards,
       budget: new RetryBudget({
         fleetBound: settings.retryBound,
         clock,
@@ -289,7 +284,7 @@
   async #tick(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.#state.applyRosterEvent({ kind: "tick" });
-      this.#limits.retain((id) => this.#state.roster.entries.has(id));
+      this.#guards.limits.retain((id) => this.#state.roster.entries.has(id));
       this.#rollouts.evaluate();
       void this.#statusWriter.writeDue();
       await this.#options.sleep(TICK_MS, signal);
--- a/src/gateway/gateway_fixture.ts
+++ b/src/gateway/gateway_fixture.ts
@@ -65,6 +65,7 @@
     const headers = headersOf(rawHeaders);
     const confidence = headers.get("test-confidence");
     const limit = headers.get("test-limit");
+    const pause = headers.get("test-pause");
     return {
       status,
       isNotRun: headers.has("test-not-run"),
@@ -74,6 +75,8 @@
         headers.has("transfer-encoding"),
       confidence: confidence === undefined ? undefined : Number(confidence),
       load: undefined,
+      isLeaving: headers.has("test-leaving"),
+      pauseMs: pause === undefined ? undefined : Number(pause) * 1000,
       limitPerSecond: limit === undefined ? undefined : Number(limit),
       passedHeaders: ["test-signature", headers.get("test-signature") ?? ""],
     };
--- a/src/gateway/gateway_peers.ts
+++ b/src/gateway/gateway_peers.ts
@@ -16,6 +16,7 @@
 import { type PeerExchange } from "./peer_exchange.ts";
 import { PromptQuarantine } from "./prompt_quarantine.ts";
 import { ServerLimits } from "./server_limits.ts";
+import { ServerStatements } from "./server_statements.ts";
 
 const PROBE_PERIOD_MS = 500;
 /** Added latency of another data centre of the same region. */
@@ -52,31 +53,37 @@
 }
 
 /** Returns the other VMs that take requests. */
-export function aliveMembers(state: MembershipState): MemberUpdate[] {
+function aliveMembers(state: MembershipState): MemberUpdate[] {
   return presentMembers(state).map(({ update }) => update)
     .filter(({ status }) => status === "alive");
 }
 
-/** Creates the limits of servers, divided among the VMs that are present. */
-export function createServerLimits(
-  { settings, clock, logger }: GatewayOptions,
-  membership: () => MembershipState,
-): ServerLimits {
-  const otherVms = (): MemberUpdate[] => aliveMembers(membership());
-  return new ServerLimits({ self: settings, otherVms, clock, logger });
+/** What keeps requests from backend servers. */
+export interface ServerGuards {
+  readonly limits: ServerLimits;
+  readonly statements: ServerStatements;
+  readonly prompts: PromptQuarantine;
 }
 
-/** Creates the quarantine of prompts, whose trials one VM makes for all. */
-export function createPromptQuarantine(
+/**
+ * Creates the guards of a VM: limits are divided among the VMs that are present,
+ * and one of them makes the trials of prompts in quarantine for all.
+ */
+export function createServerGuards(
   { settings, clock, logger }: GatewayOptions,
   membership: () => MembershipState,
-): PromptQuarantine {
+): ServerGuards {
+  const otherVms = (): MemberUpdate[] => aliveMembers(membership());
   const isTrialVm = (key: string): boolean => {
-    const vms = [settings, ...aliveMembers(membership())];
+    const vms = [settings, ...otherVms()];
     const options = { key, count: 1, nameOf: ({ vm }: { vm: string }) => vm };
     return rendezvous(vms, options)[0]?.vm === settings.vm;
   };
-  return new PromptQuarantine({ isTrialVm, clock, logger });
+  return {
+    limits: new ServerLimits({ self: settings, otherVms, clock, logger }),
+    statements: new ServerStatements({ clock, logger }),
+    prompts: new PromptQuarantine({ isTrialVm, clock, logger }),
+  };
 }
 
 /** Returns a function from a place to its added latency in milliseconds. */
--- a/src/gateway/peer_exchange.ts
+++ b/src/gateway/peer_exchange.ts
@@ -35,6 +35,7 @@
 import { type PromptQuarantine } from "./prompt_quarantine.ts";
 import { type RolloutRegistry } from "./rollout_registry.ts";
 import { type ServerLimits } from "./server_limits.ts";
+import { type ServerStatements } from "./server_statements.ts";
 import { type TopicReplica } from "./topic_replica.ts";
 
 export interface PeerExchangeOptions {
@@ -44,6 +45,7 @@
   readonly registry: RolloutRegistry;
   readonly fleet: BackendFleet;
   readonly limits: ServerLimits;
+  readonly statements: ServerStatements;
   readonly prompts: PromptQuarantine;
   readonly clock: Clock;
   readonly sleep: Sleep;
@@ -197,7 +199,7 @@
    * holds this VM's offsets only and no records.
    */
   #updateFor(vm: string, readOffsets: PeerUpdate["have"] | undefined): unknown {
-    const { replicas, fleet, limits, prompts } = this.#options;
+    const { replicas, fleet, limits, statements, prompts } = this.#options;
     const readers = this.#storeReaders().map((reader) => reader.vm);
     const maxHopCount = maxHopCountFor({
       isSenderReader: readers.includes(this.#options.vm),
@@ -220,6 +222,7 @@
       rollouts: this.#rolloutReportsFor(vm),
       loads: fleet.sharedLoads({ maxHopCount }),
       limits: limits.toShare({ maxHopCount }),
+      leaving: statements.toShare(),
       ...prompts.toShare(),
     });
   }
@@ -254,9 +257,11 @@
   }
 
   #apply(update: PeerUpdate): void {
-    const { replicas, registry, fleet, limits, prompts, clock } = this.#options;
+    const { replicas, registry, fleet, clock } = this.#options;
+    const { limits, statements, prompts } = this.#options;
     fleet.mergeLoads(update.loads);
     limits.merge(update.limits);
+    statements.merge(update.leaving);
     prompts.merge(update);
     for (const name of TOPICS) {
       const topic = update.topics[name];
--- a/src/gateway/peer_update.ts
+++ b/src/gateway/peer_update.ts
@@ -18,6 +18,7 @@
   MAX_SHARED_SURVIVED,
   type SharedCrash,
 } from "./crash_news.ts";
+import { MAX_SHARED_LEAVING } from "./server_statements.ts";
 import { type SharedLimit } from "./server_limits.ts";
 import { type TopicUpdate } from "./topic_replica.ts";
 
@@ -149,6 +150,8 @@
   /** Absent from VMs of an earlier release. */
   limits: z.array(sharedLimitSchema).max(MAX_SHARED_OBSERVATIONS).default([]),
   crashes: z.array(sharedCrashSchema).max(MAX_SHARED_CRASHES).default([]),
+  leaving: z.array(z.string().min(1).max(MAX_SERVER_KEY_LENGTH))
+    .max(MAX_SHARED_LEAVING).default([]),
   survived: z.array(z.tuple([nameSchema, countSchema]))
     .max(MAX_SHARED_SURVIVED).default([]),
 });
@@ -188,6 +191,7 @@
     readonly rollouts: readonly RolloutReport[];
     readonly loads: readonly SharedLoad[];
     readonly limits: readonly SharedLimit[];
+    readonly leaving: readonly string[];
   },
 ): unknown {
   const topics: Record<string, unknown> = {};
--- a/src/gateway/peer_update_test.ts
+++ b/src/gateway/peer_update_test.ts
@@ -73,6 +73,7 @@
     }, PLAIN),
     { maxLength: 10 },
   ),
+  leaving: fc.array(name, { maxLength: 10 }),
   survived: fc.array(fc.tuple(name, fc.nat(60_000)), { maxLength: 10 }),
 }, PLAIN);
 
--- a/src/gateway/prompt_quarantine_test.ts
+++ b/src/gateway/prompt_quarantine_test.ts
@@ -241,6 +241,7 @@
     rollouts: [],
     loads: [],
     limits: [],
+    leaving: [],
     ...vm.quarantine.toShare(),
   });
   assert.ok(parsePeerUpdate(sent) !== undefined);
--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -88,6 +88,13 @@
    * without a limit, NaN for one that cannot be read.
    */
   readonly limitPerSecond: number | undefined;
+  /** The server states that it is leaving. */
+  readonly isLeaving: boolean;
+  /**
+   * For how long a server that did not run the request wants none from this VM;
+   * `undefined` without such a wish, NaN for one that cannot be read.
+   */
+  readonly pauseMs: number | undefined;
   /** Alternating names and values, forwarded to the caller unchanged. */
   readonly passedHeaders: readonly string[];
 }
--- a/src/gateway/server_attempt.ts
+++ b/src/gateway/server_attempt.ts
@@ -167,6 +167,10 @@
     // A 421 comes from another server that now has the address.
     if (status !== 421) {
       context.limits.record(server, head.limitPerSecond);
+      if (head.isLeaving) context.statements.recordLeaving(server);
+      if (head.pauseMs !== undefined) {
+        context.statements.recordPause(server, head.pauseMs);
+      }
       context.prompts.recordServerAnswer(server, this.#startedAtMs);
     }
     if (head.isNotRun) {
--- a/src/gateway/server_choice.ts
+++ b/src/gateway/server_choice.ts
@@ -4,6 +4,7 @@
 import { type FleetCandidate } from "./backend_fleet.ts";
 import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
 import { sharedPartIds } from "./protocol.ts";
+import { closureOf } from "./server_closure.ts";
 
 /** Delay that one more request causes for an engine's other requests. */
 export const ENGINE_LOAD_STEP_MS = 40;
@@ -23,17 +24,18 @@
  * a prompt in quarantine.
  */
 export function chooseServer(
-  { fleet, limits, prompts, distanceMs, random }: ForwardContext,
+  context: ForwardContext,
   request: ForwardRequest,
   { acceptsVersion, triedIds, model, isRetriable }: ChoiceConstraints,
 ): FleetCandidate | undefined {
+  const { fleet, prompts, distanceMs, random } = context;
   const { caller, service } = request;
   if (prompts.waitMs(sharedPartIds(caller)) !== undefined) return undefined;
   const query = {
     service,
     acceptsVersion,
     mayProbe: isRetriable,
-    isWithinLimit: (server: BackendServer) => limits.waitMs(server) === 0,
+    isOpen: (server: BackendServer) => closureOf(context, server) === undefined,
   };
   const untried = fleet.candidates({ ...query, excludedIds: triedIds });
   const candidates = untried.length > 0
--- /dev/null
+++ b/src/gateway/server_closure.ts
@@ -0,0 +1,26 @@
+/** Why, and for how long, this VM sends a backend server no request. */
+import { type BackendServer } from "../model/mod.ts";
+import { type ForwardContext } from "./forward_context.ts";
+
+/** A server that is closed to this VM. */
+export interface ServerClosure {
+  readonly reason: "server_leaving" | "server_paused" | "server_limit";
+  /** Infinity where it does not open again, or not for this VM. */
+  readonly waitMs: number;
+}
+
+/** Returns the closure that lasts longest; undefined if the server is open. */
+export function closureOf(
+  { limits, statements }: ForwardContext,
+  server: BackendServer,
+): ServerClosure | undefined {
+  if (statements.isLeaving(server)) {
+    return { reason: "server_leaving", waitMs: Infinity };
+  }
+  const pauseMs = statements.pauseLeftMs(server);
+  const limitMs = limits.waitMs(server);
+  if (pauseMs === 0 && limitMs === 0) return undefined;
+  return pauseMs > limitMs
+    ? { reason: "server_paused", waitMs: pauseMs }
+    : { reason: "server_limit", waitMs: limitMs };
+}
--- a/src/report/request_timeline.ts
+++ b/src/report/request_timeline.ts
@@ -45,6 +45,8 @@
   ["unsigned_answer", "the backend server's answer lacked a valid signature"],
   ["silent", "the backend server stopped sending data"],
   ["server_limit", "the backend servers' request limits were used up"],
+  ["server_paused", "the backend servers wanted a pause"],
+  ["server_leaving", "the only backend servers were leaving"],
   [
     "prompt_quarantined",
     "a part of the prompt is in quarantine, as servers ended under it",
--- a/tools/server_mechanisms.ts
+++ b/tools/server_mechanisms.ts
@@ -8,8 +8,8 @@
   {
     name: "server limit",
     file: "src/gateway/server_choice.ts",
-    source: "limits.waitMs(server) === 0",
-    replacement: "limits.waitMs(server) >= 0",
+    source: "closureOf(context, server) === undefined",
+    replacement: "server !== undefined",
     tests: ["src/gateway/limited_server_test.ts"],
   },
   {
@@ -26,6 +26,20 @@
     replacement: "...limit } of limits.slice(limits.length))",
     tests: ["src/gateway/server_limits_test.ts"],
   },
+  {
+    name: "leaving, said in answers",
+    file: "src/gateway/server_closure.ts",
+    source: "if (statements.isLeaving(server)) {",
+    replacement: "if (limits.waitMs(server) < 0) {",
+    tests: ["src/gateway/server_statements_test.ts"],
+  },
+  {
+    name: "pause that a server wants",
+    file: "src/gateway/server_closure.ts",
+    source: "statements.pauseLeftMs(server);",
+    replacement: "0 * statements.pauseLeftMs(server);",
+    tests: ["src/gateway/server_statements_test.ts"],
+  },
   {
     name: "prompt quarantine",
     file: "src/gateway/server_choice.ts",
