--- a/src/gateway/forwarding_test.ts
+++ b/src/gateway/forwarding_test.ts
@@ -255,22 +255,6 @@
   assert.ok(durationMs >= 990 && durationMs < 1500, `${durationMs}`);
 });
 
-test("a request stays at a silent server when no server may take it", async (context) => {
-  const { send, backends } = await setUp(context, [(request, response) => {
-    response.setHeader("test-limit", "1");
-    const isFirst = backends[0]?.requestIds.length === 1;
-    setTimeout(
-      () => sendCompleteAnswer(request, response),
-      isFirst ? 0 : 4 * LOOKUP_ROUTE.targetMs,
-    );
-  }]);
-  const lookup = { path: "/lookups/a", method: "GET" };
-  assert.equal((await send(lookup)).body, "whole");
-  // The limit lets the next request pass after a second.
-  await delay(1100);
-  assert.equal((await send(lookup)).body, "whole");
-});
-
 test("a request goes from a silent server to another in time", async (context) => {
   const { send } = await setUp(
     context,
--- a/src/gateway/server_statements_test.ts
+++ b/src/gateway/server_statements_test.ts
@@ -1,4 +1,4 @@
-/** Tests of servers that say that they leave or want a pause. */
+/** Tests of servers that are closed by what they say: leaving, pause, limit. */
 import assert from "node:assert/strict";
 import { setTimeout as delay } from "node:timers/promises";
 import { test, type TestContext } from "node:test";
@@ -104,6 +104,21 @@
   assert.ok((setup.backends[0]?.requestIds.length ?? 0) > 1);
 });
 
+test("a request stays at a silent server when no server may take it", async (context) => {
+  const { send, backends } = await setUp(context, [(request, response) => {
+    response.setHeader("test-limit", "1");
+    const isFirst = backends[0]?.requestIds.length === 1;
+    setTimeout(
+      () => sendCompleteAnswer(request, response),
+      isFirst ? 0 : 4 * LOOKUP_ROUTE.targetMs,
+    );
+  }]);
+  assert.equal((await send()).body, "whole");
+  // The limit lets the next request pass after a second.
+  await delay(1100);
+  assert.equal((await send()).body, "whole");
+});
+
 function statementsAt(clock: () => number): ServerStatements {
   return new ServerStatements({ clock, logger: silentLogger });
 }
