Ask for more before a prompt part counts as fatal

Now a part with an answer of late needs twelve crashes since, and an answer since then to a request without it, so never one that every request has; any part needs three requests.

--- a/src/decision/crash_evidence.ts
+++ b/src/decision/crash_evidence.ts
@@ -3,7 +3,9 @@
  * process ended before a request's answer had got anywhere, and which parts the
  * request's prompt shares with others. Most of the requests reported with a
  * crash are its victims. So a part is fatal only if its requests were there at
- * several crashes and no answer to it has got far since. The part that explains
+ * several crashes and no answer to it has got far since, while one to a request
+ * without it has: servers that end whatever they are asked speak against no
+ * part, least of all against one that every request has. The part that explains
  * the most crashes goes first, and what it explains does not count against the
  * others; parts with answers of late come last and need more crashes.
  */
@@ -18,6 +20,14 @@
   readonly atMs: number;
 }
 
+/** When answers last got far. */
+export interface AnswerTimes {
+  /** To prompts with a part; undefined if not of late. */
+  readonly answeredAtMs: (partId: string) => number | undefined;
+  /** To any prompt; -Infinity before the first. */
+  readonly newestAtMs: number;
+}
+
 /** Parts that always come together; a request with all of them is fatal. */
 export interface FatalParts {
   readonly partIds: readonly string[];
@@ -28,9 +38,13 @@
 /** Crashes that speak against a part without an answer of late. */
 const MIN_CRASHES = 3;
 /** Crashes since the last answer that speak against any other part. */
-const MIN_CRASHES_SINCE_ANSWER = 6;
+const MIN_CRASHES_SINCE_ANSWER = 12;
 /** One request that is repeated may be a victim several times. */
-const MIN_REQUESTS = 2;
+const MIN_REQUESTS = 3;
+/** How long before the crashes another request's answer may have got far. */
+const CONTRAST_MS = 60_000;
+/** Times from other VMs are off by the time on the way. */
+const CLOCK_MARGIN_MS = 100;
 /** Servers that end within this time may have one cause, other than a prompt. */
 const SAME_MOMENT_MS = 80;
 
@@ -49,10 +63,7 @@
 /** Returns the fatal parts, in the order in which they explain the crashes. */
 export function findFatalParts(
   reports: readonly CrashReport[],
-  { answeredAtMs }: {
-    /** When an answer to a part last got far; undefined if not of late. */
-    readonly answeredAtMs: (partId: string) => number | undefined;
-  },
+  answers: AnswerTimes,
 ): FatalParts[] {
   const crashAtMs = crashTimes(reports);
   const fatal: FatalParts[] = [];
@@ -61,7 +72,7 @@
     for (;;) {
       const suspects = suspectsOf(unexplained, {
         hasAnswer,
-        answeredAtMs,
+        answers,
         crashAtMs,
       });
       const worst = suspects.reduce<Suspect | undefined>(worseOf, undefined);
@@ -106,20 +117,25 @@
 
 function suspectsOf(
   reports: readonly CrashReport[],
-  { hasAnswer, answeredAtMs, crashAtMs }: {
+  { hasAnswer, answers, crashAtMs }: {
     readonly hasAnswer: boolean;
-    readonly answeredAtMs: (partId: string) => number | undefined;
+    readonly answers: AnswerTimes;
     readonly crashAtMs: ReadonlyMap<string, number>;
   },
 ): Suspect[] {
   const suspects: Suspect[] = [];
   const minCrashes = hasAnswer ? MIN_CRASHES_SINCE_ANSWER : MIN_CRASHES;
   for (const [partId, group] of groupByPart(reports)) {
-    const lastAnswerMs = answeredAtMs(partId);
+    const lastAnswerMs = answers.answeredAtMs(partId);
     if ((lastAnswerMs !== undefined) !== hasAnswer) continue;
     const counted = lastAnswerMs === undefined
       ? group
       : group.filter(({ atMs }) => atMs > lastAnswerMs);
+    const [first] = counted;
+    if (first === undefined) continue;
+    // All parts of an answered request have its time, so this one lacked it.
+    const contrastMs = lastAnswerMs ?? first.atMs - CONTRAST_MS;
+    if (answers.newestAtMs < contrastMs + CLOCK_MARGIN_MS) continue;
     const requestIds = new Set(counted.map(({ requestId }) => requestId));
     if (requestIds.size < MIN_REQUESTS) continue;
     const serverKeys = new Set(counted.map(({ serverKey }) => serverKey));
--- a/src/gateway/prompt_quarantine.ts
+++ b/src/gateway/prompt_quarantine.ts
@@ -252,6 +252,7 @@
     const before = this.#fatal;
     this.#fatal = findFatalParts(reports, {
       answeredAtMs: (partId) => this.#survivedAtMs(partId, nowMs),
+      newestAtMs: this.#survived.newestAtMs,
     });
     this.#reviewAtMs = this.#reports.size > 0 ? nowMs + REVIEW_MS : Infinity;
     this.#logChanges(before);
--- a/src/gateway/prompt_quarantine_fixture.ts
+++ b/src/gateway/prompt_quarantine_fixture.ts
@@ -20,6 +20,8 @@
   /** Sound parts beside the common first one; few requests share one each. */
   readonly subjectCount: number;
   readonly fatalFromMs: number;
+  /** Servers that end for another reason, whatever they do. */
+  readonly otherCrashesPerSecond: number;
   readonly durationMs: number;
   /** The first VM of each place is its store reader. */
   readonly placeCount: number;
@@ -108,6 +110,7 @@
     let count = 0;
     for (; this.#nowMs < durationMs; this.#nowMs += STEP_MS) {
       this.#restartServers();
+      this.#crashAny();
       for (const server of [...this.#servers]) this.#advance(server);
       for (const [kind, perSecond] of rates.entries()) {
         if (kind === 1 && this.#nowMs < this.#play.fatalFromMs) continue;
@@ -199,6 +202,12 @@
     }
   }
 
+  #crashAny(): void {
+    const share = this.#play.otherCrashesPerSecond * STEP_MS / 1000;
+    if (this.#servers.size === 0 || this.#random() >= share) return;
+    this.#crash(this.#pick([...this.#servers]));
+  }
+
   #restartServers(): void {
     while ((this.#restartsMs[0] ?? Infinity) <= this.#nowMs) {
       this.#restartsMs.shift();
--- a/src/gateway/survived_parts.ts
+++ b/src/gateway/survived_parts.ts
@@ -5,11 +5,18 @@
 export class SurvivedParts {
   /** In the order of the records. */
   readonly #atMs = new Map<string, number>();
+  #newestAtMs = -Infinity;
+
+  /** The newest of all times; -Infinity before the first. */
+  get newestAtMs(): number {
+    return this.#newestAtMs;
+  }
 
   /** Records a time, unless a later one is known. */
   record(partId: string, atMs: number): void {
     const knownMs = this.#atMs.get(partId);
     if (knownMs !== undefined && knownMs >= atMs) return;
+    this.#newestAtMs = Math.max(this.#newestAtMs, atMs);
     this.#atMs.delete(partId);
     this.#atMs.set(partId, atMs);
     const [oldest] = this.#atMs.keys();
--- a/tools/server_mechanisms.ts
+++ b/tools/server_mechanisms.ts
@@ -54,6 +54,13 @@
     replacement: "",
     tests: ["src/decision/crash_evidence_test.ts"],
   },
+  {
+    name: "a part that every request has is not fatal",
+    file: "src/decision/crash_evidence.ts",
+    source: "if (answers.newestAtMs < contrastMs + CLOCK_MARGIN_MS) continue;",
+    replacement: "",
+    tests: ["src/decision/crash_evidence_test.ts"],
+  },
   {
     name: "servers that end at one moment",
     file: "src/decision/crash_evidence.ts",
