Send a quarantine's evidence with enough requests

Cause: to hold a quarantine a VM passed on the six newest reports. Where requests had been repeated at three servers each these are of two requests, and a VM that starts later needs three to come to the same judgement: it would have sent the part to servers again.

Now the newest reports of four requests and the four newest reports are sent. The test failed before and passes now.

--- a/src/gateway/crash_news.ts
+++ b/src/gateway/crash_news.ts
@@ -43,8 +43,9 @@
 const NEWS_MS = 3500;
 const MAX_NEWS = 64;
 const MAX_QUARANTINES = 8;
-/** Enough for another VM to come to the same judgement. */
-const REPORTS_PER_QUARANTINE = 6;
+/** Newest reports, and newest requests, that hold a quarantine. */
+const EVIDENCE_COUNT = 4;
+const REPORTS_PER_QUARANTINE = 2 * EVIDENCE_COUNT;
 /** Bounds of a message. */
 export const MAX_SHARED_CRASHES = MAX_NEWS +
   MAX_QUARANTINES * REPORTS_PER_QUARANTINE;
@@ -68,7 +69,7 @@
     recent.map((report) => [reportKeyOf(report), report]),
   );
   for (const { reports } of fatal.slice(0, MAX_QUARANTINES)) {
-    for (const report of reports.slice(-REPORTS_PER_QUARANTINE)) {
+    for (const report of evidenceOf(reports)) {
       shared.set(reportKeyOf(report), { ...report, isWithdrawn: false });
     }
   }
@@ -86,6 +87,22 @@
   return `${id}@${processStartedAtMs}`;
 }
 
+/**
+ * Returns enough reports for another VM to come to the same judgement, which
+ * needs several crashes and several requests.
+ */
+function evidenceOf(reports: readonly CrashReport[]): CrashReport[] {
+  const newestByRequest = new Map<string, CrashReport>();
+  for (const report of reports) {
+    newestByRequest.delete(report.requestId);
+    newestByRequest.set(report.requestId, report);
+  }
+  return [
+    ...[...newestByRequest.values()].slice(-EVIDENCE_COUNT),
+    ...reports.slice(-EVIDENCE_COUNT),
+  ];
+}
+
 /** Returns the parts that a report may name. */
 export function reportedParts(partIds: readonly string[]): string[] {
   return partIds
--- a/src/gateway/prompt_quarantine_test.ts
+++ b/src/gateway/prompt_quarantine_test.ts
@@ -159,6 +159,24 @@
   assert.ok((second.quarantine.waitMs(FATAL_PARTS) ?? 0) > 0);
 });
 
+test("a VM that starts later judges as well when requests were repeated", () => {
+  const { clock, vms: [first, second] } = vmsOf(2);
+  assert.ok(first !== undefined && second !== undefined);
+  first.quarantine.recordSurvival(SOUND_PARTS);
+  for (let index = 0; index < 9; index++) {
+    clock.nowMs += 200;
+    first.quarantine.recordBreak({
+      requestId: `r-${Math.floor(index / 3)}`,
+      server: serverOf(`server-${index}`),
+      partIds: FATAL_PARTS,
+    });
+  }
+  clock.nowMs += 45_000;
+  second.quarantine.recordSurvival(SOUND_PARTS);
+  second.quarantine.merge(first.quarantine.toShare());
+  assert.ok((second.quarantine.waitMs(FATAL_PARTS) ?? 0) > 0);
+});
+
 test("an answer that got far releases a part on every VM", () => {
   const { clock, vms: [first, second] } = vmsOf(2);
   assert.ok(first !== undefined && second !== undefined);
