Log how the versions of a roll-out compare

The logs of a slow version that was kept don't show how many of its answers were compared, nor how they compared: `roll-out tally` says it every 2 s.

--- a/src/decision/version_tally.ts
+++ b/src/decision/version_tally.ts
@@ -165,6 +165,21 @@
   return timeFault(tally) ?? errorFault(tally) ?? paceFault(tally);
 }
 
+/** The sums of a tally over all routes, for logs. */
+export interface TallySummary {
+  readonly count: number;
+  readonly errorCount: number;
+  /** Geometric mean; undefined without requests. */
+  readonly meanMs: number | undefined;
+}
+
+/** Sums up a version's requests. */
+export function summarise(routes: RouteTallies): TallySummary {
+  const { count, errorCount, logSum } = total(routes);
+  const meanMs = count === 0 ? undefined : Math.round(Math.exp(logSum / count));
+  return { count, errorCount, meanMs };
+}
+
 const EMPTY_ROUTE: RouteTally = { ...EMPTY_LOG_SUMS, errorCount: 0 };
 
 function timeFault({ target, others }: VersionTally): string | undefined {
--- a/src/gateway/rollout_record.ts
+++ b/src/gateway/rollout_record.ts
@@ -116,15 +116,20 @@
     return count;
   }
 
+  /** The tallies of all VMs together. */
+  get mergedTally(): VersionTally {
+    return mergeTallies([
+      this.#ownTally,
+      ...[...this.#received.values()].map(({ vmTally }) => vmTally.tally),
+    ]);
+  }
+
   /** Evaluates all tallies; returns the target's fault if it is a new one. */
   evaluate(nowMs: number): string | undefined {
     if (this.fault !== undefined || this.stage === "completed") {
       return undefined;
     }
-    const all = mergeTallies([
-      this.#ownTally,
-      ...[...this.#received.values()].map(({ vmTally }) => vmTally.tally),
-    ]);
+    const all = this.mergedTally;
     this.#recordHistory(all, nowMs);
     this.fault = targetFault(all) ?? this.#recentFault(all, nowMs);
     return this.fault;
--- a/src/gateway/rollout_registry.ts
+++ b/src/gateway/rollout_registry.ts
@@ -7,6 +7,7 @@
   isCanaryPhase,
   isEnded,
   type OrderedRollout,
+  summarise,
   targetSessionShare,
 } from "../decision/mod.ts";
 import {
@@ -39,6 +40,8 @@
 
 /** Delay after which a version without an order gets requests. */
 const UNORDERED_VERSION_DELAY_MS = 3000;
+/** Pause between two log lines with the tally of an open roll-out. */
+const TALLY_LOG_PERIOD_MS = 2000;
 /** Versions of a service above which those without servers are evicted. */
 const MAX_VERSIONS = 64;
 
@@ -53,6 +56,7 @@
   readonly #rollouts = new Map<string, RolloutRecord>();
   readonly #versions = new Map<string, Map<string, ObservedVersion>>();
   readonly #inFlight = new Map<string, number>();
+  #tallyLoggedAtMs = -Infinity;
 
   constructor(options: RolloutRegistryOptions) {
     this.#options = options;
@@ -139,6 +143,11 @@
     for (const rollout of this.#rollouts.values()) {
       if (rollout.evaluate(nowMs) !== undefined) this.#logFault(rollout);
     }
+    if (nowMs - this.#tallyLoggedAtMs < TALLY_LOG_PERIOD_MS) return;
+    this.#tallyLoggedAtMs = nowMs;
+    for (const rollout of this.#rollouts.values()) {
+      if (!isEnded(rollout.stage)) this.#logTally(rollout);
+    }
   }
 
   /** Records when the versions of each service were first observed. */
@@ -215,6 +224,22 @@
     }
   }
 
+  #logTally({ order, mergedTally }: RolloutRecord): void {
+    const { service, target } = order;
+    const targetSums = summarise(mergedTally.target);
+    const otherSums = summarise(mergedTally.others);
+    this.#options.logger.info("roll-out tally", {
+      service,
+      target,
+      count: targetSums.count,
+      errorCount: targetSums.errorCount,
+      meanMs: targetSums.meanMs,
+      otherCount: otherSums.count,
+      otherErrorCount: otherSums.errorCount,
+      otherMeanMs: otherSums.meanMs,
+    });
+  }
+
   #logFault({ order, fault }: RolloutRecord): void {
     const { service, target } = order;
     this.#options.logger.warn("version found bad", { service, target, fault });
