--- a/src/gateway/peer_exchange.ts
+++ b/src/gateway/peer_exchange.ts
@@ -9,7 +9,6 @@
  */
 import {
   chooseStoreReaders,
-  isEnded,
   maxHopCountFor,
   presentMembers,
   type StoreReaderCandidate,
@@ -28,12 +27,12 @@
   parseBusyNotice,
   parsePeerUpdate,
   type PeerUpdate,
-  type RolloutReport,
   type TopicName,
   TOPICS,
 } from "./peer_update.ts";
 import { type PromptQuarantine } from "./prompt_quarantine.ts";
 import { type RolloutRegistry } from "./rollout_registry.ts";
+import { createRolloutReports } from "./rollout_report.ts";
 import { type ServerLimits } from "./server_limits.ts";
 import { type ServerStatements } from "./server_statements.ts";
 import { type TopicReplica } from "./topic_replica.ts";
@@ -67,7 +66,6 @@
  */
 const VMS_PER_PERIOD = 16;
 const ANSWER_TIMEOUT_MS = 800;
-const MAX_AGE_MS = 2 ** 31;
 
 /** Exchanges updates between this VM and the others. */
 export class PeerExchange {
@@ -199,12 +197,12 @@
    * holds this VM's offsets only and no records.
    */
   #updateFor(vm: string, readOffsets: PeerUpdate["have"] | undefined): unknown {
-    const { replicas, fleet, limits, statements, prompts } = this.#options;
+    const { replicas, registry, fleet, limits, statements, prompts, clock } =
+      this.#options;
     const readers = this.#storeReaders().map((reader) => reader.vm);
-    const maxHopCount = maxHopCountFor({
-      isSenderReader: readers.includes(this.#options.vm),
-      isReceiverReader: readers.includes(vm),
-    });
+    const isSenderReader = readers.includes(this.#options.vm);
+    const isReceiverReader = readers.includes(vm);
+    const maxHopCount = maxHopCountFor({ isSenderReader, isReceiverReader });
     const topics: Parameters<typeof encodePeerUpdate>[0]["topics"] = {};
     for (const name of TOPICS) {
       if (readOffsets === undefined) continue;
@@ -219,7 +217,12 @@
         servers: replicas.servers.nextOffset ?? null,
       },
       topics,
-      rollouts: this.#rolloutReportsFor(vm),
+      rollouts: createRolloutReports(registry, {
+        instance: this.#instance,
+        nowMs: clock(),
+        isSenderReader,
+        isReceiverReader,
+      }),
       loads: fleet.sharedLoads({ maxHopCount }),
       limits: limits.toShare({ maxHopCount }),
       leaving: statements.toShare(),
@@ -227,35 +230,6 @@
     });
   }
 
-  /**
-   * Tallies are sent only to store readers and only until the roll-out ends.
-   * Readers also forward the tallies that VMs sent them directly.
-   */
-  #rolloutReportsFor(vm: string): RolloutReport[] {
-    const { registry, clock } = this.#options;
-    const readers = this.#storeReaders().map((reader) => reader.vm);
-    const isForReader = readers.includes(vm);
-    const isStoreReader = readers.includes(this.#options.vm);
-    return [...registry.rollouts.values()].map((rollout) => {
-      const ownTally = rollout.createTallyReport(
-        this.#instance,
-        registry.otherInFlightCount(rollout),
-      );
-      const all = isStoreReader
-        ? [ownTally, ...rollout.directTallies()]
-        : [ownTally];
-      return {
-        service: rollout.order.service,
-        orderOffset: rollout.order.offset,
-        ageMs: Math.min(MAX_AGE_MS, clock() - rollout.startedAtMs),
-        fault: rollout.fault ?? null,
-        stage: rollout.stage ?? null,
-        isStageKnown: rollout.isStageKnown,
-        tallies: isForReader && !isEnded(rollout.stage) ? all : [],
-      };
-    });
-  }
-
   #apply(update: PeerUpdate): void {
     const { replicas, registry, fleet, clock } = this.#options;
     const { limits, statements, prompts } = this.#options;
