Test that a bad version of a plain service gets no more requests than allowed

Plays roll-outs of 15 s in virtual time, with the VMs' own choice of versions and servers, tallies and exchanges.

--- a/src/gateway/forward_context_fixture.ts
+++ b/src/gateway/forward_context_fixture.ts
@@ -21,8 +21,8 @@
 /** Creates the context of a VM that knows the servers. */
 export function forwardContextOf(
   servers: readonly BackendServer[],
+  clock: { nowMs: number } = { nowMs: 10_000 },
 ): TestContext {
-  const clock = { nowMs: 10_000 };
   const now = (): number => clock.nowMs;
   const fleet = new BackendFleet({ clock: now });
   const records = servers.map((server) => ({
--- /dev/null
+++ b/src/gateway/rollout_exposure_test.ts
@@ -0,0 +1,82 @@
+/** Tests of how many requests a roll-out's target gets, by how it answers. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  CANARY_SHARE,
+  goodQuality,
+  playRollout,
+  type RolloutOutcome,
+  type RolloutPlay,
+} from "./rollout_play_fixture.ts";
+
+/** The platform's rule: requests allowed beyond the share, ... */
+const CANARY_SLACK = 30;
+/** ... and none this long after so many bad answers. */
+const ROLLBACK_MS = 5000;
+const BAD_ANSWER_COUNT = 50;
+const SEED_COUNT = 20;
+const BAD_SHARE = 0.5;
+const SLOW_FACTOR = 8;
+
+const SMALL_SITE: Omit<RolloutPlay, "seed" | "targetQuality"> = {
+  vmCount: 7,
+  placeCount: 3,
+  serverCount: 3,
+  requestsPerSecond: 25,
+  durationMs: 15_000,
+};
+
+const QUALITIES: Record<string, RolloutPlay["targetQuality"]> = {
+  "slow": (_, random) => ({
+    workFactor: random() < BAD_SHARE ? SLOW_FACTOR : 1,
+    isError: false,
+  }),
+  "failing": (_, random) => ({
+    workFactor: 1,
+    isError: random() < BAD_SHARE,
+  }),
+  "failing under load": ({ runningCount }, random) => ({
+    workFactor: 1,
+    isError: runningCount >= 3 && random() < BAD_SHARE,
+  }),
+};
+
+function exposureFault(
+  { requestCount, targetCount, targetsMs, badAnswersMs }: RolloutOutcome,
+): string | undefined {
+  const allowedCount = CANARY_SHARE * requestCount + CANARY_SLACK;
+  if (targetCount > allowedCount) {
+    return `${targetCount} requests of ${requestCount}`;
+  }
+  const lastBadMs = badAnswersMs[BAD_ANSWER_COUNT - 1] ?? Infinity;
+  const lateCount = targetsMs.filter((atMs) => atMs > lastBadMs + ROLLBACK_MS)
+    .length;
+  return lateCount > 0 ? `${lateCount} requests late` : undefined;
+}
+
+for (const [name, targetQuality] of Object.entries(QUALITIES)) {
+  // Guards against EXPOSURE: a bad version of a plain service that is kept.
+  test(`a bad version of a plain service gets no more requests than allowed: ${name}`, () => {
+    const faults: string[] = [];
+    for (let seed = 1; seed <= SEED_COUNT; seed++) {
+      const outcome = playRollout({ ...SMALL_SITE, seed, targetQuality });
+      const fault = exposureFault(outcome);
+      if (fault !== undefined) faults.push(`seed ${seed}: ${fault}`);
+    }
+    assert.deepEqual(faults, []);
+  });
+}
+
+test("a good version of a plain service is completed in time", () => {
+  const late: string[] = [];
+  for (let seed = 1; seed <= SEED_COUNT; seed++) {
+    const { stage, stageMs } = playRollout({
+      ...SMALL_SITE,
+      seed,
+      targetQuality: goodQuality,
+    });
+    if (stage === "completed" && stageMs < SMALL_SITE.durationMs) continue;
+    late.push(`seed ${seed}: ${stage} at ${stageMs} ms`);
+  }
+  assert.deepEqual(late, []);
+});
--- /dev/null
+++ b/src/gateway/rollout_play_fixture.ts
@@ -0,0 +1,366 @@
+/**
+ * Roll-outs of a plain service in virtual time. VMs choose versions and servers,
+ * tally answers and exchange tallies by the product's own code; servers have
+ * slots and a queue, and the target's answers may fail or be slow.
+ */
+import { dueStage, isEnded } from "../decision/mod.ts";
+import { routeOf, serverOf } from "../decision/manifest_fixture.ts";
+import { seededRandom } from "../decision/membership_fixture.ts";
+import {
+  type BackendServer,
+  type Random,
+  type RolloutStage,
+  silentLogger,
+} from "../model/mod.ts";
+import { type InFlightRequest } from "./backend_fleet.ts";
+import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
+import { forwardContextOf } from "./forward_context_fixture.ts";
+import { testProtocol } from "./gateway_fixture.ts";
+import { RolloutRegistry } from "./rollout_registry.ts";
+import { createRolloutReports } from "./rollout_report.ts";
+import { chooseServer } from "./server_choice.ts";
+
+/** How a version answers one request. */
+export interface AnswerQuality {
+  readonly workFactor: number;
+  readonly isError: boolean;
+}
+
+/** What is played. */
+export interface RolloutPlay {
+  readonly seed: number;
+  readonly vmCount: number;
+  /** The first VM of each place is its store reader. */
+  readonly placeCount: number;
+  /** Servers of each of the two versions. */
+  readonly serverCount: number;
+  readonly requestsPerSecond: number;
+  readonly durationMs: number;
+  /** How the target answers, by the requests that its server runs. */
+  readonly targetQuality: (
+    server: { readonly runningCount: number },
+    random: Random,
+  ) => AnswerQuality;
+}
+
+/** What was seen; times count from the order. */
+export interface RolloutOutcome {
+  readonly requestCount: number;
+  /** Requests that reached the target before the roll-out's limit. */
+  readonly targetCount: number;
+  readonly targetsMs: readonly number[];
+  readonly badAnswersMs: readonly number[];
+  readonly stage: RolloutStage | undefined;
+  readonly stageMs: number;
+}
+
+interface Vm {
+  readonly name: string;
+  readonly place: string;
+  readonly context: ForwardContext;
+  readonly registry: RolloutRegistry;
+}
+
+interface Job {
+  readonly vm: Vm;
+  readonly inFlight: InFlightRequest;
+  readonly sentAtMs: number;
+  endsAtMs: number;
+  isBad: boolean;
+  isError: boolean;
+}
+
+interface Server {
+  readonly server: BackendServer;
+  readonly running: Set<Job>;
+  readonly queue: Job[];
+}
+
+export const CANARY_SHARE = 0.15;
+const SERVICE = "desk";
+const TARGET = "v2";
+const STEP_MS = 5;
+/** The order is placed once the VMs have served for this long. */
+const ORDER_AT_MS = 2000;
+/** Requests go on for this long after the roll-out's limit. */
+const AFTERMATH_MS = 15_000;
+const SLOT_COUNT = 6;
+/** Median and scatter (of the logarithm) of the work of a request. */
+const WORK_MS = 90;
+const WORK_SCATTER = 0.45;
+/** Share of requests that a good version fails. */
+const USUAL_ERROR_SHARE = 0.01;
+const NETWORK_MS = 8;
+const EVALUATE_MS = 200;
+const EXCHANGE_MS = 400;
+const READER_EXCHANGE_MS = 700;
+/** The product's own quality: as fast as any, few errors. */
+export function goodQuality(_: unknown, random: Random): AnswerQuality {
+  return { workFactor: 1, isError: random() < USUAL_ERROR_SHARE };
+}
+
+/** Plays one roll-out. */
+export function playRollout(play: RolloutPlay): RolloutOutcome {
+  return new Simulation(play).run();
+}
+
+class Simulation {
+  readonly #play: RolloutPlay;
+  readonly #random: Random;
+  readonly #clock = { nowMs: 0 };
+  readonly #servers: Server[] = [];
+  readonly #vms: readonly Vm[];
+  readonly #targetsMs: number[] = [];
+  readonly #badAnswersMs: number[] = [];
+  #requestCount = 0;
+  #stageMs = Infinity;
+
+  constructor(play: RolloutPlay) {
+    this.#play = play;
+    this.#random = seededRandom(play.seed);
+    for (const version of ["v1", TARGET]) {
+      for (let index = 0; index < play.serverCount; index++) {
+        const server = serverOf(`${version}-${index}`, {
+          service: SERVICE,
+          version,
+          slotCount: SLOT_COUNT,
+          place: `place-${index % play.placeCount}`,
+        });
+        this.#servers.push({ server, running: new Set(), queue: [] });
+      }
+    }
+    this.#vms = Array.from(
+      { length: play.vmCount },
+      (_, index) => this.#createVm(index),
+    );
+  }
+
+  run(): RolloutOutcome {
+    const { durationMs, requestsPerSecond } = this.#play;
+    const endMs = ORDER_AT_MS + durationMs + AFTERMATH_MS;
+    for (let nowMs = 0; nowMs < endMs; nowMs += STEP_MS) {
+      this.#clock.nowMs = nowMs;
+      if (nowMs === ORDER_AT_MS) this.#order();
+      for (const server of this.#servers) this.#advance(server);
+      if (this.#random() < requestsPerSecond * STEP_MS / 1000) this.#arrive();
+      this.#exchange();
+      if (nowMs % EVALUATE_MS !== 0) continue;
+      for (const { registry } of this.#vms) registry.evaluate();
+      this.#writeStage();
+    }
+    return {
+      requestCount: this.#requestCount,
+      targetCount: this.#targetsMs.filter((atMs) => atMs < durationMs).length,
+      targetsMs: this.#targetsMs,
+      badAnswersMs: this.#badAnswersMs,
+      stage: this.#vms[0]?.registry.rollouts.get(SERVICE)?.stage,
+      stageMs: this.#stageMs,
+    };
+  }
+
+  #createVm(index: number): Vm {
+    const place = `place-${index % this.#play.placeCount}`;
+    const { context } = forwardContextOf(
+      this.#servers.map(({ server }) => server),
+      this.#clock,
+    );
+    const registry = new RolloutRegistry({
+      fleet: context.fleet,
+      canaryShare: CANARY_SHARE,
+      sessionMs: 5000,
+      clock: context.clock,
+      logger: silentLogger,
+    });
+    registry.recordVersions([SERVICE]);
+    return {
+      name: `vm-${index}`,
+      place,
+      registry,
+      context: {
+        ...context,
+        versions: registry,
+        random: this.#random,
+        distanceMs: (other) => other === place ? 0 : 80,
+      },
+    };
+  }
+
+  #order(): void {
+    const { durationMs } = this.#play;
+    for (const { registry } of this.#vms) {
+      registry.applyOrder(
+        { service: SERVICE, target: TARGET, durationMs, offset: 1 },
+        true,
+      );
+    }
+  }
+
+  get #sinceOrderMs(): number {
+    return this.#clock.nowMs - ORDER_AT_MS;
+  }
+
+  #arrive(): void {
+    const vm = this.#pick(this.#vms);
+    const id = `r-${this.#clock.nowMs}`;
+    const accepts = this.#sinceOrderMs < 0
+      ? (version: string) => version !== TARGET
+      : vm.registry.acceptorOf(SERVICE, {
+        key: id,
+        isMultiRequest: false,
+        failedVersion: undefined,
+      });
+    const candidate = chooseServer(vm.context, this.#requestOf(id), {
+      acceptsVersion: accepts,
+      triedIds: new Set(),
+      model: undefined,
+      isRetriable: false,
+    });
+    const isCounted = this.#sinceOrderMs >= 0 &&
+      this.#sinceOrderMs < this.#play.durationMs;
+    if (isCounted) this.#requestCount += 1;
+    if (candidate === undefined) return;
+    const { server } = candidate;
+    const state = this.#servers.find((one) => one.server.id === server.id);
+    if (state === undefined) return;
+    if (server.version === TARGET) this.#targetsMs.push(this.#sinceOrderMs);
+    vm.registry.adjustInFlight(SERVICE, server.version, 1);
+    state.queue.push({
+      vm,
+      inFlight: vm.context.fleet.trackRequest(server),
+      sentAtMs: this.#clock.nowMs,
+      endsAtMs: Infinity,
+      isBad: false,
+      isError: false,
+    });
+  }
+
+  #advance(state: Server): void {
+    const { server, running, queue } = state;
+    const { nowMs } = this.#clock;
+    for (const job of running) {
+      if (nowMs < job.endsAtMs) continue;
+      running.delete(job);
+      this.#finish(state, job);
+    }
+    while (running.size < SLOT_COUNT) {
+      const [job] = queue;
+      if (job === undefined || nowMs < job.sentAtMs + NETWORK_MS) return;
+      queue.shift();
+      running.add(job);
+      const quality = server.version === TARGET
+        ? this.#play.targetQuality({ runningCount: running.size }, this.#random)
+        : goodQuality(undefined, this.#random);
+      job.isError = quality.isError;
+      job.isBad = quality.workFactor > 1 || quality.isError;
+      job.endsAtMs = nowMs + quality.workFactor * this.#workMs() + NETWORK_MS;
+    }
+  }
+
+  #finish({ server, running, queue }: Server, job: Job): void {
+    const { vm, inFlight, isError } = job;
+    const { nowMs } = this.#clock;
+    inFlight.recordActivity();
+    inFlight.recordLoad({
+      runningCount: running.size,
+      waitingCount: queue.length,
+    });
+    inFlight.end(isError ? "error" : "success");
+    const isTarget = server.version === TARGET;
+    if (isTarget && job.isBad) this.#badAnswersMs.push(this.#sinceOrderMs);
+    vm.context.fleet.recordServiceTime(SERVICE, nowMs - job.sentAtMs);
+    vm.registry.adjustInFlight(SERVICE, server.version, -1);
+    vm.registry.record({
+      service: SERVICE,
+      version: server.version,
+      backendId: server.id,
+      route: "registrations",
+      isError,
+      firstByteMs: nowMs - job.sentAtMs,
+    });
+  }
+
+  #exchange(): void {
+    const { placeCount } = this.#play;
+    const readers = this.#vms.slice(0, placeCount);
+    for (const [index, vm] of this.#vms.entries()) {
+      const isReader = index < placeCount;
+      const periodMs = isReader ? READER_EXCHANGE_MS : EXCHANGE_MS;
+      if (this.#random() >= STEP_MS / periodMs) continue;
+      const other = isReader
+        ? this.#pick(readers.filter((reader) => reader !== vm))
+        : readers[index % placeCount];
+      if (other === undefined) continue;
+      this.#tell(vm, other);
+      this.#tell(other, vm);
+    }
+  }
+
+  #tell(from: Vm, to: Vm): void {
+    const { nowMs } = this.#clock;
+    const readers = this.#vms.slice(0, this.#play.placeCount);
+    const reports = createRolloutReports(from.registry, {
+      instance: from.name,
+      nowMs,
+      isSenderReader: readers.includes(from),
+      isReceiverReader: readers.includes(to),
+    });
+    for (const report of reports) {
+      const tallies = report.tallies.filter(({ vm }) => vm !== to.name);
+      to.registry.applyReport({ ...report, tallies }, {
+        nowMs,
+        sender: from.name,
+      });
+    }
+  }
+
+  /** The first reader writes the statuses; the others learn them from it. */
+  #writeStage(): void {
+    const registry = this.#vms[0]?.registry;
+    const rollout = registry?.rollouts.get(SERVICE);
+    if (registry === undefined || rollout === undefined) return;
+    const { nowMs } = this.#clock;
+    const stage = dueStage(rollout, {
+      nowMs,
+      otherInFlightCount: registry.otherInFlightCount(rollout) +
+        rollout.peerInFlightCount(nowMs),
+    });
+    if (stage === undefined) return;
+    if (isEnded(stage)) this.#stageMs = this.#sinceOrderMs;
+    registry.applyStatus({
+      service: SERVICE,
+      target: TARGET,
+      stage,
+      orderOffset: rollout.order.offset,
+    });
+  }
+
+  #requestOf(id: string): ForwardRequest {
+    const caller = testProtocol.readRequest({
+      method: "POST",
+      target: "/desk/one",
+      rawHeaders: ["test-id", id],
+    });
+    if (typeof caller === "string") throw new TypeError(caller);
+    return {
+      caller,
+      route: routeOf({ kind: "non_idempotent", isResumable: false }),
+      service: SERVICE,
+      workspace: undefined,
+      manifestVersion: 1,
+      body: Buffer.alloc(0),
+      receivedAtMs: this.#clock.nowMs,
+    };
+  }
+
+  #workMs(): number {
+    const normal = Math.sqrt(-2 * Math.log(1 - this.#random())) *
+      Math.cos(2 * Math.PI * this.#random());
+    return WORK_MS * Math.exp(WORK_SCATTER * normal);
+  }
+
+  #pick<Item>(items: readonly Item[]): Item {
+    const item = items[Math.floor(this.#random() * items.length)];
+    if (item === undefined) throw new RangeError("nothing to pick from");
+    return item;
+  }
+}
