Find a version of which only a part of the answers is slow

Callers of a plain service waited eight times longer for half of its answers after a roll-out, which got 146 to 182 requests where 81 to 92 were allowed.

Cause: the comparison asks for geometric means that differ by 3.5, and a half that is eight times slower moves a mean by 2.8. Ruled out: late exchanges (five VMs had the same finding within 0.45 s, 1.3 s after the full share).

Change: VMs count times by half octave and route, and the target is bad if the share of its answers that are four times or more above the others' median is far likelier for a bad version. Answers of one packet add 14 to 28 bytes for each route and version.

--- a/src/decision/mod.ts
+++ b/src/decision/mod.ts
@@ -40,6 +40,8 @@
 export * from "./shutdown.ts";
 export * from "./slowness.ts";
 export * from "./subset.ts";
+export { MAX_TIME_BUCKETS } from "./time_counts.ts";
+export { targetFault } from "./version_fault.ts";
 export * from "./version_tally.ts";
 export * from "./version_watch.ts";
 export {
--- /dev/null
+++ b/src/decision/time_counts.ts
@@ -0,0 +1,132 @@
+/**
+ * Counts of times by half octave, for versions of which only some answers are
+ * slow: these hardly move a mean, but the share of answers beyond the times of
+ * the other versions tells them apart.
+ */
+import { logLikelihoodRatio } from "./log_likelihood.ts";
+
+/** Counts by half octave of milliseconds; missing ones at the end are 0. */
+export type TimeCounts = readonly number[];
+
+/** Counts by route. */
+export type GroupedTimeCounts = Readonly<Record<string, TimeCounts>>;
+
+/** What the slow answers of a version say against it. */
+export interface SlowEvidence {
+  /** Log likelihood ratio of a bad version against one like the others. */
+  readonly evidence: number;
+  readonly slowCount: number;
+  readonly count: number;
+}
+
+/** Counts of times of this length and above are one. */
+export const MAX_TIME_BUCKETS = 28;
+const BUCKETS_PER_OCTAVE = 2;
+/** A lower time never counts as slow. */
+const MIN_SLOW_MS = 150;
+/** Half octaves above the others' median from which answers may be slow. */
+const SLOW_OFFSETS = [4, 5, 6, 7] as const;
+/** Answers of the other versions from which their median is known. */
+const MIN_OTHER_COUNT = 10;
+/** Share of slow answers of a bad version. */
+const BAD_SHARE = 0.3;
+/** Highest share of slow answers that is assumed for the other versions. */
+const MAX_OTHERS_SHARE = 0.15;
+/** Lower bound and factor of the share assumed for the other versions. */
+const MIN_OTHERS_SHARE = 0.02;
+const OTHERS_FACTOR = 1.5;
+
+const NO_EVIDENCE: SlowEvidence = { evidence: 0, slowCount: 0, count: 0 };
+
+/** Returns the counts of one time. */
+export function timeCountsOf(ms: number): TimeCounts {
+  const counts = Array<number>(bucketOf(ms) + 1).fill(0);
+  counts[counts.length - 1] = 1;
+  return counts;
+}
+
+/** Returns the sum of both, or the difference with a sign of -1. */
+export function combineTimeCounts(
+  a: GroupedTimeCounts,
+  b: GroupedTimeCounts,
+  sign: 1 | -1,
+): GroupedTimeCounts {
+  const result: Record<string, TimeCounts> = { ...a };
+  for (const [group, counts] of Object.entries(b)) {
+    const sum = [...result[group] ?? []];
+    for (const [bucket, count] of counts.entries()) {
+      sum[bucket] = (sum[bucket] ?? 0) + sign * count;
+    }
+    // An index beyond the end leaves holes.
+    result[group] = Array.from(sum, (count) => count ?? 0);
+  }
+  return result;
+}
+
+/**
+ * Returns the strongest evidence that a share of the answers is slow, over the
+ * routes that both have. What is slow on a route follows from its median.
+ */
+export function slowEvidence(
+  target: GroupedTimeCounts,
+  others: GroupedTimeCounts,
+): SlowEvidence {
+  let strongest = NO_EVIDENCE;
+  for (const offset of SLOW_OFFSETS) {
+    const sums = { slowCount: 0, count: 0, otherSlowCount: 0, otherCount: 0 };
+    for (const [route, counts] of Object.entries(target)) {
+      const otherCounts = others[route] ?? [];
+      const otherCount = total(otherCounts);
+      if (otherCount < MIN_OTHER_COUNT) continue;
+      const from = Math.max(
+        bucketOf(MIN_SLOW_MS) + 1,
+        medianBucket(otherCounts) + offset,
+      );
+      sums.slowCount += total(counts.slice(from));
+      sums.count += total(counts);
+      sums.otherSlowCount += total(otherCounts.slice(from));
+      sums.otherCount += otherCount;
+    }
+    const { slowCount, count } = sums;
+    const evidence = logLikelihoodRatio({ hitCount: slowCount, count }, {
+      share: BAD_SHARE,
+      otherShare: othersShare(sums),
+    });
+    if (evidence > strongest.evidence) {
+      strongest = { evidence, slowCount, count };
+    }
+  }
+  return strongest;
+}
+
+/** One answer more counts as slow, as a few answers may all be fast by chance. */
+function othersShare(
+  { otherSlowCount, otherCount }: {
+    readonly otherSlowCount: number;
+    readonly otherCount: number;
+  },
+): number {
+  return Math.min(
+    MAX_OTHERS_SHARE,
+    MIN_OTHERS_SHARE + OTHERS_FACTOR * (otherSlowCount + 1) / (otherCount + 1),
+  );
+}
+
+function bucketOf(ms: number): number {
+  const bucket = Math.floor(BUCKETS_PER_OCTAVE * Math.log2(Math.max(1, ms)));
+  return Math.min(MAX_TIME_BUCKETS - 1, bucket);
+}
+
+function medianBucket(counts: TimeCounts): number {
+  const half = total(counts) / 2;
+  let sum = 0;
+  for (const [bucket, count] of counts.entries()) {
+    sum += count;
+    if (sum >= half) return bucket;
+  }
+  return 0;
+}
+
+function total(counts: TimeCounts): number {
+  return counts.reduce((sum, count) => sum + count, 0);
+}
--- a/src/decision/version_tally.ts
+++ b/src/decision/version_tally.ts
@@ -1,19 +1,20 @@
 /**
  * Failures and times to the first byte of the target version of a roll-out and
- * of the other versions of its service, by route. The target is worse if its
- * failures are far more likely at the failure rate of a bad version than at the
- * rate of the other versions, if its answers begin several times later, or if
- * the parts of its answers come several times slower.
+ * of the other versions of its service, by route, and the pace of their answers.
  */
 import {
   combineGroups,
   combineLogSums,
-  compareLogSums,
   EMPTY_LOG_SUMS,
   type GroupedLogSums,
   type LogSums,
   logSumsOf,
 } from "./log_sums.ts";
+import {
+  combineTimeCounts,
+  type GroupedTimeCounts,
+  timeCountsOf,
+} from "./time_counts.ts";
 
 /** Request counts of one route, and the times to the first byte. */
 export interface RouteTally extends LogSums {
@@ -28,6 +29,9 @@
   readonly others: RouteTallies;
   /** Some of the target's servers that failed requests. */
   readonly failingIds: readonly string[];
+  /** Times to the first byte, by route. */
+  readonly targetTimes: GroupedTimeCounts;
+  readonly otherTimes: GroupedTimeCounts;
   /** Pauses between the parts of an answer, by model. */
   readonly targetPaces: GroupedLogSums;
   readonly otherPaces: GroupedLogSums;
@@ -59,6 +63,8 @@
   target: {},
   others: {},
   failingIds: [],
+  targetTimes: {},
+  otherTimes: {},
   targetPaces: {},
   otherPaces: {},
   pacedIds: [],
@@ -70,29 +76,6 @@
 const MAX_IDS = 4;
 /** Longer times to the first byte are clamped to this. */
 const MAX_FIRST_BYTE_MS = 10_000;
-/** Failure share of a bad version. */
-const BAD_SHARE = 0.3;
-/** Lower bound of the failure share assumed for the other versions. */
-const MIN_OTHERS_SHARE = 0.02;
-/** Factor on the observed failure share of the other versions. */
-const OTHERS_FACTOR = 1.5;
-const MIN_ERRORS = 3;
-/** Threshold of the log likelihood ratio for a bad version. */
-const MIN_EVIDENCE = 5;
-/** Standard deviation of the logarithm of times of one group, at least. */
-const MIN_SCATTER = 0.4;
-/** Ratio of times to the first byte from which the target counts as slow. */
-const SLOW_FACTOR = 3.5;
-/** Standard errors by which the difference has to differ from 0. */
-const SLOW_ERRORS = 4;
-/** Requests needed on each side to compare times. */
-const MIN_SLOW_COUNT = 6;
-/** A lower geometric mean time never counts as slow. */
-const MIN_SLOW_MS = 150;
-/** The same for the pauses between parts, which scatter less. */
-const SLOW_PACE_FACTOR = 2;
-const SLOW_PACE_ERRORS = 3.5;
-const MIN_PACE_COUNT = 4;
 /** Share by which each running request prolongs the others' pauses. */
 const PAUSE_SHARE_PER_REQUEST = 0.05;
 
@@ -109,6 +92,10 @@
     failingIds: isTarget && isError
       ? withId(tally.failingIds, backendId)
       : tally.failingIds,
+    targetTimes: isTarget
+      ? addTime(tally.targetTimes, sample)
+      : tally.targetTimes,
+    otherTimes: isTarget ? tally.otherTimes : addTime(tally.otherTimes, sample),
   };
 }
 
@@ -135,6 +122,8 @@
       target: combineRoutes(merged.target, tally.target, 1),
       others: combineRoutes(merged.others, tally.others, 1),
       failingIds: union(merged.failingIds, tally.failingIds),
+      targetTimes: combineTimeCounts(merged.targetTimes, tally.targetTimes, 1),
+      otherTimes: combineTimeCounts(merged.otherTimes, tally.otherTimes, 1),
       targetPaces: combineGroups(merged.targetPaces, tally.targetPaces, 1),
       otherPaces: combineGroups(merged.otherPaces, tally.otherPaces, 1),
       pacedIds: union(merged.pacedIds, tally.pacedIds),
@@ -144,9 +133,9 @@
 }
 
 /**
- * Returns the counts added since an earlier state of the same tally. The pace of
- * the other versions is that of the whole time: at the end of a roll-out they
- * have few requests left, and their servers are idle.
+ * Returns the counts added since an earlier state of the same tally. The pace
+ * and the spread of times of the other versions are those of the whole time: at
+ * the end of a roll-out they have few requests left, and their servers are idle.
  */
 export function tallySince(
   tally: VersionTally,
@@ -156,15 +145,11 @@
     ...tally,
     target: combineRoutes(tally.target, earlier.target, -1),
     others: combineRoutes(tally.others, earlier.others, -1),
+    targetTimes: combineTimeCounts(tally.targetTimes, earlier.targetTimes, -1),
     targetPaces: combineGroups(tally.targetPaces, earlier.targetPaces, -1),
   };
 }
 
-/** Returns why the target is worse than the other versions, if it is. */
-export function targetFault(tally: VersionTally): string | undefined {
-  return timeFault(tally) ?? errorFault(tally) ?? paceFault(tally);
-}
-
 /** The sums of a tally over all routes, for logs. */
 export interface TallySummary {
   readonly count: number;
@@ -175,80 +160,13 @@
 
 /** Sums up a version's requests. */
 export function summarise(routes: RouteTallies): TallySummary {
-  const { count, errorCount, logSum } = total(routes);
+  const { count, errorCount, logSum } = totalOf(routes);
   const meanMs = count === 0 ? undefined : Math.round(Math.exp(logSum / count));
   return { count, errorCount, meanMs };
 }
 
 const EMPTY_ROUTE: RouteTally = { ...EMPTY_LOG_SUMS, errorCount: 0 };
 
-function timeFault({ target, others }: VersionTally): string | undefined {
-  const groups: [string, RouteTallies][] = Object.entries(target).map((
-    [route, tally],
-  ) => [route, { [route]: tally }]);
-  groups.push(["all routes", target]);
-  for (const [name, routes] of groups) {
-    if (meanOf(total(routes)) < Math.log(MIN_SLOW_MS)) continue;
-    const compared = compareLogSums(routes, others, {
-      minScatter: MIN_SCATTER,
-    });
-    if (compared === undefined) continue;
-    const { count, otherCount, difference, standardError } = compared;
-    if (Math.min(count, otherCount) < MIN_SLOW_COUNT) continue;
-    if (difference < Math.log(SLOW_FACTOR)) continue;
-    if (difference < SLOW_ERRORS * standardError) continue;
-    return `${name}: ${count} answers several times slower`;
-  }
-  return undefined;
-}
-
-function paceFault(
-  { targetPaces, otherPaces, pacedIds }: VersionTally,
-): string | undefined {
-  // One slow server is a fault of the server, not the version.
-  if (pacedIds.length < 2) return undefined;
-  const compared = compareLogSums(targetPaces, otherPaces, {
-    minScatter: MIN_SCATTER,
-  });
-  if (compared === undefined) return undefined;
-  const { count, otherCount, difference, standardError } = compared;
-  if (Math.min(count, otherCount) < MIN_PACE_COUNT) return undefined;
-  if (difference < Math.log(SLOW_PACE_FACTOR)) return undefined;
-  if (difference < SLOW_PACE_ERRORS * standardError) return undefined;
-  return `the parts of ${count} answers came several times slower`;
-}
-
-function errorFault(
-  { target, others, failingIds }: VersionTally,
-): string | undefined {
-  // Failures of a single server are a fault of the server, not the version.
-  if (failingIds.length < 2) return undefined;
-  const groups: [string, RouteTally, RouteTally][] = Object.entries(target)
-    .map(([route, tally]) => [route, tally, others[route] ?? EMPTY_ROUTE]);
-  groups.push(["all routes", total(target), total(others)]);
-  for (const [name, targetTally, othersTally] of groups) {
-    if (errorEvidence(targetTally, othersTally) < MIN_EVIDENCE) continue;
-    return `${name}: ${targetTally.errorCount} of ${targetTally.count} failed`;
-  }
-  return undefined;
-}
-
-function errorEvidence(target: RouteTally, others: RouteTally): number {
-  if (target.errorCount < MIN_ERRORS) return 0;
-  const othersShare = Math.min(
-    BAD_SHARE / 2,
-    MIN_OTHERS_SHARE +
-      OTHERS_FACTOR * others.errorCount / Math.max(1, others.count),
-  );
-  const successCount = target.count - target.errorCount;
-  return target.errorCount * Math.log(BAD_SHARE / othersShare) +
-    successCount * Math.log((1 - BAD_SHARE) / (1 - othersShare));
-}
-
-function meanOf({ count, logSum }: LogSums): number {
-  return count === 0 ? 0 : logSum / count;
-}
-
 function withId(ids: readonly string[], id: string): readonly string[] {
   return ids.includes(id) || ids.length >= MAX_IDS ? ids : [...ids, id];
 }
@@ -257,7 +175,8 @@
   return [...new Set([...a, ...b])];
 }
 
-function total(tallies: RouteTallies): RouteTally {
+/** Returns the sum over all routes. */
+export function totalOf(tallies: RouteTallies): RouteTally {
   let sum = EMPTY_ROUTE;
   for (const tally of Object.values(tallies)) sum = combineRoute(sum, tally, 1);
   return sum;
@@ -296,3 +215,12 @@
     [sample.route]: combineRoute(current ?? EMPTY_ROUTE, sampleTally, 1),
   };
 }
+
+function addTime(
+  times: GroupedTimeCounts,
+  { route, firstByteMs }: TallySample,
+): GroupedTimeCounts {
+  const isFull = Object.keys(times).length >= MAX_GROUPS;
+  if (isFull && times[route] === undefined) return times;
+  return combineTimeCounts(times, { [route]: timeCountsOf(firstByteMs) }, 1);
+}
--- a/src/decision/version_tally_test.ts
+++ b/src/decision/version_tally_test.ts
@@ -11,9 +11,9 @@
   type PaceSample,
   type TallySample,
   tallySince,
-  targetFault,
   type VersionTally,
 } from "./version_tally.ts";
+import { targetFault } from "./version_fault.ts";
 
 /** Standard deviation of the logarithm of times, as on played days. */
 const SCATTER = 1.2;
--- a/src/gateway/peer_update.ts
+++ b/src/gateway/peer_update.ts
@@ -7,6 +7,7 @@
 import { z } from "zod";
 import {
   MAX_SHARED_OBSERVATIONS,
+  MAX_TIME_BUCKETS,
   type RouteTallies,
   type SharedLoad,
 } from "../decision/mod.ts";
@@ -72,6 +73,8 @@
   logSquareSum: logMsSquareSum ?? logMsSum ** 2 / Math.max(1, count),
 }));
 
+const timeCountsSchema = z.array(countSchema).max(MAX_TIME_BUCKETS).readonly();
+
 const vmTallySchema = z.object({
   vm: nameSchema,
   sequence: countSchema,
@@ -81,6 +84,8 @@
     others: z.record(nameSchema, routeTallySchema),
     failingIds: z.array(nameSchema).max(MAX_FAILING_IDS).readonly(),
     /** Absent from VMs of an earlier release. */
+    targetTimes: z.record(nameSchema, timeCountsSchema).default({}),
+    otherTimes: z.record(nameSchema, timeCountsSchema).default({}),
     targetPaces: z.record(nameSchema, logSumsSchema).default({}),
     otherPaces: z.record(nameSchema, logSumsSchema).default({}),
     pacedIds: z.array(nameSchema).max(MAX_FAILING_IDS).readonly().default([]),
--- a/src/gateway/peer_update_test.ts
+++ b/src/gateway/peer_update_test.ts
@@ -3,7 +3,12 @@
 import { test } from "node:test";
 import { decode, encode } from "cbor-x";
 import fc from "fast-check";
-import { MAX_SHARED_OBSERVATIONS } from "../decision/mod.ts";
+import {
+  addPace,
+  addSample,
+  EMPTY_TALLY,
+  MAX_SHARED_OBSERVATIONS,
+} from "../decision/mod.ts";
 import {
   encodePeerUpdate,
   parseBusyNotice,
@@ -143,3 +148,47 @@
   assert.deepEqual(parsed?.crashes, []);
   assert.deepEqual(parsed?.survived, []);
 });
+
+test("the tally of a roll-out arrives as it was sent", () => {
+  let tally = EMPTY_TALLY;
+  for (const [index, firstByteMs] of [3, 90, 110, 700, 60_000].entries()) {
+    const isTarget = index % 2 === 0;
+    const isError = index === 4;
+    const backendId = `server-${index}`;
+    tally = addSample(tally, {
+      route: "drafts",
+      isTarget,
+      isError,
+      firstByteMs,
+      backendId,
+    });
+    tally = addPace(tally, {
+      model: "small",
+      isTarget,
+      pauseMs: 20,
+      runningCount: 2,
+      backendId,
+    });
+  }
+  const sent = encodePeerUpdate({
+    teller: "vm-1",
+    have: { operators: 1, servers: null },
+    topics: {},
+    rollouts: [{
+      service: "drafting",
+      orderOffset: 1,
+      ageMs: 4000,
+      fault: null,
+      stage: "active",
+      isStageKnown: true,
+      tallies: [{ vm: "vm-1", sequence: 1, tally, otherInFlightCount: 2 }],
+    }],
+    loads: [],
+    limits: [],
+    leaving: [],
+    crashes: [],
+    survived: [],
+  });
+  const received = parsePeerUpdate(decode(encode(sent)));
+  assert.deepEqual(received?.rollouts[0]?.tallies[0]?.tally, tally);
+});
--- a/tools/server_mechanisms.ts
+++ b/tools/server_mechanisms.ts
@@ -90,10 +90,17 @@
     tests: ["src/gateway/prompt_quarantine_test.ts"],
   },
   {
-    name: "pace of versions",
-    file: "src/decision/version_tally.ts",
-    source: "?? paceFault(tally)",
+    name: "share of slow answers",
+    file: "src/decision/version_fault.ts",
+    source: "?? slowFault(tally)",
     replacement: "",
+    tests: ["src/decision/time_counts_test.ts"],
+  },
+  {
+    name: "pace of versions",
+    file: "src/decision/version_fault.ts",
+    source: "paceFault(tally);",
+    replacement: "undefined;",
     tests: ["src/decision/version_tally_test.ts"],
   },
   {
