Use the target for all requests only as long as its exposure allows

Callers of a plain service got errors from a version that fails under load: it got 138 to 177 requests of some 380, where 81 to 91 were allowed.

Cause: the share of the target rose to all by the clock, from 66 % of the time on, and the roll-out completed 4 % later, whether or not anything had shown that the target is sound. A fault that shows only at the full share comes after the exposure that is allowed, and after `completed`.

Change: the canary phase lasts until the allowed exposure is enough to run everything on the target up to the limit. The bound is then kept by the schedule also where no fault is found, and there are two times the answers to find one in.

--- a/src/decision/ordered_rollout.ts
+++ b/src/decision/ordered_rollout.ts
@@ -1,32 +1,26 @@
 /**
- * A roll-out ordered by the operators, with a time limit. In the canary phase,
- * about the first half, a small share of the sessions runs on the target
- * version, so that a bad target is detected early and few sessions use both
- * versions. Then the share rises to 1. The roll-out is completed once no
- * request runs on another version, or shortly before the limit. From the first
- * fault on, the target's share is 0.
+ * A roll-out ordered by the operators, with a time limit. In the canary phase a
+ * small share of the sessions runs on the target version, so that a bad target
+ * is detected early and few sessions use both versions. All sessions run on the
+ * target only for as long before the limit as the allowed exposure lasts: a bad
+ * target keeps to it by then, also one whose fault nobody has noticed. From the
+ * first fault on, the target's share is 0. The roll-out is completed once no
+ * request runs on another version, or shortly before the limit.
  */
 import { type RolloutOrder, type RolloutStage } from "../model/mod.ts";
 
-/** Share of the allowed canary exposure that is used. */
+/** Share of the allowed exposure at which the canary phase runs. */
 const CANARY_USE_SHARE = 0.5;
-/** Share of sessions on the target, by elapsed share of the duration. */
-const RAMP: readonly {
-  readonly fromElapsedShare: number;
-  readonly share: number;
-}[] = [
-  { fromElapsedShare: 0.66, share: 1 },
-  { fromElapsedShare: 0.6, share: 0.5 },
-  { fromElapsedShare: 0.53, share: 0.25 },
-];
-/** Elapsed share from which the roll-out completes if no other version runs. */
-const COMPLETE_IF_EMPTY_FROM_SHARE = 0.7;
+/** Elapsed share of the last phase from which an empty roll-out completes. */
+const COMPLETE_IF_EMPTY_FROM_SHARE = 0.25;
 /** Elapsed share from which it completes even if other versions still run. */
-const COMPLETE_FROM_SHARE = 0.88;
+const COMPLETE_FROM_SHARE = 0.6;
 
 /** The state of a roll-out on this VM. */
 export interface OrderedRollout {
   readonly order: RolloutOrder;
+  /** Share of the requests within the limit that a bad target may get. */
+  readonly canaryShare: number;
   /** Time of the order, on this VM's clock. */
   readonly startedAtMs: number;
   /** Reason why the target is bad; absent if it is not. */
@@ -51,22 +45,20 @@
 /** Share of sessions that run on the target. */
 export function targetSessionShare(
   rollout: OrderedRollout,
-  options: { readonly nowMs: number; readonly canaryShare: number },
+  nowMs: number,
 ): number {
   const { stage, fault } = rollout;
   if (stage === "completed") return 1;
   if (stage === "reverted" || fault !== undefined) return 0;
-  const elapsed = elapsedShare(rollout, options.nowMs);
-  for (const { fromElapsedShare, share } of RAMP) {
-    if (elapsed >= fromElapsedShare) return share;
-  }
-  return options.canaryShare * CANARY_USE_SHARE;
+  return elapsedShare(rollout, nowMs) < canaryUntilShare(rollout)
+    ? canaryUseOf(rollout)
+    : 1;
 }
 
 /** Whether the canary phase runs, in which sessions stay on their version. */
 export function isCanaryPhase(rollout: OrderedRollout, nowMs: number): boolean {
   return rollout.stage !== "completed" &&
-    elapsedShare(rollout, nowMs) < (RAMP.at(-1)?.fromElapsedShare ?? 0.5);
+    elapsedShare(rollout, nowMs) < canaryUntilShare(rollout);
 }
 
 /** Returns the stage to write now, if any. */
@@ -77,9 +69,21 @@
   const { stage, fault } = rollout;
   if (isEnded(stage)) return undefined;
   if (fault !== undefined) return "reverted";
-  const elapsed = elapsedShare(rollout, options.nowMs);
   const isEmpty = options.otherInFlightCount === 0;
-  if (elapsed >= COMPLETE_FROM_SHARE) return "completed";
-  if (elapsed >= COMPLETE_IF_EMPTY_FROM_SHARE && isEmpty) return "completed";
+  const dueFromShare = isEmpty
+    ? COMPLETE_IF_EMPTY_FROM_SHARE
+    : COMPLETE_FROM_SHARE;
+  const canaryUntil = canaryUntilShare(rollout);
+  const completeFrom = canaryUntil + dueFromShare * (1 - canaryUntil);
+  if (elapsedShare(rollout, options.nowMs) >= completeFrom) return "completed";
   return stage === undefined ? "active" : undefined;
 }
+
+function canaryUseOf({ canaryShare }: OrderedRollout): number {
+  return canaryShare * CANARY_USE_SHARE;
+}
+
+/** Elapsed share from which the allowed exposure lasts until the limit. */
+function canaryUntilShare(rollout: OrderedRollout): number {
+  return (1 - rollout.canaryShare) / (1 - canaryUseOf(rollout));
+}
--- a/src/gateway/rollout_record.ts
+++ b/src/gateway/rollout_record.ts
@@ -45,6 +45,7 @@
 /** The mutable state of one roll-out. */
 export class RolloutRecord implements OrderedRollout {
   readonly order: RolloutOrder;
+  readonly canaryShare: number;
   startedAtMs: number;
   fault: string | undefined;
   stage: RolloutStage | undefined;
@@ -58,9 +59,13 @@
 
   constructor(
     order: RolloutOrder,
-    initial: { readonly startedAtMs: number; readonly isStageKnown: boolean },
+    initial: Pick<
+      RolloutRecord,
+      "canaryShare" | "startedAtMs" | "isStageKnown"
+    >,
   ) {
     this.order = order;
+    this.canaryShare = initial.canaryShare;
     this.startedAtMs = initial.startedAtMs;
     this.isStageKnown = initial.isStageKnown;
   }
--- a/src/gateway/rollout_registry.ts
+++ b/src/gateway/rollout_registry.ts
@@ -76,10 +76,14 @@
   applyOrder(order: RolloutOrder, isNew: boolean): void {
     const current = this.#rollouts.get(order.service);
     if (current !== undefined && current.order.offset >= order.offset) return;
-    const { clock, logger } = this.#options;
+    const { clock, canaryShare, logger } = this.#options;
     this.#rollouts.set(
       order.service,
-      new RolloutRecord(order, { startedAtMs: clock(), isStageKnown: isNew }),
+      new RolloutRecord(order, {
+        canaryShare,
+        startedAtMs: clock(),
+        isStageKnown: isNew,
+      }),
     );
     const { service, target, durationMs, offset } = order;
     logger.info("roll-out ordered", {
@@ -258,10 +262,9 @@
     const hasFailed = failedVersion === target && !isEnded(rollout.stage);
     // A session of several requests keeps its version after a failed one.
     if (hasFailed && !isMultiRequest) return false;
-    const { clock, canaryShare } = this.#options;
-    const nowMs = clock();
+    const nowMs = this.#options.clock();
     if (!rollout.isStageKnown && rollout.stage !== "completed") return false;
-    const share = targetSessionShare(rollout, { nowMs, canaryShare });
+    const share = targetSessionShare(rollout, nowMs);
     if (share === 0 || share === 1) return share === 1;
     const stored = isMultiRequest
       ? this.#sessions.find(`${service} ${key}`)
