Try a roll-out's target under load, and decide before it gets all requests

Cause: the few requests that an unproved version gets never meet a busy server, so its fault first showed after `completed`, when there is no way back; and whatever was not shown by then counted as sound.

Answers of busy servers are compared by themselves. Before all requests run on the target it is decided whether they do, by less evidence than a fault needs.

--- a/src/decision/mod.ts
+++ b/src/decision/mod.ts
@@ -17,6 +17,7 @@
 export * from "./exposure.ts";
 export * from "./lease.ts";
 export * from "./load.ts";
+export * from "./load_trial.ts";
 export * from "./local_stops.ts";
 export * from "./member.ts";
 export * from "./log_sums.ts";
@@ -41,7 +42,7 @@
 export * from "./slowness.ts";
 export * from "./subset.ts";
 export { MAX_TIME_BUCKETS } from "./time_counts.ts";
-export { targetFault } from "./version_fault.ts";
+export { targetDoubt, targetFault } from "./version_fault.ts";
 export * from "./version_tally.ts";
 export * from "./version_watch.ts";
 export {
--- a/src/decision/ordered_rollout.ts
+++ b/src/decision/ordered_rollout.ts
@@ -11,10 +11,14 @@
 
 /** Share of the allowed exposure at which the canary phase runs. */
 const CANARY_USE_SHARE = 0.5;
+/** Elapsed share from which the target is tried under load. */
+const LOAD_TRIAL_FROM_SHARE = 0.4;
+/** How long before the last phase its beginning is decided, as a share of it. */
+const DECISION_LEAD_SHARE = 0.75;
 /** Elapsed share of the last phase from which an empty roll-out completes. */
-const COMPLETE_IF_EMPTY_FROM_SHARE = 0.25;
+const COMPLETE_IF_EMPTY_FROM_SHARE = 0.55;
 /** Elapsed share from which it completes even if other versions still run. */
-const COMPLETE_FROM_SHARE = 0.6;
+const COMPLETE_FROM_SHARE = 0.65;
 
 /** The state of a roll-out on this VM. */
 export interface OrderedRollout {
@@ -61,6 +65,19 @@
     elapsedShare(rollout, nowMs) < canaryUntilShare(rollout);
 }
 
+/** Whether the target is tried under load and no fault has been found. */
+export function isLoadTrial(rollout: OrderedRollout, nowMs: number): boolean {
+  return rollout.fault === undefined && !isEnded(rollout.stage) &&
+    elapsedShare(rollout, nowMs) >= LOAD_TRIAL_FROM_SHARE;
+}
+
+/** Whether it has to be decided if all requests may run on the target. */
+export function isDecisionDue(rollout: OrderedRollout, nowMs: number): boolean {
+  const canaryUntil = canaryUntilShare(rollout);
+  const leadShare = DECISION_LEAD_SHARE * (1 - canaryUntil);
+  return elapsedShare(rollout, nowMs) >= canaryUntil - leadShare;
+}
+
 /** Returns the stage to write now, if any. */
 export function dueStage(
   rollout: OrderedRollout,
--- a/src/decision/time_counts_test.ts
+++ b/src/decision/time_counts_test.ts
@@ -55,6 +55,7 @@
         isError: false,
         firstByteMs,
         distanceMs: 0,
+        isBusy: false,
         backendId: "one",
       }),
     tally,
--- a/src/decision/version_fault.ts
+++ b/src/decision/version_fault.ts
@@ -8,6 +8,7 @@
 import { compareLogSums, EMPTY_LOG_SUMS, type LogSums } from "./log_sums.ts";
 import { type GroupedTimeCounts, slowEvidence } from "./time_counts.ts";
 import {
+  type ErrorTally,
   type RouteTallies,
   type RouteTally,
   totalOf,
@@ -20,12 +21,33 @@
 const MIN_OTHERS_SHARE = 0.02;
 /** Factor on the observed failure share of the other versions. */
 const OTHERS_FACTOR = 1.5;
-const MIN_ERRORS = 3;
-/** Threshold of the log likelihood ratio for a bad version. */
-const MIN_EVIDENCE = 5;
-/** The same for slow answers, of which several lengths are tried. */
-const MIN_SLOW_EVIDENCE = 6;
-const MIN_SLOW_ANSWERS = 4;
+/** What shows a fault. */
+interface Thresholds {
+  /** The log likelihood ratio for a bad version. */
+  readonly evidence: number;
+  /** The same for slow answers, of which several lengths are tried. */
+  readonly slowEvidence: number;
+  readonly errorCount: number;
+  readonly slowCount: number;
+  /** Failures of fewer servers are theirs, not the version's. */
+  readonly failingCount: number;
+}
+
+const FAULT: Thresholds = {
+  evidence: 5,
+  slowEvidence: 6,
+  errorCount: 3,
+  slowCount: 4,
+  failingCount: 2,
+};
+/** What keeps a version from all requests when that has to be decided. */
+const DOUBT: Thresholds = {
+  evidence: 1.5,
+  slowEvidence: 2,
+  errorCount: 2,
+  slowCount: 3,
+  failingCount: 1,
+};
 /** Standard deviation of the logarithm of times of one group, at least. */
 const MIN_SCATTER = 0.4;
 /** Ratio of times to the first byte from which the target counts as slow. */
@@ -45,8 +67,14 @@
 
 /** Returns why the target is worse than the other versions, if it is. */
 export function targetFault(tally: VersionTally): string | undefined {
-  return timeFault(tally) ?? slowFault(tally) ?? errorFault(tally) ??
-    paceFault(tally);
+  return timeFault(tally) ?? slowFault(tally, FAULT) ??
+    errorFault(tally, FAULT) ?? paceFault(tally);
+}
+
+/** Returns why the target may be worse than the other versions, if it may. */
+export function targetDoubt(tally: VersionTally): string | undefined {
+  const doubt = slowFault(tally, DOUBT) ?? errorFault(tally, DOUBT);
+  return doubt === undefined ? undefined : `in doubt, ${doubt}`;
 }
 
 function timeFault({ target, others }: VersionTally): string | undefined {
@@ -71,13 +99,15 @@
 
 function slowFault(
   { targetTimes, otherTimes }: VersionTally,
+  thresholds: Thresholds,
 ): string | undefined {
   const groups: [string, GroupedTimeCounts][] = Object.entries(targetTimes)
     .map(([route, counts]) => [route, { [route]: counts }]);
   groups.push(["all routes", targetTimes]);
   for (const [name, times] of groups) {
     const { evidence, slowCount, count } = slowEvidence(times, otherTimes);
-    if (evidence < MIN_SLOW_EVIDENCE || slowCount < MIN_SLOW_ANSWERS) continue;
+    if (evidence < thresholds.slowEvidence) continue;
+    if (slowCount < thresholds.slowCount) continue;
     return `${name}: ${slowCount} of ${count} answers slow`;
   }
   return undefined;
@@ -100,22 +130,24 @@
 }
 
 function errorFault(
-  { target, others, failingIds }: VersionTally,
+  { target, others, busyTarget, busyOthers, failingIds }: VersionTally,
+  thresholds: Thresholds,
 ): string | undefined {
-  // Failures of a single server are a fault of the server, not the version.
-  if (failingIds.length < 2) return undefined;
-  const groups: [string, RouteTally, RouteTally][] = Object.entries(target)
+  if (failingIds.length < thresholds.failingCount) return undefined;
+  const groups: [string, ErrorTally, ErrorTally][] = Object.entries(target)
     .map(([route, tally]) => [route, tally, others[route] ?? EMPTY_ROUTE]);
   groups.push(["all routes", totalOf(target), totalOf(others)]);
+  groups.push(["busy servers", busyTarget, busyOthers]);
   for (const [name, targetTally, othersTally] of groups) {
-    if (errorEvidence(targetTally, othersTally) < MIN_EVIDENCE) continue;
+    if (targetTally.errorCount < thresholds.errorCount) continue;
+    const evidence = errorEvidence(targetTally, othersTally);
+    if (evidence < thresholds.evidence) continue;
     return `${name}: ${targetTally.errorCount} of ${targetTally.count} failed`;
   }
   return undefined;
 }
 
-function errorEvidence(target: RouteTally, others: RouteTally): number {
-  if (target.errorCount < MIN_ERRORS) return 0;
+function errorEvidence(target: ErrorTally, others: ErrorTally): number {
   const othersShare = Math.min(
     BAD_SHARE / 2,
     MIN_OTHERS_SHARE +
--- a/src/decision/version_tally.ts
+++ b/src/decision/version_tally.ts
@@ -16,17 +16,24 @@
   timeCountsOf,
 } from "./time_counts.ts";
 
-/** Request counts of one route, and the times to the first byte. */
-export interface RouteTally extends LogSums {
+/** Requests, and how many of them failed. */
+export interface ErrorTally {
+  readonly count: number;
   readonly errorCount: number;
 }
 
+/** Request counts of one route, and the times to the first byte. */
+export interface RouteTally extends LogSums, ErrorTally {}
+
 export type RouteTallies = Readonly<Record<string, RouteTally>>;
 
 /** Tallies of one roll-out, of one VM or merged from several. */
 export interface VersionTally {
   readonly target: RouteTallies;
   readonly others: RouteTallies;
+  /** Answers of servers that were busy, of all routes. */
+  readonly busyTarget: ErrorTally;
+  readonly busyOthers: ErrorTally;
   /** Some of the target's servers that failed requests. */
   readonly failingIds: readonly string[];
   /** Times to the first byte, without failures, by route and distance. */
@@ -44,6 +51,8 @@
   readonly route: string;
   readonly isTarget: boolean;
   readonly isError: boolean;
+  /** Whether the server had many requests when it answered. */
+  readonly isBusy: boolean;
   readonly firstByteMs: number;
   /** Added latency of the server's place. */
   readonly distanceMs: number;
@@ -61,9 +70,13 @@
   readonly backendId: string;
 }
 
+const NO_ERRORS: ErrorTally = { count: 0, errorCount: 0 };
+
 export const EMPTY_TALLY: VersionTally = {
   target: {},
   others: {},
+  busyTarget: NO_ERRORS,
+  busyOthers: NO_ERRORS,
   failingIds: [],
   targetTimes: {},
   otherTimes: {},
@@ -87,11 +100,20 @@
   tally: VersionTally,
   sample: TallySample,
 ): VersionTally {
-  const { isTarget, isError, backendId } = sample;
+  const { isTarget, isError, isBusy, backendId } = sample;
+  const busy: ErrorTally = isBusy
+    ? { count: 1, errorCount: isError ? 1 : 0 }
+    : NO_ERRORS;
   return {
     ...tally,
     target: isTarget ? addTo(tally.target, sample) : tally.target,
     others: isTarget ? tally.others : addTo(tally.others, sample),
+    busyTarget: isTarget
+      ? combineErrors(tally.busyTarget, busy, 1)
+      : tally.busyTarget,
+    busyOthers: isTarget
+      ? tally.busyOthers
+      : combineErrors(tally.busyOthers, busy, 1),
     failingIds: isTarget && isError
       ? withId(tally.failingIds, backendId)
       : tally.failingIds,
@@ -124,6 +146,8 @@
     merged = {
       target: combineRoutes(merged.target, tally.target, 1),
       others: combineRoutes(merged.others, tally.others, 1),
+      busyTarget: combineErrors(merged.busyTarget, tally.busyTarget, 1),
+      busyOthers: combineErrors(merged.busyOthers, tally.busyOthers, 1),
       failingIds: union(merged.failingIds, tally.failingIds),
       targetTimes: combineTimeCounts(merged.targetTimes, tally.targetTimes, 1),
       otherTimes: combineTimeCounts(merged.otherTimes, tally.otherTimes, 1),
@@ -136,9 +160,10 @@
 }
 
 /**
- * Returns the counts added since an earlier state of the same tally. The pace
- * and the spread of times of the other versions are those of the whole time: at
- * the end of a roll-out they have few requests left, and their servers are idle.
+ * Returns the counts added since an earlier state of the same tally. The pace,
+ * the spread of times and the answers of busy servers of the other versions are
+ * those of the whole time: at the end of a roll-out they have few requests left,
+ * and their servers are idle.
  */
 export function tallySince(
   tally: VersionTally,
@@ -148,6 +173,7 @@
     ...tally,
     target: combineRoutes(tally.target, earlier.target, -1),
     others: combineRoutes(tally.others, earlier.others, -1),
+    busyTarget: combineErrors(tally.busyTarget, earlier.busyTarget, -1),
     targetTimes: combineTimeCounts(tally.targetTimes, earlier.targetTimes, -1),
     targetPaces: combineGroups(tally.targetPaces, earlier.targetPaces, -1),
   };
@@ -197,6 +223,17 @@
   return result;
 }
 
+function combineErrors(
+  a: ErrorTally,
+  b: ErrorTally,
+  sign: 1 | -1,
+): ErrorTally {
+  return {
+    count: a.count + sign * b.count,
+    errorCount: a.errorCount + sign * b.errorCount,
+  };
+}
+
 function combineRoute(a: RouteTally, b: RouteTally, sign: 1 | -1): RouteTally {
   return {
     ...combineLogSums(a, b, sign),
--- a/src/decision/version_tally_test.ts
+++ b/src/decision/version_tally_test.ts
@@ -26,6 +26,7 @@
     isError: false,
     firstByteMs: 120,
     distanceMs: 0,
+    isBusy: false,
     backendId: "one",
     ...fields,
   };
--- a/src/gateway/forward_context.ts
+++ b/src/gateway/forward_context.ts
@@ -24,6 +24,8 @@
   readonly route: string;
   /** Whether the server answered with an error status (5xx). */
   readonly isError: boolean;
+  /** Whether the server had many requests when it answered. */
+  readonly isBusy: boolean;
   /** Time to the first byte, or until the attempt ended without one. */
   readonly firstByteMs: number;
   /** Added latency of the server's place. */
@@ -51,6 +53,13 @@
   readonly failedVersion: string | undefined;
 }
 
+/** The target of a roll-out that may still turn out bad. */
+export interface LoadTrial {
+  readonly version: string;
+  /** Some of its servers that failed requests. */
+  readonly failingIds: readonly string[];
+}
+
 /** Selects the versions of a service that a request may run on. */
 export interface VersionSelector {
   /** Returns the version filter of a session; it is the same on all VMs. */
@@ -58,6 +67,8 @@
     service: string,
     session: VersionSession,
   ) => (version: string) => boolean;
+  /** Returns the version of a service that is tried under load, if any. */
+  readonly loadTrialOf: (service: string) => LoadTrial | undefined;
   readonly record: (sample: VersionSample) => void;
   readonly recordPace: (pace: VersionPace) => void;
   /** Counts a request that starts (1) or ends (-1) on a version. */
--- a/src/gateway/forward_context_fixture.ts
+++ b/src/gateway/forward_context_fixture.ts
@@ -50,6 +50,7 @@
     budget: new RetryBudget({ fleetBound, clock: now, vmCount: () => 1 }),
     versions: {
       acceptorOf: () => () => true,
+      loadTrialOf: () => undefined,
       record: () => {},
       recordPace: () => {},
       adjustInFlight: () => {},
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -60,6 +60,7 @@
   readonly #context: ForwardContext;
   readonly #shutdown: GatewayShutdown;
   readonly #stopController = new AbortController();
+  readonly #vmCount = (): number => 1 + this.#peers.membership().members.size;
   #callerAddress: string;
   #peerAddress: string;
 
@@ -73,8 +74,8 @@
     this.#state = new GatewayState({ fleet: this.#fleet, clock, logger });
     this.#rollouts = new RolloutRegistry({
       fleet: this.#fleet,
-      canaryShare: settings.canaryShare,
-      sessionMs: settings.sessionMs,
+      ...settings,
+      vmCount: this.#vmCount,
       clock,
       logger,
     });
@@ -117,7 +118,7 @@
       budget: new RetryBudget({
         fleetBound: settings.retryBound,
         clock,
-        vmCount: () => 1 + this.#peers.membership().members.size,
+        vmCount: this.#vmCount,
       }),
       versions: this.#rollouts,
       answerMemory: new AnswerMemory(settings),
--- a/src/gateway/gateway_fixture.ts
+++ b/src/gateway/gateway_fixture.ts
@@ -133,6 +133,7 @@
       entryMaxAgeMs: 100,
       retryBound: { ratio: 0.9, slackCount: 56, windowMs: 10_000 },
       canaryShare: 0.15,
+      canarySlackCount: 0,
       sessionMs: 5000,
       ...options.settings,
     },
--- a/src/gateway/gateway_settings.ts
+++ b/src/gateway/gateway_settings.ts
@@ -33,6 +33,8 @@
   readonly retryBound: RetryBound;
   /** Share of a service's requests that an unproven version may get. */
   readonly canaryShare: number;
+  /** Requests that it may get beyond its share. */
+  readonly canarySlackCount: number;
   /** Longest time between two requests of a session. */
   readonly sessionMs: number;
 }
--- a/src/gateway/gateway_shutdown_test.ts
+++ b/src/gateway/gateway_shutdown_test.ts
@@ -20,6 +20,7 @@
   entryMaxAgeMs: 900,
   retryBound: { ratio: 0.9, slackCount: 56, windowMs: 10_000 },
   canaryShare: 0.15,
+  canarySlackCount: 0,
   sessionMs: 5000,
 };
 
--- a/src/gateway/peer_update.ts
+++ b/src/gateway/peer_update.ts
@@ -73,6 +73,11 @@
   logSquareSum: logMsSquareSum ?? logMsSum ** 2 / Math.max(1, count),
 }));
 
+const errorTallySchema = z.object({
+  count: countSchema,
+  errorCount: countSchema,
+}).default({ count: 0, errorCount: 0 });
+
 const timeCountsSchema = z.array(countSchema).max(MAX_TIME_BUCKETS).readonly();
 
 const vmTallySchema = z.object({
@@ -84,6 +89,8 @@
     others: z.record(nameSchema, routeTallySchema),
     failingIds: z.array(nameSchema).max(MAX_FAILING_IDS).readonly(),
     /** Absent from VMs of an earlier release. */
+    busyTarget: errorTallySchema,
+    busyOthers: errorTallySchema,
     targetTimes: z.record(nameSchema, timeCountsSchema).default({}),
     otherTimes: z.record(nameSchema, timeCountsSchema).default({}),
     targetPaces: z.record(nameSchema, logSumsSchema).default({}),
--- a/src/gateway/peer_update_test.ts
+++ b/src/gateway/peer_update_test.ts
@@ -161,6 +161,7 @@
       isError,
       firstByteMs,
       distanceMs: 0,
+      isBusy: false,
       backendId,
     });
     tally = addPace(tally, {
--- a/src/gateway/rollout_play_fixture.ts
+++ b/src/gateway/rollout_play_fixture.ts
@@ -18,6 +18,7 @@
 import { testProtocol } from "./gateway_fixture.ts";
 import { RolloutRegistry } from "./rollout_registry.ts";
 import { createRolloutReports } from "./rollout_report.ts";
+import { BUSY_SHARE } from "./server_attempt.ts";
 import { chooseServer } from "./server_choice.ts";
 
 /** How a version answers one request. */
@@ -83,6 +84,7 @@
 }
 
 export const CANARY_SHARE = 0.15;
+export const CANARY_SLACK = 30;
 const SERVICE = "desk";
 const TARGET = "v2";
 const STEP_MS = 5;
@@ -173,6 +175,9 @@
     const registry = new RolloutRegistry({
       fleet: context.fleet,
       canaryShare: CANARY_SHARE,
+      canarySlackCount: CANARY_SLACK,
+      vm: `vm-${index}`,
+      vmCount: () => this.#play.vmCount,
       sessionMs: 5000,
       clock: context.clock,
       logger: silentLogger,
@@ -282,6 +287,7 @@
       backendId: server.id,
       route: "registrations",
       isError,
+      isBusy: running.size + queue.length >= BUSY_SHARE * SLOT_COUNT,
       firstByteMs: nowMs - job.sentAtMs,
       distanceMs: vm.context.distanceMs(server.place),
     });
--- a/src/gateway/rollout_record.ts
+++ b/src/gateway/rollout_record.ts
@@ -6,11 +6,13 @@
   addPace,
   addSample,
   EMPTY_TALLY,
+  isDecisionDue,
   mergeTallies,
   type OrderedRollout,
   type PaceSample,
   type TallySample,
   tallySince,
+  targetDoubt,
   targetFault,
   type VersionTally,
 } from "../decision/mod.ts";
@@ -51,6 +53,8 @@
   stage: RolloutStage | undefined;
   /** Whether `stage` reflects the statuses in the store. */
   isStageKnown: boolean;
+  /** Requests that this VM has sent for the load trial. */
+  loadTrialCount = 0;
   #ownTally: VersionTally = EMPTY_TALLY;
   #ownSequence = 0;
   readonly #received = new Map<string, ReceivedTally>();
@@ -136,7 +140,8 @@
     }
     const all = this.mergedTally;
     this.#recordHistory(all, nowMs);
-    this.fault = targetFault(all) ?? this.#recentFault(all, nowMs);
+    this.fault = targetFault(all) ?? this.#recentFault(all, nowMs) ??
+      (isDecisionDue(this, nowMs) ? targetDoubt(all) : undefined);
     return this.fault;
   }
 
--- a/src/gateway/rollout_record_test.ts
+++ b/src/gateway/rollout_record_test.ts
@@ -32,6 +32,7 @@
     isError: true,
     firstByteMs: 100,
     distanceMs: 0,
+    isBusy: false,
     backendId,
   });
 }
@@ -70,3 +71,14 @@
   }
   assert.equal(record.evaluate(100), "drafts: 3 of 3 failed");
 });
+
+// Guards against EXPOSURE: a target of which too little is known gets everything.
+test("a target in doubt does not get all requests", () => {
+  const record = recordOf();
+  for (const vm of ["vm-1", "vm-2"]) {
+    const tally = tallyOf(vm, failureAt(`server-${vm}`));
+    record.receiveTally(tally, { nowMs: 0, isDirect: true });
+  }
+  assert.equal(record.evaluate(12_000), undefined);
+  assert.match(record.evaluate(21_500) ?? "", /in doubt/);
+});
--- a/src/gateway/rollout_registry.ts
+++ b/src/gateway/rollout_registry.ts
@@ -6,6 +6,8 @@
 import {
   isCanaryPhase,
   isEnded,
+  isLoadTrial,
+  loadTrialQuota,
   type OrderedRollout,
   summarise,
   targetSessionShare,
@@ -19,6 +21,7 @@
 } from "../model/mod.ts";
 import { type BackendFleet } from "./backend_fleet.ts";
 import {
+  type LoadTrial,
   type VersionPace,
   type VersionSample,
   type VersionSelector,
@@ -32,6 +35,11 @@
   readonly fleet: BackendFleet;
   /** Share of a service's requests that an unproven version may get. */
   readonly canaryShare: number;
+  /** Requests that it may get beyond its share. */
+  readonly canarySlackCount: number;
+  /** This VM, and the number of VMs with it. */
+  readonly vm: string;
+  readonly vmCount: () => number;
   /** Longest time between two requests of a session. */
   readonly sessionMs: number;
   readonly clock: Clock;
@@ -188,6 +196,14 @@
       (version === target) === (isOnTarget && rollout.fault === undefined);
   }
 
+  loadTrialOf(service: string): LoadTrial | undefined {
+    const rollout = this.#rollouts.get(service);
+    if (rollout === undefined) return undefined;
+    if (!isLoadTrial(rollout, this.#options.clock())) return undefined;
+    const version = rollout.order.target;
+    return { version, failingIds: rollout.mergedTally.failingIds };
+  }
+
   record(sample: VersionSample): void {
     const rollout = this.#rollouts.get(sample.service);
     if (rollout === undefined) return;
@@ -266,6 +282,7 @@
     if (!rollout.isStageKnown && rollout.stage !== "completed") return false;
     const share = targetSessionShare(rollout, nowMs);
     if (share === 0 || share === 1) return share === 1;
+    if (!isMultiRequest && this.#joinsLoadTrial(rollout)) return true;
     const stored = isMultiRequest
       ? this.#sessions.find(`${service} ${key}`)
       : undefined;
@@ -274,6 +291,21 @@
     return hashShare(`${target} ${key}`) < share;
   }
 
+  /** Whether a request of no session is part of the load trial; counts it. */
+  #joinsLoadTrial(rollout: RolloutRecord): boolean {
+    const { clock, canarySlackCount, vm, vmCount } = this.#options;
+    if (!isLoadTrial(rollout, clock())) return false;
+    const { service, offset } = rollout.order;
+    const quota = loadTrialQuota({
+      slackCount: canarySlackCount,
+      vmCount: vmCount(),
+      vmHashShare: hashShare(`${service} ${offset} ${vm}`),
+    });
+    if (rollout.loadTrialCount >= quota) return false;
+    rollout.loadTrialCount += 1;
+    return true;
+  }
+
   /**
    * Accepts the versions of a service without an order, except those that were
    * first observed a moment ago while an older one is ready.
--- a/src/gateway/rollout_registry_test.ts
+++ b/src/gateway/rollout_registry_test.ts
@@ -11,6 +11,7 @@
 const SERVICE = "drafting";
 const DURATION_MS = 24_000;
 const CANARY_SHARE = 0.15;
+const SLACK_COUNT = 30;
 const SESSION_MS = 5000;
 
 function sessionOf(fields: Partial<VersionSession>): VersionSession {
@@ -36,6 +37,9 @@
   const registry = new RolloutRegistry({
     fleet,
     canaryShare: CANARY_SHARE,
+    canarySlackCount: SLACK_COUNT,
+    vm: "vm-1",
+    vmCount: () => 1,
     sessionMs: SESSION_MS,
     clock: () => clock.nowMs,
     logger: silentLogger,
@@ -116,6 +120,23 @@
   }
 });
 
+test("some requests of no session join the load trial, sessions do not", () => {
+  const setup = setUp();
+  setup.register(BOTH);
+  order(setup.registry);
+  setup.clock.nowMs = DURATION_MS / 2;
+  const canaryCount = targetCount(setup, "new");
+  let count = 0;
+  for (let index = 0; index < 400; index++) {
+    const session = sessionOf({ key: `new-${index}`, isMultiRequest: false });
+    if (setup.registry.acceptorOf(SERVICE, session)("v2")) count += 1;
+  }
+  assert.ok(canaryCount < 400 * CANARY_SHARE, `${canaryCount}`);
+  assert.ok(count >= canaryCount + SLACK_COUNT / 2, `${count}`);
+  assert.ok(count <= 400 * CANARY_SHARE + SLACK_COUNT, `${count}`);
+  assert.equal(setup.registry.loadTrialOf(SERVICE)?.version, "v2");
+});
+
 test("all VMs choose the same version for a new session", () => {
   const [first, second] = [setUp(), setUp()];
   for (const setup of [first, second]) {
@@ -156,6 +177,7 @@
       isError: false,
       firstByteMs: 100,
       distanceMs: 0,
+      isBusy: false,
     });
   }
   for (const backendId of ["c", "c", "d"]) {
@@ -167,6 +189,7 @@
       isError: true,
       firstByteMs: 100,
       distanceMs: 0,
+      isBusy: false,
     });
   }
   setup.clock.nowMs = 20_000;
--- a/src/gateway/server_attempt.ts
+++ b/src/gateway/server_attempt.ts
@@ -23,6 +23,8 @@
 
 /** Long enough for a connection whose first packet has to be sent again. */
 const CONNECT_TIMEOUT_MS = 400;
+/** Share of its slots in use from which a server counts as busy. */
+export const BUSY_SHARE = 0.3;
 /** A prompt that occupies a server for longer is reported to nearby VMs. */
 const LONG_PREFILL_MS = 300;
 
@@ -273,6 +275,10 @@
   #recordSample({ isError }: { readonly isError: boolean }): void {
     const { context, server, route } = this.#options;
     const firstByteMs = context.clock() - this.#startedAtMs;
+    const load = this.#head?.load;
+    const loadCount = load === undefined
+      ? 0
+      : load.runningCount + load.waitingCount;
     if (this.#isRelayed) {
       context.fleet.recordServiceTime(server.service, firstByteMs);
       const tokens = this.#options.request.caller.promptTokens;
@@ -284,6 +290,7 @@
       backendId: server.id,
       route,
       isError,
+      isBusy: loadCount >= BUSY_SHARE * server.slotCount,
       firstByteMs,
       distanceMs: context.distanceMs(server.place),
     });
--- a/src/gateway/server_choice.ts
+++ b/src/gateway/server_choice.ts
@@ -1,5 +1,5 @@
 /** Chooses a request's next server from the request and the fleet's state. */
-import { chooseBackend } from "../decision/mod.ts";
+import { chooseBackend, firstUnfilled } from "../decision/mod.ts";
 import { type BackendServer } from "../model/mod.ts";
 import { type FleetCandidate } from "./backend_fleet.ts";
 import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
@@ -28,7 +28,7 @@
   request: ForwardRequest,
   { acceptsVersion, triedIds, model, isRetriable }: ChoiceConstraints,
 ): FleetCandidate | undefined {
-  const { fleet, prompts, distanceMs, random } = context;
+  const { fleet, prompts, versions, distanceMs, random } = context;
   const { caller, service } = request;
   if (prompts.waitMs(sharedPartIds(caller)) !== undefined) return undefined;
   const query = {
@@ -41,10 +41,19 @@
   const candidates = untried.length > 0
     ? untried
     : fleet.candidates({ ...query, excludedIds: new Set() });
+  const isEngine = caller.promptTokens > 0;
+  const trial = versions.loadTrialOf(service);
+  // An engine that runs more requests is slower for each; a slot is not.
+  if (trial !== undefined && !isEngine) {
+    const filled = firstUnfilled(
+      candidates.filter(({ server }) => server.version === trial.version),
+      trial.failingIds,
+    );
+    if (filled !== undefined) return filled;
+  }
   const sharedPrefix = sharedPrefixOf(request);
   const workMs = fleet.meanServiceTimeMs(service);
   const slotCount = candidates[0]?.slotCount ?? 1;
-  const isEngine = caller.promptTokens > 0;
   return chooseBackend(candidates, {
     distanceMs: (place) =>
       distanceMs(place) * (isEngine ? STREAM_DISTANCE_FACTOR : 1),
--- a/tools/mechanisms.ts
+++ b/tools/mechanisms.ts
@@ -165,8 +165,8 @@
   {
     name: "exposure share",
     file: "src/decision/ordered_rollout.ts",
-    source: "return options.canaryShare * CANARY_USE_SHARE;",
-    replacement: "return 2 * options.canaryShare;",
+    source: "return canaryShare * CANARY_USE_SHARE;",
+    replacement: "return 2 * canaryShare;",
     tests: ["src/decision/ordered_rollout_test.ts"],
   },
   {
--- a/tools/server_mechanisms.ts
+++ b/tools/server_mechanisms.ts
@@ -96,6 +96,28 @@
     replacement: "",
     tests: ["src/decision/time_counts_test.ts"],
   },
+  {
+    name: "failures of busy servers",
+    file: "src/decision/version_fault.ts",
+    source: 'groups.push(["busy servers", busyTarget, busyOthers]);',
+    replacement: "",
+    tests: ["src/decision/version_fault_test.ts"],
+  },
+  {
+    name: "load trial",
+    file: "src/gateway/rollout_registry.ts",
+    source:
+      "if (!isMultiRequest && this.#joinsLoadTrial(rollout)) return true;",
+    replacement: "",
+    tests: ["src/gateway/rollout_registry_test.ts"],
+  },
+  {
+    name: "doubt before all requests",
+    file: "src/gateway/rollout_record.ts",
+    source: "(isDecisionDue(this, nowMs) ? targetDoubt(all) : undefined)",
+    replacement: "undefined",
+    tests: ["src/gateway/rollout_record_test.ts"],
+  },
   {
     name: "pace of versions",
     file: "src/decision/version_fault.ts",
