--- a/src/gateway/escalation_choice_test.ts
+++ b/src/gateway/escalation_choice_test.ts
@@ -40,6 +40,7 @@
     workspace: undefined,
     manifestVersion: 1,
     body: Buffer.alloc(0),
+    digest: "digest",
     receivedAtMs: 10_000,
   };
 }
--- a/src/gateway/forward_context.ts
+++ b/src/gateway/forward_context.ts
@@ -108,6 +108,8 @@
   readonly workspace: WorkspaceAccess | undefined;
   readonly manifestVersion: number;
   readonly body: Buffer;
+  /** Names the request whatever its id is; see `requestDigest`. */
+  readonly digest: string;
   /** Time at which its head was received. */
   readonly receivedAtMs: number;
 }
--- a/src/gateway/forward_log.ts
+++ b/src/gateway/forward_log.ts
@@ -67,6 +67,7 @@
 
 /** An answer that a server broke off, or did not begin. */
 export interface BrokenAnswer extends PromptAttempt {
+  readonly digest: string;
   readonly cause: string;
   readonly sentForMs: number;
   /** Time since the first data; undefined if there was none. */
@@ -80,6 +81,7 @@
 ): void {
   logger.info("answer broke off", {
     request: broken.requestId,
+    digest: broken.digest,
     server: broken.server.id,
     cause: broken.cause,
     sentForMs: Math.round(broken.sentForMs),
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -76,7 +76,7 @@
       return this.#giveUp(noServerReason(this.#context, this.#request));
     }
     const { server } = candidate;
-    const { caller, route, workspace, body } = this.#request;
+    const { caller, route, workspace, body, digest } = this.#request;
     this.#history.addAttempt(server.id);
     logChoice(this.#context, this.#request, {
       ...this.#progress(),
@@ -88,6 +88,7 @@
       server,
       route: route.name,
       body,
+      digest,
       request: {
         caller,
         backend: server,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -27,6 +27,7 @@
 import { PrefillRates } from "./prefill_rates.ts";
 import { watchLoad } from "./process_load.ts";
 import { type CallerRequest } from "./protocol.ts";
+import { requestDigest } from "./request_digest.ts";
 import { RetryBudget } from "./retry_budget.ts";
 import { admitRequest, type AdmittedRequest } from "./request_admission.ts";
 import { RolloutRegistry } from "./rollout_registry.ts";
@@ -257,7 +258,8 @@
       return undefined;
     }
     return (body) => {
-      const forwarded = { ...admitted, body, receivedAtMs };
+      const digest = requestDigest(admitted.caller, body);
+      const forwarded = { ...admitted, body, digest, receivedAtMs };
       new Forwarding(this.#context, forwarded, exchange).start();
     };
   }
--- a/src/gateway/request_admission.ts
+++ b/src/gateway/request_admission.ts
@@ -14,7 +14,10 @@
 const RETRY_AFTER_MS = 500;
 
 /** An admitted request whose body has not been received yet. */
-export type AdmittedRequest = Omit<ForwardRequest, "body" | "receivedAtMs">;
+export type AdmittedRequest = Omit<
+  ForwardRequest,
+  "body" | "digest" | "receivedAtMs"
+>;
 
 /** Returns the request to forward, or its refusal. */
 export function admitRequest(
--- a/src/gateway/rollout_play_fixture.ts
+++ b/src/gateway/rollout_play_fixture.ts
@@ -362,6 +362,7 @@
       workspace: undefined,
       manifestVersion: 1,
       body: Buffer.alloc(0),
+      digest: "digest",
       receivedAtMs: this.#clock.nowMs,
     };
   }
--- a/src/gateway/server_attempt.ts
+++ b/src/gateway/server_attempt.ts
@@ -47,6 +47,7 @@
   readonly server: BackendServer;
   readonly route: string;
   readonly body: Buffer;
+  readonly digest: string;
   readonly request: BackendRequest;
   readonly isStreaming: boolean;
   /** Decides whether to relay the stream that begins with this head. */
@@ -244,6 +245,7 @@
     const nowMs = context.clock();
     logBreak(context, {
       ...this.#promptAttempt,
+      digest: this.#options.digest,
       cause,
       sentForMs: nowMs - this.#startedAtMs,
       answeredForMs: this.#progress.answeredForMs(nowMs),
--- a/src/gateway/server_attempt_test.ts
+++ b/src/gateway/server_attempt_test.ts
@@ -28,6 +28,7 @@
       context,
       server: backend.server,
       route: "drafts",
+      digest: "digest",
       body: Buffer.alloc(0),
       request: {
         caller,
