Keep a request that crashes its servers from the others

Callers of a service of three servers got 502 and 503 for seconds, again and again: one request, which came back under other ids at any VM, ended each server that ran it, and each VM sent it on to the next one.

Cause: crashes were held against parts of a prompt only; a request without any left no report, and nothing told that two requests are the same. The class: an identity by which work can be harmful is missing from what VMs tell each other.

Change: a request's digest (caller, target, body) is one more part, so that reports, their exchange, quarantine and trials hold for it as well. Three ended servers and two ids are enough. A request under which two servers ended, and that was not answered of late, is not sent to a further one. Answers without prompt parts now count as proof that a request is sound. VMs pass on the newest report of each of the last servers, and the answers to the most reported parts.

--- a/src/decision/crash_evidence.ts
+++ b/src/decision/crash_evidence.ts
@@ -1,7 +1,8 @@
 /**
- * Finds the prompt parts under which servers end. A report says that a server's
- * process ended before a request's answer had got anywhere, and which parts the
- * request's prompt shares with others. Most of the requests reported with a
+ * Finds the prompt parts, and the requests, under which servers end. A report
+ * says that a server's process ended before a request's answer had got anywhere,
+ * and which parts the request's prompt shares with others; one more part is the
+ * digest of the request, which only its repeats share. Most of the requests reported with a
  * crash are its victims. So a part is fatal only if its requests were there at
  * several crashes and no answer to it has got far since, while one to a request
  * without it has: servers that end whatever they are asked speak against no
@@ -41,6 +42,11 @@
 const MIN_CRASHES_SINCE_ANSWER = 12;
 /** One request that is repeated may be a victim several times. */
 const MIN_REQUESTS = 3;
+/** Repeats by callers, who repeat a victim less often. */
+const MIN_REPEATS = 2;
+/** Crashes under one request after which it is not sent to a further server. */
+const MIN_SUSPECT_CRASHES = 2;
+const DIGEST_PREFIX = "request:";
 /** How long before the crashes another request's answer may have got far. */
 const CONTRAST_MS = 60_000;
 /** Times from other VMs are off by the time on the way. */
@@ -60,6 +66,35 @@
   readonly requestIds: ReadonlySet<string>;
 }
 
+/** Returns the part that a request shares with its repeats only. */
+export function digestPartId(digest: string): string {
+  return DIGEST_PREFIX + digest;
+}
+
+function isDigestPart(partId: string): boolean {
+  return partId.startsWith(DIGEST_PREFIX);
+}
+
+/**
+ * Whether servers ended under a request so often that it is not to be repeated,
+ * though it may be a victim.
+ */
+export function isSuspectRequest(
+  reports: readonly CrashReport[],
+  { partIds, answers }: {
+    readonly partIds: readonly string[];
+    readonly answers: AnswerTimes;
+  },
+): boolean {
+  const digest = partIds.find(isDigestPart);
+  if (digest === undefined || answers.answeredAtMs(digest) !== undefined) {
+    return false;
+  }
+  const crashes = reports.filter((report) => report.partIds.includes(digest));
+  const serverKeys = new Set(crashes.map(({ serverKey }) => serverKey));
+  return serverKeys.size >= MIN_SUSPECT_CRASHES;
+}
+
 /** Returns the fatal parts, in the order in which they explain the crashes. */
 export function findFatalParts(
   reports: readonly CrashReport[],
@@ -137,10 +172,13 @@
     const contrastMs = lastAnswerMs ?? first.atMs - CONTRAST_MS;
     if (answers.newestAtMs < contrastMs + CLOCK_MARGIN_MS) continue;
     const requestIds = new Set(counted.map(({ requestId }) => requestId));
-    if (requestIds.size < MIN_REQUESTS) continue;
+    const isDigest = isDigestPart(partId);
+    if (requestIds.size < (isDigest ? MIN_REPEATS : MIN_REQUESTS)) continue;
     const serverKeys = new Set(counted.map(({ serverKey }) => serverKey));
     const times = [...serverKeys].map((key) => crashAtMs.get(key) ?? 0);
-    if (countMoments(times) < minCrashes) continue;
+    // Repeats at several servers at one moment are no coincidence.
+    const crashCount = isDigest ? serverKeys.size : countMoments(times);
+    if (crashCount < minCrashes) continue;
     const serverCount = serverKeys.size;
     suspects.push({ partId, reports: counted, serverCount, requestIds });
   }
--- a/src/decision/crash_evidence_test.ts
+++ b/src/decision/crash_evidence_test.ts
@@ -1,7 +1,12 @@
 /** Tests of the search for the prompt parts under which servers end. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { type CrashReport, findFatalParts } from "./crash_evidence.ts";
+import {
+  type CrashReport,
+  digestPartId,
+  findFatalParts,
+  isSuspectRequest,
+} from "./crash_evidence.ts";
 
 const STEP_MS = 300;
 
@@ -79,3 +84,40 @@
     .map((report) => ({ ...report, requestId: "r" }));
   assert.deepEqual(fatalIn(reports), []);
 });
+
+const SAME = digestPartId("same");
+
+test("one request under two ids is fatal after three servers, also at one moment", () => {
+  const reports = reportsOf([[[SAME]], [[SAME]], [[SAME]]])
+    .map((report) => ({ ...report, atMs: 1000 }));
+  assert.deepEqual(fatalIn(reports), [[SAME]]);
+  assert.deepEqual(fatalIn(reports.slice(0, 2)), []);
+});
+
+test("a victim that one VM sends from server to server is not fatal", () => {
+  const reports = reportsOf([[[SAME]], [[SAME]], [[SAME]], [[SAME]]])
+    .map((report) => ({ ...report, requestId: "victim" }));
+  assert.deepEqual(fatalIn(reports), []);
+});
+
+test("a request that was answered of late needs more crashes since", () => {
+  const reports = reportsOf(Array(8).fill([[SAME]]));
+  assert.deepEqual(fatalIn(reports, { [SAME]: 900 }), []);
+});
+
+// Guards against BUDGET: repeats of a request that ends each of its servers.
+test("a request under which two servers ended is not repeated, an answered one is", () => {
+  const reports = reportsOf([[[SAME, "system"]], [["system"]], [[SAME]]]);
+  const isSuspect = (
+    partIds: readonly string[],
+    answeredAtMs?: number,
+  ): boolean =>
+    isSuspectRequest(reports, {
+      partIds,
+      answers: { answeredAtMs: () => answeredAtMs, newestAtMs: 900 },
+    });
+  assert.ok(isSuspect([SAME, "system"]));
+  assert.ok(!isSuspect([SAME], 1200));
+  assert.ok(!isSuspect([digestPartId("other"), "system"]));
+  assert.ok(!isSuspect(["system"]));
+});
--- a/src/gateway/crash_news.ts
+++ b/src/gateway/crash_news.ts
@@ -43,7 +43,7 @@
 const NEWS_MS = 3500;
 const MAX_NEWS = 64;
 const MAX_QUARANTINES = 8;
-/** Newest reports, and newest requests, that hold a quarantine. */
+/** Newest requests, and newest servers, whose reports hold a quarantine. */
 const EVIDENCE_COUNT = 4;
 const REPORTS_PER_QUARANTINE = 2 * EVIDENCE_COUNT;
 /** Bounds of a message. */
@@ -89,17 +89,22 @@
 
 /**
  * Returns enough reports for another VM to come to the same judgement, which
- * needs several crashes and several requests.
+ * needs several crashed servers and several requests.
  */
 function evidenceOf(reports: readonly CrashReport[]): CrashReport[] {
-  const newestByRequest = new Map<string, CrashReport>();
-  for (const report of reports) {
-    newestByRequest.delete(report.requestId);
-    newestByRequest.set(report.requestId, report);
-  }
+  const newestOfEach = (
+    nameOf: (report: CrashReport) => string,
+  ): CrashReport[] => {
+    const newest = new Map<string, CrashReport>();
+    for (const report of reports) {
+      newest.delete(nameOf(report));
+      newest.set(nameOf(report), report);
+    }
+    return [...newest.values()].slice(-EVIDENCE_COUNT);
+  };
   return [
-    ...[...newestByRequest.values()].slice(-EVIDENCE_COUNT),
-    ...reports.slice(-EVIDENCE_COUNT),
+    ...newestOfEach(({ requestId }) => requestId),
+    ...newestOfEach(({ serverKey }) => serverKey),
   ];
 }
 
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -15,6 +15,7 @@
 import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
 import { logChoice, logEnd, type LoggedProgress } from "./forward_log.ts";
 import { type AnswerHead } from "./protocol.ts";
+import { crashPartIds } from "./request_digest.ts";
 import { type RetryReason } from "./retry_budget.ts";
 import { noServerReason, retryDelayMs } from "./retry_delay.ts";
 import { type AttemptOutcome, ServerAttempt } from "./server_attempt.ts";
@@ -191,7 +192,7 @@
 
   /** Sends the request again, if that is allowed and enough time is left. */
   #retry(cause: string): void {
-    if (!this.#canRetry()) return this.#giveUp(cause);
+    if (!this.#canRetry() || this.#isSuspect) return this.#giveUp(cause);
     if (this.#history.wasSent && !this.#spendRetry("failure")) {
       return this.#giveUp(cause);
     }
@@ -215,6 +216,10 @@
     return this.#timeLeftMs() >= MIN_ATTEMPT_MS && this.#history.mayRetry();
   }
 
+  get #isSuspect(): boolean {
+    return this.#context.prompts.isSuspect(crashPartIds(this.#request));
+  }
+
   /** Returns the filter of versions; it avoids the failed one if possible. */
   #versionFilter(
     failedVersion: string | undefined,
--- a/src/gateway/prompt_quarantine.ts
+++ b/src/gateway/prompt_quarantine.ts
@@ -6,9 +6,11 @@
  * any order and twice. Every VM judges by what it holds.
  */
 import {
+  type AnswerTimes,
   type CrashReport,
   type FatalParts,
   findFatalParts,
+  isSuspectRequest,
   trialTimeMs,
 } from "../decision/mod.ts";
 import { type BackendServer, type Clock, type Logger } from "../model/mod.ts";
@@ -127,6 +129,14 @@
     return Math.max(TRIAL_MS, trialAtMs - nowMs);
   }
 
+  /** Whether a request under which servers ended is not to be repeated. */
+  isSuspect(partIds: readonly string[]): boolean {
+    if (this.#reports.size === 0) return false;
+    const nowMs = this.#options.clock();
+    const answers = this.#answerTimes(nowMs);
+    return isSuspectRequest(this.#standingReports, { partIds, answers });
+  }
+
   /** Counts a request that is now sent; it may be the trial of its parts. */
   countAttempt(partIds: readonly string[]): void {
     const nowMs = this.#options.clock();
@@ -149,9 +159,8 @@
     const nowMs = this.#options.clock();
     this.#review(nowMs);
     const reports = [...this.#reports.values()];
-    const partIds = new Set(reports.flatMap((report) => report.partIds));
     const ages: [string, number][] = [];
-    for (const partId of partIds) {
+    for (const partId of mostReported(reports)) {
       const atMs = this.#survivedAtMs(partId, nowMs);
       if (atMs !== undefined) ages.push([partId, ageOf(atMs, nowMs)]);
     }
@@ -246,14 +255,9 @@
     for (const [key, { atMs }] of this.#reports) {
       if (nowMs - atMs > RETENTION_MS) this.#reports.delete(key);
     }
-    const reports = [...this.#reports.values()].filter((report) =>
-      !report.isWithdrawn
-    );
     const before = this.#fatal;
-    this.#fatal = findFatalParts(reports, {
-      answeredAtMs: (partId) => this.#survivedAtMs(partId, nowMs),
-      newestAtMs: this.#survived.newestAtMs,
-    });
+    const answers = this.#answerTimes(nowMs);
+    this.#fatal = findFatalParts(this.#standingReports, answers);
     this.#reviewAtMs = this.#reports.size > 0 ? nowMs + REVIEW_MS : Infinity;
     this.#logChanges(before);
   }
@@ -278,12 +282,34 @@
     }
   }
 
+  get #standingReports(): HeldReport[] {
+    return [...this.#reports.values()].filter(({ isWithdrawn }) =>
+      !isWithdrawn
+    );
+  }
+
+  #answerTimes(nowMs: number): AnswerTimes {
+    return {
+      answeredAtMs: (partId) => this.#survivedAtMs(partId, nowMs),
+      newestAtMs: this.#survived.newestAtMs,
+    };
+  }
+
   #survivedAtMs(partId: string, nowMs: number): number | undefined {
     const atMs = this.#survived.lastAtMs(partId);
     return atMs !== undefined && nowMs - atMs < SOUND_MS ? atMs : undefined;
   }
 }
 
+/** Parts that many reports name matter most, where not all can be sent. */
+function mostReported(reports: readonly CrashReport[]): string[] {
+  const counts = new Map<string, number>();
+  for (const partId of reports.flatMap((report) => report.partIds)) {
+    counts.set(partId, (counts.get(partId) ?? 0) + 1);
+  }
+  return [...counts].sort(([, a], [, b]) => b - a).map(([partId]) => partId);
+}
+
 function nameOf({ partIds }: FatalParts): string {
   return partIds.join(" ");
 }
--- a/src/gateway/prompt_quarantine_fixture.ts
+++ b/src/gateway/prompt_quarantine_fixture.ts
@@ -1,14 +1,16 @@
 /**
- * VMs and servers in virtual time, of which one prompt part crashes each server
- * that begins to answer it. The VMs' quarantines are the product's own; requests
+ * VMs and servers in virtual time, of which one prompt part, or one request that
+ * is repeated, crashes each server that begins to answer it. The VMs' quarantines are the product's own; requests
  * wait for a place, run for a while, and are victims of others' crashes.
  */
+import { digestPartId } from "../decision/mod.ts";
 import { seededRandom } from "../decision/membership_fixture.ts";
 import { serverOf } from "../decision/manifest_fixture.ts";
 import { type BackendServer, type Random, silentLogger } from "../model/mod.ts";
 import { PromptQuarantine } from "./prompt_quarantine.ts";
 
-export const FATAL_PART = "fatal";
+/** What crashes servers: a part of the prompt, or the request itself. */
+const FATAL_PART = { part: "fatal", request: digestPartId("fatal") } as const;
 
 /** What is played. */
 export interface CrashPlay {
@@ -17,6 +19,7 @@
   readonly serverCount: number;
   readonly soundPerSecond: number;
   readonly fatalPerSecond: number;
+  readonly fatal: keyof typeof FATAL_PART;
   /** Sound parts beside the common first one; few requests share one each. */
   readonly subjectCount: number;
   readonly fatalFromMs: number;
@@ -126,12 +129,21 @@
     };
   }
 
+  get #fatalPart(): string {
+    return FATAL_PART[this.#play.fatal];
+  }
+
   #arrive(requestId: string, isFatal: boolean): void {
     const { subjectCount } = this.#play;
     const subject = `subject-${Math.floor(this.#random() * subjectCount)}`;
+    const ownPart = digestPartId(requestId);
     const partIds = isFatal
-      ? ["system", subject, FATAL_PART]
-      : ["system", subject];
+      ? ["system", subject, this.#fatalPart, ownPart]
+      : ["system", subject, ownPart];
+    // The same request has the same parts.
+    if (isFatal && this.#play.fatal === "request") {
+      partIds.splice(1, 3, "subject", this.#fatalPart);
+    }
     const vm = this.#pick(this.#vms);
     if (!isFatal) {
       this.#soundIndex.set(requestId, this.#sound.length);
@@ -151,7 +163,9 @@
     if (vm.waitMs(partIds) !== undefined || this.#servers.size === 0) return;
     if (request.triedCount === MAX_ATTEMPTS) return;
     vm.countAttempt(partIds);
-    if (partIds.includes(FATAL_PART)) this.#fatalArrivalsMs.push(this.#nowMs);
+    if (partIds.includes(this.#fatalPart)) {
+      this.#fatalArrivalsMs.push(this.#nowMs);
+    }
     const beginsAtMs = this.#nowMs + this.#between(PREFILL_MS);
     this.#pick([...this.#servers]).running.add({
       ...request,
@@ -168,7 +182,7 @@
     for (const running of server.running) {
       const { vm, partIds, beginsAtMs } = running;
       if (this.#nowMs < beginsAtMs) continue;
-      if (partIds.includes(FATAL_PART)) {
+      if (partIds.includes(this.#fatalPart)) {
         server.crashesAtMs ??= beginsAtMs + CRASH_AFTER_MS;
         continue;
       }
@@ -198,7 +212,7 @@
       if (this.#nowMs - beginsAtMs < SURVIVED_MS) {
         vm.recordBreak({ requestId, server: server.server, partIds });
       }
-      this.#send(running);
+      if (!vm.isSuspect(partIds)) this.#send(running);
     }
   }
 
--- a/src/gateway/prompt_quarantine_test.ts
+++ b/src/gateway/prompt_quarantine_test.ts
@@ -22,6 +22,7 @@
   serverCount: 8,
   soundPerSecond: 40,
   fatalPerSecond: 4,
+  fatal: "part",
   subjectCount: 20,
   fatalFromMs: 3000,
   otherCrashesPerSecond: 0,
@@ -38,15 +39,18 @@
   readonly crashCount: number;
 }
 
-function outcomeOf(play: Partial<CrashPlay>): Outcome {
+function outcomeOf(
+  play: Partial<CrashPlay>,
+  crashCount = CRASH_COUNT,
+): Outcome {
   const { crashesMs, fatalArrivalsMs, sound } = playCrashes({
     ...PLAY,
     ...play,
   });
-  const fifthMs = crashesMs[CRASH_COUNT - 1] ?? Infinity;
-  const later = sound.filter(({ atMs }) => atMs > fifthMs + 2 * CONNECTED_MS);
+  const lastMs = crashesMs[crashCount - 1] ?? Infinity;
+  const later = sound.filter(({ atMs }) => atMs > lastMs + 2 * CONNECTED_MS);
   return {
-    lateCount: fatalArrivalsMs.filter((atMs) => atMs > fifthMs + CONNECTED_MS)
+    lateCount: fatalArrivalsMs.filter((atMs) => atMs > lastMs + CONNECTED_MS)
       .length,
     refusedShare: later.filter(({ isRefused }) => isRefused).length /
       Math.max(1, later.length),
@@ -84,6 +88,22 @@
   });
 }
 
+/** The platform's rule: this holds after the third crash under one request. */
+const SAME_CRASH_COUNT = 3;
+
+// Guards against BUDGET: one request crashes servers, at whatever VM it comes.
+for (const [title, play] of PLAYS) {
+  test(`a fatal request is kept from the servers: ${title}`, () => {
+    for (let seed = 1; seed <= SEED_COUNT; seed++) {
+      const fatalPlay: Partial<CrashPlay> = { ...play, fatal: "request", seed };
+      const outcome = outcomeOf(fatalPlay, SAME_CRASH_COUNT);
+      const shown = JSON.stringify({ seed, ...outcome });
+      assert.ok(outcome.lateCount <= ALLOWED_COUNT, shown);
+      assert.ok(outcome.refusedShare <= 0.02, shown);
+    }
+  });
+}
+
 test("servers that end whatever they are asked put hardly anything in quarantine", () => {
   const soundOnly = { fatalPerSecond: 0, otherCrashesPerSecond: 1 };
   for (let seed = 1; seed <= SEED_COUNT; seed++) {
--- a/src/gateway/request_digest.ts
+++ b/src/gateway/request_digest.ts
@@ -1,6 +1,10 @@
-/** Tells whether two requests are the same but for their id. */
+/**
+ * Tells whether two requests are the same but for their id, and names what a
+ * request has in common with others under which a server may end.
+ */
 import { createHash } from "node:crypto";
-import { type CallerRequest } from "./protocol.ts";
+import { digestPartId } from "../decision/mod.ts";
+import { type CallerRequest, sharedPartIds } from "./protocol.ts";
 
 const DIGEST_LENGTH = 16;
 
@@ -15,3 +19,13 @@
     .digest("base64url")
     .slice(0, DIGEST_LENGTH);
 }
+
+/** Returns the request's digest as a part, and the shared parts of its prompt. */
+export function crashPartIds(
+  { caller, digest }: {
+    readonly caller: CallerRequest;
+    readonly digest: string;
+  },
+): string[] {
+  return [digestPartId(digest), ...sharedPartIds(caller)];
+}
--- a/src/gateway/retry_delay.ts
+++ b/src/gateway/retry_delay.ts
@@ -1,6 +1,6 @@
 /** Why a request has no server, and when a refused one may come back. */
 import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
-import { sharedPartIds } from "./protocol.ts";
+import { crashPartIds } from "./request_digest.ts";
 import { closureOf, type ServerClosure } from "./server_closure.ts";
 
 /** Bounds of the random delay, so that callers don't return together. */
@@ -32,9 +32,9 @@
 
 function quarantineWaitMs(
   { prompts }: ForwardContext,
-  { caller }: ForwardRequest,
+  request: ForwardRequest,
 ): number | undefined {
-  return prompts.waitMs(sharedPartIds(caller));
+  return prompts.waitMs(crashPartIds(request));
 }
 
 /** Returns the closure of the service's server that opens first, if any. */
--- a/src/gateway/server_attempt.ts
+++ b/src/gateway/server_attempt.ts
@@ -15,11 +15,8 @@
 import { logBreak } from "./forward_log.ts";
 import { prefillKeyOf } from "./prefill_rates.ts";
 import { type PromptAttempt } from "./prompt_quarantine.ts";
-import {
-  type AnswerHead,
-  type BackendRequest,
-  sharedPartIds,
-} from "./protocol.ts";
+import { type AnswerHead, type BackendRequest } from "./protocol.ts";
+import { crashPartIds } from "./request_digest.ts";
 
 /** Long enough for a connection whose first packet has to be sent again. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -86,7 +83,7 @@
     this.#promptAttempt = {
       requestId: request.caller.id,
       server,
-      partIds: sharedPartIds(request.caller),
+      partIds: crashPartIds({ ...request, digest: options.digest }),
     };
     this.#progress = new AnswerProgress({
       onSurvived: () =>
--- a/src/gateway/server_choice.ts
+++ b/src/gateway/server_choice.ts
@@ -3,7 +3,7 @@
 import { type BackendServer } from "../model/mod.ts";
 import { type FleetCandidate } from "./backend_fleet.ts";
 import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
-import { sharedPartIds } from "./protocol.ts";
+import { crashPartIds } from "./request_digest.ts";
 import { closureOf } from "./server_closure.ts";
 
 /** Delay that one more request causes for an engine's other requests. */
@@ -30,7 +30,7 @@
 ): FleetCandidate | undefined {
   const { fleet, prompts, versions, distanceMs, random } = context;
   const { caller, service } = request;
-  if (prompts.waitMs(sharedPartIds(caller)) !== undefined) return undefined;
+  if (prompts.waitMs(crashPartIds(request)) !== undefined) return undefined;
   const query = {
     service,
     acceptsVersion,
--- a/tools/server_mechanisms.ts
+++ b/tools/server_mechanisms.ts
@@ -89,6 +89,20 @@
     replacement: "if (isDue)",
     tests: ["src/gateway/prompt_quarantine_test.ts"],
   },
+  {
+    name: "quarantine of a request",
+    file: "src/gateway/request_digest.ts",
+    source: "return [digestPartId(digest), ...sharedPartIds(caller)];",
+    replacement: "return sharedPartIds(caller);",
+    tests: ["src/gateway/crashing_request_test.ts"],
+  },
+  {
+    name: "no repeat under suspicion",
+    file: "src/decision/crash_evidence.ts",
+    source: "return serverKeys.size >= MIN_SUSPECT_CRASHES;",
+    replacement: "return false;",
+    tests: ["src/decision/crash_evidence_test.ts"],
+  },
   {
     name: "share of slow answers",
     file: "src/decision/version_fault.ts",
