--- /dev/null
+++ b/src/gateway/observed_versions.ts
@@ -0,0 +1,66 @@
+/**
+ * When the versions of each service were first observed. A version without an
+ * order gets no requests for a few seconds after it appears, as its order may
+ * arrive after its servers.
+ */
+import { type Clock } from "../model/mod.ts";
+import { type BackendFleet } from "./backend_fleet.ts";
+
+/** Delay after which a version without an order gets requests. */
+const UNORDERED_VERSION_DELAY_MS = 3000;
+/** Versions of a service above which those without servers are evicted. */
+const MAX_VERSIONS = 64;
+
+interface ObservedVersion {
+  readonly firstObservedAtMs: number;
+}
+
+/** The versions of all services. */
+export class ObservedVersions {
+  readonly #options: { readonly fleet: BackendFleet; readonly clock: Clock };
+  readonly #versions = new Map<string, Map<string, ObservedVersion>>();
+
+  constructor(
+    options: { readonly fleet: BackendFleet; readonly clock: Clock },
+  ) {
+    this.#options = options;
+  }
+
+  /** Records when the versions of each service were first observed. */
+  record(services: Iterable<string>): void {
+    const nowMs = this.#options.clock();
+    for (const service of services) {
+      const recorded = this.#versions.get(service);
+      const versions = recorded ?? new Map<string, ObservedVersion>();
+      for (const { version } of this.#options.fleet.serversOf(service)) {
+        if (versions.has(version)) continue;
+        const firstObservedAtMs = recorded === undefined ? -Infinity : nowMs;
+        versions.set(version, { firstObservedAtMs });
+      }
+      if (versions.size > MAX_VERSIONS) this.#evictAbsent(service, versions);
+      this.#versions.set(service, versions);
+    }
+  }
+
+  /**
+   * Accepts the versions of a service without an order, except those that were
+   * first observed a moment ago while an older one is ready.
+   */
+  acceptorOf(service: string): (version: string) => boolean {
+    const versions = this.#versions.get(service);
+    const latestMs = this.#options.clock() - UNORDERED_VERSION_DELAY_MS;
+    const isSettled = (version: string): boolean =>
+      (versions?.get(version)?.firstObservedAtMs ?? -Infinity) <= latestMs;
+    const ready = this.#options.fleet.readyVersionsOf(service);
+    const hasSettled = [...ready].some(isSettled);
+    return hasSettled ? isSettled : () => true;
+  }
+
+  #evictAbsent(service: string, versions: Map<string, ObservedVersion>): void {
+    const servers = this.#options.fleet.serversOf(service);
+    const present = new Set(servers.map(({ version }) => version));
+    for (const version of versions.keys()) {
+      if (!present.has(version)) versions.delete(version);
+    }
+  }
+}
--- a/src/gateway/rollout_registry.ts
+++ b/src/gateway/rollout_registry.ts
@@ -1,7 +1,5 @@
 /**
  * The registry of roll-outs, which decides on which versions a request may run.
- * A version without an order gets no requests for a few seconds after it
- * appears, as its order may arrive after its servers.
  */
 import {
   isCanaryPhase,
@@ -27,6 +25,7 @@
   type VersionSelector,
   type VersionSession,
 } from "./forward_context.ts";
+import { ObservedVersions } from "./observed_versions.ts";
 import { type RolloutReport } from "./peer_update.ts";
 import { RolloutRecord } from "./rollout_record.ts";
 import { RecentSessions } from "./recent_sessions.ts";
@@ -46,23 +45,15 @@
   readonly logger: Logger;
 }
 
-/** Delay after which a version without an order gets requests. */
-const UNORDERED_VERSION_DELAY_MS = 3000;
 /** Pause between two log lines with the tally of an open roll-out. */
 const TALLY_LOG_PERIOD_MS = 2000;
-/** Versions of a service above which those without servers are evicted. */
-const MAX_VERSIONS = 64;
-
-interface ObservedVersion {
-  readonly firstObservedAtMs: number;
-}
 
 /** The roll-outs of all services. */
 export class RolloutRegistry implements VersionSelector {
   readonly #options: RolloutRegistryOptions;
   readonly #sessions: RecentSessions;
   readonly #rollouts = new Map<string, RolloutRecord>();
-  readonly #versions = new Map<string, Map<string, ObservedVersion>>();
+  readonly #versions: ObservedVersions;
   readonly #inFlight = new Map<string, number>();
   #tallyLoggedAtMs = -Infinity;
 
@@ -70,6 +61,7 @@
     this.#options = options;
     const { clock, sessionMs } = options;
     this.#sessions = new RecentSessions({ clock, retentionMs: sessionMs });
+    this.#versions = new ObservedVersions(options);
   }
 
   /** The newest roll-out of each service. */
@@ -164,18 +156,7 @@
 
   /** Records when the versions of each service were first observed. */
   recordVersions(services: Iterable<string>): void {
-    const nowMs = this.#options.clock();
-    for (const service of services) {
-      const recorded = this.#versions.get(service);
-      const versions = recorded ?? new Map<string, ObservedVersion>();
-      for (const { version } of this.#options.fleet.serversOf(service)) {
-        if (versions.has(version)) continue;
-        const firstObservedAtMs = recorded === undefined ? -Infinity : nowMs;
-        versions.set(version, { firstObservedAtMs });
-      }
-      if (versions.size > MAX_VERSIONS) this.#evictAbsent(service, versions);
-      this.#versions.set(service, versions);
-    }
+    this.#versions.record(services);
   }
 
   acceptorOf(
@@ -190,7 +171,7 @@
       const key = `${service} ${session.key}`;
       this.#sessions.record(key, isOnTarget ? target : undefined);
     }
-    if (rollout === undefined) return this.#acceptorWithoutOrder(service);
+    if (rollout === undefined) return this.#versions.acceptorOf(service);
     // Checks the fault per call: it may be found while the request runs.
     return (version) =>
       (version === target) === (isOnTarget && rollout.fault === undefined);
@@ -236,14 +217,6 @@
     return total;
   }
 
-  #evictAbsent(service: string, versions: Map<string, ObservedVersion>): void {
-    const servers = this.#options.fleet.serversOf(service);
-    const present = new Set(servers.map(({ version }) => version));
-    for (const version of versions.keys()) {
-      if (!present.has(version)) versions.delete(version);
-    }
-  }
-
   #logTally({ order, mergedTally }: RolloutRecord): void {
     const { service, target } = order;
     const targetSums = summarise(mergedTally.target);
@@ -305,18 +278,4 @@
     rollout.loadTrialCount += 1;
     return true;
   }
-
-  /**
-   * Accepts the versions of a service without an order, except those that were
-   * first observed a moment ago while an older one is ready.
-   */
-  #acceptorWithoutOrder(service: string): (version: string) => boolean {
-    const versions = this.#versions.get(service);
-    const latestMs = this.#options.clock() - UNORDERED_VERSION_DELAY_MS;
-    const isSettled = (version: string): boolean =>
-      (versions?.get(version)?.firstObservedAtMs ?? -Infinity) <= latestMs;
-    const ready = this.#options.fleet.readyVersionsOf(service);
-    const hasSettled = [...ready].some(isSettled);
-    return hasSettled ? isSettled : () => true;
-  }
 }
