--- a/src/gateway/attempt_history.ts
+++ b/src/gateway/attempt_history.ts
@@ -4,7 +4,7 @@
  * allowed.
  */
 import { isRetriable, type ServiceRoute } from "../model/mod.ts";
-import { type AttemptOutcome } from "./server_attempt.ts";
+import { type AttemptOutcome } from "./attempt_outcome.ts";
 
 /** Attempts beyond the route's limit, for servers that were not reached. */
 const SPARE_ATTEMPTS = 2;
--- a/src/gateway/attempt_history_test.ts
+++ b/src/gateway/attempt_history_test.ts
@@ -4,7 +4,7 @@
 import { routeOf } from "../decision/manifest_fixture.ts";
 import { type ServiceRoute } from "../model/mod.ts";
 import { AttemptHistory } from "./attempt_history.ts";
-import { type AttemptOutcome } from "./server_attempt.ts";
+import { type AttemptOutcome } from "./attempt_outcome.ts";
 
 const RESET: AttemptOutcome = {
   kind: "fault",
--- /dev/null
+++ b/src/gateway/attempt_outcome.ts
@@ -0,0 +1,16 @@
+import { type CompleteAnswer } from "./caller_exchange.ts";
+import { type AnswerHead } from "./protocol.ts";
+
+/** The outcome of an attempt. */
+export type AttemptOutcome =
+  | { readonly kind: "answer"; readonly answer: CompleteAnswer }
+  | { readonly kind: "stream_end"; readonly head: AnswerHead }
+  /** The answer is valid, but `onHead` dropped it. */
+  | { readonly kind: "dropped" }
+  /** The server states that it has not run the request. */
+  | { readonly kind: "not_run" }
+  | {
+    readonly kind: "fault";
+    readonly isUnsent: boolean;
+    readonly cause: string;
+  };
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -18,7 +18,8 @@
 import { crashPartIds } from "./request_digest.ts";
 import { type RetryReason } from "./retry_budget.ts";
 import { noServerReason, retryDelayMs } from "./retry_delay.ts";
-import { type AttemptOutcome, ServerAttempt } from "./server_attempt.ts";
+import { type AttemptOutcome } from "./attempt_outcome.ts";
+import { ServerAttempt } from "./server_attempt.ts";
 import { chooseServer } from "./server_choice.ts";
 import { firstByteTimeoutMs, gapTimeoutMs } from "./silence_timeouts.ts";
 import { StreamRelay } from "./stream_relay.ts";
@@ -161,7 +162,7 @@
   #handleOutcome(outcome: AttemptOutcome): void {
     clearTimeout(this.#silenceTimer);
     if (this.#exchange.isOver) return;
-    this.#record(outcome);
+    this.#history.addOutcome(this.#attempt?.server.id ?? "", outcome);
     switch (outcome.kind) {
       case "answer":
         if (outcome.answer.status >= 500 && isRetriable(this.#request.route)) {
@@ -186,13 +187,9 @@
     }
   }
 
-  #record(outcome: AttemptOutcome): void {
-    this.#history.addOutcome(this.#attempt?.server.id ?? "", outcome);
-  }
-
   /** Sends the request again, if that is allowed and enough time is left. */
   #retry(cause: string): void {
-    if (!this.#canRetry() || this.#isSuspect) return this.#giveUp(cause);
+    if (!this.#canRetry()) return this.#giveUp(cause);
     if (this.#history.wasSent && !this.#spendRetry("failure")) {
       return this.#giveUp(cause);
     }
@@ -213,11 +210,8 @@
   }
 
   #canRetry(): boolean {
-    return this.#timeLeftMs() >= MIN_ATTEMPT_MS && this.#history.mayRetry();
-  }
-
-  get #isSuspect(): boolean {
-    return this.#context.prompts.isSuspect(crashPartIds(this.#request));
+    return this.#timeLeftMs() >= MIN_ATTEMPT_MS && this.#history.mayRetry() &&
+      !this.#context.prompts.isSuspect(crashPartIds(this.#request));
   }
 
   /** Returns the filter of versions; it avoids the failed one if possible. */
@@ -242,7 +236,7 @@
     if (!attempt.isUnsent && !this.#spendRetry("failure")) return;
     this.#context.metrics.count("repeats", { cause: "silent" });
     attempt.cancel("down");
-    this.#record({
+    this.#history.addOutcome(attempt.server.id, {
       kind: "fault",
       isUnsent: attempt.isUnsent,
       cause: "silent",
--- a/src/gateway/server_attempt.ts
+++ b/src/gateway/server_attempt.ts
@@ -8,9 +8,9 @@
 import { type BackendServer } from "../model/mod.ts";
 import { AnswerProgress } from "./answer_progress.ts";
 import { AnswerBuffer } from "./answer_buffer.ts";
+import { type AttemptOutcome } from "./attempt_outcome.ts";
 import { BackendExchange, type ExchangeFault } from "./backend_exchange.ts";
 import { type InFlightRequest } from "./backend_fleet.ts";
-import { type CompleteAnswer } from "./caller_exchange.ts";
 import { type ForwardContext } from "./forward_context.ts";
 import { logBreak } from "./forward_log.ts";
 import { prefillKeyOf } from "./prefill_rates.ts";
@@ -25,20 +25,6 @@
 /** A prompt that occupies a server for longer is reported to nearby VMs. */
 const LONG_PREFILL_MS = 300;
 
-/** The outcome of an attempt. */
-export type AttemptOutcome =
-  | { readonly kind: "answer"; readonly answer: CompleteAnswer }
-  | { readonly kind: "stream_end"; readonly head: AnswerHead }
-  /** The answer is valid, but `onHead` dropped it. */
-  | { readonly kind: "dropped" }
-  /** The server states that it has not run the request. */
-  | { readonly kind: "not_run" }
-  | {
-    readonly kind: "fault";
-    readonly isUnsent: boolean;
-    readonly cause: string;
-  };
-
 export interface ServerAttemptOptions {
   readonly context: ForwardContext;
   readonly server: BackendServer;
--- a/src/gateway/server_attempt_test.ts
+++ b/src/gateway/server_attempt_test.ts
@@ -5,7 +5,8 @@
 import { type BackendHandler, startBackend } from "./backend_fixture.ts";
 import { forwardContextOf } from "./forward_context_fixture.ts";
 import { testProtocol } from "./gateway_fixture.ts";
-import { type AttemptOutcome, ServerAttempt } from "./server_attempt.ts";
+import { type AttemptOutcome } from "./attempt_outcome.ts";
+import { ServerAttempt } from "./server_attempt.ts";
 
 const REQUEST_ID = "request-1";
 
