--- a/src/gateway/rollout_record.ts
+++ b/src/gateway/rollout_record.ts
@@ -53,6 +53,8 @@
   stage: RolloutStage | undefined;
   /** Whether `stage` reflects the statuses in the store. */
   isStageKnown: boolean;
+  /** Some of the target's servers that had failed at the last evaluation. */
+  failingIds: readonly string[] = [];
   /** Requests that this VM has sent for the load trial. */
   loadTrialCount = 0;
   #ownTally: VersionTally = EMPTY_TALLY;
@@ -139,6 +141,7 @@
       return undefined;
     }
     const all = this.mergedTally;
+    this.failingIds = all.failingIds;
     this.#recordHistory(all, nowMs);
     this.fault = targetFault(all) ?? this.#recentFault(all, nowMs) ??
       (isDecisionDue(this, nowMs) ? targetDoubt(all) : undefined);
--- a/src/gateway/rollout_registry.ts
+++ b/src/gateway/rollout_registry.ts
@@ -181,8 +181,7 @@
     const rollout = this.#rollouts.get(service);
     if (rollout === undefined) return undefined;
     if (!isLoadTrial(rollout, this.#options.clock())) return undefined;
-    const version = rollout.order.target;
-    return { version, failingIds: rollout.mergedTally.failingIds };
+    return { version: rollout.order.target, failingIds: rollout.failingIds };
   }
 
   record(sample: VersionSample): void {
--- a/src/gateway/server_choice.ts
+++ b/src/gateway/server_choice.ts
@@ -42,9 +42,9 @@
     ? untried
     : fleet.candidates({ ...query, excludedIds: new Set() });
   const isEngine = caller.promptTokens > 0;
-  const trial = versions.loadTrialOf(service);
   // An engine that runs more requests is slower for each; a slot is not.
-  if (trial !== undefined && !isEngine) {
+  const trial = isEngine ? undefined : versions.loadTrialOf(service);
+  if (trial !== undefined) {
     const filled = firstUnfilled(
       candidates.filter(({ server }) => server.version === trial.version),
       trial.failingIds,
