--- a/src/gateway/rollout_play_fixture.ts
+++ b/src/gateway/rollout_play_fixture.ts
@@ -6,12 +6,7 @@
 import { dueStage, isEnded } from "../decision/mod.ts";
 import { routeOf, serverOf } from "../decision/manifest_fixture.ts";
 import { seededRandom } from "../decision/membership_fixture.ts";
-import {
-  type BackendServer,
-  type Random,
-  type RolloutStage,
-  silentLogger,
-} from "../model/mod.ts";
+import { type Random, type RolloutStage, silentLogger } from "../model/mod.ts";
 import { type InFlightRequest } from "./backend_fleet.ts";
 import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
 import { forwardContextOf } from "./forward_context_fixture.ts";
@@ -20,12 +15,12 @@
 import { createRolloutReports } from "./rollout_report.ts";
 import { BUSY_SHARE } from "./server_attempt.ts";
 import { chooseServer } from "./server_choice.ts";
-
-/** How a version answers one request. */
-export interface AnswerQuality {
-  readonly workFactor: number;
-  readonly isError: boolean;
-}
+import {
+  type AnsweredJob,
+  type AnswerQuality,
+  type QueuedJob,
+  SlotServer,
+} from "./slot_server_fixture.ts";
 
 /** What is played. */
 export interface RolloutPlay {
@@ -66,21 +61,9 @@
   readonly registry: RolloutRegistry;
 }
 
-interface Job {
+interface Job extends QueuedJob {
   readonly vm: Vm;
   readonly inFlight: InFlightRequest;
-  readonly sentAtMs: number;
-  /** One way to the server. */
-  readonly wayMs: number;
-  endsAtMs: number;
-  isBad: boolean;
-  isError: boolean;
-}
-
-interface Server {
-  readonly server: BackendServer;
-  readonly running: Set<Job>;
-  readonly queue: Job[];
 }
 
 export const CANARY_SHARE = 0.15;
@@ -102,7 +85,7 @@
 const EVALUATE_MS = 200;
 const EXCHANGE_MS = 400;
 const READER_EXCHANGE_MS = 700;
-/** The product's own quality: as fast as any, few errors. */
+/** A sound version, which fails a request now and then. */
 export function goodQuality(_: unknown, random: Random): AnswerQuality {
   return { workFactor: 1, isError: random() < USUAL_ERROR_SHARE };
 }
@@ -116,7 +99,7 @@
   readonly #play: RolloutPlay;
   readonly #random: Random;
   readonly #clock = { nowMs: 0 };
-  readonly #servers: Server[] = [];
+  readonly #servers: SlotServer<Job>[] = [];
   readonly #vms: readonly Vm[];
   readonly #targetsMs: number[] = [];
   readonly #badAnswersMs: number[] = [];
@@ -134,7 +117,15 @@
           slotCount: SLOT_COUNT,
           place: `place-${index % play.placeCount}`,
         });
-        this.#servers.push({ server, running: new Set(), queue: [] });
+        this.#servers.push(
+          new SlotServer<Job>(server, {
+            workMs: () => this.#workMs(),
+            qualityOf: (runningCount) =>
+              version === TARGET
+                ? play.targetQuality({ runningCount }, this.#random)
+                : goodQuality(undefined, this.#random),
+          }),
+        );
       }
     }
     this.#vms = Array.from(
@@ -149,7 +140,9 @@
     for (let nowMs = 0; nowMs < endMs; nowMs += STEP_MS) {
       this.#clock.nowMs = nowMs;
       if (nowMs === ORDER_AT_MS) this.#order();
-      for (const server of this.#servers) this.#advance(server);
+      for (const server of this.#servers) {
+        server.advance(nowMs, (answered) => this.#finish(server, answered));
+      }
       if (this.#random() < requestsPerSecond * STEP_MS / 1000) this.#arrive();
       this.#exchange();
       if (nowMs % EVALUATE_MS !== 0) continue;
@@ -235,50 +228,28 @@
     if (state === undefined) return;
     if (server.version === TARGET) this.#targetsMs.push(this.#sinceOrderMs);
     vm.registry.adjustInFlight(SERVICE, server.version, 1);
-    state.queue.push({
+    state.send({
       vm,
       inFlight: vm.context.fleet.trackRequest(server),
       sentAtMs: this.#clock.nowMs,
       wayMs: server.place === vm.place ? NEAR_MS : this.#play.farMs,
-      endsAtMs: Infinity,
-      isBad: false,
-      isError: false,
     });
   }
 
-  #advance(state: Server): void {
-    const { server, running, queue } = state;
-    const { nowMs } = this.#clock;
-    for (const job of running) {
-      if (nowMs < job.endsAtMs) continue;
-      running.delete(job);
-      this.#finish(state, job);
-    }
-    while (running.size < SLOT_COUNT) {
-      const [job] = queue;
-      if (job === undefined || nowMs < job.sentAtMs + job.wayMs) return;
-      queue.shift();
-      running.add(job);
-      const quality = server.version === TARGET
-        ? this.#play.targetQuality({ runningCount: running.size }, this.#random)
-        : goodQuality(undefined, this.#random);
-      job.isError = quality.isError;
-      job.isBad = quality.workFactor > 1 || quality.isError;
-      job.endsAtMs = nowMs + quality.workFactor * this.#workMs() + job.wayMs;
-    }
-  }
-
-  #finish({ server, running, queue }: Server, job: Job): void {
-    const { vm, inFlight, isError } = job;
+  #finish(
+    { server, load }: SlotServer<Job>,
+    { job, quality }: AnsweredJob<Job>,
+  ): void {
+    const { vm, inFlight } = job;
+    const { isError, workFactor } = quality;
     const { nowMs } = this.#clock;
     inFlight.recordActivity();
-    inFlight.recordLoad({
-      runningCount: running.size,
-      waitingCount: queue.length,
-    });
+    inFlight.recordLoad(load);
     inFlight.end(isError ? "error" : "success");
-    const isTarget = server.version === TARGET;
-    if (isTarget && job.isBad) this.#badAnswersMs.push(this.#sinceOrderMs);
+    const isBad = isError || workFactor > 1;
+    if (isBad && server.version === TARGET) {
+      this.#badAnswersMs.push(this.#sinceOrderMs);
+    }
     vm.context.fleet.recordServiceTime(SERVICE, nowMs - job.sentAtMs);
     vm.registry.adjustInFlight(SERVICE, server.version, -1);
     vm.registry.record({
@@ -287,7 +258,8 @@
       backendId: server.id,
       route: "registrations",
       isError,
-      isBusy: running.size + queue.length >= BUSY_SHARE * SLOT_COUNT,
+      isBusy: load.runningCount + load.waitingCount >=
+        BUSY_SHARE * server.slotCount,
       firstByteMs: nowMs - job.sentAtMs,
       distanceMs: vm.context.distanceMs(server.place),
     });
