--- a/src/gateway/crash_news.ts
+++ b/src/gateway/crash_news.ts
@@ -126,3 +126,12 @@
 export function ageOf(atMs: number, nowMs: number): number {
   return Math.max(0, Math.round(nowMs - atMs));
 }
+
+/** Returns the parts of all reports; those in most reports matter most. */
+export function mostReported(reports: readonly CrashReport[]): string[] {
+  const counts = new Map<string, number>();
+  for (const partId of reports.flatMap((report) => report.partIds)) {
+    counts.set(partId, (counts.get(partId) ?? 0) + 1);
+  }
+  return [...counts].sort(([, a], [, b]) => b - a).map(([partId]) => partId);
+}
--- a/src/gateway/prompt_quarantine.ts
+++ b/src/gateway/prompt_quarantine.ts
@@ -22,6 +22,7 @@
   isNews,
   MAX_NAME_LENGTH,
   MAX_SHARED_SURVIVED,
+  mostReported,
   reportedParts,
   reportKeyOf,
   serverKeyOf,
@@ -301,15 +302,6 @@
   }
 }
 
-/** Parts that many reports name matter most, where not all can be sent. */
-function mostReported(reports: readonly CrashReport[]): string[] {
-  const counts = new Map<string, number>();
-  for (const partId of reports.flatMap((report) => report.partIds)) {
-    counts.set(partId, (counts.get(partId) ?? 0) + 1);
-  }
-  return [...counts].sort(([, a], [, b]) => b - a).map(([partId]) => partId);
-}
-
 function nameOf({ partIds }: FatalParts): string {
   return partIds.join(" ");
 }
--- a/tools/server_mechanisms.ts
+++ b/tools/server_mechanisms.ts
@@ -73,7 +73,7 @@
     file: "src/gateway/prompt_quarantine.ts",
     source: "...report } of crashes)",
     replacement: "...report } of crashes.slice(crashes.length))",
-    tests: ["src/gateway/prompt_quarantine_test.ts"],
+    tests: ["src/gateway/prompt_quarantine_play_test.ts"],
   },
   {
     name: "crash report withdrawn",
