Test servers that end at one moment beside sound answers

The test passed without the mechanism too: with no answer to another request nothing speaks against any part.

--- a/src/gateway/prompt_quarantine_test.ts
+++ b/src/gateway/prompt_quarantine_test.ts
@@ -135,6 +135,7 @@
 test("servers that end at one moment speak against no part", () => {
   const { clock, vms: [vm] } = vmsOf(1);
   assert.ok(vm !== undefined);
+  vm.quarantine.recordSurvival(SOUND_PARTS);
   for (let index = 0; index < 8; index++) {
     clock.nowMs += 5;
     vm.quarantine.recordBreak({
