Log the requests that are open when a VM ends

A request that was open at the end of the grace period left no last line, so the logs could not tell a stream that was cut from a request that ended without an answer. Each gets its `request ended` with outcome vm_stopped.

--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -41,6 +41,7 @@
   #fallback: CompleteAnswer | undefined;
   #deadlineTimer: NodeJS.Timeout | undefined;
   #silenceTimer: NodeJS.Timeout | undefined;
+  #onFinish: () => void = () => {};
 
   constructor(
     context: ForwardContext,
@@ -60,6 +61,18 @@
     if (caller.isAnyModelAllowed) this.#model = firstModel(route.models);
   }
 
+  /** Called once when the request has ended. */
+  set onFinish(listener: () => void) {
+    this.#onFinish = listener;
+  }
+
+  /** Ends the request, as the VM ends. */
+  endWithVm(): void {
+    if (this.#exchange.isOver) return;
+    this.#exchange.onDisconnect = () => {};
+    this.#finish("vm_stopped");
+  }
+
   /** Starts the deadline timer and sends the request to its first server. */
   start(): void {
     this.#context.budget.earn(this.#request.service);
@@ -278,6 +291,7 @@
     clearTimeout(this.#deadlineTimer);
     clearTimeout(this.#silenceTimer);
     this.#attempt?.cancel(undefined);
+    this.#onFinish();
     logEnd(this.#context, this.#request, {
       ...this.#progress(),
       outcome,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -12,7 +12,6 @@
 import { CallerServer, type ReceivedRequest } from "./caller_server.ts";
 import { type ForwardContext } from "./forward_context.ts";
 import { logRefusal } from "./forward_log.ts";
-import { Forwarding } from "./forwarding.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { type GatewayOptions } from "./gateway_options.ts";
 import {
@@ -23,6 +22,7 @@
 } from "./gateway_peers.ts";
 import { GatewayShutdown, STOP_POLL_MS } from "./gateway_shutdown.ts";
 import { GatewayState } from "./gateway_state.ts";
+import { OpenRequests } from "./open_requests.ts";
 import { PeerExchange } from "./peer_exchange.ts";
 import { PrefillRates } from "./prefill_rates.ts";
 import { watchLoad } from "./process_load.ts";
@@ -59,6 +59,7 @@
   readonly #callers: CallerServer;
   readonly #peers: PeerNode;
   readonly #context: ForwardContext;
+  readonly #openRequests = new OpenRequests();
   readonly #shutdown: GatewayShutdown;
   readonly #stopController = new AbortController();
   readonly #vmCount = (): number => 1 + this.#peers.membership().members.size;
@@ -220,6 +221,7 @@
     await shutdownDone;
     this.#stopController.abort();
     logger.info("stopped", { openCount: this.#callers.openCount });
+    this.#openRequests.endAll();
     await sleep(STOP_POLL_MS);
     this.#callers.close();
     await this.#peers.close();
@@ -259,8 +261,8 @@
     }
     return (body) => {
       const digest = requestDigest(admitted.caller, body);
-      const forwarded = { ...admitted, body, digest, receivedAtMs };
-      new Forwarding(this.#context, forwarded, exchange).start();
+      const request = { ...admitted, body, digest, receivedAtMs };
+      this.#openRequests.forward(this.#context, { request, exchange });
     };
   }
 
--- /dev/null
+++ b/src/gateway/open_requests.ts
@@ -0,0 +1,27 @@
+/** The requests of this VM that are being forwarded. */
+import { type CallerExchange } from "./caller_exchange.ts";
+import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
+import { Forwarding } from "./forwarding.ts";
+
+export class OpenRequests {
+  readonly #forwardings = new Set<Forwarding>();
+
+  /** Forwards a request; it stays open until its answer ends. */
+  forward(
+    context: ForwardContext,
+    { request, exchange }: {
+      readonly request: ForwardRequest;
+      readonly exchange: CallerExchange;
+    },
+  ): void {
+    const forwarding = new Forwarding(context, request, exchange);
+    this.#forwardings.add(forwarding);
+    forwarding.onFinish = () => this.#forwardings.delete(forwarding);
+    forwarding.start();
+  }
+
+  /** Ends all open requests, as the VM ends. */
+  endAll(): void {
+    for (const forwarding of [...this.#forwardings]) forwarding.endWithVm();
+  }
+}
