--- a/src/gateway/gateway_shutdown.ts
+++ b/src/gateway/gateway_shutdown.ts
@@ -17,6 +17,12 @@
 export const ENTRY_AGE_FACTOR = 3;
 /** Time until all other VMs have stopped advertising a leaving VM. */
 export const ANNOUNCEMENT_SPREAD_MS = 200;
+/**
+ * Maximum time for which callers cache entry addresses. After SIGTERM a VM
+ * accepts requests for three times this age plus the spread. The sum has to
+ * stay below 3 s, since a stream sent 3 s after SIGTERM has to be completed.
+ */
+export const MAX_ENTRY_AGE_MS = 900;
 /** Time reserved for closing before the grace period ends. */
 const END_MARGIN_MS = 300;
 /** Interval between two checks for open requests. */
--- a/src/gateway/gateway_shutdown_test.ts
+++ b/src/gateway/gateway_shutdown_test.ts
@@ -2,9 +2,12 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { silentLogger } from "../model/mod.ts";
-import { GatewayShutdown } from "./gateway_shutdown.ts";
+import { GatewayShutdown, MAX_ENTRY_AGE_MS } from "./gateway_shutdown.ts";
 import { type GatewaySettings } from "./gateway_settings.ts";
 
+/** A stream sent this long after SIGTERM has to be completed. */
+const LATE_STREAM_MS = 3000;
+
 const SETTINGS: GatewaySettings = {
   vm: "vm-1",
   place: "khomas-a",
@@ -17,7 +20,7 @@
   drainMs: 2500,
   convergeMs: 2500,
   graceMs: 8000,
-  entryMaxAgeMs: 900,
+  entryMaxAgeMs: MAX_ENTRY_AGE_MS,
   retryBound: { ratio: 0.9, slackCount: 56, windowMs: 10_000 },
   canaryShare: 0.15,
   canarySlackCount: 0,
@@ -67,3 +70,29 @@
   const endless = await stop(Infinity);
   assert.ok(endless.durationMs < SETTINGS.graceMs, `${endless.durationMs}`);
 });
+
+// Guards against LOST: a stream that is accepted later than 3 s after SIGTERM
+// is cut at the end of the grace period.
+test("a VM that runs late refuses requests 3 s after SIGTERM", async () => {
+  const signalDelayMs = 120;
+  const sleepDelayMs = 100;
+  let nowMs = signalDelayMs;
+  let acceptedMs = 0;
+  const shutdown = new GatewayShutdown({
+    settings: { ...SETTINGS, entryMaxAgeMs: MAX_ENTRY_AGE_MS },
+    announce: () => {},
+    openCount: () => nowMs < 5000 ? 1 : 0,
+    clock: () => nowMs,
+    sleep: (ms) => {
+      const wakesAtMs = nowMs + ms + sleepDelayMs;
+      while (nowMs < wakesAtMs) {
+        if (shutdown.isAccepting) acceptedMs = nowMs;
+        nowMs += 1;
+      }
+      return Promise.resolve();
+    },
+    logger: silentLogger,
+  });
+  await shutdown.run();
+  assert.ok(acceptedMs < LATE_STREAM_MS, `${acceptedMs}`);
+});
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -10,6 +10,7 @@
 export * from "./gateway_metrics.ts";
 export * from "./gateway_options.ts";
 export * from "./gateway_settings.ts";
+export * from "./gateway_shutdown.ts";
 export * from "./gateway_state.ts";
 export * from "./json_logger.ts";
 export * from "./log_sink.ts";
