--- a/src/gateway/gateway_test.ts
+++ b/src/gateway/gateway_test.ts
@@ -160,3 +160,21 @@
   assert.equal(answer.body, "whole");
   assert.ok(answer.isComplete);
 });
+
+// Guards against LOST: a request that no server has answered at the end of the
+// grace period lost its connection without an answer.
+test("a request without an answer at the end of the grace period is refused", async (context) => {
+  const backend = await backendOf(context, () => {});
+  const gateway = await startGateway({
+    backends: [backend],
+    manifest: { routes: [{ ...LOOKUP_ROUTE, timeoutMs: 30_000 }] },
+    settings: { graceMs: 1500 },
+  });
+  await untilReady(gateway);
+  const sent = call(gateway.callerAddress, { path: "/lookups/a" });
+  await delay(50);
+  await gateway.gateway.stop();
+  const answer = await sent;
+  assert.equal(answer.status, 502);
+  assert.ok(answer.isComplete);
+});
