--- a/src/gateway/gateway_test.ts
+++ b/src/gateway/gateway_test.ts
@@ -178,3 +178,24 @@
   assert.equal(answer.status, 502);
   assert.ok(answer.isComplete);
 });
+
+// Guards against LOST: a second SIGTERM ended a stopping VM at once.
+test("a second stop of a VM waits for the requests of the first", async (context) => {
+  const backend = await backendOf(context, (request, response) => {
+    setTimeout(() => sendCompleteAnswer(request, response), 800);
+  });
+  const gateway = await startGateway({
+    backends: [backend],
+    manifest: { routes: [{ ...LOOKUP_ROUTE, maxAttempts: 1 }] },
+    settings: { graceMs: 5000 },
+  });
+  await untilReady(gateway);
+  let isAnswered = false;
+  const sent = call(gateway.callerAddress, { path: "/lookups/a" })
+    .then(() => isAnswered = true);
+  await delay(50);
+  const first = gateway.gateway.stop();
+  await gateway.gateway.stop();
+  assert.ok(isAnswered);
+  await Promise.all([first, sent]);
+});
