Refuse requests in time on a VM that runs late

Callers of a VM that stopped lost long streams: a request sent later than 3 s after SIGTERM was still accepted and cut at the end of the grace period. Now the window's end is compared with the clock at each request, and callers may cache an address for 750 ms instead of 900, which leaves half a second for a signal handled late.

--- a/src/decision/shutdown.ts
+++ b/src/decision/shutdown.ts
@@ -84,9 +84,10 @@
   }
 }
 
-/** Whether new requests are accepted. */
-export function acceptsNewWork(state: ShutdownState): boolean {
-  return state.phase === "serving" || state.phase === "withdrawn";
+/** Whether new requests are accepted, also before the phase has changed. */
+export function acceptsNewWork(state: ShutdownState, nowMs: number): boolean {
+  if (state.phase === "serving") return true;
+  return state.phase === "withdrawn" && !isWithdrawalOver(state, nowMs);
 }
 
 function terminate(state: ShutdownState, nowMs: number): ShutdownStep {
@@ -99,8 +100,7 @@
 }
 
 function endWithdrawn(state: ShutdownState, nowMs: number): ShutdownStep {
-  const { entryMaxAgeMs, spreadMs } = state.options;
-  if (nowMs - state.sinceMs < entryMaxAgeMs + spreadMs) return unchanged(state);
+  if (!isWithdrawalOver(state, nowMs)) return unchanged(state);
   return enterPhase(state, {
     phase: "refusing",
     nowMs,
@@ -108,6 +108,11 @@
   });
 }
 
+function isWithdrawalOver(state: ShutdownState, nowMs: number): boolean {
+  const { entryMaxAgeMs, spreadMs } = state.options;
+  return nowMs - state.sinceMs >= entryMaxAgeMs + spreadMs;
+}
+
 function endFlushing(
   state: ShutdownState,
   unconfirmedCount: number,
--- a/src/decision/shutdown_test.ts
+++ b/src/decision/shutdown_test.ts
@@ -35,10 +35,11 @@
 
 test("a VM accepts requests until its advertised addresses expire", () => {
   const before = run([[0, TERMINATE], [17_999, progress(0)]]);
-  assert.equal(acceptsNewWork(before.state), true);
+  assert.equal(acceptsNewWork(before.state, 17_999), true);
   const after = run([[0, TERMINATE], [18_000, progress(0)]]);
-  assert.equal(acceptsNewWork(after.state), false);
+  assert.equal(acceptsNewWork(after.state, 18_000), false);
   assert.deepEqual(after.effects, ["announce", "refuse_new_work"]);
+  assert.equal(acceptsNewWork(before.state, 18_000), false);
 });
 
 test("a second termination signal doesn't shorten any phase", () => {
--- a/src/gateway/gateway_shutdown.ts
+++ b/src/gateway/gateway_shutdown.ts
@@ -19,10 +19,11 @@
 export const ANNOUNCEMENT_SPREAD_MS = 200;
 /**
  * Maximum time for which callers cache entry addresses. After SIGTERM a VM
- * accepts requests for three times this age plus the spread. The sum has to
- * stay below 3 s, since a stream sent 3 s after SIGTERM has to be completed.
+ * accepts requests for three times this age plus the spread. The sum leaves
+ * half a second for a signal handled late, since a stream sent 3 s after
+ * SIGTERM has to be completed.
  */
-export const MAX_ENTRY_AGE_MS = 900;
+export const MAX_ENTRY_AGE_MS = 750;
 /** Time reserved for closing before the grace period ends. */
 const END_MARGIN_MS = 300;
 /** Interval between two checks for open requests. */
@@ -60,7 +61,7 @@
 
   /** Whether new requests are accepted. */
   get isAccepting(): boolean {
-    return acceptsNewWork(this.#state);
+    return acceptsNewWork(this.#state, this.#options.clock());
   }
 
   /** Runs all phases; resolves when the process may exit. */
