Refuse requests that have no answer at the end of the grace period

Callers whose request had no answer when a VM's grace period ended lost their connection without an answer, though no server need have been at work on the request. Cause: all connections were closed. Now each open request gets the answer that is true of it: 502 if it was sent to a server, else 503 with the time to come back; a stream that has begun still ends with its connection.

--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -66,11 +66,9 @@
     this.#onFinish = listener;
   }
 
-  /** Ends the request, as the VM ends. */
+  /** Answers the request with what is true of it, as the VM ends. */
   endWithVm(): void {
-    if (this.#exchange.isOver) return;
-    this.#exchange.onDisconnect = () => {};
-    this.#finish("vm_stopped");
+    this.#endUnanswered("vm_stopped", { sentStatus: 502 });
   }
 
   /** Starts the deadline timer and sends the request to its first server. */
@@ -263,13 +261,20 @@
   }
 
   #handleDeadline(): void {
+    this.#endUnanswered("timeout", { sentStatus: 504 });
+  }
+
+  #endUnanswered(
+    reason: string,
+    { sentStatus }: { readonly sentStatus: number },
+  ): void {
     if (this.#exchange.isOver) return;
     const isSent = this.#history.wasSent || this.#attempt?.isUnsent === false;
     this.#attempt?.cancel(undefined);
     if (this.#exchange.isHeadSent) this.#exchange.abort();
-    else if (isSent) this.#exchange.refuse({ status: 504, reason: "timeout" });
-    else this.#refuse("timeout");
-    this.#finish("timeout");
+    else if (isSent) this.#exchange.refuse({ status: sentStatus, reason });
+    else this.#refuse(reason);
+    this.#finish(reason);
   }
 
   #giveUp(cause: string): void {
--- a/src/gateway/open_requests.ts
+++ b/src/gateway/open_requests.ts
@@ -20,7 +20,7 @@
     forwarding.start();
   }
 
-  /** Ends all open requests, as the VM ends. */
+  /** Answers all open requests, as the VM ends. */
   endAll(): void {
     for (const forwarding of [...this.#forwardings]) forwarding.endWithVm();
   }
