Let a second stop of a VM wait for the first

A second SIGTERM while a VM stopped ended its process at once, and with it every request in progress: stop() returned at once when it had run before, and the signal handler exits after stop(). Now all calls wait for one end.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -65,6 +65,7 @@
   readonly #vmCount = (): number => 1 + this.#peers.membership().members.size;
   #callerAddress: string;
   #peerAddress: string;
+  #stopped: Promise<void> | undefined;
 
   constructor(options: GatewayOptions) {
     this.#options = options;
@@ -211,10 +212,15 @@
 
   /**
    * Stops gracefully: first no new callers, then no new requests. Resolves when
-   * the open requests are answered or the grace period is over.
+   * the open requests are answered or the grace period is over. Further calls
+   * wait for the same end.
    */
-  async stop(): Promise<void> {
-    if (!this.#shutdown.isServing) return;
+  stop(): Promise<void> {
+    this.#stopped ??= this.#stop();
+    return this.#stopped;
+  }
+
+  async #stop(): Promise<void> {
     const { sleep, logger } = this.#options;
     const shutdownDone = this.#shutdown.run();
     this.#callers.beginClosing();
