Log when a VM reaches no server

A VM that had lost its links to all servers left no line that says so: each request logged its own failed connections.

--- a/src/gateway/backend_exchange.ts
+++ b/src/gateway/backend_exchange.ts
@@ -35,6 +35,8 @@
 
 /** Callbacks of an exchange; `onEnd` or `onFault` is the last call. */
 export interface ExchangeEvents {
+  /** Called when the connection is established. */
+  readonly onConnected: () => void;
   readonly onHead: (status: number, rawHeaders: readonly string[]) => void;
   readonly onData: (chunk: Buffer) => void;
   /** Called when the answer is complete. */
@@ -98,6 +100,7 @@
       socket.once("connect", () => {
         this.#isConnected = true;
         clearTimeout(this.#connectTimer);
+        if (!this.#isOver) this.#events.onConnected();
       });
     });
     this.#request.on("error", (error: NodeJS.ErrnoException) => {
--- a/src/gateway/backend_fleet.ts
+++ b/src/gateway/backend_fleet.ts
@@ -103,6 +103,11 @@
     this.#readyVersions = readyVersions;
   }
 
+  /** All registered servers. */
+  get servers(): BackendServer[] {
+    return [...this.#states.values()].map(({ server }) => server);
+  }
+
   /** All servers registered for a service, whatever their status. */
   serversOf(service: string): BackendServer[] {
     return (this.#byService.get(service) ?? []).map(({ server }) => server);
--- a/src/gateway/forward_context.ts
+++ b/src/gateway/forward_context.ts
@@ -12,6 +12,7 @@
 import { type PrefillRates } from "./prefill_rates.ts";
 import { type PromptQuarantine } from "./prompt_quarantine.ts";
 import { type CallerRequest, type GatewayProtocol } from "./protocol.ts";
+import { type ReachWatch } from "./reach_watch.ts";
 import { type RetryBudget } from "./retry_budget.ts";
 import { type ServerLimits } from "./server_limits.ts";
 import { type ServerStatements } from "./server_statements.ts";
@@ -86,6 +87,7 @@
   readonly limits: ServerLimits;
   readonly statements: ServerStatements;
   readonly prompts: PromptQuarantine;
+  readonly reach: ReachWatch;
   readonly budget: RetryBudget;
   readonly versions: VersionSelector;
   readonly answerMemory: AnswerMemory;
--- a/src/gateway/forward_context_fixture.ts
+++ b/src/gateway/forward_context_fixture.ts
@@ -8,6 +8,7 @@
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { PrefillRates } from "./prefill_rates.ts";
 import { PromptQuarantine } from "./prompt_quarantine.ts";
+import { ReachWatch } from "./reach_watch.ts";
 import { RetryBudget } from "./retry_budget.ts";
 import { ServerLimits } from "./server_limits.ts";
 import { ServerStatements } from "./server_statements.ts";
@@ -47,6 +48,11 @@
       clock: now,
       logger: silentLogger,
     }),
+    reach: new ReachWatch({
+      servers: () => servers,
+      clock: now,
+      logger: silentLogger,
+    }),
     budget: new RetryBudget({ fleetBound, clock: now, vmCount: () => 1 }),
     versions: {
       acceptorOf: () => () => true,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -27,6 +27,7 @@
 import { PrefillRates } from "./prefill_rates.ts";
 import { watchLoad } from "./process_load.ts";
 import { type CallerRequest } from "./protocol.ts";
+import { ReachWatch } from "./reach_watch.ts";
 import { requestDigest } from "./request_digest.ts";
 import { RetryBudget } from "./retry_budget.ts";
 import { admitRequest, type AdmittedRequest } from "./request_admission.ts";
@@ -118,6 +119,11 @@
       protocol,
       fleet: this.#fleet,
       ...this.#guards,
+      reach: new ReachWatch({
+        servers: () => this.#fleet.servers,
+        clock,
+        logger,
+      }),
       budget: new RetryBudget({
         fleetBound: settings.retryBound,
         clock,
--- a/src/gateway/server_attempt.ts
+++ b/src/gateway/server_attempt.ts
@@ -89,6 +89,7 @@
       body,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
     }, {
+      onConnected: () => context.reach.recordReached(),
       onHead: (status, rawHeaders) => this.#handleHead(status, rawHeaders),
       onData: (chunk) => this.#handleData(chunk),
       onEnd: () => this.#handleEnd(),
@@ -215,6 +216,7 @@
     const { context, server } = this.#options;
     if (fault.isUnsent) context.prompts.recordUnreachable(server);
     else this.#recordBreak(fault.kind);
+    if (fault.kind === "unreachable") context.reach.recordUnreached(server.id);
     this.#end(fault.kind === "unreachable" ? "down" : "broken");
     this.#options.onOutcome({
       kind: "fault",
