Test that VMs cut off from all servers serve as the others do

Fails with connections that are reset and with ones that live on while new ones are refused: from 4 s after the cut on two of four VMs serve none of the requests, the others all.

--- /dev/null
+++ b/src/gateway/cut_off_vm_test.ts
@@ -0,0 +1,143 @@
+/** Tests of VMs that lose their links to all backend servers. */
+import assert from "node:assert/strict";
+import { setTimeout as delay } from "node:timers/promises";
+import { test, type TestContext } from "node:test";
+import {
+  beginStream,
+  eventsOf,
+  sendCompleteAnswer,
+  startBackend,
+} from "./backend_fixture.ts";
+import { routeOf } from "../decision/manifest_fixture.ts";
+import {
+  call,
+  LOOKUP_ROUTE,
+  REGISTER_ROUTE,
+  startGateway,
+  type TestGateway,
+  untilReady,
+} from "./gateway_fixture.ts";
+import { MemoryTopic } from "./memory_topic_fixture.ts";
+import {
+  type LinkCut,
+  type ServerLinks,
+  startLinks,
+} from "./server_link_fixture.ts";
+import { until } from "./until_fixture.ts";
+
+const VM_COUNT = 4;
+const CUT_COUNT = 2;
+/** The platform's rule holds from this time on after the cut. */
+const CONNECTED_MS = 4000;
+const COUNTED_MS = 2000;
+const CALL_PERIOD_MS = 50;
+/** Cut off VMs serve at least this share of what the others serve. */
+const LEAST_SHARE = 2 / 3;
+const BODY = "a body";
+const STREAM_ROUTE = routeOf({ name: "drafts", routePrefix: "/drafts/" });
+const PATHS = ["/lookups/a", "/registrations/a", "/drafts/a"];
+
+interface LinkedVm extends TestGateway {
+  readonly links: ServerLinks;
+}
+
+interface Fleet {
+  readonly vms: readonly LinkedVm[];
+  /** How often each request ran, by its id. */
+  readonly runs: ReadonlyMap<string, number>;
+}
+
+async function startFleet(context: TestContext): Promise<Fleet> {
+  const runs = new Map<string, number>();
+  const backends = await Promise.all(
+    ["a", "b", "c"].map((id) =>
+      startBackend(id, (request, response) => {
+        const requestId = String(request.headers["test-id"]);
+        runs.set(requestId, (runs.get(requestId) ?? 0) + 1);
+        if (!String(request.url).startsWith("/drafts/")) {
+          return sendCompleteAnswer(request, response);
+        }
+        beginStream(request, response);
+        response.end(eventsOf(1, 3));
+      })
+    ),
+  );
+  const [operators, servers] = [new MemoryTopic(), new MemoryTopic()];
+  const vms: LinkedVm[] = [];
+  for (let index = 1; index <= VM_COUNT; index++) {
+    const links = await startLinks(backends.map(({ server }) => server));
+    const routes = [LOOKUP_ROUTE, REGISTER_ROUTE, STREAM_ROUTE];
+    const gateway = await startGateway({
+      vm: `vm-${index}`,
+      operators,
+      servers,
+      seeds: vms.slice(0, 1).map(({ peerAddress }) => peerAddress),
+      linked: links.linked,
+      ...index === 1 ? { backends, manifest: { routes } } : {},
+    });
+    vms.push({ ...gateway, links });
+  }
+  context.after(async () => {
+    await Promise.all(vms.map(({ gateway }) => gateway.stop()));
+    await Promise.all(vms.map(({ links }) => links.close()));
+    await Promise.all(backends.map((backend) => backend.close()));
+  });
+  for (const vm of vms) await untilReady(vm);
+  await until(() =>
+    vms.every(({ gateway }) =>
+      gateway.entryAddresses({ place: undefined }).length === VM_COUNT
+    )
+  );
+  return { vms, runs };
+}
+
+/** Sends requests of all routes to a VM; returns the share that is served. */
+async function servedShare(
+  vm: LinkedVm,
+  { forMs, skipMs }: { readonly forMs: number; readonly skipMs: number },
+): Promise<number> {
+  const startMs = performance.now();
+  const served: Promise<boolean>[] = [];
+  for (let count = 0; performance.now() < startMs + forMs; count++) {
+    const isCounted = performance.now() >= startMs + skipMs;
+    const path = PATHS[count % PATHS.length] ?? "";
+    const id = `${vm.callerAddress}-${count}`;
+    const answer = call(vm.callerAddress, {
+      path,
+      body: BODY,
+      headers: { "test-id": id, "test-deadline": "1000" },
+    });
+    const isServed = answer.then(
+      ({ status, isComplete }) => status === 200 && isComplete,
+      () => false,
+    );
+    if (isCounted) served.push(isServed);
+    await delay(CALL_PERIOD_MS);
+  }
+  const results = await Promise.all(served);
+  return results.filter(Boolean).length / results.length;
+}
+
+const CUTS: readonly LinkCut[] = ["reset", "live_on"];
+
+for (const how of CUTS) {
+  // Guards against RECOVER: callers of VMs that had lost their links to all
+  // servers were served far worse than the others.
+  test(`VMs cut off from all servers serve as the others do: ${how}`, async (context) => {
+    const { vms, runs } = await startFleet(context);
+    const load = {
+      forMs: CONNECTED_MS + COUNTED_MS,
+      skipMs: CONNECTED_MS,
+    };
+    for (const { links } of vms.slice(0, CUT_COUNT)) await links.cut(how);
+    const shares = await Promise.all(vms.map((vm) => servedShare(vm, load)));
+    const others = shares.slice(CUT_COUNT);
+    for (const share of shares.slice(0, CUT_COUNT)) {
+      assert.ok(
+        share >= LEAST_SHARE * Math.min(...others),
+        `served ${shares.join(" ")}`,
+      );
+    }
+    for (const [id, count] of runs) assert.equal(count, 1, id);
+  });
+}
--- a/src/gateway/gateway_fixture.ts
+++ b/src/gateway/gateway_fixture.ts
@@ -6,6 +6,7 @@
 import { ok } from "neverthrow";
 import { manifestOf, routeOf } from "../decision/manifest_fixture.ts";
 import {
+  type BackendServer,
   type Manifest,
   type RolloutStatus,
   silentLogger,
@@ -102,13 +103,15 @@
   readonly operators?: MemoryTopic;
   readonly servers?: MemoryTopic;
   readonly settings?: Partial<GatewayOptions["settings"]>;
+  /** Returns a server at the address at which this VM reaches it. */
+  readonly linked?: (server: BackendServer) => BackendServer;
 }
 
 /** Starts a gateway; it may not be ready yet. */
 export async function startGateway(
   options: TestGatewayOptions = {},
 ): Promise<TestGateway> {
-  const { backends = [], vm = "vm-1" } = options;
+  const { backends = [], vm = "vm-1", linked = (server) => server } = options;
   const operators = options.operators ?? new MemoryTopic();
   const servers = options.servers ?? new MemoryTopic();
   const statuses: RolloutStatus[] = [];
@@ -149,7 +152,7 @@
         : { kind: "order", order: { ...read, offset } };
     },
     readServer: ({ value }) =>
-      value === undefined ? undefined : JSON.parse(value.toString()),
+      value === undefined ? undefined : linked(JSON.parse(value.toString())),
     readStatus: () => undefined,
     appendStatus: (status) => {
       statuses.push(status);
