Send requests through other VMs while a VM reaches no server

Cause: a VM's own connection was the only way to a server, and each request learned anew, 400 ms a server, that there was none. Now three servers in a row that are not reached, without one that is, mark the VM as cut off; its requests go through another VM's address for callers, one step only, until a connection that it tries every 0.3 s is established. The other VM admits, chooses the server and retries; its refusals that promise that nothing ran lead to the next VM.

--- /dev/null
+++ b/src/gateway/attempt.ts
@@ -0,0 +1,38 @@
+/**
+ * One attempt to have a request answered: at a backend server, or through
+ * another VM where this one reaches no server.
+ */
+import { type HealthEvent } from "../decision/mod.ts";
+import { type AttemptOutcome } from "./attempt_outcome.ts";
+import { type AnswerHead } from "./protocol.ts";
+
+/** A running attempt. */
+export interface Attempt {
+  /** The backend server's id or the VM's name. */
+  readonly targetId: string;
+  /** The version of the server; `undefined` where another VM chooses it. */
+  readonly version: string | undefined;
+  /** Whether the relay has been attached to this attempt's stream. */
+  isAttached: boolean;
+  /** The head of the answer, once it is received. */
+  readonly head: AnswerHead | undefined;
+  /** The median pause of the answer; undefined after too few parts. */
+  readonly medianPauseMs: number | undefined;
+  /** Whether no byte of the request can have been sent yet. */
+  readonly isUnsent: boolean;
+  /** Cancels the attempt; the event, if any, counts for the target's health. */
+  cancel(event: HealthEvent | undefined): void;
+  /** Stops reading the answer until `resume` is called. */
+  pause(): void;
+  resume(): void;
+}
+
+/** What an attempt reports. */
+export interface AttemptListeners {
+  /** Decides whether to relay the stream that begins with this head. */
+  readonly onHead: (head: AnswerHead) => "relay" | "drop";
+  /** Receives the bytes of a relayed stream. */
+  readonly onData: (chunk: Buffer) => void;
+  /** Called once, unless the attempt is cancelled. */
+  readonly onOutcome: (outcome: AttemptOutcome) => void;
+}
--- a/src/gateway/cut_off_vm_test.ts
+++ b/src/gateway/cut_off_vm_test.ts
@@ -141,3 +141,38 @@
     for (const [id, count] of runs) assert.equal(count, 1, id);
   });
 }
+
+test("VMs that are all cut off refuse, and nothing runs", async (context) => {
+  const { vms, runs } = await startFleet(context);
+  for (const { links } of vms) await links.cut("reset");
+  const startMs = performance.now();
+  for (const path of [...PATHS, ...PATHS]) {
+    const headers = { "test-deadline": "3000" };
+    const [vm] = vms;
+    assert.ok(vm !== undefined);
+    const answer = await call(vm.callerAddress, { path, headers });
+    assert.equal(answer.status, 503);
+    assert.ok(Number(answer.headers["retry-after"]) > 0);
+  }
+  assert.ok(performance.now() - startMs < 3000);
+  assert.equal(runs.size, 0);
+});
+
+test("a VM uses its own links soon after they are back", async (context) => {
+  const { vms } = await startFleet(context);
+  const [vm] = vms;
+  assert.ok(vm !== undefined);
+  const relayedCount = (): number =>
+    Number(/^relayed\{.*\} (\d+)$/m.exec(vm.gateway.metricsText())?.[1] ?? 0);
+  await vm.links.cut("reset");
+  const path = "/lookups/a";
+  await call(vm.callerAddress, { path });
+  const answer = await call(vm.callerAddress, { path });
+  assert.equal(answer.status, 200);
+  const countBefore = relayedCount();
+  assert.ok(countBefore > 0, vm.gateway.metricsText());
+  await vm.links.heal();
+  await delay(1000);
+  assert.equal((await call(vm.callerAddress, { path })).status, 200);
+  assert.equal(relayedCount(), countBefore);
+});
--- a/src/gateway/forward_context.ts
+++ b/src/gateway/forward_context.ts
@@ -16,6 +16,7 @@
 import { type RetryBudget } from "./retry_budget.ts";
 import { type ServerLimits } from "./server_limits.ts";
 import { type ServerStatements } from "./server_statements.ts";
+import { type VmRelays } from "./vm_relays.ts";
 
 /** One attempt's result for the statistics of the version that ran it. */
 export interface VersionSample {
@@ -88,6 +89,7 @@
   readonly statements: ServerStatements;
   readonly prompts: PromptQuarantine;
   readonly reach: ReachWatch;
+  readonly relays: VmRelays;
   readonly budget: RetryBudget;
   readonly versions: VersionSelector;
   readonly answerMemory: AnswerMemory;
--- a/src/gateway/forward_context_fixture.ts
+++ b/src/gateway/forward_context_fixture.ts
@@ -1,5 +1,9 @@
 /** The dependencies of request forwarding for tests, with a clock to set. */
-import { applyRoster, EMPTY_ROSTER } from "../decision/mod.ts";
+import {
+  applyRoster,
+  createMembership,
+  EMPTY_ROSTER,
+} from "../decision/mod.ts";
 import { type BackendServer, silentLogger } from "../model/mod.ts";
 import { AnswerMemory } from "./answer_buffer.ts";
 import { BackendFleet } from "./backend_fleet.ts";
@@ -12,6 +16,9 @@
 import { RetryBudget } from "./retry_budget.ts";
 import { ServerLimits } from "./server_limits.ts";
 import { ServerStatements } from "./server_statements.ts";
+import { VmRelays } from "./vm_relays.ts";
+
+const SELF = { vm: "vm-1", place: "khomas-a", address: "", peerAddress: "" };
 
 /** A context, and the clock that it uses. */
 export interface TestContext {
@@ -50,9 +57,19 @@
     }),
     reach: new ReachWatch({
       servers: () => servers,
+      connects: () => Promise.resolve(false),
+      sleep: () => Promise.resolve(),
+      random: () => 0.5,
       clock: now,
       logger: silentLogger,
     }),
+    relays: new VmRelays({
+      place: "khomas-a",
+      places: [],
+      membership: () => createMembership(SELF, { nowMs: now() }),
+      clock: now,
+      random: () => 0.5,
+    }),
     budget: new RetryBudget({ fleetBound, clock: now, vmCount: () => 1 }),
     versions: {
       acceptorOf: () => () => true,
--- a/src/gateway/forward_log.ts
+++ b/src/gateway/forward_log.ts
@@ -65,6 +65,26 @@
   });
 }
 
+/** Logs the VM that an attempt goes through. */
+export function logRelay(
+  { logger, clock, metrics }: ForwardContext,
+  { caller, route, receivedAtMs }: ForwardRequest,
+  relay: LoggedProgress & {
+    readonly vm: string;
+    readonly attemptCount: number;
+  },
+): void {
+  metrics.count("relayed", { route: route.name });
+  logger.info("request relayed", {
+    request: caller.id,
+    try: relay.attemptCount,
+    cause: relay.attempts.at(-1),
+    route: route.name,
+    through: relay.vm,
+    ageMs: Math.round(clock() - receivedAtMs),
+  });
+}
+
 /** An answer that a server broke off, or did not begin. */
 export interface BrokenAnswer extends PromptAttempt {
   readonly digest: string;
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -7,25 +7,32 @@
  */
 import { firstModel } from "../decision/mod.ts";
 import { isRetriable } from "../model/mod.ts";
+import { type Attempt } from "./attempt.ts";
+import { type AttemptTarget, startAttempt } from "./attempt_start.ts";
 import { AnswerTiming } from "./answer_timing.ts";
 import { AttemptHistory } from "./attempt_history.ts";
-import { type FleetCandidate } from "./backend_fleet.ts";
 import { type CallerExchange, type CompleteAnswer } from "./caller_exchange.ts";
 import { chooseEscalation } from "./escalation_choice.ts";
 import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
-import { logChoice, logEnd, type LoggedProgress } from "./forward_log.ts";
+import {
+  logChoice,
+  logEnd,
+  type LoggedProgress,
+  logRelay,
+} from "./forward_log.ts";
 import { type AnswerHead } from "./protocol.ts";
 import { crashPartIds } from "./request_digest.ts";
 import { type RetryReason } from "./retry_budget.ts";
 import { noServerReason, retryDelayMs } from "./retry_delay.ts";
 import { type AttemptOutcome } from "./attempt_outcome.ts";
-import { ServerAttempt } from "./server_attempt.ts";
-import { chooseServer } from "./server_choice.ts";
 import { firstByteTimeoutMs, gapTimeoutMs } from "./silence_timeouts.ts";
 import { StreamRelay } from "./stream_relay.ts";
+import { TargetChoice, targetIdOf } from "./target_choice.ts";
 
 /** With less time left, a request is not sent again. */
 const MIN_ATTEMPT_MS = 20;
+/** Another VM moves a request from a silent server by itself first. */
+const RELAY_FACTOR = 2;
 
 /** The forwarding of one caller's request. */
 export class Forwarding {
@@ -35,8 +42,8 @@
   readonly #history: AttemptHistory;
   readonly #relay: StreamRelay | undefined;
   readonly #timing: AnswerTiming;
-  #acceptsVersion: (version: string) => boolean;
-  #attempt: ServerAttempt | undefined;
+  readonly #targets: TargetChoice;
+  #attempt: Attempt | undefined;
   #model: string | undefined;
   #fallback: CompleteAnswer | undefined;
   #deadlineTimer: NodeJS.Timeout | undefined;
@@ -54,7 +61,7 @@
     this.#timing = new AnswerTiming(request);
     const { caller, route } = request;
     this.#history = new AttemptHistory(route);
-    this.#acceptsVersion = this.#versionFilter(undefined);
+    this.#targets = new TargetChoice(context, request);
     if (route.kind === "streaming") {
       this.#relay = new StreamRelay(exchange, caller.lastEventId);
     }
@@ -84,51 +91,44 @@
   }
 
   #startAttempt(): void {
-    const candidate = this.#choose();
-    if (candidate === undefined) {
+    const target = this.#targets.choose(this.#history.triedIds, this.#model);
+    if (target === undefined) {
       return this.#giveUp(noServerReason(this.#context, this.#request));
     }
-    const { server } = candidate;
-    const { caller, route, workspace, body, digest } = this.#request;
-    this.#history.addAttempt(server.id);
-    logChoice(this.#context, this.#request, {
-      ...this.#progress(),
-      candidate,
-      attemptCount: this.#history.attemptCount,
-    });
-    this.#attempt = new ServerAttempt({
-      context: this.#context,
-      server,
-      route: route.name,
-      body,
-      digest,
-      request: {
-        caller,
-        backend: server,
-        workspace: workspace?.name,
-        deadlineLeftMs: this.#timeLeftMs(),
-        model: this.#model,
-        lastEventId: this.#relay?.lastId?.toString() ?? caller.lastEventId,
-        priority: workspace?.priority ?? route.priority,
-      },
+    this.#history.addAttempt(targetIdOf(target));
+    this.#logAttempt(target);
+    const isRelay = target.kind === "vm";
+    const { caller, route } = this.#request;
+    // The other VM begins the cascade anew, unless a stream is resumed.
+    const keepsModel = !isRelay || this.#exchange.isHeadSent;
+    this.#attempt = startAttempt(this.#context, this.#request, {
+      target,
+      deadlineLeftMs: this.#timeLeftMs(),
+      model: keepsModel ? this.#model : undefined,
+      lastEventId: this.#relay?.lastId?.toString() ?? caller.lastEventId,
       isStreaming: this.#relay !== undefined,
-      onHead: (head) => this.#handleHead(head),
+      onHead: (head) => isRelay ? "relay" : this.#handleHead(head),
       onData: (chunk) => this.#relayData(chunk),
       onOutcome: (outcome) => this.#handleOutcome(outcome),
     });
-    this.#startSilenceTimer(firstByteTimeoutMs(route, {
+    const timeoutMs = firstByteTimeoutMs(route, {
       meanMs: this.#context.fleet.meanServiceTimeMs(this.#request.service),
       promptTokens: caller.promptTokens,
-    }));
+    });
+    this.#startSilenceTimer(isRelay ? RELAY_FACTOR * timeoutMs : timeoutMs);
   }
 
-  #choose(): FleetCandidate | undefined {
-    return chooseServer(this.#context, this.#request, {
-      acceptsVersion: this.#acceptsVersion,
-      triedIds: this.#history.triedIds,
-      model: this.#model,
-      isRetriable: isRetriable(this.#request.route),
-    });
+  #logAttempt(target: AttemptTarget): void {
+    const attempt = {
+      ...this.#progress(),
+      attemptCount: this.#history.attemptCount,
+    };
+    if (target.kind === "vm") {
+      const { vm } = target.vm;
+      return logRelay(this.#context, this.#request, { ...attempt, vm });
+    }
+    const { candidate } = target;
+    logChoice(this.#context, this.#request, { ...attempt, candidate });
   }
 
   /** Cascade: drops an answer of low confidence and tries a larger model. */
@@ -141,7 +141,7 @@
     const model = chooseEscalation(this.#context, this.#request, {
       answer: { model: this.#model, confidence },
       timeLeftMs: this.#timeLeftMs(),
-      acceptsVersion: this.#acceptsVersion,
+      acceptsVersion: this.#targets.acceptsVersion,
     });
     if (model === undefined || !this.#spendRetry("escalation")) return "relay";
     this.#context.metrics.count("escalations", { service });
@@ -173,7 +173,7 @@
   #handleOutcome(outcome: AttemptOutcome): void {
     clearTimeout(this.#silenceTimer);
     if (this.#exchange.isOver) return;
-    this.#history.addOutcome(this.#attempt?.server.id ?? "", outcome);
+    this.#history.addOutcome(this.#attempt?.targetId ?? "", outcome);
     switch (outcome.kind) {
       case "answer":
         if (outcome.answer.status >= 500 && isRetriable(this.#request.route)) {
@@ -205,7 +205,7 @@
       return this.#giveUp(cause);
     }
     if (this.#history.mayHaveRun) {
-      this.#acceptsVersion = this.#versionFilter(this.#attempt?.server.version);
+      this.#targets.avoidVersion(this.#attempt?.version);
     }
     this.#context.metrics.count("repeats", { cause });
     this.#startAttempt();
@@ -225,29 +225,17 @@
       !this.#context.prompts.isSuspect(crashPartIds(this.#request));
   }
 
-  /** Returns the filter of versions; it avoids the failed one if possible. */
-  #versionFilter(
-    failedVersion: string | undefined,
-  ): (version: string) => boolean {
-    const { caller, service } = this.#request;
-    return this.#context.versions.acceptorOf(service, {
-      key: caller.session ?? caller.id,
-      isMultiRequest: caller.session !== undefined,
-      failedVersion,
-    });
-  }
-
   /** Ends a silent attempt, if another server may run the request. */
   #handleSilence(): void {
     const attempt = this.#attempt;
     if (attempt === undefined || this.#exchange.isOver) return;
     if (!this.#history.mayLeaveServer()) return;
-    const nextId = this.#choose()?.id;
-    if (nextId === undefined || nextId === attempt.server.id) return;
+    const next = this.#targets.choose(this.#history.triedIds, this.#model);
+    if (next === undefined || targetIdOf(next) === attempt.targetId) return;
     if (!attempt.isUnsent && !this.#spendRetry("failure")) return;
     this.#context.metrics.count("repeats", { cause: "silent" });
     attempt.cancel("down");
-    this.#history.addOutcome(attempt.server.id, {
+    this.#history.addOutcome(attempt.targetId, {
       kind: "fault",
       isUnsent: attempt.isUnsent,
       cause: "silent",
@@ -307,7 +295,7 @@
   }
 
   #progress(): LoggedProgress {
-    const version = this.#attempt?.server.version;
+    const version = this.#attempt?.version;
     return { model: this.#model, version, attempts: this.#history.attempts };
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -18,7 +18,9 @@
   createDistanceLookup,
   createGatewayPeers,
   createServerGuards,
+  createServerReach,
   type ServerGuards,
+  type ServerReachParts,
 } from "./gateway_peers.ts";
 import { GatewayShutdown, STOP_POLL_MS } from "./gateway_shutdown.ts";
 import { GatewayState } from "./gateway_state.ts";
@@ -27,7 +29,6 @@
 import { PrefillRates } from "./prefill_rates.ts";
 import { watchLoad } from "./process_load.ts";
 import { type CallerRequest } from "./protocol.ts";
-import { ReachWatch } from "./reach_watch.ts";
 import { requestDigest } from "./request_digest.ts";
 import { RetryBudget } from "./retry_budget.ts";
 import { admitRequest, type AdmittedRequest } from "./request_admission.ts";
@@ -52,6 +53,7 @@
   readonly #metrics = new GatewayMetrics();
   readonly #fleet: BackendFleet;
   readonly #guards: ServerGuards;
+  readonly #reach: ServerReachParts;
   readonly #state: GatewayState;
   readonly #rollouts: RolloutRegistry;
   readonly #statusWriter: RolloutStatusWriter;
@@ -75,6 +77,10 @@
     this.#peerAddress = settings.peerAddress;
     this.#fleet = new BackendFleet({ clock });
     this.#guards = createServerGuards(options, () => this.#peers.membership());
+    this.#reach = createServerReach(options, {
+      fleet: this.#fleet,
+      membership: () => this.#peers.membership(),
+    });
     this.#state = new GatewayState({ fleet: this.#fleet, clock, logger });
     this.#rollouts = new RolloutRegistry({
       fleet: this.#fleet,
@@ -119,11 +125,7 @@
       protocol,
       fleet: this.#fleet,
       ...this.#guards,
-      reach: new ReachWatch({
-        servers: () => this.#fleet.servers,
-        clock,
-        logger,
-      }),
+      ...this.#reach,
       budget: new RetryBudget({
         fleetBound: settings.retryBound,
         clock,
@@ -175,6 +177,7 @@
     const { signal } = this.#stopController;
     this.#feed.run(signal);
     void this.#exchange.run(signal);
+    void this.#reach.reach.run(signal);
     void this.#tick(signal);
     void watchLoad({
       ...this.#options,
--- a/src/gateway/gateway_fixture.ts
+++ b/src/gateway/gateway_fixture.ts
@@ -47,6 +47,7 @@
         tokens: 10,
       })),
       lastEventId: headers.get("test-last"),
+      isRelayed: headers.has("test-relayed"),
       passedHeaders: [
         "Host",
         API_HOST,
@@ -62,11 +63,25 @@
     ...model === undefined ? [] : ["test-model", model],
     ...lastEventId === undefined ? [] : ["test-last", lastEventId],
   ],
+  writeRelayed: ({ caller, deadlineLeftMs, model, lastEventId }) => [
+    ...caller.passedHeaders,
+    "test-deadline",
+    String(deadlineLeftMs),
+    "test-relayed",
+    "1",
+    ...caller.key === undefined ? [] : ["test-key", caller.key],
+    ...caller.session === undefined ? [] : ["test-session", caller.session],
+    ...lastEventId === undefined ? [] : ["test-last", lastEventId],
+    ...model === undefined && caller.isAnyModelAllowed
+      ? ["test-model", "any"]
+      : [],
+  ],
   readAnswer: (status, rawHeaders) => {
     const headers = headersOf(rawHeaders);
     const confidence = headers.get("test-confidence");
     const limit = headers.get("test-limit");
     const pause = headers.get("test-pause");
+    const passedNames = ["test-signature", "test-id"];
     return {
       status,
       isNotRun: headers.has("test-not-run"),
@@ -79,7 +94,10 @@
       isLeaving: headers.has("test-leaving"),
       pauseMs: pause === undefined ? undefined : Number(pause) * 1000,
       limitPerSecond: limit === undefined ? undefined : Number(limit),
-      passedHeaders: ["test-signature", headers.get("test-signature") ?? ""],
+      passedHeaders: passedNames.flatMap((name) => {
+        const value = headers.get(name);
+        return value === undefined ? [] : [name, value];
+      }),
     };
   },
 };
--- a/src/gateway/gateway_peers.ts
+++ b/src/gateway/gateway_peers.ts
@@ -4,19 +4,28 @@
   type MemberUpdate,
   presentMembers,
 } from "../decision/mod.ts";
-import { noMetrics, rendezvous, splitAddress } from "../model/mod.ts";
+import {
+  type BackendServer,
+  noMetrics,
+  rendezvous,
+  splitAddress,
+} from "../model/mod.ts";
 import {
   createPeerNode,
   NO_BILLS,
   NO_RECORDS,
   type PeerNode,
 } from "../wire/mod.ts";
+import { type BackendFleet } from "./backend_fleet.ts";
+import { connects } from "./connect_probe.ts";
 import { type GatewayOptions } from "./gateway_options.ts";
 import { type GatewaySettings } from "./gateway_settings.ts";
 import { type PeerExchange } from "./peer_exchange.ts";
 import { PromptQuarantine } from "./prompt_quarantine.ts";
 import { ServerLimits } from "./server_limits.ts";
+import { ReachWatch } from "./reach_watch.ts";
 import { ServerStatements } from "./server_statements.ts";
+import { VmRelays } from "./vm_relays.ts";
 
 const PROBE_PERIOD_MS = 500;
 /** Added latency of another data centre of the same region. */
@@ -86,6 +95,27 @@
   };
 }
 
+/** Whether this VM reaches servers, and through whom it does otherwise. */
+export interface ServerReachParts {
+  readonly reach: ReachWatch;
+  readonly relays: VmRelays;
+}
+
+/** Creates what serves requests while this VM reaches no server. */
+export function createServerReach(
+  options: GatewayOptions,
+  { fleet, membership }: {
+    readonly fleet: BackendFleet;
+    readonly membership: () => MembershipState;
+  },
+): ServerReachParts {
+  const servers = (): BackendServer[] => fleet.servers;
+  return {
+    reach: new ReachWatch({ ...options, servers, connects }),
+    relays: new VmRelays({ ...options, ...options.settings, membership }),
+  };
+}
+
 /** Returns a function from a place to its added latency in milliseconds. */
 export function createDistanceLookup(
   settings: GatewaySettings,
--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -40,6 +40,8 @@
   readonly promptParts: readonly PromptPart[];
   /** The last event that the caller received, when it resumes a stream. */
   readonly lastEventId: string | undefined;
+  /** Whether another VM, which reaches no server, sent the request on. */
+  readonly isRelayed: boolean;
   /** Alternating names and values, forwarded to the server unchanged. */
   readonly passedHeaders: readonly string[];
 }
@@ -63,6 +65,16 @@
   readonly priority: number;
 }
 
+/** A request that is sent on to another VM, before encoding. */
+export interface RelayedRequest {
+  readonly caller: CallerRequest;
+  /** Time until the caller's or the route's deadline, whichever is first. */
+  readonly deadlineLeftMs: number;
+  /** The model of a stream to resume; `undefined` keeps the caller's choice. */
+  readonly model: string | undefined;
+  readonly lastEventId: string | undefined;
+}
+
 /** Requests at a backend server at the time it sent an answer. */
 export interface BackendLoad {
   readonly runningCount: number;
@@ -105,6 +117,8 @@
   readonly readRequest: (raw: RawRequest) => CallerRequest | string;
   /** Returns headers for a backend server, alternating names and values. */
   readonly writeRequest: (request: BackendRequest) => string[];
+  /** Returns headers for another VM, with which it admits the request. */
+  readonly writeRelayed: (request: RelayedRequest) => string[];
   readonly readAnswer: (
     status: number,
     rawHeaders: readonly string[],
--- a/src/gateway/server_attempt.ts
+++ b/src/gateway/server_attempt.ts
@@ -8,7 +8,7 @@
 import { type BackendServer } from "../model/mod.ts";
 import { AnswerProgress } from "./answer_progress.ts";
 import { AnswerBuffer } from "./answer_buffer.ts";
-import { type AttemptOutcome } from "./attempt_outcome.ts";
+import { type Attempt, type AttemptListeners } from "./attempt.ts";
 import { BackendExchange, type ExchangeFault } from "./backend_exchange.ts";
 import { type InFlightRequest } from "./backend_fleet.ts";
 import { type ForwardContext } from "./forward_context.ts";
@@ -25,7 +25,7 @@
 /** A prompt that occupies a server for longer is reported to nearby VMs. */
 const LONG_PREFILL_MS = 300;
 
-export interface ServerAttemptOptions {
+export interface ServerAttemptOptions extends AttemptListeners {
   readonly context: ForwardContext;
   readonly server: BackendServer;
   readonly route: string;
@@ -33,18 +33,12 @@
   readonly digest: string;
   readonly request: BackendRequest;
   readonly isStreaming: boolean;
-  /** Decides whether to relay the stream that begins with this head. */
-  readonly onHead: (head: AnswerHead) => "relay" | "drop";
-  /** Receives the bytes of a relayed stream. */
-  readonly onData: (chunk: Buffer) => void;
-  /** Called once, unless the attempt is cancelled. */
-  readonly onOutcome: (outcome: AttemptOutcome) => void;
 }
 
 /** A running attempt. */
-export class ServerAttempt {
-  readonly server: BackendServer;
-  /** Whether the relay has been attached to this server's stream. */
+export class ServerAttempt implements Attempt {
+  readonly targetId: string;
+  readonly version: string;
   isAttached = false;
   readonly #options: ServerAttemptOptions;
   readonly #inFlight: InFlightRequest;
@@ -59,7 +53,8 @@
   constructor(options: ServerAttemptOptions) {
     this.#options = options;
     const { context, server, request, body } = options;
-    this.server = server;
+    this.targetId = server.id;
+    this.version = server.version;
     this.#buffer = new AnswerBuffer(context.answerMemory);
     this.#startedAtMs = context.clock();
     const prefillMs = context.prefill.estimateMs(
@@ -97,22 +92,18 @@
     });
   }
 
-  /** The head of the answer, once it is received. */
   get head(): AnswerHead | undefined {
     return this.#head;
   }
 
-  /** The median pause of the answer; undefined after too few parts. */
   get medianPauseMs(): number | undefined {
     return this.#progress.medianPauseMs;
   }
 
-  /** Whether no byte of the request can have been sent yet. */
   get isUnsent(): boolean {
     return this.#exchange.isUnsent;
   }
 
-  /** Cancels the attempt; the event, if any, counts for the server's health. */
   cancel(event: HealthEvent | undefined): void {
     if (this.#isOver) return;
     if (event === "down") this.#recordSample({ isError: false });
@@ -120,12 +111,10 @@
     this.#exchange.cancel();
   }
 
-  /** Stops reading the answer until `resume` is called. */
   pause(): void {
     this.#exchange.pause();
   }
 
-  /** Resumes reading the answer. */
   resume(): void {
     this.#exchange.resume();
   }
--- a/tools/server_mechanisms.ts
+++ b/tools/server_mechanisms.ts
@@ -5,6 +5,20 @@
 import { type Mechanism } from "./mechanism.ts";
 
 export const SERVER_MECHANISMS: readonly Mechanism[] = [
+  {
+    name: "relay through other VMs",
+    file: "src/gateway/target_choice.ts",
+    source: 'if (vm !== undefined) return { kind: "vm", vm };',
+    replacement: "if (vm === undefined) return undefined;",
+    tests: ["src/gateway/cut_off_vm_test.ts"],
+  },
+  {
+    name: "probe of a VM without servers",
+    file: "src/gateway/reach_watch.ts",
+    source: "if (this.isCutOff) await this.#probe();",
+    replacement: "",
+    tests: ["src/gateway/cut_off_vm_test.ts"],
+  },
   {
     name: "server limit",
     file: "src/gateway/server_choice.ts",
