Divide the permits of brittle servers among the VMs

Cause: servers that say `Server-Brittle: N` fall over when they turn away more than N requests in a second, and the gateways sent all that came.

Change: a request at such a server needs a permit; there are as many as the server has slots, and at most two more for requests that wait (N/2 if that is less). Each VM computes its part from the members it knows; with fewer permits than VMs a hash of server and VM decides. A refusal takes the permit of its request from the VM for 2 to 10 s. What one server says holds for its service until an answer without it; VMs pass it on. A request without a permit is refused at once with Retry-After. While no service is brittle an answer and a choice cost one test of a flag.

--- a/src/decision/mod.ts
+++ b/src/decision/mod.ts
@@ -5,6 +5,7 @@
 export * from "./backend_health.ts";
 export * from "./backend_roster.ts";
 export * from "./breaker.ts";
+export * from "./brittle_server.ts";
 export * from "./budget.ts";
 export * from "./cascade.ts";
 export * from "./change_watch.ts";
--- a/src/gateway/backend_fleet.ts
+++ b/src/gateway/backend_fleet.ts
@@ -133,6 +133,11 @@
     return candidates;
   }
 
+  /** Requests of this VM at a server. */
+  inFlightCountOf(id: string): number {
+    return this.#states.get(id)?.inFlightCount ?? 0;
+  }
+
   /** Counts a request that is now sent to a server. */
   trackRequest(server: BackendServer, prefillMs = 0): InFlightRequest {
     const state = this.#states.get(server.id) ?? newState(server);
--- a/src/gateway/backend_fleet_test.ts
+++ b/src/gateway/backend_fleet_test.ts
@@ -49,6 +49,7 @@
     rollouts: [],
     loads: from.fleet.sharedLoads({ maxHopCount }),
     limits: [],
+    brittle: [],
     leaving: [],
     crashes: [],
     survived: [],
--- a/src/gateway/brittle_server_test.ts
+++ b/src/gateway/brittle_server_test.ts
@@ -10,6 +10,7 @@
 } from "./brittle_server_fixture.ts";
 import {
   call,
+  type CallerAnswer,
   LOOKUP_ROUTE,
   startGateway,
   type TestGateway,
@@ -143,3 +144,41 @@
     assert.ok(durationMs < LOOKUP_ROUTE.timeoutMs / 2, `took ${durationMs}`);
   }
 });
+
+test("requests past the permits of a brittle server are refused at once until it ends", async (context) => {
+  let refusalsPerSecond: number | undefined = REFUSALS_PER_SECOND;
+  const { vms: [vm], servers } = await setUp(context, {
+    slotCount: SLOT_COUNT,
+    workMs: WORK_MS,
+    maxWaitingCount: () => 100,
+    refusalsPerSecond: () => refusalsPerSecond,
+    downMs: DOWN_MS,
+  });
+  let sentCount = 0;
+  const send = async (count: number): Promise<CallerAnswer[]> =>
+    await Promise.all(Array.from({ length: count }, () => {
+      sentCount += 1;
+      return call(vm?.callerAddress ?? "", {
+        path: `/lookups/${sentCount}`,
+        headers: { "test-id": `request-${sentCount}` },
+      });
+    }));
+  await send(1);
+  const permitCount = SERVER_COUNT * (SLOT_COUNT + 2);
+  const answers = await send(2 * permitCount);
+  const refused = answers.filter(({ status }) => status !== 200);
+  const servedCount = answers.length - refused.length;
+  assert.ok(servedCount > 0 && servedCount <= permitCount, `${servedCount}`);
+  for (const { status, body, headers } of refused) {
+    assert.equal(status, 503);
+    assert.equal(body, "server_brittle\n");
+    assert.ok(Number(headers["retry-after"]) > 0);
+  }
+  assert.equal(servers.flatMap(({ refusalsAtMs }) => refusalsAtMs).length, 0);
+
+  refusalsPerSecond = undefined;
+  await delay(1000);
+  await send(1);
+  const later = await send(2 * permitCount);
+  assert.ok(later.every(({ status }) => status === 200));
+});
--- a/src/gateway/forward_context.ts
+++ b/src/gateway/forward_context.ts
@@ -14,6 +14,7 @@
 import { type CallerRequest, type GatewayProtocol } from "./protocol.ts";
 import { type ReachWatch } from "./reach_watch.ts";
 import { type RetryBudget } from "./retry_budget.ts";
+import { type ServerBrittleness } from "./server_brittleness.ts";
 import { type ServerLimits } from "./server_limits.ts";
 import { type ServerStatements } from "./server_statements.ts";
 import { type VmRelays } from "./vm_relays.ts";
@@ -86,6 +87,7 @@
   readonly protocol: GatewayProtocol;
   readonly fleet: BackendFleet;
   readonly limits: ServerLimits;
+  readonly brittleness: ServerBrittleness;
   readonly statements: ServerStatements;
   readonly prompts: PromptQuarantine;
   readonly reach: ReachWatch;
--- a/src/gateway/forward_context_fixture.ts
+++ b/src/gateway/forward_context_fixture.ts
@@ -14,6 +14,7 @@
 import { PromptQuarantine } from "./prompt_quarantine.ts";
 import { ReachWatch } from "./reach_watch.ts";
 import { RetryBudget } from "./retry_budget.ts";
+import { ServerBrittleness } from "./server_brittleness.ts";
 import { ServerLimits } from "./server_limits.ts";
 import { ServerStatements } from "./server_statements.ts";
 import { VmRelays } from "./vm_relays.ts";
@@ -43,6 +44,13 @@
   const context: ForwardContext = {
     protocol: testProtocol,
     fleet,
+    brittleness: new ServerBrittleness({
+      self: { vm: "vm-1" },
+      otherVms: () => [],
+      fleet,
+      clock: now,
+      logger: silentLogger,
+    }),
     limits: new ServerLimits({
       self: { vm: "vm-1", place: "khomas-a" },
       otherVms: () => [],
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,7 +3,7 @@
  * the platform's store, the peer node and the forwarding of requests.
  * Everything that differs between platforms is passed in.
  */
-import { chooseEntries } from "../decision/mod.ts";
+import { chooseEntries, type MembershipState } from "../decision/mod.ts";
 import { splitAddress } from "../model/mod.ts";
 import { type PeerNode } from "../wire/mod.ts";
 import { AnswerMemory } from "./answer_buffer.ts";
@@ -76,11 +76,10 @@
     this.#callerAddress = settings.callerAddress;
     this.#peerAddress = settings.peerAddress;
     this.#fleet = new BackendFleet({ clock });
-    this.#guards = createServerGuards(options, () => this.#peers.membership());
-    this.#reach = createServerReach(options, {
-      fleet: this.#fleet,
-      membership: () => this.#peers.membership(),
-    });
+    const membership = (): MembershipState => this.#peers.membership();
+    const parts = { fleet: this.#fleet, membership };
+    this.#guards = createServerGuards(options, parts);
+    this.#reach = createServerReach(options, parts);
     this.#state = new GatewayState({ fleet: this.#fleet, clock, logger });
     this.#rollouts = new RolloutRegistry({
       fleet: this.#fleet,
@@ -304,7 +303,10 @@
   async #tick(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.#state.applyRosterEvent({ kind: "tick" });
-      this.#guards.limits.retain((id) => this.#state.roster.entries.has(id));
+      const isRegistered = (id: string): boolean =>
+        this.#state.roster.entries.has(id);
+      this.#guards.limits.retain(isRegistered);
+      this.#guards.brittleness.retain(isRegistered);
       this.#rollouts.evaluate();
       void this.#statusWriter.writeDue();
       await this.#options.sleep(TICK_MS, signal);
--- a/src/gateway/gateway_fixture.ts
+++ b/src/gateway/gateway_fixture.ts
@@ -80,6 +80,7 @@
     const headers = headersOf(rawHeaders);
     const confidence = headers.get("test-confidence");
     const limit = headers.get("test-limit");
+    const brittle = headers.get("test-brittle");
     const pause = headers.get("test-pause");
     const passedNames = ["test-signature", "test-id"];
     return {
@@ -93,6 +94,7 @@
       load: undefined,
       isLeaving: headers.has("test-leaving"),
       pauseMs: pause === undefined ? undefined : Number(pause) * 1000,
+      refusalsPerSecond: brittle === undefined ? undefined : Number(brittle),
       limitPerSecond: limit === undefined ? undefined : Number(limit),
       passedHeaders: passedNames.flatMap((name) => {
         const value = headers.get(name);
--- a/src/gateway/gateway_peers.ts
+++ b/src/gateway/gateway_peers.ts
@@ -22,6 +22,7 @@
 import { type GatewaySettings } from "./gateway_settings.ts";
 import { type PeerExchange } from "./peer_exchange.ts";
 import { PromptQuarantine } from "./prompt_quarantine.ts";
+import { type RequestCounts, ServerBrittleness } from "./server_brittleness.ts";
 import { ServerLimits } from "./server_limits.ts";
 import { ReachWatch } from "./reach_watch.ts";
 import { ServerStatements } from "./server_statements.ts";
@@ -70,17 +71,21 @@
 /** What keeps requests from backend servers. */
 export interface ServerGuards {
   readonly limits: ServerLimits;
+  readonly brittleness: ServerBrittleness;
   readonly statements: ServerStatements;
   readonly prompts: PromptQuarantine;
 }
 
 /**
- * Creates the guards of a VM: limits are divided among the VMs that are present,
+ * Creates the guards of a VM: limits and permits are divided among the VMs present,
  * and one of them makes the trials of prompts in quarantine for all.
  */
 export function createServerGuards(
   { settings, clock, logger }: GatewayOptions,
-  membership: () => MembershipState,
+  { membership, fleet }: {
+    readonly membership: () => MembershipState;
+    readonly fleet: RequestCounts;
+  },
 ): ServerGuards {
   const otherVms = (): MemberUpdate[] => aliveMembers(membership());
   const isTrialVm = (key: string): boolean => {
@@ -90,6 +95,13 @@
   };
   return {
     limits: new ServerLimits({ self: settings, otherVms, clock, logger }),
+    brittleness: new ServerBrittleness({
+      self: settings,
+      otherVms,
+      fleet,
+      clock,
+      logger,
+    }),
     statements: new ServerStatements({ clock, logger }),
     prompts: new PromptQuarantine({ isTrialVm, clock, logger }),
   };
--- a/src/gateway/peer_exchange.ts
+++ b/src/gateway/peer_exchange.ts
@@ -33,6 +33,7 @@
 import { type PromptQuarantine } from "./prompt_quarantine.ts";
 import { type RolloutRegistry } from "./rollout_registry.ts";
 import { createRolloutReports } from "./rollout_report.ts";
+import { type ServerBrittleness } from "./server_brittleness.ts";
 import { type ServerLimits } from "./server_limits.ts";
 import { type ServerStatements } from "./server_statements.ts";
 import { type TopicReplica } from "./topic_replica.ts";
@@ -44,6 +45,7 @@
   readonly registry: RolloutRegistry;
   readonly fleet: BackendFleet;
   readonly limits: ServerLimits;
+  readonly brittleness: ServerBrittleness;
   readonly statements: ServerStatements;
   readonly prompts: PromptQuarantine;
   readonly clock: Clock;
@@ -197,8 +199,8 @@
    * holds this VM's offsets only and no records.
    */
   #updateFor(vm: string, readOffsets: PeerUpdate["have"] | undefined): unknown {
-    const { replicas, registry, fleet, limits, statements, prompts, clock } =
-      this.#options;
+    const { replicas, registry, fleet, clock } = this.#options;
+    const { limits, brittleness, statements, prompts } = this.#options;
     const readers = this.#storeReaders().map((reader) => reader.vm);
     const isSenderReader = readers.includes(this.#options.vm);
     const isReceiverReader = readers.includes(vm);
@@ -225,6 +227,7 @@
       }),
       loads: fleet.sharedLoads({ maxHopCount }),
       limits: limits.toShare({ maxHopCount }),
+      brittle: brittleness.toShare({ maxHopCount }),
       leaving: statements.toShare(),
       ...prompts.toShare(),
     });
@@ -232,9 +235,10 @@
 
   #apply(update: PeerUpdate): void {
     const { replicas, registry, fleet, clock } = this.#options;
-    const { limits, statements, prompts } = this.#options;
+    const { limits, brittleness, statements, prompts } = this.#options;
     fleet.mergeLoads(update.loads);
     limits.merge(update.limits);
+    brittleness.merge(update.brittle);
     statements.merge(update.leaving);
     prompts.merge(update);
     for (const name of TOPICS) {
--- a/src/gateway/peer_update.ts
+++ b/src/gateway/peer_update.ts
@@ -1,7 +1,7 @@
 /**
  * The messages that gateways exchange: how far each has read the store, the
  * records that the receiver lacks, the state and tallies of roll-outs, the loads
- * and request limits of backend servers, and the crashes under prompts.
+ * request limits and brittleness of backend servers, and the crashes under prompts.
  * Received messages are validated against the schemas here.
  */
 import { z } from "zod";
@@ -20,6 +20,7 @@
   type SharedCrash,
 } from "./crash_news.ts";
 import { MAX_SHARED_LEAVING } from "./server_statements.ts";
+import { type SharedBrittleness } from "./server_brittleness.ts";
 import { type SharedLimit } from "./server_limits.ts";
 import { type TopicUpdate } from "./topic_replica.ts";
 
@@ -139,6 +140,21 @@
   hopCount,
 }));
 
+/** Service, refusals a second (null if not brittle), age and hops. */
+const sharedBrittlenessSchema = z.tuple([
+  nameSchema,
+  z.number().nonnegative().nullable(),
+  countSchema,
+  countSchema,
+]).transform((
+  [service, refusalsPerSecond, ageMs, hopCount],
+): SharedBrittleness => ({
+  service,
+  refusalsPerSecond: refusalsPerSecond ?? undefined,
+  ageMs,
+  hopCount,
+}));
+
 /** Request, server, parts, age and whether it is withdrawn. */
 const sharedCrashSchema = z.tuple([
   nameSchema,
@@ -161,6 +177,8 @@
   loads: z.array(sharedLoadSchema).max(MAX_SHARED_OBSERVATIONS).default([]),
   /** Absent from VMs of an earlier release. */
   limits: z.array(sharedLimitSchema).max(MAX_SHARED_OBSERVATIONS).default([]),
+  brittle: z.array(sharedBrittlenessSchema).max(MAX_SHARED_OBSERVATIONS)
+    .default([]),
   crashes: z.array(sharedCrashSchema).max(MAX_SHARED_CRASHES).default([]),
   leaving: z.array(z.string().min(1).max(MAX_SERVER_KEY_LENGTH))
     .max(MAX_SHARED_LEAVING).default([]),
@@ -203,6 +221,7 @@
     readonly rollouts: readonly RolloutReport[];
     readonly loads: readonly SharedLoad[];
     readonly limits: readonly SharedLimit[];
+    readonly brittle: readonly SharedBrittleness[];
     readonly leaving: readonly string[];
   },
 ): unknown {
@@ -228,6 +247,12 @@
     limit.ageMs,
     limit.hopCount,
   ]);
+  const brittle = update.brittle.map((shared) => [
+    shared.service,
+    shared.refusalsPerSecond ?? null,
+    shared.ageMs,
+    shared.hopCount,
+  ]);
   const crashes = update.crashes.map((crash) => [
     crash.requestId,
     crash.serverKey,
@@ -246,7 +271,7 @@
       },
     })),
   }));
-  return { ...update, topics, rollouts, loads, limits, crashes };
+  return { ...update, topics, rollouts, loads, limits, brittle, crashes };
 }
 
 function encodeRoutes(tallies: RouteTallies): Record<string, unknown> {
--- a/src/gateway/peer_update_test.ts
+++ b/src/gateway/peer_update_test.ts
@@ -68,6 +68,18 @@
     }, PLAIN),
     { maxLength: MAX_SHARED_OBSERVATIONS },
   ),
+  brittle: fc.array(
+    fc.record({
+      service: name,
+      refusalsPerSecond: fc.option(
+        fc.double({ min: 0, max: 1e6, noNaN: true }),
+        { nil: undefined },
+      ),
+      ageMs: fc.nat(2000),
+      hopCount: fc.nat(2),
+    }, PLAIN),
+    { maxLength: MAX_SHARED_OBSERVATIONS },
+  ),
   crashes: fc.array(
     fc.record({
       requestId: name,
@@ -110,6 +122,7 @@
     "rollouts",
     "loads",
     "limits",
+    "brittle",
     "crashes",
     "survived",
   ] as const;
@@ -145,6 +158,7 @@
   const update = { have, topics: {}, rollouts: [], loads: [] };
   const parsed = parsePeerUpdate(update);
   assert.deepEqual(parsed?.limits, []);
+  assert.deepEqual(parsed?.brittle, []);
   assert.deepEqual(parsed?.crashes, []);
   assert.deepEqual(parsed?.survived, []);
 });
@@ -187,6 +201,7 @@
     }],
     loads: [],
     limits: [],
+    brittle: [],
     leaving: [],
     crashes: [],
     survived: [],
--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -100,6 +100,11 @@
    * without a limit, NaN for one that cannot be read.
    */
   readonly limitPerSecond: number | undefined;
+  /**
+   * Requests that a brittle server may turn away in a second without falling
+   * over; `undefined` if it isn't brittle, NaN for what cannot be read.
+   */
+  readonly refusalsPerSecond: number | undefined;
   /** The server states that it is leaving. */
   readonly isLeaving: boolean;
   /**
--- a/src/gateway/server_attempt.ts
+++ b/src/gateway/server_attempt.ts
@@ -106,6 +106,8 @@
 
   cancel(event: HealthEvent | undefined): void {
     if (this.#isOver) return;
+    const { context, server } = this.#options;
+    context.brittleness.recordCancelled(server);
     if (event === "down") this.#recordSample({ isError: false });
     this.#end(event);
     this.#exchange.cancel();
@@ -143,6 +145,8 @@
     // A 421 comes from another server that now has the address.
     if (status !== 421) {
       context.limits.record(server, head.limitPerSecond);
+      context.brittleness.record(server, head.refusalsPerSecond);
+      if (head.isNotRun) context.brittleness.recordRefusal(server);
       if (head.isLeaving) context.statements.recordLeaving(server);
       if (head.pauseMs !== undefined) {
         context.statements.recordPause(server, head.pauseMs);
--- a/src/gateway/server_closure.ts
+++ b/src/gateway/server_closure.ts
@@ -4,14 +4,18 @@
 
 /** A server that is closed to this VM. */
 export interface ServerClosure {
-  readonly reason: "server_leaving" | "server_paused" | "server_limit";
+  readonly reason:
+    | "server_leaving"
+    | "server_paused"
+    | "server_limit"
+    | "server_brittle";
   /** Infinity where it does not open again, or not for this VM. */
   readonly waitMs: number;
 }
 
 /** Returns the closure that lasts longest; undefined if the server is open. */
 export function closureOf(
-  { limits, statements }: ForwardContext,
+  { brittleness, limits, statements }: ForwardContext,
   server: BackendServer,
 ): ServerClosure | undefined {
   if (statements.isLeaving(server)) {
@@ -19,7 +23,11 @@
   }
   const pauseMs = statements.pauseLeftMs(server);
   const limitMs = limits.waitMs(server);
-  if (pauseMs === 0 && limitMs === 0) return undefined;
+  const brittleMs = brittleness.waitMs(server);
+  if (pauseMs === 0 && limitMs === 0 && brittleMs === 0) return undefined;
+  if (brittleMs > Math.max(pauseMs, limitMs)) {
+    return { reason: "server_brittle", waitMs: brittleMs };
+  }
   return pauseMs > limitMs
     ? { reason: "server_paused", waitMs: pauseMs }
     : { reason: "server_limit", waitMs: limitMs };
