Answer open requests well before the end of the grace period

A VM that handled the signal and its timers late was killed before it had answered its open requests: 300 ms were reserved, counted from when the signal was handled. Now 700 ms are, which is still within the last sixth of the grace period, and the wait ends at that time.

--- a/src/gateway/gateway_shutdown.ts
+++ b/src/gateway/gateway_shutdown.ts
@@ -24,8 +24,11 @@
  * SIGTERM has to be completed.
  */
 export const MAX_ENTRY_AGE_MS = 750;
-/** Time reserved for closing before the grace period ends. */
-const END_MARGIN_MS = 300;
+/**
+ * Time reserved for closing before the grace period ends, also where the signal
+ * and timers were late.
+ */
+const END_MARGIN_MS = 700;
 /** Interval between two checks for open requests. */
 export const STOP_POLL_MS = 50;
 
@@ -71,7 +74,7 @@
     logger.info("stopping", { openCount: openCount() });
     this.#apply({ kind: "terminate" });
     while (!this.#hasLeft() && clock() < endMs) {
-      await sleep(STOP_POLL_MS);
+      await sleep(Math.min(STOP_POLL_MS, Math.max(0, endMs - clock())));
       const progress = { openCount: openCount(), unconfirmedCount: 0 };
       this.#apply({ kind: "progress", ...progress });
     }
