--- a/src/gateway/gateway_test.ts
+++ b/src/gateway/gateway_test.ts
@@ -1,5 +1,6 @@
 /** Tests of gateways: readiness, updates between VMs, and shutdown. */
 import assert from "node:assert/strict";
+import { request } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
 import { test, type TestContext } from "node:test";
 import { routeOf } from "../decision/manifest_fixture.ts";
@@ -10,8 +11,10 @@
   type TestBackend,
 } from "./backend_fixture.ts";
 import {
+  API_HOST,
   call,
   LOOKUP_ROUTE,
+  REGISTER_ROUTE,
   startGateway,
   type TestGateway,
   untilReady,
@@ -199,3 +202,34 @@
   assert.ok(isAnswered);
   await Promise.all([first, sent]);
 });
+
+// Guards against LOST: a request whose body arrived after the window was sent
+// to a server and cut when the VM ended.
+test("a request whose body arrives after a VM began to refuse is refused", async (context) => {
+  const backend = await backendOf(context);
+  const gateway = await startGateway({
+    backends: [backend],
+    manifest: { routes: [REGISTER_ROUTE] },
+    settings: { graceMs: 3000, entryMaxAgeMs: 50 },
+  });
+  await untilReady(gateway);
+  const status = new Promise<number>((resolve, reject) => {
+    const sent = request(`http://${gateway.callerAddress}/registrations/a`, {
+      method: "POST",
+      headers: {
+        "host": API_HOST,
+        "test-id": "late-body",
+        "test-key": "a-key",
+        "content-length": "4",
+      },
+    });
+    sent.on("error", reject);
+    sent.on("response", (response) => resolve(response.statusCode ?? 0));
+    sent.write("bo");
+    setTimeout(() => sent.end("dy"), 800);
+  });
+  await delay(50);
+  await gateway.gateway.stop();
+  assert.equal(await status, 503);
+  assert.equal(backend.requestIds.length, 0);
+});
