Refuse a request whose body arrives after a VM began to refuse

A caller that sent its body late lost its request when the VM ended: the window was checked at the request's head only, and what was sent to a server then had no time left. Now it is checked again when the body is complete, and the request is refused 503, truly not run. The test got 200 from a server before.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -45,7 +45,11 @@
 const MIN_ENTRIES = 2;
 const LOAD_MAX_AGE_MS = 10_000;
 /** Short, as a caller refused by a stopping VM can use another at once. */
-const LEAVING_RETRY_AFTER_MS = 50;
+const LEAVING_REFUSAL: GatewayRefusal = {
+  status: 503,
+  reason: "leaving",
+  retryAfterMs: 50,
+};
 
 /** The gateway of one VM. */
 export class Gateway {
@@ -274,6 +278,8 @@
       return undefined;
     }
     return (body) => {
+      // The VM may have begun to refuse while the body arrived.
+      if (!this.#shutdown.isAccepting) return exchange.refuse(LEAVING_REFUSAL);
       const digest = requestDigest(admitted.caller, body);
       const request = { ...admitted, body, digest, receivedAtMs };
       this.#openRequests.forward(this.#context, { request, exchange });
@@ -284,8 +290,7 @@
     if (this.#shutdown.isAccepting) {
       return admitRequest(this.#state, caller);
     }
-    const retryAfterMs = LEAVING_RETRY_AFTER_MS;
-    return { status: 503, reason: "leaving", retryAfterMs };
+    return LEAVING_REFUSAL;
   }
 
   #announceReady(): void {
