--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,9 +3,10 @@
  * the platform's store, the peer node and the forwarding of requests.
  * Everything that differs between platforms is passed in.
  */
-import { chooseEntries, type MembershipState } from "../decision/mod.ts";
+import { type MembershipState } from "../decision/mod.ts";
 import { splitAddress } from "../model/mod.ts";
 import { type PeerNode } from "../wire/mod.ts";
+import { advertisedAddresses } from "./advertised_addresses.ts";
 import { AnswerMemory } from "./answer_buffer.ts";
 import { BackendFleet } from "./backend_fleet.ts";
 import { type GatewayRefusal } from "./caller_exchange.ts";
@@ -39,11 +40,6 @@
 const TICK_MS = 200;
 /** Delays the histogram library: loading it slows the first requests. */
 const METRICS_LOAD_DELAY_MS = 5000;
-/** Maximum number of addresses returned; VMs are sampled by free capacity. */
-const MAX_ENTRIES = 4;
-/** VMs of other data centres are added if the caller's own has fewer. */
-const MIN_ENTRIES = 2;
-const LOAD_MAX_AGE_MS = 10_000;
 /** Short, as a caller refused by a stopping VM can use another at once. */
 const LEAVING_REFUSAL: GatewayRefusal = {
   status: 503,
@@ -199,19 +195,10 @@
 
   /** Returns addresses for a caller, those of its data centre first. */
   entryAddresses(caller: { readonly place: string | undefined }): string[] {
-    const { settings, clock, random } = this.#options;
-    const { entries } = chooseEntries(this.#peers.membership(), {
+    return advertisedAddresses(this.#peers.membership(), {
+      ...this.#options,
       place: caller.place,
-      places: settings.places.map((place) => ({ ...place, delayMs: 0 })),
-      drainedPlaces: [],
-      maxCount: MAX_ENTRIES,
-      minCount: MIN_ENTRIES,
-      maxAgeMs: settings.entryMaxAgeMs,
-      loadMaxAgeMs: LOAD_MAX_AGE_MS,
-      nowMs: clock(),
-      random,
     });
-    return entries.map(({ address }) => address);
   }
 
   /** Returns all metrics as text, one per line. */
