--- a/src/gateway/cut_off_vm_test.ts
+++ b/src/gateway/cut_off_vm_test.ts
@@ -176,3 +176,26 @@
   assert.equal((await call(vm.callerAddress, { path })).status, 200);
   assert.equal(relayedCount(), countBefore);
 });
+
+// Guards against RECOVER: callers went on to be sent to VMs without servers,
+// and such VMs sent requests to each other.
+test("a VM without servers is not advertised, unless all are", async (context) => {
+  const { vms } = await startFleet(context);
+  const [first, second] = vms;
+  assert.ok(first !== undefined && second !== undefined);
+  const advertised = (vm: LinkedVm): readonly string[] =>
+    vm.gateway.entryAddresses({ place: undefined });
+  const loseServers = async (vm: LinkedVm): Promise<void> => {
+    await vm.links.cut("reset");
+    await call(vm.callerAddress, { path: "/lookups/a" });
+  };
+  await loseServers(first);
+  await until(() => advertised(second).length === VM_COUNT - 1);
+  assert.ok(!advertised(second).includes(first.callerAddress));
+  assert.ok(first.gateway.isReady());
+  await first.links.heal();
+  await until(() => advertised(second).length === VM_COUNT);
+  for (const vm of vms) await loseServers(vm);
+  await until(() => advertised(second).length === 1);
+  assert.deepEqual(advertised(second), [second.callerAddress]);
+});
