Print why calls were cut or refused while VMs were replaced

The replacement test named only the requests. It did not show which VM a call went to, which error ended it, which list of entry VMs the caller used, or which shutdown phase the VM was in.

A call records its entry address and the error of its connection, the directory records the lists it read, and the test prints both with the logs of the VMs involved. The assertions are the same.

--- a/test/caller.ts
+++ b/test/caller.ts
@@ -46,6 +46,7 @@
   text: string;
   nextIndex: number;
   firstTokenMs: number | undefined;
+  cause: string;
 }
 
 /** Sends requests to entry VMs. */
@@ -99,21 +100,28 @@
       text: "",
       nextIndex: 0,
       firstTokenMs: undefined,
+      cause: "",
     };
-    await this.#attempt(() => this.#post(request, entry, { exchange, sentMs }));
+    const openCall = { exchange, sentMs };
+    await this.#attempt(exchange, () => this.#post(request, entry, openCall));
     if (exchange.end === "cut" && exchange.nextIndex > 0) {
-      await this.#attempt(() =>
-        this.#resume(request, entry, { exchange, sentMs })
+      await this.#attempt(
+        exchange,
+        () => this.#resume(request, entry, openCall),
       );
     }
-    return recordOf(request, exchange, sentMs);
+    return recordOf(request, { ...openCall, entry });
   }
 
-  async #attempt(work: () => Promise<void>): Promise<void> {
+  /** Runs `work`; a failed connection leaves the exchange as cut. */
+  async #attempt(
+    exchange: Exchange,
+    work: () => Promise<void>,
+  ): Promise<void> {
     try {
       await work();
-    } catch {
-      // A failed connection leaves the exchange as cut.
+    } catch (error) {
+      exchange.cause = String(error);
     }
   }
 
@@ -226,8 +234,7 @@
 
 function recordOf(
   request: CallerRequest,
-  exchange: Exchange,
-  sentMs: number,
+  { exchange, sentMs, entry }: OpenCall & { readonly entry: string },
 ): CallRecord {
   const { requestId, kind, requestClass, workspace, session, key } = request;
   return {
@@ -246,5 +253,7 @@
     version: exchange.version,
     text: exchange.text,
     firstTokenMs: exchange.firstTokenMs,
+    entry,
+    cause: exchange.cause,
   };
 }
--- a/test/entry_directory.ts
+++ b/test/entry_directory.ts
@@ -2,6 +2,7 @@
  * The entry VMs that the system advertises to the callers of each place. The
  * lists are refreshed after each max age, from the first VM that answers.
  */
+import { performance } from "node:perf_hooks";
 import { request } from "undici";
 import { z } from "zod";
 import { type Cluster } from "./cluster.ts";
@@ -16,8 +17,20 @@
   maxAgeMs: z.number(),
 });
 
+/** A list that a VM answered. */
+export interface ReadList {
+  readonly place: string;
+  /** The VM that answered. */
+  readonly vm: string;
+  readonly askedMs: number;
+  readonly answeredMs: number;
+  readonly names: readonly string[];
+}
+
 /** Caches the advertised entry VMs of each place. */
 export class EntryDirectory {
+  /** Every list, in order of its arrival. */
+  readonly readLists: ReadList[] = [];
   readonly #cluster: Cluster;
   readonly #lists = new Map<string, readonly string[]>();
   readonly #timers = new Set<NodeJS.Timeout>();
@@ -63,12 +76,15 @@
   async #refresh(place: string): Promise<void> {
     let maxAgeMs = DEFAULT_MAX_AGE_MS;
     for (const vm of this.#cluster.vms.values()) {
+      const askedMs = performance.now();
       const answer = await fetchEntries(vm.callerAddress, place);
       if (answer === undefined) continue;
       maxAgeMs = answer.maxAgeMs;
       const names = answer.entries.map((entry) => entry.vm)
         .filter((name) => this.#cluster.vms.has(name));
       this.#lists.set(place, names);
+      const answeredMs = performance.now();
+      this.readLists.push({ place, vm: vm.name, askedMs, answeredMs, names });
       break;
     }
     if (this.#isClosed) return;
--- a/test/evidence.ts
+++ b/test/evidence.ts
@@ -53,6 +53,10 @@
   readonly version: string;
   readonly text: string;
   readonly firstTokenMs: number | undefined;
+  /** Address of the entry VM. */
+  readonly entry: string;
+  /** The error that ended the connection; empty if there was none. */
+  readonly cause: string;
 }
 
 /** A version that was withdrawn for every workspace. */
--- a/test/integration/replacement_test.ts
+++ b/test/integration/replacement_test.ts
@@ -3,12 +3,14 @@
  * killing all of them at once, so that the state survives only in the log.
  */
 import assert from "node:assert/strict";
+import { performance } from "node:perf_hooks";
 import { test, type TestContext } from "node:test";
 import { Caller, type CallerRequest } from "../caller.ts";
 import { Cluster } from "../cluster.ts";
+import { type ClusterVm } from "../cluster_vm.ts";
 import { type CallRecord } from "../evidence.ts";
 import { checkInvariants } from "../invariants.ts";
-import { runLoad } from "../load.ts";
+import { type LoadResult, runLoad } from "../load.ts";
 import { readSitePlan, readTree, withEntryCount } from "../site_plan.ts";
 import { Workload } from "../workload.ts";
 
@@ -43,11 +45,44 @@
   assert.deepEqual(violations, []);
 }
 
+/** Prints calls with the lists and the logs of their VMs, by the clock. */
+function printCalls(
+  context: TestContext,
+  calls: readonly CallRecord[],
+  { readLists, vms }: {
+    readonly readLists: LoadResult["readLists"];
+    readonly vms: readonly ClusterVm[];
+  },
+): void {
+  const print = (value: unknown): void =>
+    context.diagnostic(JSON.stringify(value));
+  for (const { requestId, end, reason, cause, entry, ...times } of calls) {
+    const sentAt = timeAt(times.sentMs);
+    const endedAt = timeAt(times.endedMs);
+    print({ requestId, end, reason, cause, entry, sentAt, endedAt });
+  }
+  if (calls.length === 0) return;
+  for (const { place, vm, names, askedMs, answeredMs } of readLists) {
+    const askedAt = timeAt(askedMs);
+    print({ place, vm, names, askedAt, answeredAt: timeAt(answeredMs) });
+  }
+  for (const { callerAddress, entry } of vms) {
+    if (!calls.some((call) => call.entry === callerAddress)) continue;
+    print(callerAddress);
+    for (const line of entry.lines) print(line);
+  }
+}
+
+function timeAt(clockMs: number): string {
+  return new Date(performance.timeOrigin + clockMs).toISOString();
+}
+
 test("every VM is replaced under load and no answer is cut", {
   timeout: TEST_TIMEOUT_MS,
 }, async (context) => {
   const cluster = await start(context);
   const { plan } = cluster.site;
+  const vms = [...cluster.vms.values()];
   const load = runLoad({
     cluster,
     workload: new Workload({
@@ -59,20 +94,19 @@
     requestsPerSecond: REQUESTS_PER_SECOND,
     durationMs: LOAD_MS,
   });
-  for (const old of [...cluster.vms.values()]) {
+  for (const old of vms) {
     const replacement = await cluster.startVm(`${old.name}-new`, old.place);
     await cluster.waitReady(replacement);
     assert.deepEqual(await cluster.retireVm(old.name), [0, 0]);
   }
-  const { requests, calls } = await load;
-  const cut = calls.filter((call) => call.end === "cut")
-    .map((call) => call.requestId);
-  assert.deepEqual(cut, []);
+  const { requests, calls, readLists } = await load;
+  const cut = calls.filter((call) => call.end === "cut");
   const refusedAtShutdown = calls.filter((call) =>
     call.reason === "shutting_down"
-  )
-    .map((call) => call.requestId);
-  assert.deepEqual(refusedAtShutdown, []);
+  );
+  printCalls(context, [...cut, ...refusedAtShutdown], { readLists, vms });
+  assert.deepEqual(cut.map((call) => call.requestId), []);
+  assert.deepEqual(refusedAtShutdown.map((call) => call.requestId), []);
   assert.ok(requests.some((one) => one.last.end === "whole"));
   assertPromisesHold(cluster, calls);
 });
--- a/test/invariants_test.ts
+++ b/test/invariants_test.ts
@@ -36,6 +36,8 @@
     reason: "",
     text: answerText(KEY),
     firstTokenMs: 10,
+    entry: "127.0.0.1:1",
+    cause: "",
     ...fields,
   };
 }
--- a/test/load.ts
+++ b/test/load.ts
@@ -6,7 +6,7 @@
 import { performance } from "node:perf_hooks";
 import { Caller, type CallerRequest } from "./caller.ts";
 import { type Cluster } from "./cluster.ts";
-import { EntryDirectory } from "./entry_directory.ts";
+import { EntryDirectory, type ReadList } from "./entry_directory.ts";
 import { type CallRecord } from "./evidence.ts";
 import { type Workload } from "./workload.ts";
 
@@ -29,6 +29,8 @@
 export interface LoadResult {
   readonly requests: readonly SentRequest[];
   readonly calls: readonly CallRecord[];
+  /** The lists of entry VMs that the callers used. */
+  readonly readLists: readonly ReadList[];
 }
 
 /** Sends requests for a time and waits until every one has ended. */
@@ -49,7 +51,7 @@
   const requests = await Promise.all(running);
   directory.close();
   await caller.close();
-  return { requests, calls: caller.calls };
+  return { requests, calls: caller.calls, readLists: directory.readLists };
 }
 
 interface LoadContext {
