Test that a leaving VM advertises suspect members if no other is left

Timeline of that run: a VM began its shutdown at 11.06 s, no list named it from 11.85 s on, and it refused new work from 12.99 s on. It still answered lists. At 15.72 s all its members were under suspicion, as their answers to probes came late on the busy machine, and its list was empty. Callers fell back to every VM they knew, and six calls sent to the leaving VM from 16.03 to 17.08 s were refused with shutting_down.

--- a/src/decision/entry_addresses_test.ts
+++ b/src/decision/entry_addresses_test.ts
@@ -78,6 +78,18 @@
   assert.deepEqual(names.sort(), ["self", "vm-8"]);
 });
 
+test("a leaving VM with only suspect members advertises them", () => {
+  const updates = VMS.map(() => ({ status: "suspect" as const }));
+  const context = { nowMs: 0, random: seededRandom(5) };
+  const leaving = { kind: "status", status: "leaving" } as const;
+  const { state } = applyMembership(stateOf(updates), leaving, context);
+  const { entries } = chooseEntries(state, queryOf({ maxCount: 20 }));
+  assert.deepEqual(
+    entries.map(({ vm }) => vm).sort(),
+    VMS.map(({ vm }) => vm).sort(),
+  );
+});
+
 test("no VM that is leaving according to the VM list is advertised", () => {
   const vms = VMS.map((vm) => ({ ...vm, status: "leaving" as const }));
   const context = { nowMs: 0, random: seededRandom(3) };
