Advertise suspect VMs if no other VM is left

A leaving VM whose members were all under suspicion answered an empty list of entry VMs. Its callers then used every VM they knew, also the leaving one, which refused them with shutting_down, while the suspect VMs were serving.

If there is no alive VM to advertise, the suspect ones are; VMs that are leaving or in a drained place still never are.

The test of a leaving VM with only suspect members passes (9 addresses; 0 before). The tests of entry_addresses, membership and gateway_test pass.

--- a/src/decision/entry_addresses.ts
+++ b/src/decision/entry_addresses.ts
@@ -1,12 +1,13 @@
 /**
  * Chooses the entry addresses advertised to a caller: a few, from the caller's
  * place first, then its region, then elsewhere. VMs at the same distance are
- * sampled by free capacity. VMs that are leaving or suspect are never
- * advertised. The answer is valid for its max age; a VM that shuts down accepts
+ * sampled by free capacity. VMs that are leaving are never advertised, suspect
+ * ones only if no other is left: with an empty answer a caller would fall back
+ * to every VM it knows, leaving ones included. The answer is valid for its max age; a VM that shuts down accepts
  * requests until the answers that name it have expired.
  */
 import { type Place, type Random } from "../model/mod.ts";
-import { type Member, type MemberUpdate } from "./member.ts";
+import { type Member, type MemberStatus, type MemberUpdate } from "./member.ts";
 import { type MembershipState } from "./membership_state.ts";
 
 /** Load assumed for a VM without a recent report. */
@@ -68,23 +69,31 @@
 }
 
 function candidatesOf(state: MembershipState, query: EntryQuery): Candidate[] {
+  const alive = candidatesWith("alive", { state, query });
+  return alive.length > 0 ? alive : candidatesWith("suspect", { state, query });
+}
+
+function candidatesWith(
+  status: MemberStatus,
+  { state, query }: {
+    readonly state: MembershipState;
+    readonly query: EntryQuery;
+  },
+): Candidate[] {
+  const isEligible = (update: MemberUpdate): boolean =>
+    update.status === status && update.address !== "" &&
+    !query.drainedPlaces.includes(update.place);
   const candidates: Candidate[] = [];
-  if (isEligible(state.self, query)) {
+  if (isEligible(state.self)) {
     candidates.push(candidateOf(state.self, state.loadShare, query));
   }
   for (const member of state.members.values()) {
-    if (!isEligible(member.update, query)) continue;
-    if (member.listed === "leaving") continue;
+    if (!isEligible(member.update) || member.listed === "leaving") continue;
     candidates.push(candidateOf(member.update, loadOf(member, query), query));
   }
   return candidates;
 }
 
-function isEligible(update: MemberUpdate, query: EntryQuery): boolean {
-  if (update.status !== "alive" || update.address === "") return false;
-  return !query.drainedPlaces.includes(update.place);
-}
-
 function candidateOf(
   update: MemberUpdate,
   loadShare: number,
