Count only running time in the phases of an entry's shutdown

A VM that was paused in its shutdown, or whose event loop was blocked, took the pause for time in which callers had dropped its address. Its overdue timer fired before its sockets were read, so it refused requests that had come in time.

The shutdown is given the time during which the process ran: a poll that comes late counts as one on time, and a second poll follows a pause, so that the sockets are read first. The state machine is the same.

--- a/src/bin/entry_shutdown.ts
+++ b/src/bin/entry_shutdown.ts
@@ -1,6 +1,8 @@
 /**
  * Graceful shutdown of an entry: drives the state machine of
- * `src/decision/shutdown.ts` with the components of the entry.
+ * `src/decision/shutdown.ts` with the components of the entry. Its phases last
+ * for the time during which the process ran, so that requests which reach a
+ * paused process in time aren't refused.
  */
 import {
   applyShutdown,
@@ -10,6 +12,7 @@
   type ShutdownState,
 } from "../decision/mod.ts";
 import { processEffects } from "../client/effects.ts";
+import { RunningTime } from "../client/mod.ts";
 import { type PeerNode } from "../wire/mod.ts";
 import { appendBurn } from "./burn_setup.ts";
 import { type EntryParts } from "./entry_parts.ts";
@@ -44,15 +47,16 @@
 async function shutDown(entry: StoppableEntry): Promise<void> {
   const { logger } = entry.context;
   logger.info("shutdown began");
+  const time = new RunningTime(processEffects);
   let state = initialState(entry);
   let event: ShutdownEvent = { kind: "terminate" };
   while (state.phase !== "left") {
-    const step = applyShutdown(state, event, processEffects.clock());
+    const step = applyShutdown(state, event, time.nowMs());
     for (const effect of step.effects) perform(entry, effect);
     state = step.state;
     if (state.phase === "left") break;
     if (state.phase === "flushing") await flush(entry);
-    await processEffects.sleep(POLL_PERIOD_MS);
+    await time.sleep(POLL_PERIOD_MS);
     event = progressOf(entry);
   }
   await closeAll(entry);
--- a/src/client/mod.ts
+++ b/src/client/mod.ts
@@ -12,6 +12,7 @@
 export * from "./peer_records.ts";
 export * from "./plain_service.ts";
 export * from "./rating.ts";
+export * from "./running_time.ts";
 export * from "./server_directory.ts";
 export * from "./server_record.ts";
 export * from "./shard.ts";
