Test manifests written after the store was restored

Three VMs before a memory store that loses its newest records and gives their offsets out again. Manifests 2 to 5 are written, the store returns from before them, 5 and then 9 are written.

--- a/src/gateway/gateway_fixture.ts
+++ b/src/gateway/gateway_fixture.ts
@@ -8,6 +8,7 @@
 import {
   type BackendServer,
   type Manifest,
+  type Random,
   type RolloutStatus,
   silentLogger,
 } from "../model/mod.ts";
@@ -125,6 +126,7 @@
   readonly settings?: Partial<GatewayOptions["settings"]>;
   /** Returns a server at the address at which this VM reaches it. */
   readonly linked?: (server: BackendServer) => BackendServer;
+  readonly random?: Random;
 }
 
 /** Starts a gateway; it may not be ready yet. */
@@ -141,6 +143,7 @@
   for (const { server } of backends) servers.put(server.id, server);
   const gateway = new Gateway({
     ...processEffects,
+    random: options.random ?? processEffects.random,
     settings: {
       vm,
       place: "khomas-a",
--- a/src/gateway/memory_topic_fixture.ts
+++ b/src/gateway/memory_topic_fixture.ts
@@ -8,7 +8,10 @@
   type TopicSource,
 } from "./store_record.ts";
 
-/** A topic that retains all records; fails every call while `isDown`. */
+/**
+ * A topic that retains all records, but for those that it loses when it is
+ * restored from an older copy; fails every call while `isDown`.
+ */
 export class MemoryTopic implements TopicSource {
   records: StoreRecord[] = [];
   isDown = false;
@@ -24,6 +27,11 @@
     this.records.push({ key, value: undefined, offset: this.records.length });
   }
 
+  /** Loses all but the first records; their offsets are given out again. */
+  restore(recordCount: number): void {
+    this.records = this.records.slice(0, recordCount);
+  }
+
   async list(): Promise<Result<StoreRecords, StoreFault>> {
     await delay(1);
     if (this.isDown) return down();
@@ -44,6 +52,7 @@
     }
     await delay(1);
     if (this.isDown) return down();
+    if (offset > this.records.length) return deleted();
     const records = this.records.slice(offset);
     return ok({ records, nextOffset: this.records.length });
   }
@@ -52,3 +61,7 @@
 function down(): Result<StoreRecords, StoreFault> {
   return err({ kind: "refused", message: "down" });
 }
+
+function deleted(): Result<StoreRecords, StoreFault> {
+  return err({ kind: "deleted", message: "no such records" });
+}
