Order the store's records by era, then offset

A store that is restored from an older copy gives offsets out again. A replica kept the record with the higher offset and dropped no key when a list ended before its own end, so what was written after a restoration was ignored; and an offset that had been given out again was read from as if it still followed.

A read from a position of an older era ends as deleted, so the topic is listed; the first complete list of a newer era replaces the replica; what comes of an older era after it changes nothing. Manifests go by version as before; entries of servers that the list lacks stay for the time that they have after an outage.

Roll-out orders and statuses still name an offset of one era.

--- a/src/gateway/memory_topic_fixture.ts
+++ b/src/gateway/memory_topic_fixture.ts
@@ -1,6 +1,7 @@
 /** An in-memory topic of the platform's store for tests. */
 import { setTimeout as delay } from "node:timers/promises";
 import { err, ok, type Result } from "neverthrow";
+import { eraOf, offsetOf, positionOf } from "./store_position.ts";
 import {
   type StoreFault,
   type StoreRecord,
@@ -15,6 +16,7 @@
 export class MemoryTopic implements TopicSource {
   records: StoreRecord[] = [];
   isDown = false;
+  #era = 0;
 
   /** Appends a record with a JSON value, as an operator or server does. */
   put(key: string, value: unknown): void {
@@ -30,6 +32,7 @@
   /** Loses all but the first records; their offsets are given out again. */
   restore(recordCount: number): void {
     this.records = this.records.slice(0, recordCount);
+    this.#era += 1;
   }
 
   async list(): Promise<Result<StoreRecords, StoreFault>> {
@@ -39,22 +42,34 @@
     for (const record of this.records) newest.set(record.key, record);
     const records = [...newest.values()]
       .filter(({ value }) => value !== undefined);
-    return ok({ records, nextOffset: this.records.length });
+    return ok(this.#placed(records));
   }
 
   async readAfter(
-    offset: number,
+    position: number,
     waitMs: number,
   ): Promise<Result<StoreRecords, StoreFault>> {
+    const offset = offsetOf(position);
     const endMs = performance.now() + waitMs;
     while (this.records.length <= offset && performance.now() < endMs) {
       await delay(10);
     }
     await delay(1);
     if (this.isDown) return down();
-    if (offset > this.records.length) return deleted();
-    const records = this.records.slice(offset);
-    return ok({ records, nextOffset: this.records.length });
+    const isRestored = eraOf(position) !== this.#era;
+    if (isRestored || offset > this.records.length) return deleted();
+    return ok(this.#placed(this.records.slice(offset)));
+  }
+
+  #placed(records: readonly StoreRecord[]): StoreRecords {
+    const era = this.#era;
+    return {
+      records: records.map((record) => ({
+        ...record,
+        offset: positionOf({ era, offset: record.offset }),
+      })),
+      nextOffset: positionOf({ era, offset: this.records.length }),
+    };
   }
 }
 
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -16,4 +16,5 @@
 export * from "./log_sink.ts";
 export * from "./protocol.ts";
 export * from "./retry_budget.ts";
+export * from "./store_position.ts";
 export * from "./store_record.ts";
--- a/src/gateway/peer_update_test.ts
+++ b/src/gateway/peer_update_test.ts
@@ -14,13 +14,15 @@
   parseBusyNotice,
   parsePeerUpdate,
 } from "./peer_update.ts";
+import { MAX_ERA, positionOf } from "./store_position.ts";
 
 const SEED = 20_261_204;
 
 /** As a decoder makes them. */
 const PLAIN = { noNullPrototype: true } as const;
 
-const offset = fc.nat(2 ** 31);
+const offset = fc.record({ era: fc.nat(MAX_ERA), offset: fc.nat(2 ** 31) })
+  .map(positionOf);
 const name = fc.string({ minLength: 1, maxLength: 20 });
 
 const recordArbitrary = fc.record({
--- a/src/gateway/store_feed.ts
+++ b/src/gateway/store_feed.ts
@@ -6,6 +6,7 @@
 import { type GatewayOptions } from "./gateway_options.ts";
 import { type GatewayState } from "./gateway_state.ts";
 import { type TopicName } from "./peer_update.ts";
+import { eraOf, offsetOf } from "./store_position.ts";
 import { type RolloutRegistry } from "./rollout_registry.ts";
 import { type ReplicaChange, TopicReplica } from "./topic_replica.ts";
 import { TopicFollower } from "./topic_follower.ts";
@@ -98,8 +99,10 @@
     ];
   }
 
-  #applyOperatorRecords({ records }: ReplicaChange): void {
+  #applyOperatorRecords({ records, restoredFrom }: ReplicaChange): void {
+    this.#logRestored("operators", restoredFrom);
     const isNewOrder = this.#options.state.routes !== undefined &&
+      restoredFrom === undefined &&
       this.replicas.operators.ageMs < NEW_ORDER_MAX_AGE_MS;
     for (const record of records) {
       const read = this.#options.gateway.readOperatorRecord(record);
@@ -113,8 +116,12 @@
     this.#options.onApplied();
   }
 
-  #applyServerRecords({ records, isAfterOutage }: ReplicaChange): void {
-    if (isAfterOutage) {
+  #applyServerRecords(
+    { records, isAfterOutage, restoredFrom }: ReplicaChange,
+  ): void {
+    this.#logRestored("servers", restoredFrom);
+    // Entries that the copy lacks are written again, as after an outage.
+    if (isAfterOutage || restoredFrom !== undefined) {
       this.#options.state.applyRosterEvent({ kind: "store_returned" });
     }
     this.#options.state.applyRosterEvent({
@@ -132,6 +139,18 @@
     this.#options.registry.recordVersions(services);
     this.#options.onApplied();
   }
+
+  #logRestored(topic: TopicName, restoredFrom: number | undefined): void {
+    const end = this.replicas[topic].nextOffset;
+    if (restoredFrom === undefined || end === undefined) return;
+    this.#options.gateway.logger.warn("store restored", {
+      topic,
+      eraBefore: eraOf(restoredFrom),
+      era: eraOf(end),
+      endBefore: offsetOf(restoredFrom),
+      end: offsetOf(end),
+    });
+  }
 }
 
 /** Compares decoded entries: a heartbeat changes only the encoded bytes. */
--- a/src/gateway/store_record.ts
+++ b/src/gateway/store_record.ts
@@ -1,4 +1,7 @@
-/** Records of the platform's store, and the interface to read a topic. */
+/**
+ * Records of the platform's store, and the interface to read a topic. Every
+ * offset here is a position: the store's offset with its era (`store_position`).
+ */
 import { type Result } from "neverthrow";
 
 /** A key's newest value; undefined when the key was dropped. */
@@ -17,7 +20,8 @@
 /** Why a call to the store failed. */
 export interface StoreFault {
   /**
-   * `deleted`: the requested records no longer exist. `refused`: nothing was
+   * `deleted`: the requested records no longer exist, or the store has been
+   * restored since their position was given out. `refused`: nothing was
    * done. `conflict`: the topic has grown since it was read. `unknown`: the
    * call may have taken effect.
    */
@@ -29,7 +33,10 @@
 export interface TopicSource {
   /** Lists the newest record of each key. */
   readonly list: () => Promise<Result<StoreRecords, StoreFault>>;
-  /** Reads the records from an offset on, waiting if there are none. */
+  /**
+   * Reads the records from an offset on, waiting if there are none. The answer
+   * is of the offset's era; a store of another one gives `deleted`.
+   */
   readonly readAfter: (
     offset: number,
     waitMs: number,
--- a/src/gateway/topic_replica.ts
+++ b/src/gateway/topic_replica.ts
@@ -3,8 +3,14 @@
  * received from another VM, and the time at which it was up to date. A record
  * that decodes to the same value as its predecessor keeps the old offset, so
  * that VMs send each other changes and not heartbeats.
+ *
+ * Offsets are positions, which order records by the store's era first. The first
+ * complete list of a newer era restores the replica: it holds what the list has,
+ * all at positions of that era, and forgets the rest. What comes of an older era
+ * after it, from the store or from another VM, changes nothing.
  */
 import { type Clock } from "../model/mod.ts";
+import { eraOf, positionOf } from "./store_position.ts";
 import { type StoreRecord, type StoreRecords } from "./store_record.ts";
 
 /** Number of dropped keys retained, so that updates can contain the drops. */
@@ -27,6 +33,8 @@
   readonly records: readonly StoreRecord[];
   /** Whether the replica was older than OUTAGE_MS before this change. */
   readonly isAfterOutage: boolean;
+  /** The replica's end before, if this change has brought a newer era. */
+  readonly restoredFrom: number | undefined;
 }
 
 /** The replica of one topic. */
@@ -63,6 +71,7 @@
 
   /** Applies a complete list; keys that it lacks have been dropped. */
   applyList({ records, nextOffset }: StoreRecords, currentAtMs: number): void {
+    if (this.#isOutdated(nextOffset)) return;
     const listed = new Set(records.map(({ key }) => key));
     const changed = [...records];
     if (nextOffset >= (this.#nextOffset ?? 0)) {
@@ -76,11 +85,15 @@
     this.#apply(changed, { nextOffset, currentAtMs });
   }
 
-  /** Applies records that follow the replica's offset. */
+  /**
+   * Applies records that follow the replica's offset. Those of another era are
+   * ignored: a newer era begins with a complete list.
+   */
   applyRecords(
     { records, nextOffset }: StoreRecords,
     currentAtMs: number,
   ): void {
+    if (eraOf(nextOffset) !== eraOf(this.#nextOffset ?? 0)) return;
     this.#apply(records, { nextOffset, currentAtMs });
   }
 
@@ -110,6 +123,11 @@
     else if (ownOffset !== undefined) this.applyRecords(update, currentAtMs);
   }
 
+  /** Whether an answer of an older era has been on its way until now. */
+  #isOutdated(nextOffset: number): boolean {
+    return eraOf(nextOffset) < eraOf(this.#nextOffset ?? 0);
+  }
+
   #apply(
     records: readonly StoreRecord[],
     position: { readonly nextOffset: number; readonly currentAtMs: number },
@@ -117,28 +135,43 @@
     const isAfterOutage = this.#nextOffset !== undefined &&
       this.ageMs > OUTAGE_MS;
     const wasEmpty = this.#nextOffset === undefined;
+    const restoredFrom = this.#beginEra(eraOf(position.nextOffset));
     const changes: StoreRecord[] = [];
     for (const record of records) if (this.#put(record)) changes.push(record);
     this.#nextOffset = Math.max(this.#nextOffset ?? 0, position.nextOffset);
     this.#currentAtMs = Math.max(this.#currentAtMs, position.currentAtMs);
     this.#evictDropped();
-    if (changes.length === 0 && !wasEmpty && !isAfterOutage) return;
-    this.#onChange({ records: changes, isAfterOutage });
+    const isNews = wasEmpty || isAfterOutage || restoredFrom !== undefined;
+    if (changes.length === 0 && !isNews) return;
+    this.#onChange({ records: changes, isAfterOutage, restoredFrom });
+  }
+
+  /** Returns the end before, if the era is newer than the replica's. */
+  #beginEra(era: number): number | undefined {
+    const endBefore = this.#nextOffset;
+    if (endBefore === undefined || era <= eraOf(endBefore)) return undefined;
+    // A VM of an older era may have records that this one has never seen.
+    this.#firstCompleteOffset = positionOf({ era, offset: 0 });
+    return endBefore;
   }
 
   #put(record: StoreRecord): boolean {
     const current = this.#newest.get(record.key);
     if (current !== undefined && current.offset >= record.offset) return false;
-    const { value } = record;
-    if (value === undefined && current?.value === undefined) return false;
-    if (
-      value !== undefined && current?.value !== undefined &&
-      this.#isSame(current.value, value)
-    ) return false;
+    const isSame = this.#isSameValue(current?.value, record.value);
+    // Of a newer era even the same value takes the new position.
+    const isKept = current === undefined ||
+      eraOf(current.offset) === eraOf(record.offset);
+    if (isSame && isKept) return false;
     // Deleted first, so that the map stays in the order of changes.
     this.#newest.delete(record.key);
     this.#newest.set(record.key, record);
-    return true;
+    return !isSame;
+  }
+
+  #isSameValue(a: Buffer | undefined, b: Buffer | undefined): boolean {
+    if (a === undefined || b === undefined) return a === b;
+    return this.#isSame(a, b);
   }
 
   #evictDropped(): void {
--- a/tools/mechanisms.ts
+++ b/tools/mechanisms.ts
@@ -212,6 +212,23 @@
     replacement: "current.offset > record.offset + 1e9) return false;",
     tests: ["src/gateway/topic_replica_test.ts"],
   },
+  {
+    name: "order by era",
+    file: "src/gateway/store_position.ts",
+    source: "return era * OFFSETS_PER_ERA + offset;",
+    replacement: "return 0 * era + offset;",
+    tests: [
+      "src/gateway/topic_replica_era_test.ts",
+      "src/gateway/store_restored_test.ts",
+    ],
+  },
+  {
+    name: "an offset of an older era is not read from",
+    file: "platform/store.ts",
+    source: "if (era !== eraOf(offset)) return err(RESTORED);",
+    replacement: "",
+    tests: ["platform/store_test.ts"],
+  },
   {
     name: "manifest order",
     file: "src/gateway/gateway_state.ts",
