Keep servers' entries that an older copy would undo

After a restoration a server that had been seen draining or gone was used again until its next entry, as the copy called it ready. In the first list of a newer era an entry that was written before the known one (its `born`, then its `sequence`) changes nothing, and an entry that had been dropped stays so until it is written again.

--- a/src/gateway/gateway_fixture.ts
+++ b/src/gateway/gateway_fixture.ts
@@ -174,8 +174,14 @@
         ? { kind: "manifest", manifest: read }
         : { kind: "order", order: { ...read, offset } };
     },
-    readServer: ({ value }) =>
-      value === undefined ? undefined : linked(JSON.parse(value.toString())),
+    readServer: ({ value }) => {
+      if (value === undefined) return undefined;
+      const { sequence: _sequence, ...server } = JSON.parse(value.toString());
+      return linked(server);
+    },
+    isOlderServer: (value, known) =>
+      JSON.parse(value.toString()).sequence <
+        JSON.parse(known.toString()).sequence,
     readStatus: () => undefined,
     appendStatus: (status) => {
       statuses.push(status);
--- a/src/gateway/gateway_options.ts
+++ b/src/gateway/gateway_options.ts
@@ -17,6 +17,7 @@
   type StoreRecord,
   type TopicSource,
 } from "./store_record.ts";
+import { type IsOlder } from "./topic_replica.ts";
 
 /** A record that operators write into the store. */
 export type OperatorRecord =
@@ -34,6 +35,8 @@
     record: StoreRecord,
   ) => OperatorRecord | undefined;
   readonly readServer: (record: StoreRecord) => BackendServer | undefined;
+  /** Whether a server wrote a value before another one. */
+  readonly isOlderServer: IsOlder;
   readonly readStatus: (record: StoreRecord) => RolloutStatus | undefined;
   /** Appends a status if the topic still ends at the offset. */
   readonly appendStatus: (
--- a/src/gateway/store_feed.ts
+++ b/src/gateway/store_feed.ts
@@ -55,7 +55,7 @@
   }
 
   #createReplicas(): Record<TopicName, TopicReplica> {
-    const { clock, readServer } = this.#options.gateway;
+    const { clock, readServer, isOlderServer } = this.#options.gateway;
     return {
       operators: new TopicReplica({
         clock,
@@ -65,6 +65,7 @@
       servers: new TopicReplica({
         clock,
         isSame: (a, b) => isSameServer(readServer, a, b),
+        isOlder: isOlderServer,
         onChange: (change) => this.#applyServerRecords(change),
       }),
     };
--- a/src/gateway/store_restored_test.ts
+++ b/src/gateway/store_restored_test.ts
@@ -100,3 +100,57 @@
   putManifest(operators, 9);
   assert.deepEqual(await vmsWithout(9, vms), []);
 });
+
+/** Whether any VM answers 200 within a time in which all could use a server. */
+async function isEverUsed(
+  vms: readonly TestGateway[],
+  durationMs: number,
+): Promise<boolean> {
+  const endMs = performance.now() + durationMs;
+  while (performance.now() < endMs) {
+    const statuses = await Promise.all(
+      vms.map((vm) => statusOf(vm, "/lookups/a")),
+    );
+    if (statuses.includes(200)) return true;
+    await delay(POLL_MS);
+  }
+  return false;
+}
+
+for (const end of ["draining", "gone"] as const) {
+  test(`a server that was ${end} is not used because a copy calls it ready`, async (context) => {
+    const { servers, backend: { server }, vms } = await startSite(context);
+    servers.put(server.id, { ...server, sequence: 1 });
+    await delay(1500);
+    const [first] = vms;
+    assert.ok(first !== undefined);
+    assert.equal(await statusOf(first, "/lookups/a"), 200);
+    const copiedCount = servers.records.length;
+    if (end === "gone") servers.drop(server.id);
+    else servers.put(server.id, { ...server, status: "draining", sequence: 2 });
+    await delay(1500);
+    await restore(servers, copiedCount);
+    assert.equal(await isEverUsed(vms, 4000), false);
+    servers.put(server.id, { ...server, sequence: 3 });
+    assert.equal(await isEverUsed(vms, 3000), true);
+  });
+}
+
+test("a server whose entry is written again in time is used all along", async (context) => {
+  const { servers, backend: { server }, vms } = await startSite(context);
+  await delay(1000);
+  await restore(servers, 0);
+  const used = new Set<number>();
+  const endMs = performance.now() + 4000;
+  const writeAtMs = performance.now() + 1200;
+  let isWritten = false;
+  while (performance.now() < endMs) {
+    if (!isWritten && performance.now() > writeAtMs) {
+      servers.put(server.id, { ...server, sequence: 3 });
+      isWritten = true;
+    }
+    for (const vm of vms) used.add(await statusOf(vm, "/lookups/a"));
+    await delay(POLL_MS);
+  }
+  assert.deepEqual([...used], [200]);
+});
--- a/src/gateway/topic_replica.ts
+++ b/src/gateway/topic_replica.ts
@@ -7,7 +7,10 @@
  * Offsets are positions, which order records by the store's era first. The first
  * complete list of a newer era restores the replica: it holds what the list has,
  * all at positions of that era, and forgets the rest. What comes of an older era
- * after it, from the store or from another VM, changes nothing.
+ * after it, from the store or from another VM, changes nothing. Where it is told
+ * which of two values was written first, an older copy of the store undoes
+ * nothing: newer values stay, and dropped keys stay dropped until they are
+ * written again.
  */
 import { type Clock } from "../model/mod.ts";
 import { eraOf, positionOf } from "./store_position.ts";
@@ -37,10 +40,16 @@
   readonly restoredFrom: number | undefined;
 }
 
+/** Whether a value was written before another one of the same key. */
+export type IsOlder = (value: Buffer, known: Buffer) => boolean;
+
+type Sender = "store" | "vm";
+
 /** The replica of one topic. */
 export class TopicReplica {
   readonly #clock: Clock;
   readonly #isSame: (a: Buffer, b: Buffer) => boolean;
+  readonly #isOlder: IsOlder | undefined;
   readonly #onChange: (change: ReplicaChange) => void;
   readonly #newest = new Map<string, StoreRecord>();
   #nextOffset: number | undefined;
@@ -52,10 +61,13 @@
     readonly clock: Clock;
     /** Whether two values of a key decode to the same. */
     readonly isSame: (a: Buffer, b: Buffer) => boolean;
+    /** Only for keys that are written again and again. */
+    readonly isOlder?: IsOlder;
     readonly onChange: (change: ReplicaChange) => void;
   }) {
     this.#clock = options.clock;
     this.#isSame = options.isSame;
+    this.#isOlder = options.isOlder;
     this.#onChange = options.onChange;
   }
 
@@ -70,10 +82,24 @@
   }
 
   /** Applies a complete list; keys that it lacks have been dropped. */
-  applyList({ records, nextOffset }: StoreRecords, currentAtMs: number): void {
+  applyList(list: StoreRecords, currentAtMs: number): void {
+    this.#applyWhole(list, { currentAtMs, sender: "store" });
+  }
+
+  #applyWhole(
+    { records, nextOffset }: StoreRecords,
+    { currentAtMs, sender }: {
+      readonly currentAtMs: number;
+      readonly sender: Sender;
+    },
+  ): void {
     if (this.#isOutdated(nextOffset)) return;
     const listed = new Set(records.map(({ key }) => key));
-    const changed = [...records];
+    const isRestoring = this.#nextOffset !== undefined &&
+      eraOf(nextOffset) > eraOf(this.#nextOffset);
+    const changed = isRestoring
+      ? records.map((record) => this.#notUndone(record, sender))
+      : [...records];
     if (nextOffset > (this.#nextOffset ?? 0)) {
       for (const [key, { value, offset }] of this.#newest) {
         const isDropped = value !== undefined && !listed.has(key) &&
@@ -119,10 +145,25 @@
     const currentAtMs = this.#clock() - update.ageMs;
     const ownOffset = this.#nextOffset;
     if (ownOffset !== undefined && update.nextOffset < ownOffset) return;
-    if (update.isWhole) this.applyList(update, currentAtMs);
+    if (update.isWhole) this.#applyWhole(update, { currentAtMs, sender: "vm" });
     else if (ownOffset !== undefined) this.applyRecords(update, currentAtMs);
   }
 
+  /**
+   * Returns what is known of a key, at the listed position, if the record is
+   * an older one. Whether a dropped key was written again since can't be told
+   * of the first list; another VM has read on and tells it.
+   */
+  #notUndone(listed: StoreRecord, sender: Sender): StoreRecord {
+    const known = this.#newest.get(listed.key);
+    if (this.#isOlder === undefined || known === undefined) return listed;
+    if (listed.value === undefined) return listed;
+    const isKept = known.value === undefined
+      ? sender === "store"
+      : this.#isOlder(listed.value, known.value);
+    return isKept ? { ...listed, value: known.value } : listed;
+  }
+
   /** Whether an answer of an older era has been on its way until now. */
   #isOutdated(nextOffset: number): boolean {
     return eraOf(nextOffset) < eraOf(this.#nextOffset ?? 0);
--- a/src/gateway/topic_replica_era_test.ts
+++ b/src/gateway/topic_replica_era_test.ts
@@ -62,3 +62,55 @@
   assert.equal(update?.isWhole, true);
   assert.deepEqual(update?.records.map(({ offset }) => offset), [at(1, 0)]);
 });
+
+/** Values are a letter and a count; a replica of servers' entries. */
+function renewedReplicaOf(changes: ReplicaChange[]): TopicReplica {
+  const countOf = (value: Buffer): number => Number(value.toString().slice(1));
+  return replicaOf(changes, (value, known) => countOf(value) < countOf(known));
+}
+
+test("a copy does not undo a newer value or a drop", () => {
+  const changes: ReplicaChange[] = [];
+  const replica = renewedReplicaOf(changes);
+  const records = [recordOf("a", 7, "d5"), recordOf("b", 8, "r6")];
+  replica.applyList({ records, nextOffset: 9 }, 1000);
+  replica.applyRecords({ records: [recordOf("b", 9)], nextOffset: 10 }, 1000);
+  replica.applyList({
+    records: [recordOf("a", at(1, 1), "r4"), recordOf("b", at(1, 2), "r5")],
+    nextOffset: at(1, 3),
+  }, 1000);
+  assert.deepEqual(changes.at(-1)?.records, []);
+  replica.applyRecords({
+    records: [recordOf("a", at(1, 3), "r6"), recordOf("b", at(1, 4), "r7")],
+    nextOffset: at(1, 5),
+  }, 1000);
+  assert.deepEqual(contentsOf(changes.at(-1)?.records ?? []), [
+    ["a", "r"],
+    ["b", "r"],
+  ]);
+});
+
+test("a value that was written after a restoration holds at once", () => {
+  const changes: ReplicaChange[] = [];
+  const replica = renewedReplicaOf(changes);
+  replica.applyList({ records: [recordOf("a", 7, "r5")], nextOffset: 8 }, 1000);
+  replica.applyList(
+    { records: [recordOf("a", at(1, 3), "d9")], nextOffset: at(1, 4) },
+    1000,
+  );
+  assert.deepEqual(contentsOf(changes.at(-1)?.records ?? []), [["a", "d"]]);
+});
+
+test("another VM that has read on brings a dropped key back", () => {
+  const changes: ReplicaChange[] = [];
+  const replica = renewedReplicaOf(changes);
+  replica.applyList({ records: [recordOf("a", 7, "r5")], nextOffset: 8 }, 1000);
+  replica.applyRecords({ records: [recordOf("a", 8)], nextOffset: 9 }, 1000);
+  replica.applyUpdate({
+    records: [recordOf("a", at(1, 3), "r9")],
+    nextOffset: at(1, 4),
+    isWhole: true,
+    ageMs: 0,
+  });
+  assert.deepEqual(contentsOf(changes.at(-1)?.records ?? []), [["a", "r"]]);
+});
--- a/src/gateway/topic_replica_fixture.ts
+++ b/src/gateway/topic_replica_fixture.ts
@@ -1,16 +1,24 @@
 /** Replicas and records for tests, whose values decode to their first letter. */
 import { type StoreRecord } from "./store_record.ts";
-import { type ReplicaChange, TopicReplica } from "./topic_replica.ts";
+import {
+  type IsOlder,
+  type ReplicaChange,
+  TopicReplica,
+} from "./topic_replica.ts";
 
 /** Values of the same letter decode to the same; the rest is a heartbeat. */
 const contentOf = (value: Buffer | undefined): string | undefined =>
   value?.toString().slice(0, 1);
 
 /** A replica that records its changes. */
-export function replicaOf(changes: ReplicaChange[] = []): TopicReplica {
+export function replicaOf(
+  changes: ReplicaChange[] = [],
+  isOlder?: IsOlder,
+): TopicReplica {
   return new TopicReplica({
     clock: () => 1000,
     isSame: (a, b) => contentOf(a) === contentOf(b),
+    ...isOlder === undefined ? {} : { isOlder },
     onChange: (change) => changes.push(change),
   });
 }
--- a/tools/mechanisms.ts
+++ b/tools/mechanisms.ts
@@ -225,6 +225,23 @@
       "src/gateway/store_restored_test.ts",
     ],
   },
+  {
+    name: "a copy undoes no newer entry",
+    file: "src/gateway/topic_replica.ts",
+    source: "return isKept ? { ...listed, value: known.value } : listed;",
+    replacement: "return isKept ? listed : listed;",
+    tests: [
+      "src/gateway/topic_replica_era_test.ts",
+      "src/gateway/store_restored_test.ts",
+    ],
+  },
+  {
+    name: "entries that a copy lacks stay for a time",
+    file: "src/gateway/store_feed.ts",
+    source: "if (isAfterOutage || restoredFrom !== undefined) {",
+    replacement: "if (isAfterOutage) {",
+    tests: ["src/gateway/store_restored_test.ts"],
+  },
   {
     name: "an offset of an older era is not read from",
     file: "platform/store.ts",
