Carry roll-outs over a restoration of the store

A roll-out was known by the offset of its order, which the order loses when the store returns from an older copy and it is written again: the roll-out began anew, a completed or reverted one too, and its status named another order.

An order of a newer era is now known by its content. The one in force moves to its new position with its time, tallies, fault and stage; an earlier one that the copy brings back does not replace it. Statuses name the order by the offset in the era in which they are read; one that the store has lost is written again by the store reader whose turn it is, once the order is there. A stage counts as unknown until it was looked for in the order's era. Each restoration is logged and counted by topic.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -92,6 +92,7 @@
       gateway: options,
       state: this.#state,
       registry: this.#rollouts,
+      metrics: this.#metrics,
       isStoreReader: () => this.#exchange.rank() !== undefined,
       onApplied: () => this.#announceReady(),
     });
--- a/src/gateway/gateway_fixture.ts
+++ b/src/gateway/gateway_fixture.ts
@@ -3,7 +3,6 @@
  * an in-memory store.
  */
 import { type IncomingMessage, request } from "node:http";
-import { ok } from "neverthrow";
 import { manifestOf, routeOf } from "../decision/manifest_fixture.ts";
 import {
   type BackendServer,
@@ -17,6 +16,7 @@
 import { Gateway } from "./gateway.ts";
 import { type GatewayOptions } from "./gateway_options.ts";
 import { MemoryTopic } from "./memory_topic_fixture.ts";
+import { readTestStatus, recordOfStatus } from "./status_record_fixture.ts";
 import { type GatewayProtocol } from "./protocol.ts";
 import { until } from "./until_fixture.ts";
 
@@ -123,6 +123,7 @@
   readonly seeds?: readonly string[];
   readonly operators?: MemoryTopic;
   readonly servers?: MemoryTopic;
+  readonly statusTopic?: MemoryTopic;
   readonly settings?: Partial<GatewayOptions["settings"]>;
   /** Returns a server at the address at which this VM reaches it. */
   readonly linked?: (server: BackendServer) => BackendServer;
@@ -136,6 +137,7 @@
   const { backends = [], vm = "vm-1", linked = (server) => server } = options;
   const operators = options.operators ?? new MemoryTopic();
   const servers = options.servers ?? new MemoryTopic();
+  const statusTopic = options.statusTopic ?? new MemoryTopic();
   const statuses: RolloutStatus[] = [];
   if (options.manifest !== undefined) {
     operators.put("manifest", manifestOf(options.manifest));
@@ -166,7 +168,7 @@
     protocol: testProtocol,
     operatorTopic: operators,
     serverTopic: servers,
-    statusTopic: new MemoryTopic(),
+    statusTopic,
     readOperatorRecord: ({ key, value, offset }) => {
       if (value === undefined) return undefined;
       const read = JSON.parse(value.toString());
@@ -182,10 +184,11 @@
     isOlderServer: (value, known) =>
       JSON.parse(value.toString()).sequence <
         JSON.parse(known.toString()).sequence,
-    readStatus: () => undefined,
-    appendStatus: (status) => {
-      statuses.push(status);
-      return Promise.resolve(ok(statuses.length));
+    readStatus: readTestStatus,
+    appendStatus: (status, position) => {
+      const written = statusTopic.append(recordOfStatus(status), position);
+      if (written.isOk()) statuses.push(status);
+      return Promise.resolve(written);
     },
     logger: silentLogger,
   });
--- a/src/gateway/memory_topic_fixture.ts
+++ b/src/gateway/memory_topic_fixture.ts
@@ -24,6 +24,19 @@
     this.records.push({ key, value: bytes, offset: this.records.length });
   }
 
+  /** Appends a record if the topic ends at the position. */
+  append(
+    { key, value }: { readonly key: string; readonly value: unknown },
+    position: number,
+  ): Result<number, StoreFault> {
+    if (this.isDown) return err({ kind: "refused", message: "down" });
+    const end = (): number =>
+      positionOf({ era: this.#era, offset: this.records.length });
+    if (end() !== position) return err({ kind: "conflict", message: "grown" });
+    this.put(key, value);
+    return ok(end());
+  }
+
   /** Drops a key, as the platform does when a server's entry expires. */
   drop(key: string): void {
     this.records.push({ key, value: undefined, offset: this.records.length });
--- a/src/gateway/rollout_record.ts
+++ b/src/gateway/rollout_record.ts
@@ -17,6 +17,7 @@
   type VersionTally,
 } from "../decision/mod.ts";
 import { type RolloutOrder, type RolloutStage } from "../model/mod.ts";
+import { eraOf, offsetOf } from "./store_position.ts";
 
 /** The outcomes that one VM has counted for a roll-out. */
 export interface VmTally {
@@ -47,6 +48,12 @@
 /** The mutable state of one roll-out. */
 export class RolloutRecord implements OrderedRollout {
   readonly order: RolloutOrder;
+  /** The newest position of the order, by which statuses name it. */
+  position: number;
+  /** Whether it was found there in a copy of the store. */
+  isCopied = false;
+  /** Whether the store may lack the status of `stage`. */
+  isStatusLost = false;
   readonly canaryShare: number;
   startedAtMs: number;
   fault: string | undefined;
@@ -71,11 +78,20 @@
     >,
   ) {
     this.order = order;
+    this.position = order.offset;
     this.canaryShare = initial.canaryShare;
     this.startedAtMs = initial.startedAtMs;
     this.isStageKnown = initial.isStageKnown;
   }
 
+  /** Moves the order to the position at which a restored store has it. */
+  moveTo(position: number): void {
+    this.isCopied = eraOf(position) !== eraOf(this.position) &&
+      offsetOf(position) === offsetOf(this.position);
+    this.position = position;
+    this.isStatusLost = this.stage !== undefined;
+  }
+
   /** Adds one of this VM's requests to its tally. */
   add(sample: TallySample): void {
     this.#ownTally = addSample(this.#ownTally, sample);
--- a/src/gateway/rollout_registry.ts
+++ b/src/gateway/rollout_registry.ts
@@ -27,6 +27,7 @@
 } from "./forward_context.ts";
 import { ObservedVersions } from "./observed_versions.ts";
 import { type RolloutReport } from "./peer_update.ts";
+import { relateOrder } from "./rollout_order.ts";
 import { RolloutRecord } from "./rollout_record.ts";
 import { RecentSessions } from "./recent_sessions.ts";
 
@@ -47,12 +48,15 @@
 
 /** Pause between two log lines with the tally of an open roll-out. */
 const TALLY_LOG_PERIOD_MS = 2000;
+/** Replaced orders of a service that are known again in an older copy. */
+const MAX_EARLIER_ORDERS = 8;
 
 /** The roll-outs of all services. */
 export class RolloutRegistry implements VersionSelector {
   readonly #options: RolloutRegistryOptions;
   readonly #sessions: RecentSessions;
   readonly #rollouts = new Map<string, RolloutRecord>();
+  readonly #earlierOrders = new Map<string, readonly RolloutOrder[]>();
   readonly #versions: ObservedVersions;
   readonly #inFlight = new Map<string, number>();
   #tallyLoggedAtMs = -Infinity;
@@ -71,11 +75,16 @@
 
   /**
    * Registers an order unless a newer one exists. `isNew` means that it was
-   * placed just now, so that no status can have been written yet.
+   * placed just now, so that no status can have been written yet. The order in
+   * force that a restored store has at another position goes on as it was.
    */
   applyOrder(order: RolloutOrder, isNew: boolean): void {
     const current = this.#rollouts.get(order.service);
-    if (current !== undefined && current.order.offset >= order.offset) return;
+    const earlier = this.#earlierOrders.get(order.service) ?? [];
+    const relation = relateOrder(order, { current, earlier });
+    if (relation === "old") return;
+    if (relation === "again") return current?.moveTo(order.offset);
+    if (current !== undefined) this.#retain(current, earlier);
     const { clock, canaryShare, logger } = this.#options;
     this.#rollouts.set(
       order.service,
@@ -95,6 +104,15 @@
     });
   }
 
+  #retain(
+    { order, position }: RolloutRecord,
+    earlier: readonly RolloutOrder[],
+  ): void {
+    const replaced = { ...order, offset: position };
+    const retained = [...earlier, replaced].slice(-MAX_EARLIER_ORDERS);
+    this.#earlierOrders.set(order.service, retained);
+  }
+
   /**
    * Applies a status that is in the store; an ended roll-out stays ended. On
    * `completed` the operators stop the other versions, so a fault found at the
@@ -103,7 +121,7 @@
   applyStatus(status: RolloutStatus): void {
     const rollout = this.#rollouts.get(status.service);
     if (rollout === undefined) return;
-    if (rollout.order.offset !== status.orderOffset) return;
+    if (rollout.position !== status.orderOffset) return;
     if (rollout.stage === status.stage) return;
     if (isEnded(rollout.stage)) return;
     rollout.stage = status.stage;
@@ -123,13 +141,14 @@
     { nowMs, sender }: { readonly nowMs: number; readonly sender: string },
   ): void {
     const rollout = this.#rollouts.get(report.service);
-    if (rollout?.order.offset !== report.orderOffset) return;
+    if (rollout?.position !== report.orderOffset) return;
     const startedAtMs = nowMs - report.ageMs;
     rollout.startedAtMs = Math.min(rollout.startedAtMs, startedAtMs);
     rollout.isStageKnown ||= report.isStageKnown;
     if (report.stage !== null) {
-      const { service, target, offset: orderOffset } = rollout.order;
-      this.applyStatus({ service, target, stage: report.stage, orderOffset });
+      const { order: { service, target }, position } = rollout;
+      const { stage } = report;
+      this.applyStatus({ service, target, stage, orderOffset: position });
     }
     const isOpen = !isEnded(rollout.stage) && rollout.fault === undefined;
     if (report.fault !== null && isOpen) {
--- a/src/gateway/rollout_report.ts
+++ b/src/gateway/rollout_report.ts
@@ -30,7 +30,7 @@
       : [ownTally];
     return {
       service: rollout.order.service,
-      orderOffset: rollout.order.offset,
+      orderOffset: rollout.position,
       ageMs: Math.min(MAX_AGE_MS, nowMs - rollout.startedAtMs),
       fault: rollout.fault ?? null,
       stage: rollout.stage ?? null,
--- a/src/gateway/rollout_status_writer.ts
+++ b/src/gateway/rollout_status_writer.ts
@@ -3,7 +3,9 @@
  * first rank writes it; the next ones write only when it is overdue, so that a
  * VM that is killed, frozen or cut off delays no status for long. A status is
  * appended only if the topic has not grown since it was read, and none is
- * appended after a final one, so two writers cannot contradict each other.
+ * appended after a final one, so two writers cannot contradict each other. When
+ * the store was restored, a status that it has lost is written again once its
+ * order is there.
  */
 import { type Result } from "neverthrow";
 import { dueStage, isEnded } from "../decision/mod.ts";
@@ -15,6 +17,7 @@
 } from "../model/mod.ts";
 import { type RolloutRegistry } from "./rollout_registry.ts";
 import { type RolloutRecord } from "./rollout_record.ts";
+import { eraOf } from "./store_position.ts";
 import {
   type StoreFault,
   type StoreRecord,
@@ -41,6 +44,12 @@
 /** Pause after a failed call to the store. */
 const RETRY_DELAY_MS = 400;
 
+interface ListedStatuses {
+  readonly statuses: readonly RolloutStatus[];
+  /** The topic's end, at which a status is appended. */
+  readonly offset: number;
+}
+
 /** Writes the due statuses on one VM. */
 export class RolloutStatusWriter {
   readonly #options: RolloutStatusWriterOptions;
@@ -74,7 +83,7 @@
       nowMs,
       otherInFlightCount: registry.otherInFlightCount(rollout) +
         rollout.peerInFlightCount(nowMs),
-    });
+    }) ?? (rollout.isStatusLost ? rollout.stage : undefined);
     if (stage === undefined) return;
     if (!this.#hasTurn(rollout, stage, nowMs)) return;
     await this.#write(rollout, stage);
@@ -85,7 +94,7 @@
     stage: RolloutStage,
     nowMs: number,
   ): boolean {
-    const key = `${rollout.order.service} ${rollout.order.offset} ${stage}`;
+    const key = `${rollout.order.service} ${rollout.position} ${stage}`;
     const sinceMs = this.#dueSinceMs.get(key) ?? nowMs;
     this.#dueSinceMs.set(key, sinceMs);
     const rank = this.#options.rank();
@@ -94,22 +103,41 @@
   }
 
   async #loadStage(rollout: RolloutRecord): Promise<void> {
-    if (await this.#readStatuses() === undefined) return;
+    const listed = await this.#readStatuses();
+    if (listed === undefined) return;
+    if (eraOf(listed.offset) !== eraOf(rollout.position)) return this.#pause();
     rollout.isStageKnown = true;
   }
 
-  async #write(rollout: RolloutRecord, stage: RolloutStage): Promise<void> {
+  async #write(
+    rollout: RolloutRecord,
+    dueStage: RolloutStage,
+  ): Promise<void> {
     const { registry, logger } = this.#options;
-    const offset = await this.#readStatuses();
-    if (offset === undefined) return;
-    if (rollout.stage === stage || isEnded(rollout.stage)) return;
+    const listed = await this.#readStatuses();
+    if (listed === undefined) return;
+    // A status can't name an order that the restored store does not have yet.
+    if (eraOf(listed.offset) !== eraOf(rollout.position)) return this.#pause();
+    const isKnown = rollout.stage === dueStage || isEnded(rollout.stage);
+    if (isKnown && !isLost(rollout, listed.statuses)) {
+      rollout.isStatusLost = false;
+      return;
+    }
+    const stage = isKnown ? rollout.stage ?? dueStage : dueStage;
     // A fault may have been found while the statuses were read.
-    if (stage === "completed" && rollout.fault !== undefined) return;
-    const { service, target } = rollout.order;
-    const orderOffset = rollout.order.offset;
-    const status: RolloutStatus = { service, target, stage, orderOffset };
-    const written = await this.#options.appendStatus(status, offset);
-    if (written.isOk()) return registry.applyStatus(status);
+    if (!isKnown && stage === "completed" && rollout.fault !== undefined) {
+      return;
+    }
+    const { order: { service, target }, position } = rollout;
+    const status = { service, target, stage, orderOffset: position };
+    const written = await this.#options.appendStatus(status, listed.offset);
+    if (written.isOk()) {
+      if (isKnown) {
+        logger.info("roll-out status written again", { service, stage });
+      }
+      rollout.isStatusLost &&= rollout.position !== position;
+      return registry.applyStatus(status);
+    }
     this.#pause();
     logger.warn("roll-out status not written", {
       service,
@@ -119,24 +147,37 @@
   }
 
   /**
-   * Applies the statuses in the store; resolves with the topic's end offset, or
-   * undefined if the store did not answer.
+   * Applies the statuses in the store; resolves with them and the topic's end
+   * offset, or with undefined if the store did not answer.
    */
-  async #readStatuses(): Promise<number | undefined> {
+  async #readStatuses(): Promise<ListedStatuses | undefined> {
     const { topic, readStatus, registry } = this.#options;
     const listed = await topic.list();
     if (listed.isErr()) {
       this.#pause();
       return undefined;
     }
+    const statuses: RolloutStatus[] = [];
     for (const record of listed.value.records) {
       const status = readStatus(record);
-      if (status !== undefined) registry.applyStatus(status);
+      if (status === undefined) continue;
+      statuses.push(status);
+      registry.applyStatus(status);
     }
-    return listed.value.nextOffset;
+    return { statuses, offset: listed.value.nextOffset };
   }
 
   #pause(): void {
     this.#pausedUntilMs = this.#options.clock() + RETRY_DELAY_MS;
   }
 }
+
+/** Whether a restored store lacks the status that had been written. */
+function isLost(
+  { order: { service }, position, stage, isStatusLost }: RolloutRecord,
+  statuses: readonly RolloutStatus[],
+): boolean {
+  if (!isStatusLost) return false;
+  const stored = statuses.findLast((status) => status.service === service);
+  return stored?.orderOffset !== position || stored.stage !== stage;
+}
--- a/src/gateway/store_feed.ts
+++ b/src/gateway/store_feed.ts
@@ -3,6 +3,7 @@
  * operators' records and another pair for the servers' entries. Changed records
  * are decoded and applied to the gateway's state and the roll-out registry.
  */
+import { type GatewayMetrics } from "./gateway_metrics.ts";
 import { type GatewayOptions } from "./gateway_options.ts";
 import { type GatewayState } from "./gateway_state.ts";
 import { type TopicName } from "./peer_update.ts";
@@ -15,6 +16,7 @@
   readonly gateway: GatewayOptions;
   readonly state: GatewayState;
   readonly registry: RolloutRegistry;
+  readonly metrics: GatewayMetrics;
   /** Whether this VM reads the store for others. */
   readonly isStoreReader: () => boolean;
   /** Called after records have been applied. */
@@ -59,7 +61,9 @@
     return {
       operators: new TopicReplica({
         clock,
-        isSame: (a, b) => a.equals(b),
+        // Operators write no heartbeats, and an order that is written again
+        // after a restoration has to be known at its new position.
+        isSame: () => false,
         onChange: (change) => this.#applyOperatorRecords(change),
       }),
       servers: new TopicReplica({
@@ -101,7 +105,9 @@
   }
 
   #applyOperatorRecords({ records, restoredFrom }: ReplicaChange): void {
-    this.#logRestored("operators", restoredFrom);
+    if (restoredFrom !== undefined) {
+      this.#recordRestored("operators", restoredFrom);
+    }
     const isNewOrder = this.#options.state.routes !== undefined &&
       restoredFrom === undefined &&
       this.replicas.operators.ageMs < NEW_ORDER_MAX_AGE_MS;
@@ -120,7 +126,9 @@
   #applyServerRecords(
     { records, isAfterOutage, restoredFrom }: ReplicaChange,
   ): void {
-    this.#logRestored("servers", restoredFrom);
+    if (restoredFrom !== undefined) {
+      this.#recordRestored("servers", restoredFrom);
+    }
     // Entries that the copy lacks are written again, as after an outage.
     if (isAfterOutage || restoredFrom !== undefined) {
       this.#options.state.applyRosterEvent({ kind: "store_returned" });
@@ -141,9 +149,9 @@
     this.#options.onApplied();
   }
 
-  #logRestored(topic: TopicName, restoredFrom: number | undefined): void {
-    const end = this.replicas[topic].nextOffset;
-    if (restoredFrom === undefined || end === undefined) return;
+  #recordRestored(topic: TopicName, restoredFrom: number): void {
+    const end = this.replicas[topic].nextOffset ?? restoredFrom;
+    this.#options.metrics.count("store_restored", { topic });
     this.#options.gateway.logger.warn("store restored", {
       topic,
       eraBefore: eraOf(restoredFrom),
--- a/src/gateway/store_position.ts
+++ b/src/gateway/store_position.ts
@@ -5,6 +5,8 @@
  * then offset, wherever an offset did. In the era 0 it is the offset itself.
  */
 const OFFSETS_PER_ERA = 2 ** 40;
+/** Largest offset within an era. */
+export const MAX_OFFSET = OFFSETS_PER_ERA - 1;
 /** Largest era; above it positions would no longer be exact. */
 export const MAX_ERA = 2 ** 12 - 1;
 
--- a/src/gateway/store_restored_test.ts
+++ b/src/gateway/store_restored_test.ts
@@ -17,6 +17,7 @@
   untilReady,
 } from "./gateway_fixture.ts";
 import { MemoryTopic } from "./memory_topic_fixture.ts";
+import { until } from "./until_fixture.ts";
 
 const SEED = 27;
 const VM_COUNT = 3;
@@ -27,6 +28,7 @@
 interface Site {
   readonly operators: MemoryTopic;
   readonly servers: MemoryTopic;
+  readonly statusTopic: MemoryTopic;
   readonly backend: TestBackend;
   readonly vms: readonly TestGateway[];
 }
@@ -34,6 +36,7 @@
 async function startSite(context: TestContext): Promise<Site> {
   const random = seededRandom(SEED);
   const [operators, servers] = [new MemoryTopic(), new MemoryTopic()];
+  const statusTopic = new MemoryTopic();
   const backend = await startBackend("server", sendCompleteAnswer);
   context.after(() => backend.close());
   servers.put(backend.server.id, backend.server);
@@ -45,10 +48,11 @@
   for (let index = 1; index <= VM_COUNT; index++) {
     const seeds = vms.slice(0, 1).map(({ peerAddress }) => peerAddress);
     const vm = `vm-${index}`;
-    vms.push(await startGateway({ vm, operators, servers, seeds, random }));
+    const topics = { operators, servers, statusTopic };
+    vms.push(await startGateway({ ...topics, vm, seeds, random }));
   }
   for (const vm of vms) await untilReady(vm);
-  return { operators, servers, backend, vms };
+  return { operators, servers, statusTopic, backend, vms };
 }
 
 /** Writes a manifest whose one route besides the lookups names its version. */
@@ -154,3 +158,50 @@
   }
   assert.deepEqual([...used], [200]);
 });
+
+/** Long enough that its last phase is longer than a few ticks of a VM. */
+const ROLLOUT_MS = 12_000;
+
+function putOrder(operators: MemoryTopic): void {
+  const order = { service: "one", target: "v2", durationMs: ROLLOUT_MS };
+  operators.put("order", order);
+}
+
+/** The statuses in the topic, as the stage and the offset of the order. */
+function statusesOf({ records }: MemoryTopic): string[] {
+  return records.map(({ value }) => {
+    const { stage, orderOffset } = JSON.parse(value?.toString() ?? "");
+    return `${stage} ${orderOffset}`;
+  });
+}
+
+test("a roll-out goes on and stays ended when its order and status were lost", async (context) => {
+  const { operators, servers, statusTopic } = await startSite(context);
+  const restoreAll = async (): Promise<void> => {
+    const restored = [
+      restore(operators, 1),
+      restore(servers, servers.records.length),
+      restore(statusTopic, 0),
+    ];
+    await Promise.all(restored);
+  };
+  await delay(1000);
+  putOrder(operators);
+  const orderedAtMs = performance.now();
+  await until(() => statusTopic.records.length > 0);
+  assert.deepEqual(statusesOf(statusTopic), ["active 1"]);
+  await restoreAll();
+  await delay(300);
+  putManifest(operators, 1);
+  putOrder(operators);
+  await delay(orderedAtMs + ROLLOUT_MS - performance.now());
+  const [first, last] = statusesOf(statusTopic);
+  assert.equal(first, "active 2");
+  assert.match(last ?? "", /^(completed|reverted) 2$/);
+  assert.equal(statusTopic.records.length, 2);
+  await restoreAll();
+  await delay(300);
+  putOrder(operators);
+  await delay(4000);
+  assert.deepEqual(statusesOf(statusTopic), [last?.replace(" 2", " 1")]);
+});
--- a/tools/mechanisms.ts
+++ b/tools/mechanisms.ts
@@ -242,6 +242,33 @@
     replacement: "if (isAfterOutage) {",
     tests: ["src/gateway/store_restored_test.ts"],
   },
+  {
+    name: "an order that is written again goes on",
+    file: "src/gateway/rollout_order.ts",
+    source: 'return isOtherEra || isCopied ? "again" : "old";',
+    replacement: 'return isOtherEra || isCopied ? "new" : "old";',
+    tests: [
+      "src/gateway/rollout_order_test.ts",
+      "src/gateway/rollout_restored_test.ts",
+    ],
+  },
+  {
+    name: "a copy brings back no earlier order",
+    file: "src/gateway/rollout_order.ts",
+    source: 'earlier.some((one) => isCopyOf(order, one))) return "old";',
+    replacement: 'earlier.some((one) => isCopyOf(order, one))) return "new";',
+    tests: [
+      "src/gateway/rollout_order_test.ts",
+      "src/gateway/rollout_restored_test.ts",
+    ],
+  },
+  {
+    name: "a lost status is written again",
+    file: "src/gateway/rollout_record.ts",
+    source: "this.isStatusLost = this.stage !== undefined;",
+    replacement: "this.isStatusLost = false;",
+    tests: ["src/gateway/rollout_restored_test.ts"],
+  },
   {
     name: "an offset of an older era is not read from",
     file: "platform/store.ts",
