Test that bytes after a request leave it its answer

A partial next head on a connection, or bytes that are no request, are answered by Node's server with 408 or 400 while the server works on the request before them; the work is cancelled, and a stream is cut.

--- /dev/null
+++ b/src/gateway/caller_connection_test.ts
@@ -0,0 +1,150 @@
+/** Tests of connections that carry more than one request of a caller. */
+import assert from "node:assert/strict";
+import { connect, type Socket } from "node:net";
+import { test, type TestContext } from "node:test";
+import { routeOf } from "../decision/manifest_fixture.ts";
+import {
+  type BackendHandler,
+  beginStream,
+  eventOf,
+  eventsOf,
+  sendCompleteAnswer,
+  startBackend,
+  type TestBackend,
+} from "./backend_fixture.ts";
+import {
+  API_HOST,
+  REGISTER_ROUTE,
+  startGateway,
+  type TestGateway,
+  untilReady,
+} from "./gateway_fixture.ts";
+import { until } from "./until_fixture.ts";
+
+const LIMITS = {
+  maxHeaderBytes: 2000,
+  maxBodyBytes: 1_000_000,
+  headerTimeoutMs: 300,
+  idleTimeoutMs: 5000,
+};
+/** Longer than the head timeout and the interval at which it is checked. */
+const WORK_MS = 1500;
+
+interface TestSite {
+  readonly gateway: TestGateway;
+  readonly backend: TestBackend;
+}
+
+async function setUp(
+  context: TestContext,
+  handler: BackendHandler,
+): Promise<TestSite> {
+  const backend = await startBackend("server", handler);
+  const gateway = await startGateway({
+    backends: [backend],
+    manifest: {
+      routes: [{ ...REGISTER_ROUTE, timeoutMs: 5000 }, routeOf()],
+      limits: LIMITS,
+    },
+    settings: { graceMs: 3000, entryMaxAgeMs: 400 },
+  });
+  await untilReady(gateway);
+  context.after(async () => {
+    await Promise.all([gateway.gateway.stop(), backend.close()]);
+  });
+  return { gateway, backend };
+}
+
+/** A caller's connection and what it has received. */
+interface TestCaller {
+  readonly socket: Socket;
+  text: string;
+  isClosed: boolean;
+}
+
+function connectCaller({ gateway }: TestSite): TestCaller {
+  const [host = "", port = ""] = gateway.callerAddress.split(":");
+  const socket = connect(Number(port), host);
+  const caller = { socket, text: "", isClosed: false };
+  socket.on("data", (bytes) => caller.text += String(bytes));
+  socket.on("error", () => {});
+  socket.on("close", () => caller.isClosed = true);
+  return caller;
+}
+
+/** Returns a request with a body of five bytes. */
+function requestOf(id: string): string {
+  return headOf(id, 5) + "12345";
+}
+
+function headOf(id: string, length: number): string {
+  return `POST /registrations/${id} HTTP/1.1\r\nHost: ${API_HOST}\r\n` +
+    `test-id: ${id}\r\ntest-key: a-key\r\nContent-Length: ${length}\r\n\r\n`;
+}
+
+function statusesIn({ text }: TestCaller): string[] {
+  return [...text.matchAll(/HTTP\/1\.1 (\d+) /g)].map(([, status]) =>
+    status ?? ""
+  );
+}
+
+const answerLate: BackendHandler = (request, response) => {
+  setTimeout(() => sendCompleteAnswer(request, response), WORK_MS);
+};
+
+// Guards against a 408 for a request that its server is working on.
+test("a next head that stays incomplete leaves the open request its answer", async (context) => {
+  const site = await setUp(context, answerLate);
+  const caller = connectCaller(site);
+  caller.socket.write(`${requestOf("a")}POST /registrations/b HTTP/1.1\r\n`);
+  await until(() => caller.isClosed);
+  assert.deepEqual(statusesIn(caller), ["200"]);
+  assert.match(caller.text, /connection: close[^]*\r\n\r\nwhole$/i);
+  assert.deepEqual(site.backend.requestIds, ["a"]);
+});
+
+// Guards against a 400 that ends the work on an earlier request.
+test("garbage after a request leaves the open request its answer", async (context) => {
+  const site = await setUp(context, answerLate);
+  const caller = connectCaller(site);
+  caller.socket.write(`${requestOf("a")}\0garbage`);
+  await until(() => caller.isClosed);
+  assert.deepEqual(statusesIn(caller), ["200"]);
+  assert.match(caller.text, /connection: close[^]*\r\n\r\nwhole$/i);
+});
+
+// Guards against an answer cut by an error in what follows its request.
+test("garbage during a stream lets it end completely", async (context) => {
+  const site = await setUp(context, (request, response) => {
+    beginStream(request, response);
+    response.write(eventOf(1));
+    setTimeout(() => response.end(eventsOf(2, 3)), WORK_MS);
+  });
+  const caller = connectCaller(site);
+  caller.socket.write(requestOf("a").replace("/registrations/", "/drafts/"));
+  await until(() => caller.text.includes("piece 1"));
+  caller.socket.write("\0garbage");
+  await until(() => caller.isClosed);
+  assert.deepEqual(statusesIn(caller), ["200"]);
+  assert.match(caller.text, /piece 3[^]*\r\n0\r\n\r\n$/);
+});
+
+// Guards against other statuses where no request is open.
+test("garbage after an answered request and a broken body get 400", async (context) => {
+  const site = await setUp(context, sendCompleteAnswer);
+  const caller = connectCaller(site);
+  caller.socket.write(requestOf("a"));
+  await until(() => caller.text.endsWith("whole"));
+  caller.socket.write("\0garbage");
+  await until(() => caller.isClosed);
+  assert.deepEqual(statusesIn(caller), ["200", "400"]);
+  const broken = connectCaller(site);
+  const head = headOf("b", 0).replace(
+    "Content-Length: 0",
+    "Transfer-Encoding: chunked",
+  );
+  broken.socket.write(`${head}no length\r\n`);
+  await until(() => broken.isClosed);
+  assert.deepEqual(statusesIn(broken), ["400"]);
+  assert.deepEqual(site.backend.requestIds, ["a"]);
+});
