Let bytes after a request leave it its answer

A partial next head on a kept connection got 408 after the head timeout while the server worked on a request that must not run twice; garbage got 400 and cancelled the work; a stream under way was cut. Cause: Node's server answers any error of a connection by itself as long as no head has been sent, and closes it at once. Now the connection knows its open exchanges: while there is one, an error writes no status, the answer is completed, and the connection closes after it. Where none is open, or the body itself is malformed, the statuses are the same as before.

--- /dev/null
+++ b/src/gateway/caller_connection.ts
@@ -0,0 +1,70 @@
+/**
+ * A caller's connection and its open exchanges, in the order of their requests.
+ * Input that can't be read as a request is answered with a status only where
+ * no request is open; an open one gets its answer, and the connection closes
+ * after it.
+ */
+import { STATUS_CODES } from "node:http";
+import { type Socket } from "node:net";
+import { type CallerExchange } from "./caller_exchange.ts";
+
+const DEFAULT_ERROR_STATUS = 400;
+/** Statuses of errors of Node's parser, by their code. */
+const ERROR_STATUSES: Readonly<Record<string, number>> = {
+  HPE_HEADER_OVERFLOW: 431,
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
+  ERR_HTTP_REQUEST_TIMEOUT: 408,
+};
+
+export class CallerConnection {
+  readonly #socket: Socket;
+  readonly #open: CallerExchange[] = [];
+  #isEnding = false;
+
+  constructor(socket: Socket) {
+    this.#socket = socket;
+  }
+
+  /** Adds the exchange of a request that has been received. */
+  add(exchange: CallerExchange): void {
+    this.#open.push(exchange);
+  }
+
+  /** Removes an exchange that is closed. */
+  remove(exchange: CallerExchange): void {
+    const index = this.#open.indexOf(exchange);
+    if (index >= 0) this.#open.splice(index, 1);
+  }
+
+  /** Handles an error of the connection or in what the caller sends. */
+  handleError(error: NodeJS.ErrnoException): void {
+    const [first] = this.#open;
+    if (first === undefined || this.#isOnlyUnread(first)) {
+      return answerError(this.#socket, error);
+    }
+    // Node's own behaviour too for a caller that sends no more.
+    if (this.#socket.readableEnded) return first.breakOff();
+    if (this.#isEnding) return;
+    this.#isEnding = true;
+    first.closeAfterAnswer();
+  }
+
+  /** Whether the one open request is not read completely nor answered. */
+  #isOnlyUnread(first: CallerExchange): boolean {
+    return this.#open.length === 1 && !first.isRead && !first.isHeadSent;
+  }
+}
+
+/** Writes the status of an error, if possible, and closes the connection. */
+export function answerError(
+  socket: Socket,
+  { code }: NodeJS.ErrnoException,
+): void {
+  if (socket.writable) {
+    const status = ERROR_STATUSES[code ?? ""] ?? DEFAULT_ERROR_STATUS;
+    socket.write(
+      `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`,
+    );
+  }
+  socket.destroySoon();
+}
--- a/src/gateway/caller_exchange.ts
+++ b/src/gateway/caller_exchange.ts
@@ -4,6 +4,7 @@
  * connection, so that the caller can't take it for complete.
  */
 import { type IncomingMessage, type ServerResponse } from "node:http";
+import { type Socket } from "node:net";
 
 /** A complete answer. */
 export interface CompleteAnswer {
@@ -30,6 +31,7 @@
 
 /** Sends the answer of one request to its caller. */
 export class CallerExchange {
+  readonly #request: IncomingMessage;
   readonly #response: ServerResponse;
   #isOver = false;
   #isFramed = true;
@@ -40,6 +42,7 @@
   #status = 0;
 
   constructor(request: IncomingMessage, response: ServerResponse) {
+    this.#request = request;
     this.#response = response;
     response.sendDate = false;
     response.on("error", () => {});
@@ -59,6 +62,11 @@
     return this.#isOver;
   }
 
+  /** Whether the request has been received completely. */
+  get isRead(): boolean {
+    return this.#request.complete;
+  }
+
   /** Whether the answer's head has been sent. */
   get isHeadSent(): boolean {
     return this.#response.headersSent;
@@ -89,9 +97,21 @@
     this.#onBodyRelease = listener;
   }
 
-  /** Closes the connection after this answer and announces that in its head. */
+  /**
+   * Closes the connection after this answer and announces that in its head,
+   * unless it has been sent.
+   */
   closeAfterAnswer(): void {
     this.#response.shouldKeepAlive = false;
+    if (!this.#response.headersSent) return;
+    this.#response.once("finish", () => this.#socket.destroySoon());
+  }
+
+  /** Ends the connection of a caller that has ended its side of it. */
+  breakOff(): void {
+    // Without framing a plain end would look like the end of the answer.
+    if (this.#isFramed) this.#socket.destroySoon();
+    else this.#socket.resetAndDestroy();
   }
 
   /** Sends a complete answer. */
@@ -163,4 +183,8 @@
     if (this.#isFramed) this.#response.destroy();
     else this.#response.socket?.resetAndDestroy();
   }
+
+  get #socket(): Socket {
+    return this.#request.socket;
+  }
 }
--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -4,8 +4,9 @@
  * limit is refused at once with the matching status.
  */
 import { createServer, type IncomingMessage, type Server } from "node:http";
-import { type AddressInfo } from "node:net";
+import { type AddressInfo, type Socket } from "node:net";
 import { type CallerLimits } from "../model/mod.ts";
+import { answerError, CallerConnection } from "./caller_connection.ts";
 import { CallerExchange } from "./caller_exchange.ts";
 
 /** Limit of Node's parser; the manifest's limit is lower. */
@@ -57,6 +58,7 @@
   readonly #options: CallerServerOptions;
   readonly #server: Server;
   readonly #bodyBudgetBytes: number;
+  readonly #connections = new WeakMap<Socket, CallerConnection>();
   #bodyBytes = 0;
   #openCount = 0;
   #isClosing = false;
@@ -72,6 +74,13 @@
     }, (request, response) => {
       this.#receive(request, new CallerExchange(request, response));
     });
+    this.#server.on("clientError", (error, stream) => {
+      // The stream of a server without TLS is a socket.
+      const socket = stream as Socket;
+      const connection = this.#connections.get(socket);
+      if (connection === undefined) answerError(socket, error);
+      else connection.handleError(error);
+    });
     this.applyLimits();
   }
 
@@ -121,9 +130,12 @@
 
   #receive(request: IncomingMessage, exchange: CallerExchange): void {
     const receivedAtMs = this.#options.clock();
+    const connection = this.#connectionOf(request.socket);
     this.#openCount += 1;
+    connection.add(exchange);
     exchange.onClosed = () => {
       this.#openCount -= 1;
+      connection.remove(exchange);
     };
     if (this.#isClosing) exchange.closeAfterAnswer();
     const fault = this.#findFault(request);
@@ -135,6 +147,14 @@
     this.#readBody(request, exchange, onBody);
   }
 
+  #connectionOf(socket: Socket): CallerConnection {
+    const known = this.#connections.get(socket);
+    if (known !== undefined) return known;
+    const connection = new CallerConnection(socket);
+    this.#connections.set(socket, connection);
+    return connection;
+  }
+
   #findFault(request: IncomingMessage): RequestFault | undefined {
     const { maxHeaderBytes, maxBodyBytes } = this.#limits();
     if (headSizeBytes(request) > maxHeaderBytes) {
