Test that a request waits for the answer before it

Two requests sent at once on one connection are both passed on; if the answer to the first closes the connection, as that of a stopping VM or one without framing does, the second has run and its answer is lost. A caller that leaves is noticed for the first request only: the second counts as open for ever.

--- a/src/gateway/caller_connection_test.ts
+++ b/src/gateway/caller_connection_test.ts
@@ -29,6 +29,7 @@
 };
 /** Longer than the head timeout and the interval at which it is checked. */
 const WORK_MS = 1500;
+const SHORT_WORK_MS = 300;
 
 interface TestSite {
   readonly gateway: TestGateway;
@@ -38,6 +39,7 @@
 async function setUp(
   context: TestContext,
   handler: BackendHandler,
+  memoryBytes = 350 * 1024 * 1024,
 ): Promise<TestSite> {
   const backend = await startBackend("server", handler);
   const gateway = await startGateway({
@@ -46,7 +48,7 @@
       routes: [{ ...REGISTER_ROUTE, timeoutMs: 5000 }, routeOf()],
       limits: LIMITS,
     },
-    settings: { graceMs: 3000, entryMaxAgeMs: 400 },
+    settings: { graceMs: 3000, entryMaxAgeMs: 400, memoryBytes },
   });
   await untilReady(gateway);
   context.after(async () => {
@@ -92,6 +94,17 @@
   setTimeout(() => sendCompleteAnswer(request, response), WORK_MS);
 };
 
+const answerSoon: BackendHandler = (request, response) => {
+  setTimeout(() => sendCompleteAnswer(request, response), SHORT_WORK_MS);
+};
+
+/** The number of requests that the gateway has open. */
+function openCount({ gateway }: TestSite): number {
+  const [, count] = gateway.gateway.metricsText()
+    .match(/^\S*open_requests\S* (\d+)$/m) ?? [];
+  return Number(count);
+}
+
 // Guards against a 408 for a request that its server is working on.
 test("a next head that stays incomplete leaves the open request its answer", async (context) => {
   const site = await setUp(context, answerLate);
@@ -148,3 +161,83 @@
   assert.deepEqual(statusesIn(broken), ["400"]);
   assert.deepEqual(site.backend.requestIds, ["a"]);
 });
+
+// Guards against a lost answer as the VM stops.
+test("a request behind the last answer of a stopping VM is not passed on", async (context) => {
+  const site = await setUp(context, answerSoon);
+  void site.gateway.gateway.stop();
+  const caller = connectCaller(site);
+  caller.socket.write(requestOf("a") + requestOf("b"));
+  await until(() => caller.isClosed);
+  assert.deepEqual(statusesIn(caller), ["200"]);
+  assert.deepEqual(site.backend.requestIds, ["a"]);
+});
+
+// Guards against a lost answer behind one that ends with the connection.
+test("a request behind an answer without framing is not passed on", async (context) => {
+  const site = await setUp(context, (request, response) => {
+    response.useChunkedEncodingByDefault = false;
+    response.shouldKeepAlive = false;
+    response.writeHead(200, {
+      "test-id": String(request.headers["test-id"]),
+      "test-signature": "signed",
+    });
+    setTimeout(() => response.end("whole"), SHORT_WORK_MS);
+  });
+  const caller = connectCaller(site);
+  caller.socket.write(requestOf("a") + requestOf("b"));
+  await until(() => caller.isClosed);
+  assert.deepEqual(statusesIn(caller), ["200"]);
+  assert.deepEqual(site.backend.requestIds, ["a"]);
+});
+
+// Guards against a request that runs before it is known that it is answered.
+test("the requests of one connection are passed on one after another", async (context) => {
+  let runningCount = 0;
+  const counts: number[] = [];
+  const site = await setUp(context, (request, response) => {
+    counts.push(++runningCount);
+    response.on("finish", () => runningCount -= 1);
+    answerSoon(request, response);
+  });
+  const caller = connectCaller(site);
+  caller.socket.write(requestOf("a") + requestOf("b") + requestOf("c"));
+  await until(() => statusesIn(caller).length === 3);
+  assert.deepEqual(statusesIn(caller), ["200", "200", "200"]);
+  const answered = [...caller.text.matchAll(/test-id: (\w)/g)];
+  assert.deepEqual(answered.map(([, id]) => id), ["a", "b", "c"]);
+  assert.deepEqual(counts, [1, 1, 1]);
+});
+
+// Guards against open requests that nobody waits for.
+test("a caller that leaves takes its waiting requests along", async (context) => {
+  const site = await setUp(context, answerLate);
+  const caller = connectCaller(site);
+  caller.socket.write(requestOf("a") + requestOf("b"));
+  await until(() => site.backend.requestIds.length > 0);
+  await until(() => openCount(site) === 2);
+  caller.socket.destroy();
+  await until(() => openCount(site) === 0);
+  assert.deepEqual(site.backend.requestIds, ["a"]);
+});
+
+// Guards against memory used up by bodies of waiting requests.
+test("the body of a waiting request counts within the memory bound", async (context) => {
+  const memoryBytes = 2_000_000;
+  const bodyBytes = 300_000;
+  const site = await setUp(context, answerLate, memoryBytes);
+  const body = "x".repeat(bodyBytes);
+  const caller = connectCaller(site);
+  caller.socket.write(requestOf("a") + headOf("b", bodyBytes) + body);
+  await until(() => site.backend.requestIds.length > 0);
+  await new Promise((resolve) => setTimeout(resolve, SHORT_WORK_MS));
+  const other = connectCaller(site);
+  other.socket.write(headOf("c", bodyBytes) + body);
+  await until(() => other.text !== "");
+  assert.deepEqual(statusesIn(other), ["503"]);
+  await until(() => statusesIn(caller).length === 2);
+  const last = connectCaller(site);
+  last.socket.write(headOf("d", bodyBytes) + body);
+  await until(() => last.text.endsWith("whole"));
+  assert.deepEqual(site.backend.requestIds, ["a", "b", "d"]);
+});
