Let a request wait for the answer before it

Two requests sent at once on one connection were both passed on; if the first answer closed the connection, the second had run and its answer was lost. Cause: Node's server hands over each request as it is read, and drops the answers that wait behind one that closes the connection; nor does it close them as the caller leaves, so they counted as open for ever. Now the body of such a request is read and counted, but it is admitted and passed on only when all earlier ones are answered and the connection is still open.

--- a/src/gateway/caller_connection.ts
+++ b/src/gateway/caller_connection.ts
@@ -1,5 +1,7 @@
 /**
  * A caller's connection and its open exchanges, in the order of their requests.
+ * A request has its turn when all earlier ones are answered, and none where an
+ * earlier answer closes the connection: its own could not be sent any more.
  * Input that can't be read as a request is answered with a status only where
  * no request is open; an open one gets its answer, and the connection closes
  * after it.
@@ -23,6 +25,20 @@
 
   constructor(socket: Socket) {
     this.#socket = socket;
+    // Node tells only the first open response that its connection is closed.
+    socket.once("close", () => {
+      for (const exchange of [...this.#open]) exchange.handleClosed();
+    });
+  }
+
+  /** Whether an answer can still be sent. */
+  get isOpen(): boolean {
+    return this.#socket.writable;
+  }
+
+  /** Whether a request is not answered yet. */
+  get isBusy(): boolean {
+    return this.#open.length > 0;
   }
 
   /** Adds the exchange of a request that has been received. */
@@ -30,10 +46,17 @@
     this.#open.push(exchange);
   }
 
-  /** Removes an exchange that is closed. */
+  /** Removes an exchange that is closed; the next one has its turn. */
   remove(exchange: CallerExchange): void {
     const index = this.#open.indexOf(exchange);
     if (index >= 0) this.#open.splice(index, 1);
+    if (this.isOpen) this.#open[0]?.beginTurn();
+  }
+
+  /** Calls the listener when the exchange has its turn. */
+  awaitTurn(exchange: CallerExchange, listener: () => void): void {
+    exchange.onTurn = listener;
+    if (this.isOpen && this.#open[0] === exchange) exchange.beginTurn();
   }
 
   /** Handles an error of the connection or in what the caller sends. */
--- a/src/gateway/caller_exchange.ts
+++ b/src/gateway/caller_exchange.ts
@@ -39,6 +39,8 @@
   #onDrain: () => void = () => {};
   #onClosed: () => void = () => {};
   #onBodyRelease: () => void = () => {};
+  #onTurn: (() => void) | undefined;
+  #isClosed = false;
   #status = 0;
 
   constructor(request: IncomingMessage, response: ServerResponse) {
@@ -48,13 +50,7 @@
     response.on("error", () => {});
     request.on("error", () => {});
     response.on("drain", () => this.#onDrain());
-    response.on("close", () => {
-      this.#onClosed();
-      this.#onBodyRelease();
-      if (this.#isOver) return;
-      this.#isOver = true;
-      this.#onDisconnect();
-    });
+    response.on("close", () => this.handleClosed());
   }
 
   /** Whether the answer has ended or the caller has disconnected. */
@@ -114,6 +110,29 @@
     else this.#socket.resetAndDestroy();
   }
 
+  /** Called once when all earlier requests of the connection are answered. */
+  set onTurn(listener: () => void) {
+    this.#onTurn = listener;
+  }
+
+  /** Tells a waiting exchange that all earlier requests are answered. */
+  beginTurn(): void {
+    const onTurn = this.#onTurn;
+    this.#onTurn = undefined;
+    if (!this.#isOver) onTurn?.();
+  }
+
+  /** Handles the end of the answer or of the connection. */
+  handleClosed(): void {
+    if (this.#isClosed) return;
+    this.#isClosed = true;
+    this.#onClosed();
+    this.#onBodyRelease();
+    if (this.#isOver) return;
+    this.#isOver = true;
+    this.#onDisconnect();
+  }
+
   /** Sends a complete answer. */
   answer({ status, headers, body, isFramed }: CompleteAnswer): void {
     if (this.#isOver) return;
--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -131,6 +131,7 @@
   #receive(request: IncomingMessage, exchange: CallerExchange): void {
     const receivedAtMs = this.#options.clock();
     const connection = this.#connectionOf(request.socket);
+    const isWaiting = connection.isBusy;
     this.#openCount += 1;
     connection.add(exchange);
     exchange.onClosed = () => {
@@ -138,15 +139,28 @@
       connection.remove(exchange);
     };
     if (this.#isClosing) exchange.closeAfterAnswer();
+    if (!connection.isOpen) return drain(request, exchange);
     const fault = this.#findFault(request);
     if (fault !== undefined) {
       return refuseUnread(request, exchange, fault);
     }
-    const onBody = this.#options.onHead({ request, exchange, receivedAtMs });
+    const received = { request, exchange, receivedAtMs };
+    if (isWaiting) {
+      return this.#readBody(request, exchange, (body) => {
+        connection.awaitTurn(exchange, () => this.#passOn(received, body));
+      });
+    }
+    const onBody = this.#options.onHead(received);
     if (onBody === undefined) return drain(request, exchange);
     this.#readBody(request, exchange, onBody);
   }
 
+  /** Passes on a request that has waited for earlier ones. */
+  #passOn(received: ReceivedRequest, body: Buffer): void {
+    if (this.#isClosing) received.exchange.closeAfterAnswer();
+    this.#options.onHead(received)?.(body);
+  }
+
   #connectionOf(socket: Socket): CallerConnection {
     const known = this.#connections.get(socket);
     if (known !== undefined) return known;
