--- a/src/gateway/caller_connection_test.ts
+++ b/src/gateway/caller_connection_test.ts
@@ -1,110 +1,26 @@
 /** Tests of connections that carry more than one request of a caller. */
 import assert from "node:assert/strict";
-import { connect, type Socket } from "node:net";
-import { test, type TestContext } from "node:test";
-import { routeOf } from "../decision/manifest_fixture.ts";
+import { test } from "node:test";
 import {
-  type BackendHandler,
   beginStream,
   eventOf,
   eventsOf,
   sendCompleteAnswer,
-  startBackend,
-  type TestBackend,
 } from "./backend_fixture.ts";
 import {
-  API_HOST,
-  REGISTER_ROUTE,
-  startGateway,
-  type TestGateway,
-  untilReady,
-} from "./gateway_fixture.ts";
+  answerLate,
+  answerSoon,
+  connectCaller,
+  headOf,
+  openCount,
+  requestOf,
+  setUp,
+  SHORT_WORK_MS,
+  statusesIn,
+  WORK_MS,
+} from "./caller_connection_fixture.ts";
 import { until } from "./until_fixture.ts";
 
-const LIMITS = {
-  maxHeaderBytes: 2000,
-  maxBodyBytes: 1_000_000,
-  headerTimeoutMs: 300,
-  idleTimeoutMs: 5000,
-};
-/** Longer than the head timeout and the interval at which it is checked. */
-const WORK_MS = 1500;
-const SHORT_WORK_MS = 300;
-
-interface TestSite {
-  readonly gateway: TestGateway;
-  readonly backend: TestBackend;
-}
-
-async function setUp(
-  context: TestContext,
-  handler: BackendHandler,
-  memoryBytes = 350 * 1024 * 1024,
-): Promise<TestSite> {
-  const backend = await startBackend("server", handler);
-  const gateway = await startGateway({
-    backends: [backend],
-    manifest: {
-      routes: [{ ...REGISTER_ROUTE, timeoutMs: 5000 }, routeOf()],
-      limits: LIMITS,
-    },
-    settings: { graceMs: 3000, entryMaxAgeMs: 400, memoryBytes },
-  });
-  await untilReady(gateway);
-  context.after(async () => {
-    await Promise.all([gateway.gateway.stop(), backend.close()]);
-  });
-  return { gateway, backend };
-}
-
-/** A caller's connection and what it has received. */
-interface TestCaller {
-  readonly socket: Socket;
-  text: string;
-  isClosed: boolean;
-}
-
-function connectCaller({ gateway }: TestSite): TestCaller {
-  const [host = "", port = ""] = gateway.callerAddress.split(":");
-  const socket = connect(Number(port), host);
-  const caller = { socket, text: "", isClosed: false };
-  socket.on("data", (bytes) => caller.text += String(bytes));
-  socket.on("error", () => {});
-  socket.on("close", () => caller.isClosed = true);
-  return caller;
-}
-
-/** Returns a request with a body of five bytes. */
-function requestOf(id: string): string {
-  return headOf(id, 5) + "12345";
-}
-
-function headOf(id: string, length: number): string {
-  return `POST /registrations/${id} HTTP/1.1\r\nHost: ${API_HOST}\r\n` +
-    `test-id: ${id}\r\ntest-key: a-key\r\nContent-Length: ${length}\r\n\r\n`;
-}
-
-function statusesIn({ text }: TestCaller): string[] {
-  return [...text.matchAll(/HTTP\/1\.1 (\d+) /g)].map(([, status]) =>
-    status ?? ""
-  );
-}
-
-const answerLate: BackendHandler = (request, response) => {
-  setTimeout(() => sendCompleteAnswer(request, response), WORK_MS);
-};
-
-const answerSoon: BackendHandler = (request, response) => {
-  setTimeout(() => sendCompleteAnswer(request, response), SHORT_WORK_MS);
-};
-
-/** The number of requests that the gateway has open. */
-function openCount({ gateway }: TestSite): number {
-  const [, count] = gateway.gateway.metricsText()
-    .match(/^\S*open_requests\S* (\d+)$/m) ?? [];
-  return Number(count);
-}
-
 // Guards against a 408 for a request that its server is working on.
 test("a next head that stays incomplete leaves the open request its answer", async (context) => {
   const site = await setUp(context, answerLate);
