Read the rest of a body before closing after a refusal

A caller that writes its whole body before it reads got a reset instead of the refusal of a stopping VM or of an oversize body. Cause: Node's server destroys the connection as soon as a response that announces the close ends, so the second for which the rest of the body was to be read had no effect; behind an unanswered request that second's end destroyed the connection of both. Now such a refusal is written whole, but its response ends only with the body or after that second.

--- a/src/gateway/caller_exchange.ts
+++ b/src/gateway/caller_exchange.ts
@@ -34,6 +34,7 @@
   readonly #request: IncomingMessage;
   readonly #response: ServerResponse;
   #isOver = false;
+  #isHeld = false;
   #isFramed = true;
   #onDisconnect: () => void = () => {};
   #onDrain: () => void = () => {};
@@ -148,7 +149,26 @@
       "Content-Length",
       String(body.length),
     ]);
-    this.#response.end(body);
+    if (this.isRead || this.#response.shouldKeepAlive) {
+      this.#response.end(body);
+      return;
+    }
+    // Node closes the connection as the response ends, which would reset it
+    // while the caller is still sending.
+    this.#isHeld = true;
+    this.#response.write(body);
+  }
+
+  /** Whether the answer is sent, but the connection is open for the body. */
+  get isHeld(): boolean {
+    return this.#isHeld;
+  }
+
+  /** Closes the connection of an answer that is held. */
+  endHeld(): void {
+    if (!this.#isHeld) return;
+    this.#isHeld = false;
+    this.#response.end();
   }
 
   /** Sends an error answer of the gateway itself. */
--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -20,8 +20,9 @@
 };
 const CHECK_PERIOD_MS = 500;
 /**
- * How long the rest of a refused request's body is read and discarded. Closing
- * the connection at once could reset it before the caller has read the answer.
+ * How long the rest of a refused request's body is read and discarded before
+ * the connection closes. Closing it at once could reset it before the caller
+ * has read the answer.
  * Also the retry delay sent when the memory for request bodies is used up.
  */
 const BODY_DRAIN_MS = 1000;
@@ -231,7 +232,7 @@
   readonly retryAfterMs?: number;
 }
 
-/** Refuses a request without reading its body and closes the connection. */
+/** Refuses a request, discards its body and closes the connection. */
 function refuseUnread(
   request: IncomingMessage,
   exchange: CallerExchange,
@@ -246,8 +247,10 @@
 function drain(request: IncomingMessage, exchange: CallerExchange): void {
   request.resume();
   if (request.complete) return;
+  request.once("end", () => exchange.endHeld());
   const timer = setTimeout(() => {
-    if (!request.complete && exchange.isOver) request.destroy();
+    if (exchange.isHeld) exchange.endHeld();
+    else if (!request.complete && exchange.isOver) request.destroy();
   }, BODY_DRAIN_MS);
   timer.unref();
 }
