Keep sessions on their version in the first half of a roll-out

A VM that sees a session for the first time could not tell whether it ran on the old version at another VM a moment ago, and placed it on the target by its hash: 31 of 400 sessions of the test changed their version.

Sessions now keep the old version for the first half of the time, in which alone a change to the new version is a fault. Requests that name no session take the places that sessions leave, so the target gets no more requests than before. From the second half on a session's version follows from its hash and the time, the same on every VM; the memory of recent sessions is gone. No message changes.

--- a/src/decision/ordered_rollout.ts
+++ b/src/decision/ordered_rollout.ts
@@ -1,7 +1,8 @@
 /**
  * A roll-out ordered by the operators, with a time limit. In the canary phase a
- * small share of the sessions runs on the target version, so that a bad target
- * is detected early and few sessions use both versions. All sessions run on the
+ * small share of the requests runs on the target version, so that a bad target
+ * is detected early; in the first half of the time these are requests that name
+ * no session, so that no session changes its version. All requests run on the
  * target only for as long before the limit as the allowed exposure lasts: a bad
  * target keeps to it by then, also one whose fault nobody has noticed. From the
  * first fault on, the target's share is 0. The roll-out is completed once no
@@ -11,6 +12,8 @@
 
 /** Share of the allowed exposure at which the canary phase runs. */
 const CANARY_USE_SHARE = 0.5;
+/** Elapsed share up to which sessions keep the version that they had. */
+const SESSIONS_KEPT_UNTIL_SHARE = 0.5;
 /** Elapsed share from which the target is tried under load. */
 const LOAD_TRIAL_FROM_SHARE = 0.4;
 /** How long before the last phase its beginning is decided, as a share of it. */
@@ -46,8 +49,8 @@
   return (nowMs - rollout.startedAtMs) / rollout.order.durationMs;
 }
 
-/** Share of sessions that run on the target. */
-export function targetSessionShare(
+/** Share of the requests that run on the target. */
+export function targetShare(
   rollout: OrderedRollout,
   nowMs: number,
 ): number {
@@ -59,10 +62,10 @@
     : 1;
 }
 
-/** Whether the canary phase runs, in which sessions stay on their version. */
-export function isCanaryPhase(rollout: OrderedRollout, nowMs: number): boolean {
+/** Whether sessions keep the version that they had before the order. */
+export function keepsSessions(rollout: OrderedRollout, nowMs: number): boolean {
   return rollout.stage !== "completed" &&
-    elapsedShare(rollout, nowMs) < canaryUntilShare(rollout);
+    elapsedShare(rollout, nowMs) < SESSIONS_KEPT_UNTIL_SHARE;
 }
 
 /** Whether the target is tried under load and no fault has been found. */
--- a/src/gateway/rollout_exposure_test.ts
+++ b/src/gateway/rollout_exposure_test.ts
@@ -86,6 +86,16 @@
   assert.deepEqual(exposureFaults(QUICK_SITE, slow), []);
 });
 
+// Guards against EXPOSURE: sessions keep the old version in the first half.
+for (const name of ["slow", "failing"]) {
+  test(`a bad version gets no more requests than allowed where half belong to sessions: ${name}`, () => {
+    const targetQuality = QUALITIES[name];
+    assert.ok(targetQuality !== undefined);
+    const site = { ...SMALL_SITE, sessionShare: 0.5 };
+    assert.deepEqual(exposureFaults(site, targetQuality), []);
+  });
+}
+
 test("a good version of a plain service is completed in time", () => {
   const late: string[] = [];
   for (let seed = 1; seed <= SEED_COUNT; seed++) {
--- a/src/gateway/rollout_record.ts
+++ b/src/gateway/rollout_record.ts
@@ -64,6 +64,11 @@
   failingIds: readonly string[] = [];
   /** Requests that this VM has sent for the load trial. */
   loadTrialCount = 0;
+  /**
+   * Requests of sessions that kept their version though their hash chose the
+   * target: as many requests of no session run on the target in their place.
+   */
+  freePlaceCount = 0;
   #ownTally: VersionTally = EMPTY_TALLY;
   #ownSequence = 0;
   readonly #received = new Map<string, ReceivedTally>();
--- a/src/gateway/rollout_registry.ts
+++ b/src/gateway/rollout_registry.ts
@@ -2,13 +2,13 @@
  * The registry of roll-outs, which decides on which versions a request may run.
  */
 import {
-  isCanaryPhase,
   isEnded,
   isLoadTrial,
+  keepsSessions,
   loadTrialQuota,
   type OrderedRollout,
   summarise,
-  targetSessionShare,
+  targetShare,
 } from "../decision/mod.ts";
 import {
   type Clock,
@@ -29,7 +29,6 @@
 import { type RolloutReport } from "./peer_update.ts";
 import { relateOrder } from "./rollout_order.ts";
 import { RolloutRecord } from "./rollout_record.ts";
-import { RecentSessions } from "./recent_sessions.ts";
 
 export interface RolloutRegistryOptions {
   readonly fleet: BackendFleet;
@@ -40,8 +39,6 @@
   /** This VM, and the number of VMs with it. */
   readonly vm: string;
   readonly vmCount: () => number;
-  /** Longest time between two requests of a session. */
-  readonly sessionMs: number;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -54,7 +51,6 @@
 /** The roll-outs of all services. */
 export class RolloutRegistry implements VersionSelector {
   readonly #options: RolloutRegistryOptions;
-  readonly #sessions: RecentSessions;
   readonly #rollouts = new Map<string, RolloutRecord>();
   readonly #earlierOrders = new Map<string, readonly RolloutOrder[]>();
   readonly #versions: ObservedVersions;
@@ -63,8 +59,6 @@
 
   constructor(options: RolloutRegistryOptions) {
     this.#options = options;
-    const { clock, sessionMs } = options;
-    this.#sessions = new RecentSessions({ clock, retentionMs: sessionMs });
     this.#versions = new ObservedVersions(options);
   }
 
@@ -186,10 +180,6 @@
     const target = rollout?.order.target;
     const isOnTarget = rollout !== undefined &&
       this.#isOnTarget(rollout, session);
-    if (session.isMultiRequest) {
-      const key = `${service} ${session.key}`;
-      this.#sessions.record(key, isOnTarget ? target : undefined);
-    }
     if (rollout === undefined) return this.#versions.acceptorOf(service);
     // Checks the fault per call: it may be found while the request runs.
     return (version) =>
@@ -271,15 +261,19 @@
     if (hasFailed && !isMultiRequest) return false;
     const nowMs = this.#options.clock();
     if (!rollout.isStageKnown && rollout.stage !== "completed") return false;
-    const share = targetSessionShare(rollout, nowMs);
+    const share = targetShare(rollout, nowMs);
     if (share === 0 || share === 1) return share === 1;
-    if (!isMultiRequest && this.#joinsLoadTrial(rollout)) return true;
-    const stored = isMultiRequest
-      ? this.#sessions.find(`${service} ${key}`)
-      : undefined;
-    if (stored?.target === target) return true;
-    if (stored !== undefined && isCanaryPhase(rollout, nowMs)) return false;
-    return hashShare(`${target} ${key}`) < share;
+    const isChosen = hashShare(`${target} ${key}`) < share;
+    const isRetry = failedVersion !== undefined;
+    if (isMultiRequest) {
+      if (!keepsSessions(rollout, nowMs)) return isChosen;
+      if (isChosen && !isRetry) rollout.freePlaceCount += 1;
+      return false;
+    }
+    if (this.#joinsLoadTrial(rollout) || isChosen) return true;
+    if (isRetry || rollout.freePlaceCount === 0) return false;
+    rollout.freePlaceCount -= 1;
+    return true;
   }
 
   /** Whether a request of no session is part of the load trial; counts it. */
--- a/tools/mechanisms.ts
+++ b/tools/mechanisms.ts
@@ -9,6 +9,7 @@
 const FORWARDING_TEST = "src/gateway/forwarding_test.ts";
 const GATEWAY_TEST = "src/gateway/gateway_test.ts";
 const REGISTRY_TEST = "src/gateway/rollout_registry_test.ts";
+const SESSION_TEST = "src/gateway/rollout_session_test.ts";
 const CHOICE_TEST = "src/decision/backend_choice_test.ts";
 
 export const MECHANISMS: readonly Mechanism[] = [
@@ -158,8 +159,15 @@
   {
     name: "version pin of a session",
     file: "src/gateway/rollout_registry.ts",
-    source: "if (stored !== undefined && isCanaryPhase(rollout, nowMs)) return",
-    replacement: "if (stored === null) return",
+    source: "if (!keepsSessions(rollout, nowMs)) return isChosen;",
+    replacement: "return isChosen;",
+    tests: [SESSION_TEST, REGISTRY_TEST],
+  },
+  {
+    name: "places of sessions that keep their version",
+    file: "src/gateway/rollout_registry.ts",
+    source: "if (isChosen && !isRetry) rollout.freePlaceCount += 1;",
+    replacement: "",
     tests: [REGISTRY_TEST],
   },
   {
