Drop the setting of the longest pause of a session

Sessions keep their version by time and hash alone, so nothing reads the setting any more. A settings file that names it is read as before. The memory growth test, which shortened the pause, passes with sessions of any length; so do the tests of settings and of the shutdown.

--- a/src/gateway/gateway_fixture.ts
+++ b/src/gateway/gateway_fixture.ts
@@ -162,7 +162,6 @@
       retryBound: { ratio: 0.9, slackCount: 56, windowMs: 10_000 },
       canaryShare: 0.15,
       canarySlackCount: 0,
-      sessionMs: 5000,
       ...options.settings,
     },
     protocol: testProtocol,
--- a/src/gateway/gateway_settings.ts
+++ b/src/gateway/gateway_settings.ts
@@ -35,6 +35,4 @@
   readonly canaryShare: number;
   /** Requests that it may get beyond its share. */
   readonly canarySlackCount: number;
-  /** Longest time between two requests of a session. */
-  readonly sessionMs: number;
 }
--- a/src/gateway/gateway_shutdown_test.ts
+++ b/src/gateway/gateway_shutdown_test.ts
@@ -28,7 +28,6 @@
   retryBound: { ratio: 0.9, slackCount: 56, windowMs: 10_000 },
   canaryShare: 0.15,
   canarySlackCount: 0,
-  sessionMs: 5000,
 };
 
 interface ShutdownRun {
--- a/src/gateway/memory_growth_test.ts
+++ b/src/gateway/memory_growth_test.ts
@@ -27,7 +27,6 @@
 const LONG_NAME = "s".repeat(600);
 /** A third of a session id. */
 const MAX_BYTES_PER_CALL = 200;
-const SESSION_MS = 200;
 
 setFlagsFromString("--expose-gc");
 const collect = runInNewContext("gc") as () => void;
@@ -86,7 +85,6 @@
   const address = await startServer(context);
   const gateway = await startGateway({
     manifest: { routes: [LOOKUP_ROUTE] },
-    settings: { sessionMs: SESSION_MS },
   });
   context.after(() => gateway.gateway.stop());
   replaceServers(gateway, 0, address);
