--- a/src/gateway/rollout_exposure_test.ts
+++ b/src/gateway/rollout_exposure_test.ts
@@ -87,13 +87,15 @@
 });
 
 // Guards against EXPOSURE: sessions keep the old version in the first half.
-for (const name of ["slow", "failing"]) {
-  test(`a bad version gets no more requests than allowed where half belong to sessions: ${name}`, () => {
-    const targetQuality = QUALITIES[name];
-    assert.ok(targetQuality !== undefined);
-    const site = { ...SMALL_SITE, sessionShare: 0.5 };
-    assert.deepEqual(exposureFaults(site, targetQuality), []);
-  });
+for (const sessionShare of [0.5, 0.8, 1]) {
+  for (const name of ["slow", "failing"]) {
+    test(`a bad version gets no more requests than allowed with a share of ${sessionShare} in sessions: ${name}`, () => {
+      const targetQuality = QUALITIES[name];
+      assert.ok(targetQuality !== undefined);
+      const site = { ...SMALL_SITE, sessionShare };
+      assert.deepEqual(exposureFaults(site, targetQuality), []);
+    });
+  }
 }
 
 test("a good version of a plain service is completed in time", () => {
