Report a request that cannot be sent as a fault

http.request throws for a port beyond 65535 and for a header value or path that HTTP cannot carry; the exception left the constructor of the exchange uncaught and ended the process. The exchange now reports the fault "unsendable", with isUnsent set, after its constructor has returned; it leaves the health of the server as it is, as no server was tried.

--- a/src/gateway/backend_exchange.ts
+++ b/src/gateway/backend_exchange.ts
@@ -27,7 +27,8 @@
 
 /** The reason why an exchange ended without a complete answer. */
 export interface ExchangeFault {
-  readonly kind: "unreachable" | "reset" | "malformed";
+  /** `unsendable`: HTTP cannot carry the request, or not to this address. */
+  readonly kind: "unreachable" | "reset" | "malformed" | "unsendable";
   /** Whether no byte of the request can have reached the server. */
   readonly isUnsent: boolean;
   readonly message: string;
@@ -48,7 +49,7 @@
 
 /** A running exchange. */
 export class BackendExchange {
-  readonly #request: ClientRequest;
+  readonly #request: ClientRequest | undefined;
   readonly #events: ExchangeEvents;
   #response: IncomingMessage | undefined;
   #isConnected = false;
@@ -57,19 +58,18 @@
 
   constructor(call: BackendCall, events: ExchangeEvents) {
     this.#events = events;
-    this.#request = request({
-      agent: connectionAgent,
-      ...splitAddress(call.address),
-      method: call.method,
-      path: call.target,
-      headers: call.headers as string[],
-      setHost: false,
-    });
+    try {
+      this.#request = requestOf(call);
+    } catch (error) {
+      // The caller of the constructor can't handle a fault before it returns.
+      setImmediate(() => this.#fail("unsendable", String(error)));
+      return;
+    }
     this.#connectTimer = setTimeout(
       () => this.#fail("unreachable", "connection timed out"),
       call.connectTimeoutMs,
     );
-    this.#addListeners();
+    this.#addListeners(this.#request);
     this.#request.end(call.body);
   }
 
@@ -81,7 +81,7 @@
   /** Ends the exchange and its connection; no callback follows. */
   cancel(): void {
     this.#end();
-    this.#request.destroy();
+    this.#request?.destroy();
   }
 
   /** Stops reading the answer until `resume` is called. */
@@ -94,8 +94,8 @@
     this.#response?.resume();
   }
 
-  #addListeners(): void {
-    this.#request.on("socket", (socket) => {
+  #addListeners(request: ClientRequest): void {
+    request.on("socket", (socket) => {
       socket.setNoDelay(true);
       socket.once("connect", () => {
         this.#isConnected = true;
@@ -103,16 +103,16 @@
         if (!this.#isOver) this.#events.onConnected();
       });
     });
-    this.#request.on("error", (error: NodeJS.ErrnoException) => {
+    request.on("error", (error: NodeJS.ErrnoException) => {
       const isParserFault = error.code?.startsWith("HPE_") === true;
       this.#fail(this.#faultKind(isParserFault), error.message);
     });
-    this.#request.on(
+    request.on(
       "upgrade",
       () => this.#fail("malformed", "unexpected protocol upgrade"),
     );
-    this.#request.on("response", (response) => this.#readResponse(response));
-    this.#request.on(
+    request.on("response", (response) => this.#readResponse(response));
+    request.on(
       "close",
       () => this.#fail(this.#faultKind(false), "closed"),
     );
@@ -132,7 +132,7 @@
       if (this.#isOver) return;
       if (!response.complete) return this.#fail("reset", "answer truncated");
       this.#end();
-      this.#request.destroy();
+      this.#request?.destroy();
       this.#events.onEnd();
     });
   }
@@ -145,7 +145,7 @@
   #fail(kind: ExchangeFault["kind"], message: string): void {
     if (this.#isOver) return;
     this.#end();
-    this.#request.destroy();
+    this.#request?.destroy();
     this.#events.onFault({ kind, isUnsent: !this.#isConnected, message });
   }
 
@@ -154,3 +154,15 @@
     clearTimeout(this.#connectTimer);
   }
 }
+
+/** Throws where the address, the target or a header is not valid. */
+function requestOf(call: BackendCall): ClientRequest {
+  return request({
+    agent: connectionAgent,
+    ...splitAddress(call.address),
+    method: call.method,
+    path: call.target,
+    headers: call.headers as string[],
+    setHost: false,
+  });
+}
--- a/src/gateway/server_attempt.ts
+++ b/src/gateway/server_attempt.ts
@@ -207,7 +207,9 @@
 
   #handleFault(fault: ExchangeFault): void {
     const { context, server } = this.#options;
-    if (fault.isUnsent) context.prompts.recordUnreachable(server);
+    // Says nothing about the server, which was not tried.
+    if (fault.kind === "unsendable") this.#end(undefined);
+    else if (fault.isUnsent) context.prompts.recordUnreachable(server);
     else this.#recordBreak(fault.kind);
     if (fault.kind === "unreachable") context.reach.recordUnreached(server.id);
     this.#end(fault.kind === "unreachable" ? "down" : "broken");
