Test that an answer with a status that is none is a fault

writeHead throws for the status 000 or 099 of a signed answer; the process ends, and with it every open request.

--- a/src/gateway/server_attempt_test.ts
+++ b/src/gateway/server_attempt_test.ts
@@ -97,3 +97,21 @@
   );
   assert.deepEqual(outcome, { kind: "not_run" });
 });
+
+// Guards against LOST: a status that cannot be passed on ends the VM's process,
+// and with it every open request.
+test("an answer whose status is not from 200 to 599 is malformed", async (context) => {
+  for (const status of ["000", "099", "101", "600", "999"]) {
+    const head = `HTTP/1.1 ${status} X\r\ntest-id: ${REQUEST_ID}\r\n` +
+      "test-signature: s\r\ncontent-length: 5\r\n\r\n";
+    const outcome = await attempt(
+      context,
+      (_, response) => response.socket?.end(`${head}whole`),
+    );
+    assert.deepEqual(
+      outcome,
+      { kind: "fault", isUnsent: false, cause: "malformed" },
+      status,
+    );
+  }
+});
