Take an answer with a status that is none for malformed

A status was passed on as it came; writeHead throws for one below 100, and the uncaught exception ended the process. A status outside 200 to 599 is now a fault of the exchange, so of attempts at servers and through VMs.

--- a/src/gateway/backend_exchange.ts
+++ b/src/gateway/backend_exchange.ts
@@ -45,6 +45,8 @@
   readonly onFault: (fault: ExchangeFault) => void;
 }
 
+/** Statuses of an answer; Node can't send one below 100 on. */
+const STATUSES = { first: 200, last: 599 } as const;
 const connectionAgent = new Agent({ keepAlive: false, maxSockets: Infinity });
 
 /** A running exchange. */
@@ -121,7 +123,11 @@
   #readResponse(response: IncomingMessage): void {
     if (this.#isOver) return;
     this.#response = response;
-    this.#events.onHead(response.statusCode ?? 0, response.rawHeaders);
+    const { statusCode = 0 } = response;
+    if (statusCode < STATUSES.first || statusCode > STATUSES.last) {
+      return this.#fail("malformed", `status ${statusCode}`);
+    }
+    this.#events.onHead(statusCode, response.rawHeaders);
     if (this.#isOver) return;
     response.on("data", (chunk: Buffer) => {
       if (!this.#isOver) this.#events.onData(chunk);
