--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -221,6 +221,11 @@
     return this.#stopped;
   }
 
+  /** Answers all open requests at once, as the process is about to end. */
+  endOpenRequests(): void {
+    this.#openRequests.endAll();
+  }
+
   async #stop(): Promise<void> {
     const { sleep, logger } = this.#options;
     const shutdownDone = this.#shutdown.run();
--- a/src/gateway/open_requests.ts
+++ b/src/gateway/open_requests.ts
@@ -22,6 +22,12 @@
 
   /** Answers all open requests, as the VM ends. */
   endAll(): void {
-    for (const forwarding of [...this.#forwardings]) forwarding.endWithVm();
+    for (const forwarding of [...this.#forwardings]) {
+      try {
+        forwarding.endWithVm();
+      } catch {
+        // One request in a broken state must not keep the others unanswered.
+      }
+    }
   }
 }
