--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -9,10 +9,8 @@
 import { advertisedAddresses } from "./advertised_addresses.ts";
 import { AnswerMemory } from "./answer_buffer.ts";
 import { BackendFleet } from "./backend_fleet.ts";
-import { type GatewayRefusal } from "./caller_exchange.ts";
-import { CallerServer, type ReceivedRequest } from "./caller_server.ts";
+import { CallerServer } from "./caller_server.ts";
 import { type ForwardContext } from "./forward_context.ts";
-import { logRefusal } from "./forward_log.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { type GatewayOptions } from "./gateway_options.ts";
 import {
@@ -29,10 +27,8 @@
 import { PeerExchange } from "./peer_exchange.ts";
 import { PrefillRates } from "./prefill_rates.ts";
 import { watchLoad } from "./process_load.ts";
-import { type CallerRequest } from "./protocol.ts";
-import { requestDigest } from "./request_digest.ts";
+import { RequestIntake } from "./request_intake.ts";
 import { RetryBudget } from "./retry_budget.ts";
-import { admitRequest, type AdmittedRequest } from "./request_admission.ts";
 import { RolloutRegistry } from "./rollout_registry.ts";
 import { RolloutStatusWriter } from "./rollout_status_writer.ts";
 import { StoreFeed } from "./store_feed.ts";
@@ -40,12 +36,6 @@
 const TICK_MS = 200;
 /** Delays the histogram library: loading it slows the first requests. */
 const METRICS_LOAD_DELAY_MS = 5000;
-/** Short, as a caller refused by a stopping VM can use another at once. */
-const LEAVING_REFUSAL: GatewayRefusal = {
-  status: 503,
-  reason: "leaving",
-  retryAfterMs: 50,
-};
 
 /** The gateway of one VM. */
 export class Gateway {
@@ -63,6 +53,7 @@
   readonly #peers: PeerNode;
   readonly #context: ForwardContext;
   readonly #openRequests = new OpenRequests();
+  readonly #intake: RequestIntake;
   readonly #shutdown: GatewayShutdown;
   readonly #stopController = new AbortController();
   readonly #vmCount = (): number => 1 + this.#peers.membership().members.size;
@@ -141,6 +132,13 @@
       logger,
       metrics: this.#metrics,
     };
+    this.#intake = new RequestIntake({
+      context: this.#context,
+      state: this.#state,
+      openRequests: this.#openRequests,
+      isAccepting: () => this.#shutdown.isAccepting,
+      manifestAgeMs: () => this.#feed.replicas.operators.ageMs,
+    });
     this.#state.onManifest = () => this.#callers.applyLimits();
   }
 
@@ -246,45 +244,8 @@
       memoryBytes: settings.memoryBytes,
       clock,
       limits: () => this.#state.routes?.manifest.limits,
-      onHead: (received) => this.#onHead(received),
-    });
-  }
-
-  #onHead(
-    { request, exchange, receivedAtMs }: ReceivedRequest,
-  ): ((body: Buffer) => void) | undefined {
-    const caller = this.#context.protocol.readRequest({
-      method: request.method ?? "GET",
-      target: request.url ?? "/",
-      rawHeaders: request.rawHeaders,
+      onHead: (received) => this.#intake.receive(received),
     });
-    const admitted = typeof caller === "string"
-      ? { status: 400, reason: caller }
-      : this.#admit(caller);
-    if ("status" in admitted) {
-      const requestId = typeof caller === "string" ? undefined : caller.id;
-      logRefusal(this.#context, admitted, {
-        requestId,
-        manifestVersion: this.#state.routes?.manifest.version,
-        manifestAgeMs: this.#feed.replicas.operators.ageMs,
-      });
-      exchange.refuse(admitted);
-      return undefined;
-    }
-    return (body) => {
-      // The VM may have begun to refuse while the body arrived.
-      if (!this.#shutdown.isAccepting) return exchange.refuse(LEAVING_REFUSAL);
-      const digest = requestDigest(admitted.caller, body);
-      const request = { ...admitted, body, digest, receivedAtMs };
-      this.#openRequests.forward(this.#context, { request, exchange });
-    };
-  }
-
-  #admit(caller: CallerRequest): AdmittedRequest | GatewayRefusal {
-    if (this.#shutdown.isAccepting) {
-      return admitRequest(this.#state, caller);
-    }
-    return LEAVING_REFUSAL;
   }
 
   #announceReady(): void {
