Bring four mechanisms' lines in step with the code

The lines named by brownout, prompt quarantine, share of slow answers and load trial were no longer in the code, so the tool stopped there.

--- a/tools/mechanisms.ts
+++ b/tools/mechanisms.ts
@@ -152,8 +152,8 @@
   {
     name: "brownout",
     file: "src/gateway/escalation_choice.ts",
-    source: "if (nextModel({ ...answer, pressureShare }) !== undefined) return",
-    replacement: "if (pressureShare >= 0) return",
+    source: "nextModel({ ...answer, pressureShare }) !== undefined;",
+    replacement: "pressureShare >= 0;",
     tests: ["src/gateway/escalation_choice_test.ts"],
   },
   {
--- a/tools/server_mechanisms.ts
+++ b/tools/server_mechanisms.ts
@@ -85,7 +85,7 @@
   {
     name: "prompt quarantine",
     file: "src/gateway/server_choice.ts",
-    source: "if (prompts.waitMs(sharedPartIds(caller)) !== undefined)",
+    source: "if (prompts.waitMs(crashPartIds(request)) !== undefined)",
     replacement: "if (prompts.waitMs([]) !== undefined)",
     tests: ["src/gateway/crashing_prompt_test.ts"],
   },
@@ -148,7 +148,7 @@
   {
     name: "share of slow answers",
     file: "src/decision/version_fault.ts",
-    source: "?? slowFault(tally)",
+    source: "?? slowFault(tally, FAULT)",
     replacement: "",
     tests: ["src/decision/time_counts_test.ts"],
   },
@@ -162,9 +162,8 @@
   {
     name: "load trial",
     file: "src/gateway/rollout_registry.ts",
-    source:
-      "if (!isMultiRequest && this.#joinsLoadTrial(rollout)) return true;",
-    replacement: "",
+    source: "if (this.#joinsLoadTrial(rollout) || isChosen) return true;",
+    replacement: "if (isChosen) return true;",
     tests: ["src/gateway/rollout_registry_test.ts"],
   },
   {
