--- a/tools/mechanisms.ts
+++ b/tools/mechanisms.ts
@@ -298,6 +298,20 @@
     replacement: "if (!query",
     tests: [GATEWAY_TEST],
   },
+  {
+    name: "window by the clock",
+    file: "src/decision/shutdown.ts",
+    source: '"withdrawn" && !isWithdrawalOver(state, nowMs);',
+    replacement: '"withdrawn";',
+    tests: ["src/decision/shutdown_test.ts"],
+  },
+  {
+    name: "answers at the end of a VM",
+    file: "src/gateway/forwarding.ts",
+    source: 'this.#endUnanswered("vm_stopped", { sentStatus: 502 });',
+    replacement: "",
+    tests: [GATEWAY_TEST],
+  },
   {
     name: "shutdown ages",
     file: "src/gateway/gateway_shutdown.ts",
