--- a/src/decision/entry_addresses.ts
+++ b/src/decision/entry_addresses.ts
@@ -3,8 +3,9 @@
  * place first, then its region, then elsewhere. VMs at the same distance are
  * sampled by free capacity. VMs that are leaving are never advertised, suspect
  * ones only if no other is left: with an empty answer a caller would fall back
- * to every VM it knows, leaving ones included. The answer is valid for its max age; a VM that shuts down accepts
- * requests until the answers that name it have expired.
+ * to every VM it knows, leaving ones included. The answer is valid for its max
+ * age; a VM that shuts down accepts requests until the answers that name it have
+ * expired.
  */
 import { type Place, type Random } from "../model/mod.ts";
 import { type Member, type MemberStatus, type MemberUpdate } from "./member.ts";
