Give each run of a case a loopback address of its own

Cause: the cases took free ports of 127.0.0.1, from which connections leave as well.

Change: all servers of a run listen at an address of its own, only ends after a start count, and the record names the cause of each end.

--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -14,10 +14,10 @@
 import { dirname, join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
+import { HOST } from "./host.mjs";
 import { StoreStandin } from "./store.mjs";
 
 const ROOT = join(dirname(fileURLToPath(import.meta.url)), "..", "..");
-const HOST = "127.0.0.1";
 const HEARTBEAT_MS = 1200;
 /** The platform starts a process that has ended again after a short delay. */
 const RESTART_MS = 500;
@@ -60,7 +60,7 @@
 
 /** One machine: a process of the project's program. */
 class Machine {
-  /** How often the process has ended by itself. */
+  /** How often the process has ended by itself after it had started. */
   ownEndCount = 0;
   output = "";
   #isEnding = false;
@@ -82,16 +82,24 @@
     const { child } = this;
     children.add(child);
     child.on("exit", () => children.delete(child));
-    const keep = (chunk) => this.output = (this.output + chunk).slice(-400_000);
+    let own = "";
+    const keep = (chunk) => {
+      own = (own + chunk).slice(-400_000);
+      this.output = (this.output + chunk).slice(-400_000);
+    };
     this.child.stdout.on("data", keep);
     this.child.stderr.on("data", keep);
-    this.child.on("exit", (code, signal) => {
+    this.child.on("close", (code, signal) => {
       if (this.#isEnding) return;
-      if (!this.#isKilled) this.ownEndCount += 1;
-      const how = this.#isKilled ? "ended" : "ended by itself";
+      const isOwnEnd = !this.#isKilled;
       this.#isKilled = false;
+      const hadStarted = own.includes('"event":"started"');
+      if (isOwnEnd && hadStarted) this.ownEndCount += 1;
+      const cause = /"invariant broken","message":"([^\\]*)/.exec(own)?.[1];
       this.record.write(
-        `machine ${this.name} ${how}: code ${code}, signal ${signal}`,
+        `machine ${this.name} ended${isOwnEnd ? " by itself" : ""}` +
+          `${hadStarted ? "" : " before it had started"}: code ${code}, ` +
+          `signal ${signal}${cause === undefined ? "" : `, ${cause}`}`,
       );
       setTimeout(() => this.#isEnding || this.start(), RESTART_MS);
     });
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -6,8 +6,8 @@
  */
 import { createServer } from "node:http";
 import { once } from "node:events";
+import { HOST } from "./host.mjs";
 
-const HOST = "127.0.0.1";
 const PAGE_ITEMS = 500;
 
 export class StoreStandin {
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -8,8 +8,7 @@
  */
 import { createServer } from "node:http";
 import { once } from "node:events";
-
-const HOST = "127.0.0.1";
+import { HOST } from "./host.mjs";
 
 export class WorkerStandin {
   /** Requests that began to run: id, method, path, body and tenant. */
