Log where a manifest came from, failed store calls and unreadable records

`manifest in force` has `source` and `knownMsAgo`; `store call failed` is the first failure of a series, with the time it took; `record ignored` names a record that can't be read, with the counter `records_unreadable`; `repeats` has the service; `manifest_age_ms` and `servers_age_ms` are new. No decision was changed.

--- a/src/gateway/forwarding/forwarding.ts
+++ b/src/gateway/forwarding/forwarding.ts
@@ -232,10 +232,15 @@
     if (this.#history.mayHaveRun) {
       this.#targets.avoidVersion(this.#attempt?.version);
     }
-    this.#context.metrics.count("repeats", { cause });
+    this.#countRepeat(cause);
     this.#startAttempt();
   }
 
+  #countRepeat(cause: string): void {
+    const { service } = this.#request;
+    this.#context.metrics.count("repeats", { service, cause });
+  }
+
   /** Takes one retry from the budget; if none is left, counts a forgone retry. */
   #spendRetry(reason: RetryReason): boolean {
     const { service } = this.#request;
@@ -259,7 +264,7 @@
     if (next === undefined || targetIdOf(next) === attempt.targetId) return;
     if (!this.#silence.mayLeave(next)) return;
     if (!attempt.isUnsent && !this.#spendRetry("failure")) return;
-    this.#context.metrics.count("repeats", { cause: "silent" });
+    this.#countRepeat("silent");
     attempt.cancel("down");
     this.#history.addOutcome(attempt.targetId, {
       kind: "fault",
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -254,6 +254,9 @@
     const { rss } = process.memoryUsage();
     this.#metrics.set("memory_bytes", rss);
     this.#metrics.set("open_requests", this.#callers.openCount);
+    const { operators, servers } = this.#feed.replicas;
+    this.#metrics.set("manifest_age_ms", Math.round(operators.ageMs));
+    this.#metrics.set("servers_age_ms", Math.round(servers.ageMs));
     const { evacuatedCount } = this.#guards.evacuations;
     this.#metrics.set("evacuated_places", evacuatedCount);
     const state = this.#peers.membership();
--- a/src/gateway/gateway_state.ts
+++ b/src/gateway/gateway_state.ts
@@ -13,6 +13,7 @@
 import {
   type Clock,
   type EngineTraits,
+  type LogFields,
   type Logger,
   type Manifest,
 } from "../model/mod.ts";
@@ -64,8 +65,11 @@
     return this.#routes !== undefined && this.#hasRoster;
   }
 
-  /** Puts a manifest into force unless the current one is as new. */
-  applyManifest(manifest: Manifest): void {
+  /**
+   * Puts a manifest into force unless the current one is as new. The fields of
+   * `origin` are logged with it.
+   */
+  applyManifest(manifest: Manifest, origin: LogFields = {}): void {
     const before = this.#routes?.manifest.version ?? -Infinity;
     if (manifest.version <= before) return;
     this.#routes = new RouteTable(manifest);
@@ -73,6 +77,7 @@
       version: manifest.version,
       before: Number.isFinite(before) ? before : undefined,
       routes: manifest.routes.length,
+      ...origin,
     });
     this.#onManifest(manifest);
   }
--- a/src/gateway/store/store_feed.ts
+++ b/src/gateway/store/store_feed.ts
@@ -3,6 +3,7 @@
  * operators' records and another pair for the servers' entries. Changed records
  * are decoded and applied to the gateway's state and the roll-out registry.
  */
+import { type RosterRecord } from "../../decision/mod.ts";
 import { type GatewayMetrics } from "../telemetry/gateway_metrics.ts";
 import { type Evacuations } from "../servers/evacuations.ts";
 import { type GatewayOptions } from "../gateway_options.ts";
@@ -10,6 +11,7 @@
 import { type TopicName } from "../peers/peer_update.ts";
 import { eraOf, offsetOf } from "./store_position.ts";
 import { type RolloutRegistry } from "../rollout/rollout_registry.ts";
+import { type StoreRecord } from "./store_record.ts";
 import { type ReplicaChange, TopicReplica } from "./topic_replica.ts";
 import { TopicFollower } from "./topic_follower.ts";
 
@@ -47,6 +49,7 @@
  * that brought it is at most this old.
  */
 const NEW_ORDER_MAX_AGE_MS = 4000;
+const MAX_LOGGED_KEY_LENGTH = 64;
 
 /** The replicas of one VM, and the followers that keep them current. */
 export class StoreFeed {
@@ -120,7 +123,7 @@
   }
 
   #applyOperatorRecords(
-    { records, restoredFrom, isFirstInEra }: ReplicaChange,
+    { records, restoredFrom, isFirstInEra, source, ageBeforeMs }: ReplicaChange,
   ): void {
     if (restoredFrom !== undefined) {
       this.#recordRestored("operators", restoredFrom);
@@ -130,8 +133,14 @@
       this.replicas.operators.ageMs < NEW_ORDER_MAX_AGE_MS;
     for (const record of records) {
       const read = this.#options.gateway.readOperatorRecord(record);
+      if (read === undefined) this.#logUnreadable("operators", record);
       if (read?.kind === "manifest") {
-        this.#options.state.applyManifest(read.manifest);
+        this.#options.state.applyManifest(read.manifest, {
+          source,
+          knownMsAgo: Number.isFinite(ageBeforeMs)
+            ? Math.round(ageBeforeMs)
+            : undefined,
+        });
       }
       if (read?.kind === "order") {
         this.#options.registry.applyOrder(read.order, isNewOrder);
@@ -160,11 +169,7 @@
     }
     this.#options.state.applyRosterEvent({
       kind: "changed",
-      records: records.map((record) => ({
-        id: record.key,
-        server: this.#options.gateway.readServer(record),
-        offset: record.offset,
-      })),
+      records: records.map((record) => this.#readServer(record)),
     });
     const services = new Set<string>();
     for (const { server } of this.#options.state.roster.entries.values()) {
@@ -174,6 +179,24 @@
     this.#options.onApplied();
   }
 
+  #readServer(record: StoreRecord): RosterRecord {
+    const server = this.#options.gateway.readServer(record);
+    if (server === undefined) this.#logUnreadable("servers", record);
+    return { id: record.key, server, offset: record.offset };
+  }
+
+  /** A dropped key has no value to read. */
+  #logUnreadable(topic: TopicName, { key, value, offset }: StoreRecord): void {
+    if (value === undefined) return;
+    this.#options.metrics.count("records_unreadable", { topic });
+    this.#options.gateway.logger.warn("record ignored", {
+      topic,
+      key: key.slice(0, MAX_LOGGED_KEY_LENGTH),
+      offset: offsetOf(offset),
+      bytes: value.length,
+    });
+  }
+
   #recordRestored(topic: TopicName, restoredFrom: number): void {
     const end = this.replicas[topic].nextOffset ?? restoredFrom;
     this.#options.metrics.count("store_restored", { topic });
--- a/src/gateway/store/topic_follower.ts
+++ b/src/gateway/store/topic_follower.ts
@@ -76,7 +76,7 @@
       ? await source.list()
       : await source.readAfter(offset, waitMs);
     if (read.isErr()) {
-      this.#recordFault(read.error);
+      this.#recordFault(read.error, clock() - requestedAtMs);
       return false;
     }
     this.#recordSuccess();
@@ -94,14 +94,22 @@
     logger.info("store regained", { topic: name });
   }
 
-  #recordFault(fault: StoreFault): void {
+  #recordFault(fault: StoreFault, tookMs: number): void {
     const { name, logger, clock, replica } = this.#options;
     if (fault.kind === "deleted") {
       this.#isListDue = true;
       logger.info("records deleted, listing topic", { topic: name });
       return;
     }
-    if (this.#failureCount === 0) this.#failingSinceMs = clock();
+    if (this.#failureCount === 0) {
+      this.#failingSinceMs = clock();
+      logger.info("store call failed", {
+        topic: name,
+        tookMs: Math.round(tookMs),
+        reason: fault.message,
+        knownMsAgo: Math.round(replica.ageMs),
+      });
+    }
     this.#failureCount += 1;
     const failingMs = clock() - this.#failingSinceMs;
     if (this.#isLost || failingMs < LOST_AFTER_MS) return;
--- a/src/gateway/store/topic_replica.ts
+++ b/src/gateway/store/topic_replica.ts
@@ -40,12 +40,22 @@
   readonly restoredFrom: number | undefined;
   /** Whether nothing of this era was read before; records may be copies. */
   readonly isFirstInEra: boolean;
+  readonly source: RecordSource;
+  /** The replica's age before this change, in milliseconds. */
+  readonly ageBeforeMs: number;
 }
 
+/** Where a replica's records came from. */
+export type RecordSource = "store" | "vm";
+
 /** Whether a value was written before another one of the same key. */
 export type IsOlder = (value: Buffer, known: Buffer) => boolean;
 
-type Sender = "store" | "vm";
+/** Where records came from, and when their source was up to date. */
+interface Provenance {
+  readonly currentAtMs: number;
+  readonly source: RecordSource;
+}
 
 /** The replica of one topic. */
 export class TopicReplica {
@@ -89,22 +99,19 @@
 
   /** Applies a complete list; keys that it lacks have been dropped. */
   applyList(list: StoreRecords, currentAtMs: number): void {
-    this.#applyWhole(list, { currentAtMs, sender: "store" });
+    this.#applyWhole(list, { currentAtMs, source: "store" });
   }
 
   #applyWhole(
     { records, nextOffset }: StoreRecords,
-    { currentAtMs, sender }: {
-      readonly currentAtMs: number;
-      readonly sender: Sender;
-    },
+    { currentAtMs, source }: Provenance,
   ): void {
     if (this.#isOutdated(nextOffset)) return;
     const listed = new Set(records.map(({ key }) => key));
     const isRestoring = this.#nextOffset !== undefined &&
       eraOf(nextOffset) > eraOf(this.#nextOffset);
     const changed = isRestoring
-      ? records.map((record) => this.#notUndone(record, sender))
+      ? records.map((record) => this.#notUndone(record, source))
       : [...records];
     if (nextOffset > (this.#nextOffset ?? 0)) {
       for (const [key, { value, offset }] of this.#newest) {
@@ -114,19 +121,23 @@
         changed.push({ key, value: undefined, offset: nextOffset - 1 });
       }
     }
-    this.#apply(changed, { nextOffset, currentAtMs });
+    this.#apply(changed, { nextOffset, currentAtMs, source });
   }
 
   /**
    * Applies records that follow the replica's offset. Those of another era are
    * ignored: a newer era begins with a complete list.
    */
-  applyRecords(
+  applyRecords(records: StoreRecords, currentAtMs: number): void {
+    this.#applyFollowing(records, { currentAtMs, source: "store" });
+  }
+
+  #applyFollowing(
     { records, nextOffset }: StoreRecords,
-    currentAtMs: number,
+    provenance: Provenance,
   ): void {
     if (eraOf(nextOffset) !== eraOf(this.#nextOffset ?? 0)) return;
-    this.#apply(records, { nextOffset, currentAtMs });
+    this.#apply(records, { nextOffset, ...provenance });
   }
 
   /**
@@ -149,10 +160,11 @@
   /** Applies another VM's update, unless this replica is further ahead. */
   applyUpdate(update: TopicUpdate): void {
     const currentAtMs = this.#clock() - update.ageMs;
+    const provenance: Provenance = { currentAtMs, source: "vm" };
     const ownOffset = this.#nextOffset;
     if (ownOffset !== undefined && update.nextOffset < ownOffset) return;
-    if (update.isWhole) this.#applyWhole(update, { currentAtMs, sender: "vm" });
-    else if (ownOffset !== undefined) this.applyRecords(update, currentAtMs);
+    if (update.isWhole) this.#applyWhole(update, provenance);
+    else if (ownOffset !== undefined) this.#applyFollowing(update, provenance);
   }
 
   /**
@@ -160,12 +172,12 @@
    * an older one. Whether a dropped key was written again since can't be told
    * of the first list; another VM has read on and tells it.
    */
-  #notUndone(listed: StoreRecord, sender: Sender): StoreRecord {
+  #notUndone(listed: StoreRecord, source: RecordSource): StoreRecord {
     const known = this.#newest.get(listed.key);
     if (this.#isOlder === undefined || known === undefined) return listed;
     if (listed.value === undefined) return listed;
     const isKept = known.value === undefined
-      ? sender === "store"
+      ? source === "store"
       : this.#isOlder(listed.value, known.value);
     return isKept ? { ...listed, value: known.value } : listed;
   }
@@ -177,10 +189,11 @@
 
   #apply(
     records: readonly StoreRecord[],
-    position: { readonly nextOffset: number; readonly currentAtMs: number },
+    position: Provenance & { readonly nextOffset: number },
   ): void {
+    const ageBeforeMs = this.ageMs;
     const isAfterOutage = this.#nextOffset !== undefined &&
-      this.ageMs > OUTAGE_MS;
+      ageBeforeMs > OUTAGE_MS;
     const wasEmpty = this.#nextOffset === undefined;
     const restoredFrom = this.#beginEra(eraOf(position.nextOffset));
     const changes: StoreRecord[] = [];
@@ -191,8 +204,14 @@
     const isNews = wasEmpty || isAfterOutage || restoredFrom !== undefined;
     if (changes.length === 0 && !isNews) return;
     const isFirstInEra = wasEmpty || restoredFrom !== undefined;
-    const change = { records: changes, isAfterOutage, restoredFrom };
-    this.#onChange({ ...change, isFirstInEra });
+    this.#onChange({
+      records: changes,
+      isAfterOutage,
+      restoredFrom,
+      isFirstInEra,
+      source: position.source,
+      ageBeforeMs,
+    });
   }
 
   /** Returns the end before, if the era is newer than the replica's. */
