Give a VM no share of the retries' slack in its first window

So each kill of many VMs hands the slack out again, in larger parts.

In its first window a VM now has one retry ahead of its requests, and the share of these (0.83 for each). From then on no repeat of an earlier process is within the window. Escalations keep a quarter back for failures, without the minimum, which is more than a starting VM has.

--- a/src/gateway/forwarding/retry_budget.ts
+++ b/src/gateway/forwarding/retry_budget.ts
@@ -1,8 +1,11 @@
 /**
  * This VM's share of the fleet's retry budget, by service. The platform limits
  * all VMs together. Each VM applies the ratio to its own requests and uses its
- * share of the fixed slack, so that no coordination between VMs is needed. A
- * cascade's escalations leave a reserve for failures.
+ * share of the fixed slack, so that no coordination between VMs is needed. A VM
+ * has no share of the slack in the first window after its start, but one retry
+ * ahead of its requests: the process before it may have used the share, and the
+ * other VMs are not known yet. A cascade's escalations leave a reserve for
+ * failures.
  */
 import {
   countInWindow,
@@ -21,22 +24,27 @@
 /** Share of a window's retries that escalations leave for failures. */
 const FAILURE_RESERVE_SHARE = 0.25;
 const MIN_FAILURE_RESERVE = 2;
+/** Slack of a VM in its first window, so that its first request has a retry. */
+const STARTING_SLACK = 1;
 
 /** The retries that this VM may still send. */
 export class RetryBudget {
   readonly #fleetBound: RetryBound;
   readonly #clock: Clock;
-  readonly #vmCount: () => number;
+  readonly #vmCount: () => number | undefined;
+  readonly #startedAtMs: number;
   readonly #windows = new Map<string, RetryWindow>();
 
   constructor(options: {
     /** The limit for all VMs together. */
     readonly fleetBound: RetryBound;
     readonly clock: Clock;
-    readonly vmCount: () => number;
+    /** The VMs that share the slack; `undefined` while they are not known. */
+    readonly vmCount: () => number | undefined;
   }) {
     this.#fleetBound = options.fleetBound;
     this.#clock = options.clock;
+    this.#startedAtMs = options.clock();
     this.#vmCount = options.vmCount;
   }
 
@@ -53,7 +61,7 @@
     );
     const reservedCount = reason === "failure"
       ? 0
-      : Math.max(MIN_FAILURE_RESERVE, FAILURE_RESERVE_SHARE * allowedCount);
+      : Math.max(this.#minReserve, FAILURE_RESERVE_SHARE * allowedCount);
     if (leftCount - reservedCount < 1) return false;
     this.#count(service, "repeat");
     return true;
@@ -69,13 +77,30 @@
   }
 
   #options(): { readonly bound: RetryBound; readonly nowMs: number } {
-    const { ratio, slackCount, windowMs } = this.#fleetBound;
-    const vmCount = Math.max(1, this.#vmCount());
+    const { ratio, windowMs } = this.#fleetBound;
     const bound = {
       ratio: ratio * USED_SHARE,
-      slackCount: USED_SHARE * slackCount / vmCount,
+      slackCount: this.#slackCount(),
       windowMs,
     };
     return { bound, nowMs: this.#clock() };
   }
+
+  /** This VM's part of the slack. */
+  #slackCount(): number {
+    const { slackCount } = this.#fleetBound;
+    const vmCount = this.#vmCount();
+    if (this.#isStarting || vmCount === undefined) {
+      return Math.min(STARTING_SLACK, slackCount);
+    }
+    return USED_SHARE * slackCount / Math.max(1, vmCount);
+  }
+
+  get #isStarting(): boolean {
+    return this.#clock() - this.#startedAtMs < this.#fleetBound.windowMs;
+  }
+
+  get #minReserve(): number {
+    return this.#isStarting ? 0 : MIN_FAILURE_RESERVE;
+  }
 }
