Bound the calls of the store by the time to converge

Callers' side: on grown sites a manifest that the store had acknowledged was not in force in time on single VMs (CONFIG).

Cause (hypothesis 1): the store is read in one loop, and a call that hangs holds it. A poll for operators' records waited half of convergeMs and might take 1.2 s more, 3.2 s on the grown sites; a VM that is not a store reader began it only when its records were 2.9 s old, on a connection that it hardly uses. Where open connections fall silent for good while new ones work (DEPLOY), that adds up to 6.6 s, with 4 s allowed; store readers take 3.6 s, and the VMs behind them learn it later. On small sites the VMs count as out of touch for longer than that. The class: time limits of single steps that nobody adds up.

Polls now wait a quarter of convergeMs; an answer may take a fifth of it, and only after a failure up to 1.2 s, then without a wait; a VM that is behind does not wait for records.

--- a/src/gateway/rollout/rollout_status_writer.ts
+++ b/src/gateway/rollout/rollout_status_writer.ts
@@ -19,6 +19,7 @@
 import { type RolloutRecord } from "./rollout_record.ts";
 import { eraOf } from "../store/store_position.ts";
 import {
+  LONGEST_ANSWER_MS,
   type StoreFault,
   type StoreRecord,
   type TopicSource,
@@ -152,7 +153,7 @@
    */
   async #readStatuses(): Promise<ListedStatuses | undefined> {
     const { topic, readStatus, registry } = this.#options;
-    const listed = await topic.list();
+    const listed = await topic.list(LONGEST_ANSWER_MS);
     if (listed.isErr()) {
       this.#pause();
       return undefined;
--- a/src/gateway/servers/evacuation_test.ts
+++ b/src/gateway/servers/evacuation_test.ts
@@ -248,10 +248,9 @@
   isHanging = false;
 
   override async readAfter(
-    position: number,
-    waitMs: number,
+    ...[position, limits]: Parameters<MemoryTopic["readAfter"]>
   ): ReturnType<MemoryTopic["readAfter"]> {
-    const read = await super.readAfter(position, waitMs);
+    const read = await super.readAfter(position, limits);
     while (this.isHanging) await delay(20);
     return read;
   }
--- a/src/gateway/store/memory_topic_fixture.ts
+++ b/src/gateway/store/memory_topic_fixture.ts
@@ -3,6 +3,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { eraOf, offsetOf, positionOf } from "./store_position.ts";
 import {
+  type ReadLimits,
   type StoreFault,
   type StoreRecord,
   type StoreRecords,
@@ -60,7 +61,7 @@
 
   async readAfter(
     position: number,
-    waitMs: number,
+    { waitMs }: ReadLimits,
   ): Promise<Result<StoreRecords, StoreFault>> {
     const offset = offsetOf(position);
     const endMs = performance.now() + waitMs;
--- a/src/gateway/store/store_feed.ts
+++ b/src/gateway/store/store_feed.ts
@@ -11,7 +11,7 @@
 import { type TopicName } from "../peers/peer_update.ts";
 import { eraOf, offsetOf } from "./store_position.ts";
 import { type RolloutRegistry } from "../rollout/rollout_registry.ts";
-import { type StoreRecord } from "./store_record.ts";
+import { LONGEST_ANSWER_MS, type StoreRecord } from "./store_record.ts";
 import { type ReplicaChange, TopicReplica } from "./topic_replica.ts";
 import { TopicFollower } from "./topic_follower.ts";
 
@@ -28,10 +28,12 @@
 }
 
 /** How long one poll of operators' records waits, as a share of convergeMs. */
-const OPERATOR_WAIT_SHARE = 0.5;
+const OPERATOR_WAIT_SHARE = 0.25;
+/** How long an answer may take beyond that, as a share of the same time. */
+const ANSWER_SHARE = 0.2;
 /**
  * The longest such wait as a share of evacuateMs: a VM whose reader is frozen
- * reads an order for itself after this wait and STALE_MARGIN_MS.
+ * reads an order for itself after this wait and MAX_STALE_MARGIN_MS.
  */
 const EVACUATION_WAIT_SHARE = 0.4;
 /**
@@ -41,9 +43,12 @@
 const SERVER_PAUSE_SHARE = 0.3;
 /**
  * A VM that is not a store reader reads the store itself when its replica is
- * older than a reader's wait or pause by this margin.
+ * older than a reader's wait or pause by this share of the time within which a
+ * record has to be known.
  */
-const STALE_MARGIN_MS = 900;
+const STALE_MARGIN_SHARE = 0.3;
+/** The longest such margin. */
+const MAX_STALE_MARGIN_MS = 900;
 /**
  * An order counts as new if the gateway had a manifest before it and the read
  * that brought it is at most this old.
@@ -106,8 +111,9 @@
         source: operatorTopic,
         replica: this.replicas.operators,
         waitMs: operatorWaitMs,
+        answerMs: answerMsWithin(settings.convergeMs),
         pauseMs: 0,
-        staleMs: operatorWaitMs + STALE_MARGIN_MS,
+        staleMs: operatorWaitMs + staleMarginMsWithin(settings.convergeMs),
       }),
       new TopicFollower({
         ...this.#options.gateway,
@@ -116,8 +122,9 @@
         source: serverTopic,
         replica: this.replicas.servers,
         waitMs: 0,
+        answerMs: answerMsWithin(settings.drainMs),
         pauseMs: serverPauseMs,
-        staleMs: serverPauseMs + STALE_MARGIN_MS,
+        staleMs: serverPauseMs + staleMarginMsWithin(settings.drainMs),
       }),
     ];
   }
@@ -210,6 +217,14 @@
   }
 }
 
+function answerMsWithin(boundMs: number): number {
+  return Math.min(LONGEST_ANSWER_MS, ANSWER_SHARE * boundMs);
+}
+
+function staleMarginMsWithin(boundMs: number): number {
+  return Math.min(MAX_STALE_MARGIN_MS, STALE_MARGIN_SHARE * boundMs);
+}
+
 /** Compares decoded entries: a heartbeat changes only the encoded bytes. */
 function isSameServer(
   readServer: GatewayOptions["readServer"],
--- a/src/gateway/store/store_record.ts
+++ b/src/gateway/store/store_record.ts
@@ -29,16 +29,29 @@
   readonly message: string;
 }
 
+/** Time limits of a read, in milliseconds. */
+export interface ReadLimits {
+  /** How long the store waits for a record if there is none. */
+  readonly waitMs: number;
+  /** How long the answer may take beyond that. */
+  readonly answerMs: number;
+}
+
 /** Reads a topic of which the store retains each key's newest record. */
 export interface TopicSource {
-  /** Lists the newest record of each key. */
-  readonly list: () => Promise<Result<StoreRecords, StoreFault>>;
+  /** Lists the newest record of each key; each page may take `answerMs`. */
+  readonly list: (
+    answerMs: number,
+  ) => Promise<Result<StoreRecords, StoreFault>>;
   /**
    * Reads the records from an offset on, waiting if there are none. The answer
    * is of the offset's era; a store of another one gives `deleted`.
    */
   readonly readAfter: (
     offset: number,
-    waitMs: number,
+    limits: ReadLimits,
   ) => Promise<Result<StoreRecords, StoreFault>>;
 }
+
+/** The longest time that a call of the store may take beyond its wait. */
+export const LONGEST_ANSWER_MS = 1200;
--- a/src/gateway/store/topic_follower.ts
+++ b/src/gateway/store/topic_follower.ts
@@ -4,6 +4,12 @@
  * before they were read. A VM that is not a store reader calls the store only
  * when the updates of other VMs are late. Failed calls are retried with a
  * bounded backoff, and the loss and return of the store are logged.
+ *
+ * An open connection may fall silent for good, which only a call that times out
+ * shows. So a call that follows a good one has a short time limit, and a VM that
+ * is behind does not wait for records: waits, limits and pauses add up to less
+ * than the time within which a record has to be known. After a failure a call
+ * may take longer, in case the store is slow.
  */
 import {
   type Clock,
@@ -12,14 +18,21 @@
   type Sleep,
 } from "../../model/mod.ts";
 import { type TopicReplica } from "./topic_replica.ts";
-import { type StoreFault, type TopicSource } from "./store_record.ts";
+import {
+  LONGEST_ANSWER_MS,
+  type ReadLimits,
+  type StoreFault,
+  type TopicSource,
+} from "./store_record.ts";
 
 export interface TopicFollowerOptions {
   readonly name: string;
   readonly source: TopicSource;
   readonly replica: TopicReplica;
-  /** How long one read waits for a record; 0 returns at once. */
+  /** How long a store reader's read waits for a record; 0 returns at once. */
   readonly waitMs: number;
+  /** How long an answer may take beyond the wait, after a call that succeeded. */
+  readonly answerMs: number;
   /** Pause between two reads. */
   readonly pauseMs: number;
   /** Whether this VM reads the store for others. */
@@ -69,12 +82,14 @@
   }
 
   async #read(): Promise<boolean> {
-    const { source, replica, waitMs, clock } = this.#options;
+    const { source, replica, clock } = this.#options;
     const requestedAtMs = clock();
     const offset = this.#isListDue ? undefined : replica.nextOffset;
+    const limits = this.#limits();
+    const { waitMs } = limits;
     const read = offset === undefined
-      ? await source.list()
-      : await source.readAfter(offset, waitMs);
+      ? await source.list(limits.answerMs)
+      : await source.readAfter(offset, limits);
     if (read.isErr()) {
       this.#recordFault(read.error, clock() - requestedAtMs);
       return false;
@@ -86,6 +101,14 @@
     return true;
   }
 
+  #limits(): ReadLimits {
+    const { waitMs, answerMs, isStoreReader } = this.#options;
+    if (this.#failureCount > 0) {
+      return { waitMs: 0, answerMs: LONGEST_ANSWER_MS };
+    }
+    return { waitMs: isStoreReader() ? waitMs : 0, answerMs };
+  }
+
   #recordSuccess(): void {
     const { name, logger } = this.#options;
     this.#failureCount = 0;
