Include connecting in the time limit of a query between VMs

A VM that queries a peer which takes connections and doesn't answer, or whose machine is dark, waited 2 s for the handshake and up to 0.8 s more before it asked another one.

Cause: the time limit of a query began when the connection was there. Now the query ends within its limit; the attempt to connect goes on, for later queries.

Evidence: the test failed before (2 s for a limit of 200 ms) and passes.

--- a/src/wire/peer_node.ts
+++ b/src/wire/peer_node.ts
@@ -43,7 +43,10 @@
   setAddress(address: string): void;
   /** Announces to peers that this VM is leaving or has left. */
   announce(status: "leaving" | "left"): void;
-  /** Sends a query to a member, opening a connection if there is none. */
+  /**
+   * Sends a query to a member, opening a connection if there is none; the time
+   * limit includes that.
+   */
   query(
     vm: string,
     query: Query,
@@ -137,9 +140,32 @@
     if (member === undefined) {
       return err(new WireError("unknown_peer", `${vm} is not a member`));
     }
-    const connection = await this.#transport.connectionTo(member.update);
+    const { clock } = this.#options;
+    const endMs = clock() + options.timeoutMs;
+    const connection = await this.#connectWithin(
+      member.update,
+      options.timeoutMs,
+    );
     if (connection.isErr()) return err(connection.error);
-    return this.#queries.query(connection.value, query, options.timeoutMs);
+    const leftMs = Math.max(0, endMs - clock());
+    return this.#queries.query(connection.value, query, leftMs);
+  }
+
+  /** An attempt to connect goes on after the time limit, for later queries. */
+  async #connectWithin(
+    member: MemberUpdate,
+    timeoutMs: number,
+  ): Promise<Result<PeerConnection, WireError>> {
+    const timer = new AbortController();
+    const expired = this.#options.sleep(timeoutMs, timer.signal).then(() =>
+      err(new WireError("timeout", `not connected within ${timeoutMs} ms`))
+    );
+    const connection = await Promise.race([
+      this.#transport.connectionTo(member),
+      expired,
+    ]);
+    timer.abort();
+    return connection;
   }
 
   onChange(listener: () => void): () => void {
--- a/src/wire/peer_node_test.ts
+++ b/src/wire/peer_node_test.ts
@@ -147,3 +147,27 @@
   await closeAll([a, b]);
   proxy.close();
 });
+
+// Guards against CONFIG: a VM that waits for a peer which takes connections and
+// does not answer learns late of manifests.
+test("the time limit of a query includes the connection", async (context) => {
+  const listener = await startListener(() => {});
+  context.after(listener.close);
+  const node = nodeOf("vm-a");
+  await startNode(node);
+  context.after(() => node.close());
+  node.applyVmList([{
+    vm: "vm-b",
+    place: "khomas-a",
+    kind: "entry",
+    service: "",
+    status: "live",
+    address: "",
+    peerAddress: listener.address,
+  }]);
+  const sentAtMs = performance.now();
+  const query = { kind: "exchange", news: null } as const;
+  const answer = await node.query("vm-b", query, { timeoutMs: 200 });
+  assert.equal(answer.isErr() && answer.error.fault, "timeout");
+  assert.ok(performance.now() - sentAtMs < 600);
+});
