Query a reader again on a new connection when its old one fell silent

Cause: after a query that timed out a VM asked random members until one answered. Where all open connections have fallen silent, most of these are silent too, each costs 0.8 s and a pause, and the reader, to which the next connection would be a new one, isn't asked meanwhile.

A reader whose query timed out is queried once more; then the VM alternates between random members and its reader.

--- a/src/gateway/peers/peer_exchange.ts
+++ b/src/gateway/peers/peer_exchange.ts
@@ -3,10 +3,11 @@
  * Each VM sends an update to its data centre's store reader about every half
  * second and receives one in reply. The readers query each other in rotation and
  * forward what their own data centre's VMs sent. When no reader answers, the VM
- * queries a random member. So the cost of a VM that is not a reader does not
+ * queries a random member every other time. So the cost of a VM that is not a reader does not
  * grow with the fleet, traffic between regions stays small, and a VM that the
  * store refuses still receives its records.
  */
+import { err, ok, type Result } from "neverthrow";
 import {
   chooseStoreReaders,
   maxHopCountFor,
@@ -82,12 +83,17 @@
 const VMS_PER_PERIOD = 16;
 const ANSWER_TIMEOUT_MS = 800;
 
+/** Whom to query next. */
+type NextPeer = "reader" | "reader_again" | "random_member";
+
+type QueryOutcome = "answered" | "timeout" | "failed";
+
 /** Exchanges updates between this VM and the others. */
 export class PeerExchange {
   readonly #options: PeerExchangeOptions;
   /** Distinguishes this process's tallies from those before a restart. */
   readonly #instance: string;
-  #hasAnswered = true;
+  #next: NextPeer = "reader";
   #turn = 0;
 
   constructor(options: PeerExchangeOptions) {
@@ -120,7 +126,7 @@
     const { sleep, random } = this.#options;
     while (!signal.aborted) {
       const vm = this.#nextPeer();
-      if (vm !== undefined) this.#hasAnswered = await this.#query(vm);
+      if (vm !== undefined) this.#next = this.#nextAfter(await this.#query(vm));
       await sleep(this.#periodMs() * (0.75 + random() / 2), signal);
     }
   }
@@ -174,6 +180,18 @@
     return PERIOD_MS * Math.max(1, nearCount / VMS_PER_PERIOD);
   }
 
+  /**
+   * A connection on which a query times out is closed, as it may have fallen
+   * silent; so the reader is queried once more, on a new one.
+   */
+  #nextAfter(outcome: QueryOutcome): NextPeer {
+    if (outcome === "answered" || this.#next === "random_member") {
+      return "reader";
+    }
+    const isFirst = this.#next === "reader";
+    return isFirst && outcome === "timeout" ? "reader_again" : "random_member";
+  }
+
   /** Returns a reader, or a random member after a reader did not answer. */
   #nextPeer(): string | undefined {
     const { vm, node, random } = this.#options;
@@ -183,32 +201,42 @@
     const members = presentMembers(node().membership())
       .map(({ update }) => update);
     const preferred = near.length > 0 ? near : readers;
-    const hasNoReader = !this.#hasAnswered || preferred.length === 0;
-    if (hasNoReader) return members[Math.floor(random() * members.length)]?.vm;
-    this.#turn += 1;
+    if (this.#next === "random_member" || preferred.length === 0) {
+      return members[Math.floor(random() * members.length)]?.vm;
+    }
+    if (this.#next === "reader") this.#turn += 1;
     return preferred[this.#turn % preferred.length]?.vm;
   }
 
-  async #query(vm: string): Promise<boolean> {
-    const answer = await this.#send(vm, this.#updateFor(vm, undefined));
-    if (answer === undefined) return false;
+  async #query(vm: string): Promise<QueryOutcome> {
+    const sent = await this.#send(vm, this.#updateFor(vm, undefined));
+    if (sent.isErr()) return sent.error;
+    const answer = sent.value;
     this.#apply(answer);
     const isBehind = TOPICS.some((name) =>
       (answer.have[name] ?? -1) <
         (this.#options.replicas[name].nextOffset ?? -1)
     );
     if (isBehind) await this.#send(vm, this.#updateFor(vm, answer.have));
-    return true;
+    return "answered";
   }
 
-  async #send(vm: string, update: unknown): Promise<PeerUpdate | undefined> {
+  async #send(
+    vm: string,
+    update: unknown,
+  ): Promise<Result<PeerUpdate, "timeout" | "failed">> {
     const answer = await this.#options.node().query(
       vm,
       { kind: "exchange", news: update },
       { timeoutMs: ANSWER_TIMEOUT_MS },
     );
-    if (answer.isErr() || answer.value.kind !== "exchanged") return undefined;
-    return parsePeerUpdate(answer.value.news);
+    if (answer.isErr()) {
+      return err(answer.error.fault === "timeout" ? "timeout" : "failed");
+    }
+    const received = answer.value.kind === "exchanged"
+      ? parsePeerUpdate(answer.value.news)
+      : undefined;
+    return received === undefined ? err("failed") : ok(received);
   }
 
   /**
