Send no load trial and use no slack while the VMs are not known

The cause of BUDGET elsewhere: the load trial of a roll-out's target and the slack of retries were divided by one and the members known, so a VM that had met no other one sent the trial's requests of all VMs (EXPOSURE), and used the whole slack after its first window. They now divide by the same VMs as limits do, and neither is used while these are not known. The permits of brittle servers and the rates of slow starts are divided among the members alive, also where these are too few in the first second or two; that is left, as a VM that knows no other one would otherwise refuse all requests to brittle servers.

Evidence: the test of the trial's quota is new; with `undefined` the division gave no number before.

--- a/src/decision/load_trial.ts
+++ b/src/decision/load_trial.ts
@@ -37,11 +37,13 @@
   { slackCount, vmCount, vmHashShare }: {
     /** Requests that a bad target may get beyond its share. */
     readonly slackCount: number;
-    readonly vmCount: number;
+    /** `undefined` while the VMs are not known; then this one sends none. */
+    readonly vmCount: number | undefined;
     /** A hash of the VM: decides which VMs send one more. */
     readonly vmHashShare: number;
   },
 ): number {
+  if (vmCount === undefined) return 0;
   const perVm = USE_SHARE * slackCount / Math.max(1, vmCount);
   return Math.floor(perVm + vmHashShare);
 }
--- a/src/decision/load_trial_test.ts
+++ b/src/decision/load_trial_test.ts
@@ -59,3 +59,13 @@
     ),
   );
 });
+
+// Guards against EXPOSURE: each VM that has just started sends the whole trial.
+test("a VM that doesn't know how many VMs there are sends no request of the trial", () => {
+  const quota = loadTrialQuota({
+    slackCount: 30,
+    vmCount: undefined,
+    vmHashShare: 0.99,
+  });
+  assert.equal(quota, 0);
+});
--- a/src/gateway/forwarding/forward_context.ts
+++ b/src/gateway/forwarding/forward_context.ts
@@ -137,7 +137,8 @@
   readonly engineOf: (service: string) => EngineTraits | undefined;
   readonly prefill: PrefillRates;
   readonly promptRates: PromptRates;
-  readonly vmCount: () => number;
+  /** The number of VMs with this one; `undefined` while it is not known. */
+  readonly vmCount: () => number | undefined;
   /** Reports to nearby VMs that a server is busy with a long prompt. */
   readonly reportBusy: (backendId: string, forMs: number) => void;
   readonly clock: Clock;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -24,6 +24,7 @@
   createGatewayPeers,
   createServerGuards,
   createServerReach,
+  createVmDivision,
   type ServerGuards,
   type ServerReachParts,
 } from "./peers/gateway_peers.ts";
@@ -69,7 +70,6 @@
   readonly #intake: RequestIntake;
   readonly #shutdown: GatewayShutdown;
   readonly #stopController = new AbortController();
-  readonly #vmCount = (): number => 1 + this.#peers.membership().members.size;
   #callerAddress: string;
   #peerAddress: string;
   #stopped: Promise<void> | undefined;
@@ -84,7 +84,12 @@
     const membership = (): MembershipState => this.#peers.membership();
     const traitsOf = (service: string): ServiceTraits | undefined =>
       this.#state.routes?.traitsOf(service);
-    const parts = { fleet: this.#fleet, membership, traitsOf };
+    const vms = createVmDivision(options, membership);
+    const vmCount = (): number | undefined => {
+      const { others } = vms();
+      return others === undefined ? undefined : 1 + others.length;
+    };
+    const parts = { fleet: this.#fleet, membership, vms, traitsOf };
     this.#guards = createServerGuards(options, parts);
     this.#reach = createServerReach(options, parts);
     this.#state = new GatewayState({ fleet: this.#fleet, clock, logger });
@@ -98,7 +103,7 @@
     this.#rollouts = new RolloutRegistry({
       fleet: this.#fleet,
       ...settings,
-      vmCount: this.#vmCount,
+      vmCount,
       isEvacuated: (place) => this.#guards.evacuations.isEvacuated(place),
       clock,
       logger,
@@ -158,14 +163,14 @@
       budget: new RetryBudget({
         fleetBound: settings.retryBound,
         clock,
-        vmCount: this.#vmCount,
+        vmCount,
       }),
       versions: this.#rollouts,
       answerMemory: new AnswerMemory(settings),
       engineOf: (service) => this.#state.engineOf(service),
       prefill: new PrefillRates(),
       promptRates: new PromptRates({ clock }),
-      vmCount: this.#vmCount,
+      vmCount,
       reportBusy: (id, forMs) => this.#exchange.reportBusy(id, forMs),
       distanceMs: createDistanceLookup(settings),
       clock,
--- a/src/gateway/peers/gateway_peers.ts
+++ b/src/gateway/peers/gateway_peers.ts
@@ -74,6 +74,21 @@
     .filter(({ status }) => status === "alive");
 }
 
+/** Returns a function to the VMs among which is divided what all may use. */
+export function createVmDivision(
+  { settings, clock }: GatewayOptions,
+  membership: () => MembershipState,
+): () => LimitedVms {
+  const startedAtMs = clock();
+  return () => ({
+    self: settings,
+    others: limitedVms(membership(), {
+      hasSeeds: settings.seeds.some((seed) => seed !== settings.peerAddress),
+      ageMs: clock() - startedAtMs,
+    }),
+  });
+}
+
 /** What keeps requests from backend servers. */
 export interface ServerGuards {
   readonly limits: ServerLimits;
@@ -91,20 +106,13 @@
  */
 export function createServerGuards(
   { settings, clock, logger }: GatewayOptions,
-  { membership, fleet, traitsOf }: {
+  { membership, vms, fleet, traitsOf }: {
     readonly membership: () => MembershipState;
+    readonly vms: () => LimitedVms;
     readonly fleet: BackendFleet;
     readonly traitsOf: (service: string) => ServiceTraits | undefined;
   },
 ): ServerGuards {
-  const startedAtMs = clock();
-  const vms = (): LimitedVms => ({
-    self: settings,
-    others: limitedVms(membership(), {
-      hasSeeds: settings.seeds.some((seed) => seed !== settings.peerAddress),
-      ageMs: clock() - startedAtMs,
-    }),
-  });
   const otherVms = (): MemberUpdate[] => aliveMembers(membership());
   const isTrialVm = (key: string): boolean => {
     const vms = [settings, ...otherVms()];
--- a/src/gateway/rollout/rollout_registry.ts
+++ b/src/gateway/rollout/rollout_registry.ts
@@ -36,9 +36,9 @@
   readonly canaryShare: number;
   /** Requests that it may get beyond its share. */
   readonly canarySlackCount: number;
-  /** This VM, and the number of VMs with it. */
   readonly vm: string;
-  readonly vmCount: () => number;
+  /** The number of VMs with this one; `undefined` while it is not known. */
+  readonly vmCount: () => number | undefined;
   /** Whether the servers of a data centre get no more requests. */
   readonly isEvacuated?: (place: string) => boolean;
   readonly clock: Clock;
--- a/src/gateway/servers/server_choice.ts
+++ b/src/gateway/servers/server_choice.ts
@@ -84,7 +84,7 @@
     sharedTokens,
     sharedPrefillMs: context.prefill.measuredMs(prefillKey, sharedTokens),
     promptUse: {
-      perSecond: context.vmCount() *
+      perSecond: (context.vmCount() ?? 1) *
         context.promptRates.perSecond(affinityKey ?? ""),
       holdMs: fleet.meanHoldMs(service),
     },
