Count a request that another VM sends on once in the retries' budget

Callers' side: as in (BUDGET), where VMs are cut off from the servers and send their requests on.

A request that comes from another VM adds nothing to the budget there; a refusal by a VM is an outcome that was not run, and the next attempt a retry.

Evidence: ten relayed requests to servers that fail: 19 arrivals before with a ratio of 1 and no slack, now 10; requests of callers are retried as before. Read from the code, not run: the refusal by a VM.

--- a/src/gateway/forwarding/attempt_history.ts
+++ b/src/gateway/forwarding/attempt_history.ts
@@ -68,7 +68,8 @@
 
   /** Records the end of an attempt. */
   addOutcome(serverId: string, outcome: AttemptOutcome): void {
-    const detail = outcome.kind === "fault" ? outcome.cause : outcome.kind;
+    const cause = "cause" in outcome ? outcome.cause : undefined;
+    const detail = cause ?? outcome.kind;
     this.#attempts.push(`${serverId}:${detail}`);
     const isUnsent = outcome.kind === "fault" && outcome.isUnsent;
     if (!isUnsent) this.#sentCount += 1;
--- a/src/gateway/forwarding/attempt_outcome.ts
+++ b/src/gateway/forwarding/attempt_outcome.ts
@@ -7,8 +7,8 @@
   | { readonly kind: "stream_end"; readonly head: AnswerHead }
   /** The answer is valid, but `onHead` dropped it. */
   | { readonly kind: "dropped" }
-  /** The server states that it has not run the request. */
-  | { readonly kind: "not_run" }
+  /** The server or VM states that the request has not run. */
+  | { readonly kind: "not_run"; readonly cause?: string }
   | {
     readonly kind: "fault";
     readonly isUnsent: boolean;
--- a/src/gateway/forwarding/forwarding.ts
+++ b/src/gateway/forwarding/forwarding.ts
@@ -94,7 +94,9 @@
 
   /** Starts the deadline timer and sends the request to its first server. */
   start(): void {
-    this.#context.budget.earn(this.#request.service);
+    const { caller, service } = this.#request;
+    // The VM that relays it has counted it.
+    if (!caller.isRelayed) this.#context.budget.earn(service);
     this.#exchange.onDisconnect = () => this.#finish("caller_gone");
     this.#exchange.onDrain = () => this.#attempt?.resume();
     this.#deadlineTimer = setTimeout(
@@ -217,7 +219,7 @@
         this.#relay?.discardHead();
         return this.#startAttempt();
       case "not_run":
-        return this.#retry("not_run");
+        return this.#retry(outcome.cause ?? outcome.kind);
       case "fault":
         return this.#retry(outcome.cause);
     }
--- a/src/gateway/forwarding/vm_attempt.ts
+++ b/src/gateway/forwarding/vm_attempt.ts
@@ -106,12 +106,8 @@
   #handleRefusal(): void {
     this.#recordFailure();
     this.#end();
-    // No server counts it as an arrival beyond what that VM sent.
-    this.#options.onOutcome({
-      kind: "fault",
-      isUnsent: true,
-      cause: "vm_refused",
-    });
+    // Servers may have refused it there, so a further attempt is a retry.
+    this.#options.onOutcome({ kind: "not_run", cause: "vm_refused" });
   }
 
   #handleData(chunk: Buffer): void {
--- a/src/gateway/forwarding/vm_attempt_test.ts
+++ b/src/gateway/forwarding/vm_attempt_test.ts
@@ -9,6 +9,7 @@
 import {
   call,
   type CallerAnswer,
+  LOOKUP_ROUTE,
   REGISTER_ROUTE,
   startGateway,
   untilReady,
@@ -112,3 +113,34 @@
     assert.equal(own.headers["test-refused"], undefined);
   }
 });
+
+// Guards against BUDGET: a request that comes through another VM counted twice
+// as a request, and so allowed the retries of two.
+test("requests that come through another VM allow it no retries", async (context) => {
+  const backends = await Promise.all(
+    ["a", "b"].map((id) =>
+      startBackend(id, (_, response) => void response.writeHead(500).end())
+    ),
+  );
+  const vm = await startGateway({
+    backends,
+    manifest: { routes: [LOOKUP_ROUTE] },
+    settings: { retryBound: { ratio: 1, slackCount: 0, windowMs: 10_000 } },
+  });
+  context.after(async () => {
+    await vm.gateway.stop();
+    await Promise.all(backends.map((backend) => backend.close()));
+  });
+  await untilReady(vm);
+  const arrivalCount = (): number =>
+    backends.reduce((sum, { requestIds }) => sum + requestIds.length, 0);
+  const headers = { "test-relayed": "1" };
+  for (let index = 0; index < 10; index++) {
+    await call(vm.callerAddress, { path: "/lookups/a", headers });
+  }
+  assert.equal(arrivalCount(), 10);
+  for (let index = 0; index < 10; index++) {
+    await call(vm.callerAddress, { path: "/lookups/a" });
+  }
+  assert.ok(arrivalCount() > 20, `${arrivalCount()}`);
+});
