Cut a begun stream that the next server does not continue

Callers' side: a stream had begun and broke off; the next server answered with an error, or with a success that is no stream.

Cause: nobody decides what may still be written to a caller. An answer that is no stream was sent as one with a head, also after the stream's head; any success continued a stream, whatever its status and media type; and an event without a number followed any numbered one.

StreamRelay now says whether an answer continues the stream: the same status and media type, and the next number. Everything else is an attempt that failed; the request goes on elsewhere, as its route allows, or its connection is closed. CallerExchange cuts an answer whose head has been sent, whoever asks for another.

--- a/src/gateway/callers/caller_exchange.ts
+++ b/src/gateway/callers/caller_exchange.ts
@@ -146,9 +146,10 @@
     this.#onDisconnect();
   }
 
-  /** Sends a complete answer. */
+  /** Sends a complete answer; cuts one off whose head has been sent. */
   answer({ status, headers, body, isFramed }: CompleteAnswer): void {
     if (this.#isOver) return;
+    if (this.isHeadSent) return this.abort();
     if (!isFramed) {
       this.sendHead(status, headers, { isFramed });
       this.write(body);
--- a/src/gateway/callers/stream_relay.ts
+++ b/src/gateway/callers/stream_relay.ts
@@ -2,7 +2,8 @@
  * Relays one stream to its caller from one or more backend servers. Complete
  * events are sent as they arrive, and their numbers must be consecutive, so
  * that a stream resumed at another server has no missing, duplicate or partial
- * event.
+ * event. Once the caller has a head, only an answer of the same status and media
+ * type whose first event has the next number continues the stream.
  */
 import { type CallerExchange } from "./caller_exchange.ts";
 import { EventSplitter, MAX_EVENT_BYTES } from "./event_splitter.ts";
@@ -13,6 +14,7 @@
   | "relayed"
   | "slow_caller"
   | "out_of_order"
+  | "no_stream"
   | "oversize";
 
 /** The relay of one caller's stream. */
@@ -22,6 +24,9 @@
   #head: AnswerHead | undefined;
   #lastId: number | undefined;
   #hasEvent = false;
+  #isAttached = false;
+  /** Whether the attached server has sent no event of a begun stream yet. */
+  #isResuming = false;
 
   constructor(exchange: CallerExchange, lastEventId: string | undefined) {
     this.#exchange = exchange;
@@ -36,10 +41,15 @@
     return this.#lastId;
   }
 
-  /** Attaches the next server; the caller gets the head of the first one. */
+  /**
+   * Attaches the next server; the caller gets the head of the first one that
+   * sends anything.
+   */
   attach(head: AnswerHead): void {
     this.#splitter = new EventSplitter();
-    this.#head ??= head;
+    this.#isAttached = this.#continues(head);
+    this.#isResuming = this.#exchange.isHeadSent;
+    if (!this.#exchange.isHeadSent) this.#head = head;
   }
 
   /** Discards the head, unless it has been sent to the caller. */
@@ -49,10 +59,12 @@
 
   /** Relays bytes of the attached server. */
   push(chunk: Buffer): RelayResult {
+    if (!this.#isAttached) return "no_stream";
     let result: RelayResult = "relayed";
     for (const { bytes, id } of this.#splitter.push(chunk)) {
       if (!this.#isNextId(id)) return "out_of_order";
       if (id !== undefined) this.#lastId = id;
+      this.#isResuming = false;
       this.#hasEvent = true;
       if (!this.#write(bytes)) result = "slow_caller";
     }
@@ -64,25 +76,33 @@
   /**
    * Ends the stream after the attached server has completed its answer; returns
    * false if that server has broken it off, inside an event or before the first
-   * one. If it marked the end only by closing its connection, but the caller's
+   * one, or has not continued it. If it marked the end only by closing its connection, but the caller's
    * head announced a marked end, the caller's connection is closed without one.
    */
   end(server: AnswerHead): boolean {
     const hasNoEvent = this.#lastId === undefined && !this.#hasEvent;
     if (this.#splitter.isInsideEvent) return false;
     if (hasNoEvent && !server.isFramed) return false;
-    // A stream without further events has not attached a server.
-    this.#head ??= server;
+    if (!this.#continues(server)) return false;
+    // A stream without further events has not attached its server.
+    if (!this.#exchange.isHeadSent) this.#head = server;
     const { remainder } = this.#splitter;
     if (remainder.length > 0) this.#write(remainder);
     this.#sendHead();
-    if (this.#head.isFramed && !server.isFramed) this.#exchange.abort();
+    if (this.#head?.isFramed && !server.isFramed) this.#exchange.abort();
     else this.#exchange.end();
     return true;
   }
 
+  #continues(head: AnswerHead): boolean {
+    if (this.#head === undefined || !this.#exchange.isHeadSent) return true;
+    return head.status === this.#head.status &&
+      head.mediaType === this.#head.mediaType;
+  }
+
   #isNextId(id: number | undefined): boolean {
-    if (id === undefined || this.#lastId === undefined) return true;
+    if (this.#lastId === undefined) return true;
+    if (id === undefined) return !this.#isResuming;
     return id === this.#lastId + 1;
   }
 
--- a/src/gateway/forwarding/forwarding.ts
+++ b/src/gateway/forwarding/forwarding.ts
@@ -203,6 +203,7 @@
     this.#history.addOutcome(this.#attempt?.targetId ?? "", outcome);
     switch (outcome.kind) {
       case "answer":
+        if (this.#exchange.isHeadSent) return this.#retry("no_stream");
         if (outcome.answer.status >= 500 && isRetriable(this.#request.route)) {
           this.#fallback = outcome.answer;
           return this.#retry("backend_error");
--- a/src/gateway/gateway_fixture.ts
+++ b/src/gateway/gateway_fixture.ts
@@ -107,6 +107,7 @@
       isGenuine: headers.has("test-signature"),
       isFramed: headers.has("content-length") ||
         headers.has("transfer-encoding"),
+      mediaType: headers.get("content-type"),
       confidence: confidence === undefined ? undefined : Number(confidence),
       load: undefined,
       coldLeftMs: undefined,
--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -113,6 +113,8 @@
   readonly isGenuine: boolean;
   /** The body has a length or chunks; otherwise only the close ends it. */
   readonly isFramed: boolean;
+  /** The body's media type in lower case; `undefined` if none is stated. */
+  readonly mediaType: string | undefined;
   /** The model's confidence in its answer, from 0 to 100. */
   readonly confidence: number | undefined;
   readonly load: BackendLoad | undefined;
