Give out changes only from where all of them are known

Cause: a VM that has taken a list of a topic knows nothing of what was dropped, or changed and changed back, before it, and yet gave out changes from an earlier offset as if they were all. The receiver jumped over the rest for good.

The invariant: an update of changes is complete from its offset on, or it is whole. A list, the store's or another VM's, moves the offset from which a replica knows everything to its end; to a receiver behind that the update is whole. An equal value in a list takes its new offset, as another one may have been between. An update of changes names its offset and applies only to a replica that has what came before, so one that was meant for an earlier process does nothing.

The class of CONFIG isn't this: a manifest is the newest record of its key, which every list has.

Two tests had the fault written down: that an update since an offset before a list holds only some keys; they now ask that the receiver ends with the same state, and that changes are given out from the list's end on.

--- a/src/gateway/peers/peer_update.ts
+++ b/src/gateway/peers/peer_update.ts
@@ -71,6 +71,8 @@
 const topicUpdateSchema = z.object({
   records: z.array(recordSchema).max(MAX_RECORDS),
   isWhole: z.boolean(),
+  /** Not told by earlier builds. */
+  sinceOffset: countSchema.optional(),
   nextOffset: countSchema,
   ageMs: z.number().nonnegative(),
 });
--- a/src/gateway/store/topic_replica.ts
+++ b/src/gateway/store/topic_replica.ts
@@ -4,6 +4,11 @@
  * that decodes to the same value as its predecessor keeps the old offset, so
  * that VMs send each other changes and not heartbeats.
  *
+ * A list says nothing of what was dropped, or changed and changed back, since
+ * the offset before it. So an update holds all keys unless its sender has seen
+ * every record from the receiver's offset on, and an update of changes applies
+ * only to a replica that has what came before them.
+ *
  * Offsets are positions, which order records by the store's era first. The first
  * complete list of a newer era restores the replica: it holds what the list has,
  * all at positions of that era, and forgets the rest. What comes of an older era
@@ -26,6 +31,8 @@
   readonly records: readonly StoreRecord[];
   /** Whether the update has all keys; otherwise only the changed ones. */
   readonly isWhole: boolean;
+  /** The offset from which on it has the changes, unless it is whole. */
+  readonly sinceOffset?: number | undefined;
   readonly nextOffset: number;
   /** Time since the sender's replica was up to date, in milliseconds. */
   readonly ageMs: number;
@@ -67,7 +74,7 @@
   readonly #newest = new Map<string, StoreRecord>();
   #nextOffset: number | undefined;
   #currentAtMs = -Infinity;
-  /** Drops before this offset may have been discarded. */
+  /** From this offset on, all changes are known; drops before may be missing. */
   #firstCompleteOffset = 0;
 
   constructor(options: {
@@ -121,7 +128,9 @@
         changed.push({ key, value: undefined, offset: nextOffset - 1 });
       }
     }
-    this.#apply(changed, { nextOffset, currentAtMs, source });
+    const endBefore = this.#nextOffset ?? -1;
+    this.#apply(changed, { nextOffset, currentAtMs, source }, true);
+    if (nextOffset > endBefore) this.#firstCompleteOffset = nextOffset;
   }
 
   /**
@@ -142,7 +151,7 @@
 
   /**
    * Returns the records from an offset on, or all of them if the offset is
-   * undefined or older than the retained drops.
+   * undefined or older than what is known completely.
    */
   updateSince(offset: number | undefined): TopicUpdate | undefined {
     if (this.#nextOffset === undefined) return undefined;
@@ -154,7 +163,9 @@
       }
     }
     const { ageMs } = this;
-    return { records, isWhole, nextOffset: this.#nextOffset, ageMs };
+    const sinceOffset = isWhole ? undefined : offset;
+    const nextOffset = this.#nextOffset;
+    return { records, isWhole, sinceOffset, nextOffset, ageMs };
   }
 
   /** Applies another VM's update, unless this replica is further ahead. */
@@ -163,8 +174,11 @@
     const provenance: Provenance = { currentAtMs, source: "vm" };
     const ownOffset = this.#nextOffset;
     if (ownOffset !== undefined && update.nextOffset < ownOffset) return;
-    if (update.isWhole) this.#applyWhole(update, provenance);
-    else if (ownOffset !== undefined) this.#applyFollowing(update, provenance);
+    if (update.isWhole) return this.#applyWhole(update, provenance);
+    if (ownOffset === undefined) return;
+    // It may have been meant for the process before this one.
+    if ((update.sinceOffset ?? ownOffset) > ownOffset) return;
+    this.#applyFollowing(update, provenance);
   }
 
   /**
@@ -190,6 +204,7 @@
   #apply(
     records: readonly StoreRecord[],
     position: Provenance & { readonly nextOffset: number },
+    isWhole = false,
   ): void {
     const ageBeforeMs = this.ageMs;
     const isAfterOutage = this.#nextOffset !== undefined &&
@@ -197,7 +212,9 @@
     const wasEmpty = this.#nextOffset === undefined;
     const restoredFrom = this.#beginEra(eraOf(position.nextOffset));
     const changes: StoreRecord[] = [];
-    for (const record of records) if (this.#put(record)) changes.push(record);
+    for (const record of records) {
+      if (this.#put(record, isWhole)) changes.push(record);
+    }
     this.#nextOffset = Math.max(this.#nextOffset ?? 0, position.nextOffset);
     this.#currentAtMs = Math.max(this.#currentAtMs, position.currentAtMs);
     this.#evictDropped();
@@ -223,7 +240,8 @@
     return endBefore;
   }
 
-  #put(record: StoreRecord): boolean {
+  /** Returns whether the value is another one than before. */
+  #put(record: StoreRecord, isOfWhole: boolean): boolean {
     const current = this.#newest.get(record.key);
     // All before the replica's end is known, also what was dropped since.
     const knownEnd = Math.max(
@@ -236,9 +254,10 @@
       this.#keepsMissing(record.key);
     const isSame = !isFirstOfKept &&
       this.#isSameValue(current?.value, record.value);
-    // Of a newer era even the same value takes the new position.
+    // Of a newer era, or after another value that a list doesn't tell of, even
+    // the same value takes the new position.
     const isKept = current === undefined ||
-      eraOf(current.offset) === eraOf(record.offset);
+      !isOfWhole && eraOf(current.offset) === eraOf(record.offset);
     if (isSame && isKept) return false;
     // Deleted first, so that the map stays in the order of changes.
     this.#newest.delete(record.key);
--- a/src/gateway/store/topic_replica_test.ts
+++ b/src/gateway/store/topic_replica_test.ts
@@ -66,17 +66,20 @@
   assert.deepEqual(replica.updateSince(1)?.records, []);
 });
 
-test("a key that a newer list lacks is dropped, and updates contain the drop", () => {
+test("a key that a newer list lacks is dropped, also by who gets its update", () => {
   const { replica, changes } = setUp();
+  const other = setUp();
   const records = [recordOf("a", 0, "up"), recordOf("b", 1, "up")];
   replica.applyList({ records, nextOffset: 2 }, 1000);
+  other.replica.applyList({ records, nextOffset: 2 }, 1000);
   replica.applyList({ records: [recordOf("b", 1, "up")], nextOffset: 4 }, 1000);
   assert.deepEqual(changes.at(-1)?.records.map(({ key }) => key), ["a"]);
   assert.equal(changes.at(-1)?.records[0]?.value, undefined);
-  assert.deepEqual(
-    replica.updateSince(2)?.records.map(({ key }) => key),
-    ["a"],
-  );
+  const update = replica.updateSince(2);
+  assert.ok(update !== undefined);
+  other.replica.applyUpdate(update);
+  assert.deepEqual(other.changes.at(-1)?.records.map(({ key }) => key), ["a"]);
+  assert.equal(other.changes.at(-1)?.records[0]?.value, undefined);
 });
 
 test("a stale list drops no keys", () => {
@@ -96,13 +99,17 @@
 
 test("an update holds all records, or those from the receiver's offset on", () => {
   const { replica } = setUp();
-  const records = [recordOf("a", 0, "up"), recordOf("b", 9, "up")];
-  replica.applyList({ records, nextOffset: 10 }, 1000);
+  replica.applyList({ records: [recordOf("a", 0, "up")], nextOffset: 5 }, 1000);
+  const records = [recordOf("b", 9, "up")];
+  replica.applyRecords({ records, nextOffset: 10 }, 1000);
   assert.equal(replica.updateSince(undefined)?.records.length, 2);
   assert.equal(replica.updateSince(undefined)?.isWhole, true);
   assert.deepEqual(replica.updateSince(5)?.records.map(({ key }) => key), [
     "b",
   ]);
+  assert.equal(replica.updateSince(5)?.isWhole, false);
+  // What was dropped before the list isn't known.
+  assert.equal(replica.updateSince(4)?.isWhole, true);
 });
 
 test("an update brings another replica to the same state and age", () => {
