State the length of every body that is sent to a server

Cause: the caller's framing is dropped, as bodies are received first, and Node frames bodies of some methods only. The length is now stated for every body, and for the methods that have one.

Evidence: seven methods, without a body, with a length and in chunks, on one kept connection, as a caller's and as another VM's request: failed before with the first method, all pass.

--- a/src/gateway/servers/backend_exchange.ts
+++ b/src/gateway/servers/backend_exchange.ts
@@ -47,6 +47,8 @@
 
 /** Statuses of an answer; Node can't send one below 100 on. */
 const STATUSES = { first: 200, last: 599 } as const;
+/** Methods of which a server may expect a body. */
+const BODY_METHODS: readonly string[] = ["POST", "PUT", "PATCH"];
 const connectionAgent = new Agent({ keepAlive: false, maxSockets: Infinity });
 
 /** A running exchange. */
@@ -161,14 +163,21 @@
   }
 }
 
-/** Throws where the address, the target or a header is not valid. */
+/**
+ * Throws where the address, the target or a header is not valid. The length is
+ * stated, as Node frames bodies of some methods only.
+ */
 function requestOf(call: BackendCall): ClientRequest {
+  const length = call.body.length;
+  const isStated = length > 0 || BODY_METHODS.includes(call.method);
   return request({
     agent: connectionAgent,
     ...splitAddress(call.address),
     method: call.method,
     path: call.target,
-    headers: call.headers as string[],
+    headers: isStated
+      ? [...call.headers, "Content-Length", String(length)]
+      : [...call.headers],
     setHost: false,
   });
 }
