Read a complete answer to its end though its connection has closed

Cause: while an answer is paused for a slow caller, the close of its connection comes before its end, and was taken for a reset. A close that follows a complete answer is none; the end comes when the rest has been read.

Evidence: an answer of 8 KB, paused at its first part until its connection is closed: failed before (reset), passes; one that broke off meanwhile and an unframed one that was reset are faults as before.

--- a/src/gateway/servers/backend_exchange.ts
+++ b/src/gateway/servers/backend_exchange.ts
@@ -116,10 +116,11 @@
       () => this.#fail("malformed", "unexpected protocol upgrade"),
     );
     request.on("response", (response) => this.#readResponse(response));
-    request.on(
-      "close",
-      () => this.#fail(this.#faultKind(false), "closed"),
-    );
+    request.on("close", () => {
+      // A complete answer that is paused ends when it has been read.
+      if (this.#response?.complete === true) return;
+      this.#fail(this.#faultKind(false), "closed");
+    });
   }
 
   #readResponse(response: IncomingMessage): void {
