Take an order that repeats an ended roll-out as a new one

Callers' side: a version was ordered again after it had been reverted.

Cause: an order with the content of the one in force counted as old, at whatever position it was written. Within an era of the store the newest position is now in force, the same on all VMs, whether they started before or after; an order that a restored store has goes on once, as before.

Evidence: a repeated order was old before and is new; a property test over orders and starts ends with the newest position on every VM.

--- a/src/gateway/rollout/rollout_order.ts
+++ b/src/gateway/rollout/rollout_order.ts
@@ -1,6 +1,7 @@
 /**
- * How an order that is read relates to those that are known. An order's position
- * does not survive a restoration of the store: the copy has it at the same
+ * How an order that is read relates to those that are known. Within an era the
+ * newest position is in force, whatever it orders: a version may be ordered
+ * again after it was reverted or completed. An order's position does not survive a restoration of the store: the copy has it at the same
  * offset of the next era, or it was lost and is written again at another one. So
  * an order of a newer era is known by its content.
  */
@@ -38,7 +39,7 @@
   // The copy is from before the order in force, which is written again.
   if (isOtherEra && earlier.some((one) => isCopyOf(order, one))) return "old";
   if (!isSameOrder(order, current.order)) return "new";
-  return isOtherEra || isCopied ? "again" : "old";
+  return isOtherEra || isCopied ? "again" : "new";
 }
 
 function isSameOrder(a: RolloutOrder, b: RolloutOrder): boolean {
