--- a/src/gateway/store/topic_replica_test.ts
+++ b/src/gateway/store/topic_replica_test.ts
@@ -112,6 +112,20 @@
   assert.equal(replica.updateSince(4)?.isWhole, true);
 });
 
+// Guards against DRAIN: changes that were meant for the process before this one.
+test("changes apply only to a replica that has what came before them", () => {
+  const from = setUp();
+  from.replica.applyList({ records: [], nextOffset: 3 }, 1000);
+  const records = [recordOf("a", 3, "up"), recordOf("b", 6, "up")];
+  from.replica.applyRecords({ records, nextOffset: 7 }, 1000);
+  const update = from.replica.updateSince(5);
+  assert.ok(update?.isWhole === false);
+  const { replica } = setUp();
+  replica.applyList({ records: [], nextOffset: 3 }, 1000);
+  replica.applyUpdate(update);
+  assert.equal(replica.nextOffset, 3);
+});
+
 test("an update brings another replica to the same state and age", () => {
   const from = setUp();
   const to = setUp();
--- a/tools/mechanisms.ts
+++ b/tools/mechanisms.ts
@@ -4,6 +4,7 @@
  */
 
 import { ADMISSION_MECHANISMS } from "./admission_mechanisms.ts";
+import { INCIDENT_MECHANISMS } from "./incident_mechanisms.ts";
 import { type Mechanism } from "./mechanism.ts";
 import { PLACE_MECHANISMS } from "./place_mechanisms.ts";
 import { REGION_MECHANISMS } from "./region_mechanisms.ts";
@@ -409,4 +410,5 @@
   ...REGION_MECHANISMS,
   ...SERVER_MECHANISMS,
   ...SERVER_START_MECHANISMS,
+  ...INCIDENT_MECHANISMS,
 ];
