End the request alone in whose handling an exception is thrown

Cause: callbacks of exchanges, timers and queues ran unguarded up to the process. Exceptions elsewhere end the process as before, after its open requests are answered.

--- a/src/gateway/callers/open_requests.ts
+++ b/src/gateway/callers/open_requests.ts
@@ -20,7 +20,11 @@
     const forwarding = new Forwarding(context, request, exchange);
     this.#forwardings.add(forwarding);
     forwarding.onFinish = () => this.#forwardings.delete(forwarding);
-    forwarding.start();
+    try {
+      forwarding.start();
+    } catch (error) {
+      forwarding.endWithException(error as Error);
+    }
   }
 
   /** Answers all open requests, as the VM ends. */
--- a/src/gateway/forwarding/attempt.ts
+++ b/src/gateway/forwarding/attempt.ts
@@ -35,4 +35,6 @@
   readonly onData: (chunk: Buffer) => void;
   /** Called once, unless the attempt is cancelled. */
   readonly onOutcome: (outcome: AttemptOutcome) => void;
+  /** Called after an exception while the answer was handled. */
+  readonly onException: (error: Error) => void;
 }
--- a/src/gateway/forwarding/forwarding.ts
+++ b/src/gateway/forwarding/forwarding.ts
@@ -73,7 +73,7 @@
     this.#history = new AttemptHistory(route, caller.maxRunCount);
     this.#targets = new TargetChoice(context, request);
     this.#silence = new SilenceWatch(context, request, {
-      onSilent: () => this.#handleSilence(),
+      onSilent: () => this.#guard(() => this.#handleSilence()),
       timeLeftMs: () => this.#timeLeftMs(),
     });
     if (route.kind === "streaming") {
@@ -97,18 +97,40 @@
     const { caller, service } = this.#request;
     // The VM that relays it has counted it.
     if (!caller.isRelayed) this.#context.budget.earn(service);
-    this.#exchange.onDisconnect = () => this.#finish("caller_gone");
-    this.#exchange.onDrain = () => this.#attempt?.resume();
+    this.#exchange.onDisconnect = () =>
+      this.#guard(() => this.#finish("caller_gone"));
+    this.#exchange.onDrain = () => this.#guard(() => this.#attempt?.resume());
     this.#deadlineTimer = setTimeout(
-      () => this.#handleDeadline(),
+      () => this.#guard(() => this.#handleDeadline()),
       Math.max(0, this.#timeLeftMs()),
     );
     this.#ticket = this.#context.admission.enter(this.#context, this.#request, {
-      onStart: () => this.#startAttempt(),
-      onRefuse: (retryAfterMs) => this.#refuseOverloaded(retryAfterMs),
+      onStart: () => this.#guard(() => this.#startAttempt()),
+      onRefuse: (retryAfterMs) =>
+        this.#guard(() => this.#refuseOverloaded(retryAfterMs)),
     });
   }
 
+  /** Ends this request alone, after an exception in its handling. */
+  endWithException(error: Error): void {
+    const { caller, route } = this.#request;
+    this.#context.metrics.count("request_exceptions", { route: route.name });
+    this.#context.logger.error("request failed by an exception", {
+      request: caller.id,
+      message: error.stack ?? error.message,
+    });
+    if (this.#exchange.isOver) return this.#finish("internal_error");
+    this.#endUnanswered("internal_error", { sentStatus: 502 });
+  }
+
+  #guard(handle: () => void): void {
+    try {
+      handle();
+    } catch (error) {
+      this.endWithException(error as Error);
+    }
+  }
+
   #refuseOverloaded(retryAfterMs: number): void {
     const refusal = { status: 503, reason: "overloaded", retryAfterMs };
     this.#context.metrics.count("refused", {
@@ -141,6 +163,7 @@
       onHead: (head) => isRelay ? "relay" : this.#handleHead(head),
       onData: (chunk) => this.#relayData(chunk),
       onOutcome: (outcome) => this.#handleOutcome(outcome),
+      onException: (error) => this.endWithException(error),
     });
     this.#silence.startFirst(target, this.#model);
   }
--- a/src/gateway/forwarding/vm_attempt.ts
+++ b/src/gateway/forwarding/vm_attempt.ts
@@ -55,6 +55,7 @@
       onData: (chunk) => this.#handleData(chunk),
       onEnd: () => this.#handleEnd(),
       onFault: (fault) => this.#handleFault(fault),
+      onException: options.onException,
     });
   }
 
--- a/src/gateway/gateway_fixture.ts
+++ b/src/gateway/gateway_fixture.ts
@@ -146,6 +146,7 @@
   /** Returns a server at the address at which this VM reaches it. */
   readonly linked?: (server: BackendServer) => BackendServer;
   readonly random?: Random;
+  readonly protocol?: GatewayProtocol;
 }
 
 /** Starts a gateway; it may not be ready yet. */
@@ -171,7 +172,7 @@
       entryMaxAgeMs: 100,
       ...options.settings,
     }),
-    protocol: testProtocol,
+    protocol: options.protocol ?? testProtocol,
     operatorTopic: operators,
     serverTopic: servers,
     statusTopic,
--- a/src/gateway/servers/backend_exchange.ts
+++ b/src/gateway/servers/backend_exchange.ts
@@ -43,6 +43,8 @@
   /** Called when the answer is complete. */
   readonly onEnd: () => void;
   readonly onFault: (fault: ExchangeFault) => void;
+  /** Called after an exception in another callback, which ends the exchange. */
+  readonly onException: (error: Error) => void;
 }
 
 /** Statuses of an answer; Node can't send one below 100 on. */
@@ -104,7 +106,7 @@
       socket.once("connect", () => {
         this.#isConnected = true;
         clearTimeout(this.#connectTimer);
-        if (!this.#isOver) this.#events.onConnected();
+        if (!this.#isOver) this.#tell(() => this.#events.onConnected());
       });
     });
     request.on("error", (error: NodeJS.ErrnoException) => {
@@ -130,10 +132,10 @@
     if (statusCode < STATUSES.first || statusCode > STATUSES.last) {
       return this.#fail("malformed", `status ${statusCode}`);
     }
-    this.#events.onHead(statusCode, response.rawHeaders);
+    this.#tell(() => this.#events.onHead(statusCode, response.rawHeaders));
     if (this.#isOver) return;
     response.on("data", (chunk: Buffer) => {
-      if (!this.#isOver) this.#events.onData(chunk);
+      if (!this.#isOver) this.#tell(() => this.#events.onData(chunk));
     });
     response.on("aborted", () => this.#fail("reset", "answer truncated"));
     response.on("error", (error) => this.#fail("reset", error.message));
@@ -142,7 +144,7 @@
       if (!response.complete) return this.#fail("reset", "answer truncated");
       this.#end();
       this.#request?.destroy();
-      this.#events.onEnd();
+      this.#tell(() => this.#events.onEnd());
     });
   }
 
@@ -155,7 +157,18 @@
     if (this.#isOver) return;
     this.#end();
     this.#request?.destroy();
-    this.#events.onFault({ kind, isUnsent: !this.#isConnected, message });
+    const fault = { kind, isUnsent: !this.#isConnected, message };
+    this.#tell(() => this.#events.onFault(fault));
+  }
+
+  /** An exception in a callback ends this exchange and no other. */
+  #tell(callback: () => void): void {
+    try {
+      callback();
+    } catch (error) {
+      this.cancel();
+      this.#events.onException(error as Error);
+    }
   }
 
   #end(): void {
--- a/src/gateway/servers/backend_exchange_test.ts
+++ b/src/gateway/servers/backend_exchange_test.ts
@@ -28,6 +28,7 @@
     onData: () => {},
     onEnd: () => {},
     onFault: (fault) => faults.push(fault),
+    onException: (error) => assert.fail(error),
   });
   const atOnce = [...faults];
   exchange.pause();
--- a/src/gateway/servers/paused_answer_test.ts
+++ b/src/gateway/servers/paused_answer_test.ts
@@ -44,6 +44,7 @@
     },
     onEnd: () => end += "end",
     onFault: ({ kind }) => end += kind,
+    onException: (error) => assert.fail(error),
   });
   await delay(PAUSE_MS);
   exchange.resume();
--- a/src/gateway/servers/server_attempt.ts
+++ b/src/gateway/servers/server_attempt.ts
@@ -96,6 +96,7 @@
       onData: (chunk) => this.#handleData(chunk),
       onEnd: () => this.#handleEnd(),
       onFault: (fault) => this.#handleFault(fault),
+      onException: options.onException,
     });
   }
 
--- a/src/gateway/servers/server_attempt_test.ts
+++ b/src/gateway/servers/server_attempt_test.ts
@@ -44,6 +44,7 @@
       onHead: () => "relay",
       onData: () => {},
       onOutcome: resolve,
+      onException: assert.fail,
     });
   });
 }
--- a/src/gateway/servers/slow_starts_test.ts
+++ b/src/gateway/servers/slow_starts_test.ts
@@ -354,6 +354,7 @@
       onHead: () => "relay",
       onData: () => {},
       onOutcome: resolve,
+      onException: assert.fail,
     });
   });
 }
