Write no status of an order that was replaced meanwhile

A status writer that read the statuses and was frozen, or waited for the store, wrote the end of an order that another one had replaced (seen by reading in the review). It now looks whether its roll-out is still in force.

Evidence: the test wrote `completed` of the replaced order before.

--- a/src/gateway/rollout/rollout_status_writer.ts
+++ b/src/gateway/rollout/rollout_status_writer.ts
@@ -117,6 +117,8 @@
     const { registry, logger } = this.#options;
     const listed = await this.#readStatuses();
     if (listed === undefined) return;
+    // The order may have been replaced meanwhile, as after a freeze.
+    if (registry.rollouts.get(rollout.order.service) !== rollout) return;
     // A status can't name an order that the restored store does not have yet.
     if (eraOf(listed.offset) !== eraOf(rollout.position)) return this.#pause();
     const isKnown = rollout.stage === dueStage || isEnded(rollout.stage);
--- a/src/gateway/rollout/rollout_status_writer_test.ts
+++ b/src/gateway/rollout/rollout_status_writer_test.ts
@@ -152,3 +152,18 @@
   await writer.writeDue();
   assert.deepEqual(stagesOf(store), ["active", "reverted"]);
 });
+
+// Guards against the end of an order that was replaced: a VM that woke from a
+// freeze wrote it.
+test("no status is written of an order that is replaced while statuses are read", async () => {
+  const [store, clock] = [new StatusStore(), { nowMs: 0 }];
+  const { registry, writer } = vmOf(store, clock, 0);
+  clock.nowMs = 23_300;
+  const written = writer.writeDue();
+  registry.applyOrder(
+    { service: "drafting", target: "v3", durationMs: 24_000, offset: 9 },
+    true,
+  );
+  await written;
+  assert.deepEqual(stagesOf(store), []);
+});
