Drop no answer of a stream that may not be resumed

A low confidence dropped the answer of a stream that may run once only, after it had run, and had it run again at a larger model (TWICE; seen by reading in the review). The cascade now asks whether the route may be repeated.

Evidence: the test counted two runs before, one now.

--- a/src/gateway/forwarding/forwarding.ts
+++ b/src/gateway/forwarding/forwarding.ts
@@ -187,6 +187,8 @@
     this.#silence.startGap();
     const { confidence } = head;
     if (this.#model === undefined || this.#exchange.isHeadSent) return "relay";
+    // An answer that is dropped has run.
+    if (!isRetriable(this.#request.route)) return "relay";
     if (!this.#history.mayRunAgain()) return "relay";
     const model = chooseEscalation(this.#context, this.#request, {
       answer: { model: this.#model, confidence },
--- /dev/null
+++ b/src/gateway/forwarding/unsafe_answer_test.ts
@@ -0,0 +1,63 @@
+/** Tests of answers to requests that may run once only. */
+import assert from "node:assert/strict";
+import { test, type TestContext } from "node:test";
+import { routeOf } from "../../decision/manifest_fixture.ts";
+import { type ServiceRoute } from "../../model/mod.ts";
+import {
+  type BackendHandler,
+  beginStream,
+  eventsOf,
+  startBackend,
+} from "../servers/backend_fixture.ts";
+import {
+  call,
+  type CallerAnswer,
+  startGateway,
+  untilReady,
+} from "../gateway_fixture.ts";
+
+interface Outcome {
+  readonly answer: CallerAnswer;
+  readonly arrivalCount: number;
+}
+
+async function send(
+  context: TestContext,
+  { route, handler, path }: {
+    readonly route: ServiceRoute;
+    readonly handler: BackendHandler;
+    readonly path: string;
+  },
+): Promise<Outcome> {
+  const backends = await Promise.all(
+    ["a", "b"].map((id) => startBackend(id, handler)),
+  );
+  const vm = await startGateway({ backends, manifest: { routes: [route] } });
+  context.after(async () => {
+    await vm.gateway.stop();
+    await Promise.all(backends.map((backend) => backend.close()));
+  });
+  await untilReady(vm);
+  const headers = { "test-model": "any" };
+  const answer = await call(vm.callerAddress, { path, headers });
+  const arrivalCount = backends.reduce(
+    (sum, { requestIds }) => sum + requestIds.length,
+    0,
+  );
+  return { answer, arrivalCount };
+}
+
+// Guards against TWICE: the answer of a small model was dropped after it had run,
+// and the request ran again.
+test("a low confidence repeats no stream that may not be resumed", async (context) => {
+  const { answer, arrivalCount } = await send(context, {
+    route: routeOf({ models: ["small", "large"], isResumable: false }),
+    path: "/drafts/one",
+    handler: (request, response) => {
+      beginStream(request, response, { "test-confidence": "5" });
+      response.end(eventsOf(1, 3));
+    },
+  });
+  assert.equal(arrivalCount, 1);
+  assert.equal(answer.body, eventsOf(1, 3));
+});
