Replace a server's unmarked refusal of a request that may run once

Callers' side: a server's own 503, 429 or 408 without the mark that it has not run the request was passed on; callers take these statuses for a promise and send the request again, though it may have run (REFUSED; seen by reading in the review). The answer to a request that may run once is then a 502 of the VM's own, unsigned, which promises nothing. Requests that may be repeated are as before.

Evidence: three statuses, passed on before, 502 now.

--- a/src/gateway/forwarding/forwarding.ts
+++ b/src/gateway/forwarding/forwarding.ts
@@ -40,6 +40,8 @@
 import { StreamRelay } from "../callers/stream_relay.ts";
 import { TargetChoice, targetIdOf } from "./target_choice.ts";
 
+/** Statuses that promise callers that their request has not run. */
+const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
 /** With less time left, a request is not sent again. */
 const MIN_ATTEMPT_MS = 20;
 
@@ -233,6 +235,11 @@
           this.#fallback = outcome.answer;
           return this.#retry("backend_error");
         }
+        if (this.#isFalsePromise(outcome.answer)) {
+          const reason = "unmarked_refusal";
+          this.#exchange.refuse({ status: 502, reason });
+          return this.#finish(reason);
+        }
         this.#timing.recordPart(this.#context.clock());
         this.#exchange.answer(outcome.answer);
         return this.#finish("answered");
@@ -251,6 +258,12 @@
     }
   }
 
+  /** Whether callers take a status for "not run" of a request that may have. */
+  #isFalsePromise({ status }: CompleteAnswer): boolean {
+    return NOT_RUN_STATUSES.includes(status) &&
+      !isRetriable(this.#request.route);
+  }
+
   /** Sends the request again, if that is allowed and enough time is left. */
   #retry(cause: string): void {
     if (!this.#canRetry()) return this.#giveUp(cause);
--- a/src/gateway/forwarding/unsafe_answer_test.ts
+++ b/src/gateway/forwarding/unsafe_answer_test.ts
@@ -12,6 +12,7 @@
 import {
   call,
   type CallerAnswer,
+  REGISTER_ROUTE,
   startGateway,
   untilReady,
 } from "../gateway_fixture.ts";
@@ -61,3 +62,24 @@
   assert.equal(arrivalCount, 1);
   assert.equal(answer.body, eventsOf(1, 3));
 });
+
+// Guards against REFUSED: a server's status that callers take for a promise, of
+// a request that may have run.
+for (const status of [408, 429, 503]) {
+  test(`a server's ${status} without the mark of a refusal promises callers nothing`, async (context) => {
+    const { answer, arrivalCount } = await send(context, {
+      route: REGISTER_ROUTE,
+      path: "/registrations/a",
+      handler: (request, response) => {
+        response.writeHead(status, {
+          "test-id": String(request.headers["test-id"]),
+          "test-signature": "signed",
+          "content-length": "0",
+        }).end();
+      },
+    });
+    assert.equal(arrivalCount, 1);
+    assert.equal(answer.status, 502);
+    assert.equal(answer.headers["test-signature"], undefined);
+  });
+}
--- a/src/report/request_timeline.ts
+++ b/src/report/request_timeline.ts
@@ -46,6 +46,13 @@
     "not_run",
     "every backend server that was tried refused for lack of capacity",
   ],
+  [
+    "unmarked_refusal",
+    "a backend server answered with a status that promises that it has not " +
+    "run, without saying so",
+  ],
+  ["no_stream", "no backend server continued the stream that had begun"],
+  ["internal_error", "an exception in its handling, logged with its id"],
   ["unreachable", "no connection to a backend server could be established"],
   ["reset", "the backend server broke its answer off"],
   ["malformed", "the backend server sent a malformed answer"],
