--- a/src/gateway/callers/stream_relay.ts
+++ b/src/gateway/callers/stream_relay.ts
@@ -76,8 +76,9 @@
   /**
    * Ends the stream after the attached server has completed its answer; returns
    * false if that server has broken it off, inside an event or before the first
-   * one, or has not continued it. If it marked the end only by closing its connection, but the caller's
-   * head announced a marked end, the caller's connection is closed without one.
+   * one, or has not continued it. If it marked the end only by closing its
+   * connection, but the caller's head announced a marked end, the caller's
+   * connection is closed without one.
    */
   end(server: AnswerHead): boolean {
     const hasNoEvent = this.#lastId === undefined && !this.#hasEvent;
--- a/src/gateway/peers/peer_exchange.ts
+++ b/src/gateway/peers/peer_exchange.ts
@@ -3,9 +3,9 @@
  * Each VM sends an update to its data centre's store reader about every half
  * second and receives one in reply. The readers query each other in rotation and
  * forward what their own data centre's VMs sent. When no reader answers, the VM
- * queries a random member every other time. So the cost of a VM that is not a reader does not
- * grow with the fleet, traffic between regions stays small, and a VM that the
- * store refuses still receives its records.
+ * queries a random member every other time. So the cost of a VM that is not a
+ * reader does not grow with the fleet, traffic between regions stays small, and
+ * a VM that the store refuses still receives its records.
  */
 import { err, ok, type Result } from "neverthrow";
 import {
--- a/src/gateway/rollout/rollout_order.ts
+++ b/src/gateway/rollout/rollout_order.ts
@@ -1,9 +1,10 @@
 /**
  * How an order that is read relates to those that are known. Within an era the
  * newest position is in force, whatever it orders: a version may be ordered
- * again after it was reverted or completed. An order's position does not survive a restoration of the store: the copy has it at the same
- * offset of the next era, or it was lost and is written again at another one. So
- * an order of a newer era is known by its content.
+ * again after it was reverted or completed. An order's position does not
+ * survive a restoration of the store: the copy has it at the same offset of the
+ * next era, or it was lost and is written again at another one. So an order of a
+ * newer era is known by its content.
  */
 import { type RolloutOrder } from "../../model/mod.ts";
 import { eraOf, offsetOf } from "../store/store_position.ts";
