Revert "Ask other members for all members after the start"

The members told fill the queues of what is passed on, so that the few that a list lacks are passed on late.

BUDGET doesn't need it: no VM uses its part of the slack in its first window.

--- a/src/decision/membership.ts
+++ b/src/decision/membership.ts
@@ -42,8 +42,6 @@
   | { readonly kind: "message"; readonly message: MembershipMessage }
   /** A handshake with a member succeeded. */
   | { readonly kind: "met"; readonly from: MemberUpdate }
-  /** Another member told which members it knows. */
-  | { readonly kind: "told"; readonly members: readonly MemberUpdate[] }
   /** The complete VM list was read. */
   | { readonly kind: "listed"; readonly vms: readonly Vm[] }
   | { readonly kind: "load"; readonly loadShare: number }
@@ -90,8 +88,6 @@
       mergeSender(draft, event.from, undefined);
       if (!isJustBack(draft)) confirmAlive(draft, event.from.vm, draft.nowMs);
       return;
-    case "told":
-      return mergeTold(draft, event.members);
     case "listed":
       return mergeList(draft, event.vms);
     case "load":
@@ -136,16 +132,6 @@
   }
 }
 
-/** Adds members that others know; not gossiped, since the others know them. */
-function mergeTold(draft: Draft, members: readonly MemberUpdate[]): void {
-  for (const update of members) {
-    const isNew = !draft.members.has(update.vm);
-    mergeUpdate(draft, update);
-    if (!isNew) continue;
-    draft.transmitCounts = draft.transmitCounts.delete(update.vm);
-  }
-}
-
 function mergeList(draft: Draft, vms: readonly Vm[]): void {
   const entries = new Map<string, Vm>();
   for (const vm of vms) if (vm.kind === "entry") entries.set(vm.vm, vm);
--- a/src/wire/peer_node.ts
+++ b/src/wire/peer_node.ts
@@ -2,11 +2,6 @@
  * The node of one process in the peer network: runs the membership protocol
  * over TCP, exchanges the control stream's newest records with peers, and sends
  * and answers queries. All effects are passed in.
- *
- * Messages of the protocol hold a few updates each, so after its start a node
- * would hear of a large group's members one after the other for many seconds.
- * It asks others for all members that they know, a few times, as these may
- * have just started too.
  */
 import { err, ok, type Result } from "neverthrow";
 import {
@@ -34,9 +29,6 @@
 } from "./transport.ts";
 
 const MIN_TICK_DELAY_MS = 5;
-/** Times after the first other member at which a node asks for all members. */
-const MEMBERS_DUE_MS = [0, 500, 1000, 2000, 4000] as const;
-const MEMBERS_TIMEOUT_MS = 1000;
 
 /** A node of the peer network. */
 export interface PeerNode {
@@ -81,9 +73,6 @@
   readonly #closing = new AbortController();
   #state: MembershipState;
   #loop: Promise<void> = Promise.resolve();
-  #joinedAtMs: number | undefined;
-  /** How many times this node has asked for all members. */
-  #membersAskedCount = 0;
 
   constructor(options: PeerNodeOptions) {
     this.#options = options;
@@ -201,7 +190,6 @@
       this.#apply({ kind: "tick" });
       this.#transport.sweep();
       this.#connectToSeeds();
-      void this.#learnMembers();
       const waitMs = nextTickAtMs(this.#state) - clock();
       await sleep(Math.max(MIN_TICK_DELAY_MS, waitMs), signal);
     }
@@ -215,22 +203,6 @@
     }
   }
 
-  /** Asks a random member for all members that it knows, when that is due. */
-  async #learnMembers(): Promise<void> {
-    const { clock, random } = this.#options;
-    const dueMs = MEMBERS_DUE_MS[this.#membersAskedCount];
-    const present = presentMembers(this.#state);
-    const { vm } = present[Math.floor(random() * present.length)]?.update ?? {};
-    if (dueMs === undefined || vm === undefined) return;
-    this.#joinedAtMs ??= clock();
-    if (clock() < this.#joinedAtMs + dueMs) return;
-    this.#membersAskedCount += 1;
-    const timeoutMs = MEMBERS_TIMEOUT_MS;
-    const answer = await this.query(vm, { kind: "members" }, { timeoutMs });
-    if (answer.isErr() || answer.value.kind !== "members") return;
-    this.#apply({ kind: "told", members: answer.value.members });
-  }
-
   #apply(event: MembershipEvent): void {
     const { clock, random } = this.#options;
     const step = applyMembership(this.#state, event, {
--- a/tools/incident_mechanisms.ts
+++ b/tools/incident_mechanisms.ts
@@ -34,13 +34,6 @@
       "const expired = this.#options.sleep(10 * timeoutMs, timer.signal)",
     tests: ["src/wire/peer_node_test.ts"],
   },
-  {
-    name: "all members after the start",
-    file: "src/wire/peer_node.ts",
-    source: "void this.#learnMembers();",
-    replacement: "",
-    tests: ["src/wire/peer_node_test.ts"],
-  },
   {
     name: "changes only from where all are known",
     file: "src/gateway/store/topic_replica.ts",
