End a request alone whose admission throws

No input is known that throws there: this closes the way, not a case.

The intake now ends such a request: with 503 before its body was passed on, which is true of it, and with 502 after; logged and counted as the others are.

Evidence: a protocol that throws as it reads a request ended the test's process before ("no such caller"); the request gets 503, one that runs meanwhile and the next one are served.

--- a/src/gateway/callers/request_intake.ts
+++ b/src/gateway/callers/request_intake.ts
@@ -3,7 +3,7 @@
  * forwards it when its body has arrived.
  */
 import { type GatewayRefusal } from "./caller_exchange.ts";
-import { type HeadHandler } from "./caller_server.ts";
+import { type HeadHandler, type ReceivedRequest } from "./caller_server.ts";
 import { type ForwardContext } from "../forwarding/forward_context.ts";
 import { logRefusal } from "../forwarding/forward_log.ts";
 import { type GatewayState } from "../gateway_state.ts";
@@ -35,8 +35,19 @@
     this.#options = options;
   }
 
-  /** Handles a request's head. */
-  readonly receive: HeadHandler = ({ request, exchange, receivedAtMs }) => {
+  /** Handles a request's head; an exception ends this request alone. */
+  readonly receive: HeadHandler = (received) => {
+    const notRun = { ...received, status: 503 };
+    const onBody = this.#guard(notRun, () => this.#receive(received));
+    if (onBody === undefined) return undefined;
+    // From here on the request may have been sent.
+    const maybeRun = { ...received, status: 502 };
+    return (body) => this.#guard(maybeRun, () => onBody(body));
+  };
+
+  #receive(
+    { request, exchange, receivedAtMs }: ReceivedRequest,
+  ): ReturnType<HeadHandler> {
     const { context, openRequests, isAccepting } = this.#options;
     const caller = context.protocol.readRequest({
       method: request.method ?? "GET",
@@ -59,7 +70,28 @@
       const request = { ...admitted, body, digest, receivedAtMs };
       openRequests.forward(context, { request, exchange });
     };
-  };
+  }
+
+  #guard<T>(
+    { request, exchange, status }: ReceivedRequest & {
+      readonly status: number;
+    },
+    handle: () => T,
+  ): T | undefined {
+    try {
+      return handle();
+    } catch (error) {
+      const { metrics, logger } = this.#options.context;
+      metrics.count("request_exceptions", { route: "none" });
+      const { stack, message } = error as Error;
+      logger.error("request failed by an exception", {
+        method: request.method,
+        message: stack ?? message,
+      });
+      exchange.refuse({ status, reason: "internal_error" });
+      return undefined;
+    }
+  }
 
   #admit(caller: CallerRequest): AdmittedRequest | GatewayRefusal {
     const { context, state, isAccepting } = this.#options;
--- a/src/gateway/forwarding/request_exception_test.ts
+++ b/src/gateway/forwarding/request_exception_test.ts
@@ -16,11 +16,19 @@
 import { type GatewayProtocol } from "../protocol.ts";
 
 const EXPLOSIVE = "explosive";
+/** Where the exception is thrown, and the status of its request. */
+const PLACES = [["head", 502], ["request", 503], ["admission", 503]] as const;
 
-/** A protocol that throws where one request is read or written. */
-function throwingAt(place: "head" | "request"): GatewayProtocol {
+/** A protocol that throws where one request or its answer is read or written. */
+function throwingAt(place: typeof PLACES[number][0]): GatewayProtocol {
   return {
     ...testProtocol,
+    readRequest: (raw) => {
+      if (place === "admission" && raw.rawHeaders.includes(EXPLOSIVE)) {
+        throw new TypeError("no such caller");
+      }
+      return testProtocol.readRequest(raw);
+    },
     readAnswer: (status, rawHeaders) => {
       if (place === "head" && rawHeaders.includes(EXPLOSIVE)) {
         throw new TypeError("no such answer");
@@ -38,7 +46,7 @@
 
 // Guards against ended processes: an exception in the handling of one request
 // lost all open requests of the VM.
-for (const [place, status] of [["head", 502], ["request", 503]] as const) {
+for (const [place, status] of PLACES) {
   test(`an exception ends its request alone: ${place}`, async (context) => {
     const backend = await startBackend("a", (request, response) => {
       setTimeout(() => sendCompleteAnswer(request, response), 100);
