Keep a dropped server dropped when another VM passes on a copy

Callers' side: none saw it; found by looking for the cause of DRAIN on related paths. After the store's return from an older copy, a VM that knew that a server had left took its entry back from a VM that had started since, and sent it work.

Cause: of the first list of a new era a VM doesn't believe what it knows to be dropped, as the list may be a copy; from another VM it believed it, as that one "has read on". A VM that has only just listed has not.

Updates now tell up to which offset the sender's records may be of a copy. Such records bring nothing back; the first record after them takes its own offset, also with the same value, so that it reaches the other VMs and brings a server back that runs after all. An update of an earlier build is believed as before.

--- a/src/gateway/peers/peer_update.ts
+++ b/src/gateway/peers/peer_update.ts
@@ -74,6 +74,8 @@
   /** Not told by earlier builds. */
   sinceOffset: countSchema.optional(),
   nextOffset: countSchema,
+  /** Not told by earlier builds. */
+  copiedBefore: countSchema.optional(),
   ageMs: z.number().nonnegative(),
 });
 
--- a/src/gateway/store/topic_replica.ts
+++ b/src/gateway/store/topic_replica.ts
@@ -15,7 +15,8 @@
  * after it, from the store or from another VM, changes nothing. Where it is told
  * which of two values was written first, an older copy of the store undoes
  * nothing: newer values stay, and dropped keys stay dropped until they are
- * written again. Keys that it is told to keep stay where a list lacks them.
+ * written again. The first list of an era may be such a copy, also where another
+ * VM passes it on, so updates tell up to which offset it is. Keys that it is told to keep stay where a list lacks them.
  */
 import { type Clock } from "../../model/mod.ts";
 import { eraOf, positionOf } from "./store_position.ts";
@@ -34,6 +35,8 @@
   /** The offset from which on it has the changes, unless it is whole. */
   readonly sinceOffset?: number | undefined;
   readonly nextOffset: number;
+  /** Records before this offset may be of an older copy of the store. */
+  readonly copiedBefore?: number | undefined;
   /** Time since the sender's replica was up to date, in milliseconds. */
   readonly ageMs: number;
 }
@@ -62,6 +65,8 @@
 interface Provenance {
   readonly currentAtMs: number;
   readonly source: RecordSource;
+  /** Of a complete list: records before this offset may be copies. */
+  readonly copiedBefore?: number | undefined;
 }
 
 /** The replica of one topic. */
@@ -76,6 +81,8 @@
   #currentAtMs = -Infinity;
   /** From this offset on, all changes are known; drops before may be missing. */
   #firstCompleteOffset = 0;
+  /** Records of this era before this offset may be of an older copy. */
+  #copiedBefore = 0;
 
   constructor(options: {
     readonly clock: Clock;
@@ -106,19 +113,20 @@
 
   /** Applies a complete list; keys that it lacks have been dropped. */
   applyList(list: StoreRecords, currentAtMs: number): void {
-    this.#applyWhole(list, { currentAtMs, source: "store" });
+    const copiedBefore = eraOf(list.nextOffset) > 0 ? list.nextOffset : 0;
+    this.#applyWhole(list, { currentAtMs, source: "store", copiedBefore });
   }
 
   #applyWhole(
     { records, nextOffset }: StoreRecords,
-    { currentAtMs, source }: Provenance,
+    { currentAtMs, source, copiedBefore = 0 }: Provenance,
   ): void {
     if (this.#isOutdated(nextOffset)) return;
     const listed = new Set(records.map(({ key }) => key));
     const isRestoring = this.#nextOffset !== undefined &&
       eraOf(nextOffset) > eraOf(this.#nextOffset);
     const changed = isRestoring
-      ? records.map((record) => this.#notUndone(record, source))
+      ? records.map((record) => this.#notUndone(record, copiedBefore))
       : [...records];
     if (nextOffset > (this.#nextOffset ?? 0)) {
       for (const [key, { value, offset }] of this.#newest) {
@@ -129,6 +137,7 @@
       }
     }
     const endBefore = this.#nextOffset ?? -1;
+    if (eraOf(nextOffset) > eraOf(endBefore)) this.#copiedBefore = copiedBefore;
     this.#apply(changed, { nextOffset, currentAtMs, source }, true);
     if (nextOffset > endBefore) this.#firstCompleteOffset = nextOffset;
   }
@@ -163,15 +172,21 @@
       }
     }
     const { ageMs } = this;
-    const sinceOffset = isWhole ? undefined : offset;
-    const nextOffset = this.#nextOffset;
-    return { records, isWhole, sinceOffset, nextOffset, ageMs };
+    return {
+      records,
+      isWhole,
+      sinceOffset: isWhole ? undefined : offset,
+      nextOffset: this.#nextOffset,
+      copiedBefore: this.#copiedBefore,
+      ageMs,
+    };
   }
 
   /** Applies another VM's update, unless this replica is further ahead. */
   applyUpdate(update: TopicUpdate): void {
     const currentAtMs = this.#clock() - update.ageMs;
-    const provenance: Provenance = { currentAtMs, source: "vm" };
+    const { copiedBefore } = update;
+    const provenance = { currentAtMs, source: "vm", copiedBefore } as const;
     const ownOffset = this.#nextOffset;
     if (ownOffset !== undefined && update.nextOffset < ownOffset) return;
     if (update.isWhole) return this.#applyWhole(update, provenance);
@@ -183,15 +198,15 @@
 
   /**
    * Returns what is known of a key, at the listed position, if the record is
-   * an older one. Whether a dropped key was written again since can't be told
-   * of the first list; another VM has read on and tells it.
+   * an older one. Whether a dropped key was written again can't be told of a
+   * record that may be of a copy.
    */
-  #notUndone(listed: StoreRecord, source: RecordSource): StoreRecord {
+  #notUndone(listed: StoreRecord, copiedBefore: number): StoreRecord {
     const known = this.#newest.get(listed.key);
     if (this.#isOlder === undefined || known === undefined) return listed;
     if (listed.value === undefined) return listed;
     const isKept = known.value === undefined
-      ? source === "store"
+      ? listed.offset < copiedBefore
       : this.#isOlder(listed.value, known.value);
     return isKept ? { ...listed, value: known.value } : listed;
   }
@@ -254,10 +269,11 @@
       this.#keepsMissing(record.key);
     const isSame = !isFirstOfKept &&
       this.#isSameValue(current?.value, record.value);
-    // Of a newer era, or after another value that a list doesn't tell of, even
-    // the same value takes the new position.
+    // Of a newer era, after one that may be of a copy, or after another value
+    // that a list doesn't tell of, even the same value takes the new position.
     const isKept = current === undefined ||
-      !isOfWhole && eraOf(current.offset) === eraOf(record.offset);
+      !isOfWhole && eraOf(current.offset) === eraOf(record.offset) &&
+        current.offset >= this.#copiedBefore;
     if (isSame && isKept) return false;
     // Deleted first, so that the map stays in the order of changes.
     this.#newest.delete(record.key);
--- a/src/gateway/store/topic_replica_era_test.ts
+++ b/src/gateway/store/topic_replica_era_test.ts
@@ -114,3 +114,27 @@
   });
   assert.deepEqual(contentsOf(changes.at(-1)?.records ?? []), [["a", "r"]]);
 });
+
+// Guards against DRAIN: a VM that knew that a server had left took its entry from
+// one that had started since and had it from an older copy of the store.
+test("a copy that another VM passes on does not bring a dropped key back", () => {
+  const changes: ReplicaChange[] = [];
+  const [knowing, started] = [renewedReplicaOf(changes), renewedReplicaOf([])];
+  knowing.applyList({ records: [recordOf("a", 7, "r5")], nextOffset: 8 }, 1000);
+  knowing.applyRecords({ records: [recordOf("a", 9)], nextOffset: 10 }, 1000);
+  const copy = [recordOf("a", at(1, 6), "r4")];
+  started.applyList({ records: copy, nextOffset: at(1, 8) }, 1000);
+  const tell = (): void => {
+    const update = started.updateSince(knowing.nextOffset);
+    assert.ok(update);
+    knowing.applyUpdate(update);
+  };
+  tell();
+  assert.equal(knowing.nextOffset, at(1, 8));
+  assert.deepEqual(changes.at(-1)?.records, []);
+  // The heartbeat of a server that runs after all.
+  const written = [recordOf("a", at(1, 8), "r6")];
+  started.applyRecords({ records: written, nextOffset: at(1, 9) }, 1000);
+  tell();
+  assert.deepEqual(contentsOf(changes.at(-1)?.records ?? []), [["a", "r"]]);
+});
--- a/src/gateway/store/topic_replica_gap_test.ts
+++ b/src/gateway/store/topic_replica_gap_test.ts
@@ -7,7 +7,11 @@
 import { test } from "node:test";
 import fc from "fast-check";
 import { type StoreRecord, type StoreRecords } from "./store_record.ts";
-import { type TopicReplica, type TopicUpdate } from "./topic_replica.ts";
+import {
+  type ReplicaChange,
+  type TopicReplica,
+  type TopicUpdate,
+} from "./topic_replica.ts";
 import { contentsOf, recordOf, replicaOf } from "./topic_replica_fixture.ts";
 
 const SEED = 45;
@@ -71,8 +75,18 @@
   fc.record({ kind: fc.constant("deliver" as const), index: fc.nat(9) }),
 );
 
+/** Fails where a change is from before an earlier one of its key. */
+function assertForward(changes: readonly ReplicaChange[]): void {
+  const offsets = new Map<string, number>();
+  for (const { key, offset } of changes.flatMap(({ records }) => records)) {
+    assert.ok(offset > (offsets.get(key) ?? -1), `${key} went back`);
+    offsets.set(key, offset);
+  }
+}
+
 // Guards against DRAIN: removals that a VM did not see itself, and jumped over in
-// an update of a VM that had not seen them either.
+// an update of a VM that had not seen them either; and older news, by which a
+// server that has left came back.
 test("every VM has the store's records, whichever VM told it, after gaps and restarts", () => {
   fc.assert(
     fc.property(
@@ -80,7 +94,13 @@
       vm,
       (steps, lastReader) => {
         const store = new Store();
-        const replicas = Array.from({ length: VM_COUNT }, () => replicaOf());
+        const histories: ReplicaChange[][] = [];
+        const start = (): TopicReplica => {
+          const changes: ReplicaChange[] = [];
+          histories.push(changes);
+          return replicaOf(changes);
+        };
+        const replicas = Array.from({ length: VM_COUNT }, start);
         const at = (index: number): TopicReplica =>
           replicas[index] ?? replicaOf();
         const late: { readonly to: number; readonly update: TopicUpdate }[] =
@@ -96,7 +116,7 @@
           if (one.kind === "trim") store.trim();
           if (one.kind === "read") store.feed(at(one.vm));
           if (one.kind === "tell") tell(one.vm, one.to);
-          if (one.kind === "restart") replicas[one.vm] = replicaOf();
+          if (one.kind === "restart") replicas[one.vm] = start();
           if (one.kind === "deliver") {
             const { to, update } = late[one.index] ?? {};
             if (update !== undefined) at(to ?? 0).applyUpdate(update);
@@ -109,6 +129,7 @@
           const { records = [] } = at(to).updateSince(undefined) ?? {};
           assert.deepEqual(contentsOf(records), expected);
         }
+        for (const changes of histories) assertForward(changes);
       },
     ),
     { seed: SEED, numRuns: RUN_COUNT },
--- a/tools/incident_mechanisms.ts
+++ b/tools/incident_mechanisms.ts
@@ -49,6 +49,35 @@
     replacement: "",
     tests: ["src/gateway/store/topic_replica_test.ts"],
   },
+  {
+    name: "a copy passed on by another VM brings nothing back",
+    file: "src/gateway/store/topic_replica.ts",
+    source: "? listed.offset < copiedBefore",
+    replacement: "? copiedBefore < 0",
+    tests: ["src/gateway/store/topic_replica_era_test.ts"],
+  },
+  {
+    name: "a record after a copy takes its offset",
+    file: "src/gateway/store/topic_replica.ts",
+    source: "current.offset >= this.#copiedBefore;",
+    replacement: "current.offset >= 0;",
+    tests: ["src/gateway/store/topic_replica_era_test.ts"],
+  },
+  {
+    name: "an exception in a request's admission",
+    file: "src/gateway/callers/request_intake.ts",
+    source:
+      'exchange.refuse({ status, reason: "internal_error" });\n      return undefined;',
+    replacement: "throw error;",
+    tests: ["src/gateway/forwarding/request_exception_test.ts"],
+  },
+  {
+    name: "an exception in a request's forwarding",
+    file: "src/gateway/servers/backend_exchange.ts",
+    source: "this.#events.onException(error as Error);",
+    replacement: "throw error;",
+    tests: ["src/gateway/forwarding/request_exception_test.ts"],
+  },
   {
     name: "equal values of a list take its offsets",
     file: "src/gateway/store/topic_replica.ts",
