--- a/tools/incident_mechanisms.ts
+++ b/tools/incident_mechanisms.ts
@@ -121,6 +121,14 @@
     replacement: 'this.#fail(this.#faultKind(false), "closed");',
     tests: ["src/gateway/servers/paused_answer_test.ts"],
   },
+  {
+    name: "no body in a coding that is dropped",
+    file: "platform/headers.ts",
+    source:
+      'if (coding !== undefined && coding !== CHUNKED) return "unknown coding";',
+    replacement: "",
+    tests: ["platform/request_framing_test.ts"],
+  },
   {
     name: "what follows a complete answer",
     file: "src/gateway/servers/backend_exchange.ts",
