--- a/tools/incident_mechanisms.ts
+++ b/tools/incident_mechanisms.ts
@@ -50,7 +50,7 @@
     tests: ["src/gateway/store/topic_replica_test.ts"],
   },
   {
-    name: "a copy passed on by another VM brings nothing back",
+    name: "a copy passed on brings nothing back",
     file: "src/gateway/store/topic_replica.ts",
     source: "? listed.offset < copiedBefore",
     replacement: "? copiedBefore < 0",
