Give the servers of each test process a loopback address of its own

Seen: once "a VM without servers is not advertised" failed with EADDRINUSE, as its fixture listens again on a port that another process had taken meanwhile (KNOWN-RED.txt). The class: a test that closes a port of 127.0.0.1 and counts on nobody else to be there, be it to bind it again or to find it closed. Test files run four at a time, and every outgoing connection takes a port of 127.0.0.1.

Servers, links and VMs of the gateway's tests now listen on an address of their process; connections leave from 127.0.0.1 as before.

The entry stays in KNOWN-RED.txt for its other failure, which isn't traced; it and others there may have this cause, which is not shown.

--- a/src/gateway/callers/endless_answer_test.ts
+++ b/src/gateway/callers/endless_answer_test.ts
@@ -18,8 +18,8 @@
 } from "../gateway_fixture.ts";
 import { MemoryTopic } from "../store/memory_topic_fixture.ts";
 import { until } from "../until_fixture.ts";
+import { LOOPBACK_HOST } from "../../model/loopback_fixture.ts";
 
-const HOST = "127.0.0.1";
 const MIB = 1024 * 1024;
 /** Callers at once, as when a busy server turns bad. */
 const CALLER_COUNT = 24;
@@ -59,7 +59,9 @@
       send();
     });
   });
-  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
+  await new Promise<void>((resolve) =>
+    server.listen(0, LOOPBACK_HOST, resolve)
+  );
   context.after(() => {
     for (const socket of open) socket.destroy();
     server.close();
@@ -67,7 +69,7 @@
   const address = server.address();
   assert.ok(typeof address === "object" && address !== null);
   return {
-    address: `${HOST}:${address.port}`,
+    address: `${LOOPBACK_HOST}:${address.port}`,
     openCount: () => open.size,
     sentBytes: () => sentBytes,
   };
--- a/src/gateway/forwarding/memory_growth_test.ts
+++ b/src/gateway/forwarding/memory_growth_test.ts
@@ -18,6 +18,7 @@
   type TestGateway,
   untilReady,
 } from "../gateway_fixture.ts";
+import { LOOPBACK_HOST } from "../../model/loopback_fixture.ts";
 
 const ROUNDS = 10;
 const CALLS_PER_ROUND = 800;
@@ -37,12 +38,12 @@
     request.resume();
     sendCompleteAnswer(request, response);
   });
-  await new Promise<void>((resolve) => http.listen(0, "127.0.0.1", resolve));
+  await new Promise<void>((resolve) => http.listen(0, LOOPBACK_HOST, resolve));
   context.after(() => {
     http.close();
     http.closeAllConnections();
   });
-  return `127.0.0.1:${(http.address() as AddressInfo).port}`;
+  return `${LOOPBACK_HOST}:${(http.address() as AddressInfo).port}`;
 }
 
 /** Registers servers with new ids at one address and drops the last round's. */
--- a/src/gateway/servers/backend_fixture.ts
+++ b/src/gateway/servers/backend_fixture.ts
@@ -7,8 +7,7 @@
 import { type AddressInfo } from "node:net";
 import { serverOf } from "../../decision/manifest_fixture.ts";
 import { type BackendServer } from "../../model/mod.ts";
-
-const HOST = "127.0.0.1";
+import { LOOPBACK_HOST } from "../../model/loopback_fixture.ts";
 
 /** Handles one request at a backend server. */
 export type BackendHandler = (
@@ -40,10 +39,10 @@
     request.resume();
     handler(request, response);
   });
-  await new Promise<void>((resolve) => http.listen(0, HOST, resolve));
+  await new Promise<void>((resolve) => http.listen(0, LOOPBACK_HOST, resolve));
   const { port } = http.address() as AddressInfo;
   return {
-    server: serverOf(id, { address: `${HOST}:${port}`, ...fields }),
+    server: serverOf(id, { address: `${LOOPBACK_HOST}:${port}`, ...fields }),
     requestIds: requestIds,
     requestHeaders: requestHeaders,
     close: () =>
--- a/src/gateway/servers/body_framing_test.ts
+++ b/src/gateway/servers/body_framing_test.ts
@@ -11,6 +11,7 @@
   type TestGateway,
   untilReady,
 } from "../gateway_fixture.ts";
+import { LOOPBACK_HOST } from "../../model/loopback_fixture.ts";
 
 const METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"];
 const BODY = "GET /lookups/smuggled HTTP/1.1\r\ntest-id: smuggled\r\n\r\n";
@@ -42,10 +43,10 @@
       }).end();
     });
   });
-  await new Promise<void>((resolve) => http.listen(0, "127.0.0.1", resolve));
+  await new Promise<void>((resolve) => http.listen(0, LOOPBACK_HOST, resolve));
   const { port } = http.address() as AddressInfo;
   const vm = await startGateway({ manifest: { routes: [LOOKUP_ROUTE] } });
-  const server = serverOf("a", { address: `127.0.0.1:${port}` });
+  const server = serverOf("a", { address: `${LOOPBACK_HOST}:${port}` });
   vm.servers.put(server.id, server);
   context.after(async () => {
     await vm.gateway.stop();
--- a/src/gateway/servers/cold_server_fixture.ts
+++ b/src/gateway/servers/cold_server_fixture.ts
@@ -5,8 +5,7 @@
 import { createServer, type Server } from "node:http";
 import { type AddressInfo } from "node:net";
 import { sendCompleteAnswer } from "./backend_fixture.ts";
-
-const HOST = "127.0.0.1";
+import { LOOPBACK_HOST } from "../../model/loopback_fixture.ts";
 
 /** A server that can be ended and started again at its address. */
 export interface RestartableServer {
@@ -30,14 +29,16 @@
       request.resume();
       setTimeout(() => sendCompleteAnswer(request, response), workMs);
     });
-    await new Promise<void>((resolve) => server.listen(port, HOST, resolve));
+    await new Promise<void>((resolve) =>
+      server.listen(port, LOOPBACK_HOST, resolve)
+    );
     ({ port } = server.address() as AddressInfo);
     arrivalsMs.length = 0;
     http = server;
   };
   await start();
   return {
-    address: `${HOST}:${port}`,
+    address: `${LOOPBACK_HOST}:${port}`,
     arrivalsMs,
     start,
     end: () =>
--- a/src/gateway/servers/paused_answer_test.ts
+++ b/src/gateway/servers/paused_answer_test.ts
@@ -7,6 +7,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { test, type TestContext } from "node:test";
 import { BackendExchange } from "./backend_exchange.ts";
+import { LOOPBACK_HOST } from "../../model/loopback_fixture.ts";
 
 const BODY = "whole";
 const PART = "x".repeat(1000);
@@ -30,13 +31,15 @@
     socket.on("error", () => {});
     socket.once("data", () => answer(socket));
   });
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  await new Promise<void>((resolve) =>
+    server.listen(0, LOOPBACK_HOST, resolve)
+  );
   context.after(() => server.close());
   const { port } = server.address() as AddressInfo;
   let length = 0;
   let end = "";
   const exchange = new BackendExchange({
-    address: `127.0.0.1:${port}`,
+    address: `${LOOPBACK_HOST}:${port}`,
     method: "GET",
     target: "/",
     headers: [],
--- a/src/gateway/servers/raw_server_fixture.ts
+++ b/src/gateway/servers/raw_server_fixture.ts
@@ -3,8 +3,7 @@
 import { type TestContext } from "node:test";
 import { serverOf } from "../../decision/manifest_fixture.ts";
 import { type BackendServer } from "../../model/mod.ts";
-
-const HOST = "127.0.0.1";
+import { LOOPBACK_HOST } from "../../model/loopback_fixture.ts";
 
 /** Answers a request, whose body may not have arrived. */
 export type RawAnswer = (socket: Socket, requestId: string) => void;
@@ -32,13 +31,15 @@
       answer(socket, requestId);
     });
   });
-  await new Promise<void>((resolve) => listener.listen(0, HOST, resolve));
+  await new Promise<void>((resolve) =>
+    listener.listen(0, LOOPBACK_HOST, resolve)
+  );
   context.after(() => {
     listener.close();
     for (const socket of open) socket.destroy();
   });
   const { port } = listener.address() as AddressInfo;
-  const server = serverOf(id, { address: `${HOST}:${port}` });
+  const server = serverOf(id, { address: `${LOOPBACK_HOST}:${port}` });
   return { server, requestIds };
 }
 
--- a/src/gateway/servers/server_link_fixture.ts
+++ b/src/gateway/servers/server_link_fixture.ts
@@ -7,8 +7,7 @@
   type Socket,
 } from "node:net";
 import { type BackendServer, splitAddress } from "../../model/mod.ts";
-
-const HOST = "127.0.0.1";
+import { LOOPBACK_HOST } from "../../model/loopback_fixture.ts";
 
 /** What a cut does to connections; new ones are refused in both. */
 export type LinkCut = "reset" | "live_on";
@@ -52,7 +51,7 @@
     linked: (server) => {
       const link = links.get(server.id);
       if (link === undefined) return server;
-      return { ...server, address: `${HOST}:${link.port}` };
+      return { ...server, address: `${LOOPBACK_HOST}:${link.port}` };
     },
     cut: (how) => {
       const closed = closeListeners();
@@ -95,6 +94,6 @@
 function listen(listener: Server, port: number): Promise<void> {
   return new Promise((resolve, reject) => {
     listener.once("error", reject);
-    listener.listen(port, HOST, () => resolve());
+    listener.listen(port, LOOPBACK_HOST, () => resolve());
   });
 }
--- a/src/gateway/settings_fixture.ts
+++ b/src/gateway/settings_fixture.ts
@@ -1,6 +1,7 @@
 /** Settings of a VM for tests. */
 import { type GatewaySettings } from "./gateway_settings.ts";
 import { MAX_ENTRY_AGE_MS } from "./gateway_shutdown.ts";
+import { LOOPBACK_HOST } from "../model/loopback_fixture.ts";
 
 /** Returns the settings of the only VM of a small deployment. */
 export function settingsOf(
@@ -10,8 +11,8 @@
     vm: "vm-1",
     place: "khomas-a",
     places: [{ place: "khomas-a", region: "khomas" }],
-    callerAddress: "127.0.0.1:0",
-    peerAddress: "127.0.0.1:0",
+    callerAddress: `${LOOPBACK_HOST}:0`,
+    peerAddress: `${LOOPBACK_HOST}:0`,
     seeds: [],
     memoryBytes: 350 * 1024 * 1024,
     coreShare: 1,
