Reset an unframed answer whose caller has ended its side

Cause: Node answers the end of a caller's side by ending its own, whatever answer is under way. With a length or chunks the caller sees that the answer was cut; an unframed one looks complete.

The connection of an unframed answer that has not ended is reset before Node ends it. A half-closed caller still counts as gone: until something is written it can't be told from one that has closed for good.

--- a/src/gateway/callers/caller_connection.ts
+++ b/src/gateway/callers/caller_connection.ts
@@ -29,6 +29,8 @@
     socket.once("close", () => {
       for (const exchange of [...this.#open]) exchange.handleClosed();
     });
+    // Node answers a caller's end by ending its own side.
+    socket.prependOnceListener("end", () => this.#open[0]?.resetUnframed());
   }
 
   /** Whether an answer can still be sent. */
--- a/src/gateway/callers/caller_exchange.ts
+++ b/src/gateway/callers/caller_exchange.ts
@@ -123,6 +123,11 @@
     else this.#socket.resetAndDestroy();
   }
 
+  /** Resets the connection of an unframed answer that has not ended. */
+  resetUnframed(): void {
+    if (!this.#isFramed && !this.#isOver) this.#socket.resetAndDestroy();
+  }
+
   /** Called once when all earlier requests of the connection are answered. */
   set onTurn(listener: () => void) {
     this.#onTurn = listener;
--- a/src/gateway/callers/unframed_stream_test.ts
+++ b/src/gateway/callers/unframed_stream_test.ts
@@ -1,6 +1,7 @@
 /** Tests of streams that end with their connection. */
 import assert from "node:assert/strict";
 import { type IncomingMessage, type ServerResponse } from "node:http";
+import { connect } from "node:net";
 import { test, type TestContext } from "node:test";
 import { routeOf } from "../../decision/manifest_fixture.ts";
 import {
@@ -10,10 +11,13 @@
   eventsOf,
   startBackend,
 } from "../servers/backend_fixture.ts";
+import { splitAddress } from "../../model/mod.ts";
 import {
+  API_HOST,
   call,
   type CallerAnswer,
   startGateway,
+  type TestGateway,
   untilReady,
 } from "../gateway_fixture.ts";
 
@@ -27,11 +31,11 @@
   beginStream(request, response);
 }
 
-async function stream(
+async function startVm(
   context: TestContext,
   options: { readonly isResumable: boolean },
   handler: BackendHandler,
-): Promise<CallerAnswer> {
+): Promise<TestGateway> {
   const backends = await Promise.all(
     ["one", "two"].map((id) => startBackend(id, handler)),
   );
@@ -44,7 +48,14 @@
     await Promise.all(backends.map((backend) => backend.close()));
   });
   await untilReady(gateway);
-  return await call(gateway.callerAddress, {});
+  return gateway;
+}
+
+async function stream(
+  ...parameters: Parameters<typeof startVm>
+): Promise<CallerAnswer> {
+  const { callerAddress } = await startVm(...parameters);
+  return await call(callerAddress, {});
 }
 
 /** Ends the first stream inside its fourth event, others after the sixth. */
@@ -95,3 +106,36 @@
   );
   assert.equal(answer.body, eventsOf(1, 3));
 });
+
+// Guards against MIXED: a caller that had ended its side of the connection got a
+// part of an unframed answer, and then the end by which such an answer is whole.
+test("an unframed answer to a half-closed caller is reset", async (context) => {
+  const { callerAddress } = await startVm(
+    context,
+    { isResumable: false },
+    (request, response) => {
+      beginUnframed(request, response);
+      response.write(eventsOf(1, 3));
+      setTimeout(() => response.end(eventsOf(4, 6)), 300);
+    },
+  );
+  const { host, port } = splitAddress(callerAddress);
+  const socket = connect({ port, host, allowHalfOpen: true });
+  socket.write(
+    `POST /drafts/one HTTP/1.1\r\nHost: ${API_HOST}\r\ntest-id: one\r\n` +
+      "test-key: a-key\r\nContent-Length: 0\r\n\r\n",
+  );
+  let text = "";
+  const end = new Promise<string>((resolve) => {
+    socket.on("data", (bytes) => {
+      text += String(bytes);
+      if (text.includes("piece 3")) socket.end();
+    });
+    socket.on("end", () => resolve("end"));
+    socket.on("error", ({ code }: NodeJS.ErrnoException) => resolve(`${code}`));
+  });
+  const how = await end;
+  const isWhole = text.endsWith(eventsOf(1, 6));
+  assert.equal(how, isWhole ? "end" : "ECONNRESET", text);
+  socket.destroy();
+});
--- a/tools/incident_mechanisms.ts
+++ b/tools/incident_mechanisms.ts
@@ -129,6 +129,14 @@
     replacement: "",
     tests: ["platform/request_framing_test.ts"],
   },
+  {
+    name: "an unframed answer to a half-closed caller",
+    file: "src/gateway/callers/caller_exchange.ts",
+    source:
+      "if (!this.#isFramed && !this.#isOver) this.#socket.resetAndDestroy();",
+    replacement: "",
+    tests: ["src/gateway/callers/unframed_stream_test.ts"],
+  },
   {
     name: "what follows a complete answer",
     file: "src/gateway/servers/backend_exchange.ts",
