--- a/src/gateway/forwarding/broken_head_test.ts
+++ b/src/gateway/forwarding/broken_head_test.ts
@@ -10,7 +10,7 @@
   type RawServer,
   startRawServer,
 } from "../servers/raw_server_fixture.ts";
-import { startLinks } from "../servers/server_link_fixture.ts";
+import { startCutOff } from "../cut_off_fixture.ts";
 import {
   call,
   type CallerAnswer,
@@ -20,8 +20,6 @@
   startGateway,
   untilReady,
 } from "../gateway_fixture.ts";
-import { MemoryTopic } from "../store/memory_topic_fixture.ts";
-import { until } from "../until_fixture.ts";
 
 const ENDS = ["end", "resetAndDestroy"] as const;
 const INTERIM = "HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n";
@@ -197,26 +195,14 @@
   const servers = await Promise.all(
     ["a", "b", "c"].map((id) => startRawServer(context, { id, answer })),
   );
-  const links = await startLinks(servers.map(({ server }) => server));
-  const topics = { operators: new MemoryTopic(), servers: new MemoryTopic() };
-  for (const { server } of servers) topics.servers.put(server.id, server);
-  const { linked } = links;
-  const manifest = { routes: ROUTES };
-  const first = await startGateway({ ...topics, manifest, linked });
-  const seeds = [first.peerAddress];
-  const second = await startGateway({ ...topics, vm: "vm-2", seeds });
-  context.after(async () => {
-    await Promise.all([first.gateway.stop(), second.gateway.stop()]);
-    await links.close();
+  const { cutOff } = await startCutOff(context, {
+    servers: servers.map(({ server }) => server),
+    manifest: { routes: ROUTES },
+    others: [{}],
   });
-  for (const vm of [first, second]) await untilReady(vm);
-  const addresses = (): readonly string[] =>
-    first.gateway.entryAddresses({ place: undefined });
-  await until(() => addresses().length === 2);
-  await links.cut("reset");
   const path = "/registrations/a";
   const callAs = (id: string): Promise<CallerAnswer> =>
-    call(first.callerAddress, { path, headers: { "test-id": id } });
+    call(cutOff.callerAddress, { path, headers: { "test-id": id } });
   // The VM finds that it reaches no server.
   await callAs("first");
   assert.equal((await callAs("second")).body, kind.body);
--- a/src/gateway/late_request_test.ts
+++ b/src/gateway/late_request_test.ts
@@ -8,18 +8,16 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { test, type TestContext } from "node:test";
 import { splitAddress } from "../model/mod.ts";
+import { startCutOff } from "./cut_off_fixture.ts";
+import { MAX_ENTRY_AGE_MS } from "./gateway_shutdown.ts";
 import { headOf } from "./callers/caller_connection_fixture.ts";
 import {
   call,
   LOOKUP_ROUTE,
   REGISTER_ROUTE,
-  startGateway,
   type TestGateway,
-  untilReady,
 } from "./gateway_fixture.ts";
 import { sendCompleteAnswer, startBackend } from "./servers/backend_fixture.ts";
-import { startLinks } from "./servers/server_link_fixture.ts";
-import { MemoryTopic } from "./store/memory_topic_fixture.ts";
 import { until } from "./until_fixture.ts";
 
 const GRACE_MS = 8000;
@@ -59,30 +57,13 @@
       }, { slotCount: 500 })
     ),
   );
-  const links = await startLinks(backends.map(({ server }) => server));
-  const topics = { operators: new MemoryTopic(), servers: new MemoryTopic() };
-  const settings = { graceMs: GRACE_MS, entryMaxAgeMs: 750 };
-  const stopping = await startGateway({
-    ...topics,
-    settings,
-    backends,
+  context.after(() => Promise.all(backends.map((backend) => backend.close())));
+  const { cutOff, others } = await startCutOff(context, {
+    servers: backends.map(({ server }) => server),
     manifest: MANIFEST,
+    others: [{ graceMs: GRACE_MS, entryMaxAgeMs: MAX_ENTRY_AGE_MS }, {}],
   });
-  const seeds = [stopping.peerAddress];
-  const options = { ...topics, seeds, settings: { graceMs: 1000 } };
-  const other = await startGateway({ ...options, vm: "vm-2" });
-  const { linked } = links;
-  const cutOff = await startGateway({ ...options, vm: "vm-3", linked });
-  const vms = [stopping, other, cutOff];
-  context.after(async () => {
-    await Promise.all(vms.map(({ gateway }) => gateway.stop()));
-    await Promise.all([...backends, links].map((part) => part.close()));
-  });
-  for (const vm of vms) await untilReady(vm);
-  const addresses = (): readonly string[] =>
-    cutOff.gateway.entryAddresses({ place: undefined });
-  await until(() => addresses().length === vms.length);
-  await links.cut("reset");
+  const [stopping = cutOff] = others;
   // The VM finds that it reaches no server.
   await call(cutOff.callerAddress, { path: "/registrations/a" });
   return { stopping, cutOff, runs };
