--- a/src/gateway/callers/caller_connection.ts
+++ b/src/gateway/callers/caller_connection.ts
@@ -29,7 +29,7 @@
     socket.once("close", () => {
       for (const exchange of [...this.#open]) exchange.handleClosed();
     });
-    // Node answers a caller's end by ending its own side.
+    // Node then ends its own side, by which an unframed answer looks complete.
     socket.prependOnceListener("end", () => this.#open[0]?.resetUnframed());
   }
 
--- a/src/gateway/callers/request_intake.ts
+++ b/src/gateway/callers/request_intake.ts
@@ -2,7 +2,7 @@
  * Takes the requests that callers send: admits or refuses each by its head, and
  * forwards it when its body has arrived.
  */
-import { type GatewayRefusal } from "./caller_exchange.ts";
+import { type CallerExchange, type GatewayRefusal } from "./caller_exchange.ts";
 import { type HeadHandler, type ReceivedRequest } from "./caller_server.ts";
 import { type ForwardContext } from "../forwarding/forward_context.ts";
 import { logRefusal } from "../forwarding/forward_log.ts";
@@ -37,12 +37,15 @@
 
   /** Handles a request's head; an exception ends this request alone. */
   readonly receive: HeadHandler = (received) => {
-    const notRun = { ...received, status: 503 };
-    const onBody = this.#guard(notRun, () => this.#receive(received));
+    const { exchange } = received;
+    const onBody = this.#guard(exchange, {
+      status: 503,
+      handle: () => this.#receive(received),
+    });
     if (onBody === undefined) return undefined;
     // From here on the request may have been sent.
-    const maybeRun = { ...received, status: 502 };
-    return (body) => this.#guard(maybeRun, () => onBody(body));
+    return (body) =>
+      this.#guard(exchange, { status: 502, handle: () => onBody(body) });
   };
 
   #receive(
@@ -72,11 +75,10 @@
     };
   }
 
+  /** Ends the request with a status where its handling throws. */
   #guard<T>(
-    { request, exchange, status }: ReceivedRequest & {
-      readonly status: number;
-    },
-    handle: () => T,
+    exchange: CallerExchange,
+    { status, handle }: { readonly status: number; readonly handle: () => T },
   ): T | undefined {
     try {
       return handle();
@@ -85,7 +87,6 @@
       metrics.count("request_exceptions", { route: "none" });
       const { stack, message } = error as Error;
       logger.error("request failed by an exception", {
-        method: request.method,
         message: stack ?? message,
       });
       exchange.refuse({ status, reason: "internal_error" });
--- a/src/gateway/store/topic_replica.ts
+++ b/src/gateway/store/topic_replica.ts
@@ -16,7 +16,8 @@
  * which of two values was written first, an older copy of the store undoes
  * nothing: newer values stay, and dropped keys stay dropped until they are
  * written again. The first list of an era may be such a copy, also where another
- * VM passes it on, so updates tell up to which offset it is. Keys that it is told to keep stay where a list lacks them.
+ * VM passes it on, so updates tell up to which offset it is. Keys that it is told
+ * to keep stay where a list lacks them.
  */
 import { type Clock } from "../../model/mod.ts";
 import { eraOf, positionOf } from "./store_position.ts";
