Log and count how streams end, and from which event an attempt goes on

A stream whose server closed its connection unmarked, one whose end was marked and one that was cut all ended as "answered" or left no trace, and the trail did not say from which event a stream went on.

`request ended` has callerEnd, framing, serverEnd, lastEvent and callerWaitCount, `request sent` and `request relayed` have lastEvent, and `answer_ends{caller,framing,server}` counts. No logic changes.

--- a/src/gateway/callers/caller_exchange.ts
+++ b/src/gateway/callers/caller_exchange.ts
@@ -28,6 +28,15 @@
   readonly retryAfterMs?: number;
 }
 
+/**
+ * How an answer ended for its caller: completely, cut off by this VM, or by the
+ * caller's disconnection.
+ */
+export type AnswerEnding = "complete" | "cut" | "left";
+
+/** What shows a caller the end of an answer. */
+export type AnswerFraming = "length" | "chunks" | "close";
+
 /** How a gateway's own answers are encoded. */
 export type CallerExchangeOptions = Pick<GatewayProtocol, "writeRefusal">;
 
@@ -50,6 +59,8 @@
   #onTurn: (() => void) | undefined;
   #isClosed = false;
   #status = 0;
+  #ending: AnswerEnding | undefined;
+  #framing: AnswerFraming | undefined;
 
   constructor(
     request: IncomingMessage,
@@ -86,6 +97,16 @@
     return this.#status;
   }
 
+  /** How the answer ended; `undefined` before its end. */
+  get ending(): AnswerEnding | undefined {
+    return this.#ending;
+  }
+
+  /** What marks the end of the answer; `undefined` before its head is sent. */
+  get framing(): AnswerFraming | undefined {
+    return this.#framing;
+  }
+
   /** Called once when the caller disconnects before its answer ends. */
   set onDisconnect(listener: () => void) {
     this.#onDisconnect = listener;
@@ -148,6 +169,7 @@
     this.#onBodyRelease();
     if (this.#isOver) return;
     this.#isOver = true;
+    this.#ending = "left";
     this.#onDisconnect();
   }
 
@@ -162,6 +184,8 @@
     }
     this.#isOver = true;
     this.#status = status;
+    this.#ending = "complete";
+    this.#framing = "length";
     this.#response.writeHead(status, [
       ...headers,
       "Content-Length",
@@ -220,6 +244,7 @@
       this.closeAfterAnswer();
     }
     this.#response.writeHead(status, headers as string[]);
+    this.#framing = this.#response.chunkedEncoding ? "chunks" : "close";
   }
 
   /** Sends a part of a stream; returns false while the write buffer is full. */
@@ -232,6 +257,7 @@
   end(): void {
     if (this.#isOver) return;
     this.#isOver = true;
+    this.#ending = "complete";
     this.#response.end();
   }
 
@@ -239,6 +265,7 @@
   abort(): void {
     if (this.#isOver) return;
     this.#isOver = true;
+    this.#ending = "cut";
     // Without framing a plain close would look like the end of the answer.
     if (this.#isFramed) this.#response.destroy();
     else this.#response.socket?.resetAndDestroy();
--- a/src/gateway/forwarding/forward_log.ts
+++ b/src/gateway/forwarding/forward_log.ts
@@ -1,7 +1,10 @@
 /** Log lines and metrics of a forwarded request. */
 import { type AnswerTiming } from "../callers/answer_timing.ts";
 import { type FleetCandidate } from "../servers/backend_fleet.ts";
-import { type GatewayRefusal } from "../callers/caller_exchange.ts";
+import {
+  type CallerExchange,
+  type GatewayRefusal,
+} from "../callers/caller_exchange.ts";
 import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
 import { type PromptAttempt } from "../prompts/prompt_quarantine.ts";
 
@@ -13,8 +16,16 @@
   readonly version: string | undefined;
   /** Attempt outcomes and escalations so far, in order. */
   readonly attempts: readonly string[];
+  /** The number of the last event sent to the caller or named by it. */
+  readonly lastEvent: number | undefined;
 }
 
+/**
+ * How the last server ended a stream: with its length or last chunk, or only by
+ * closing its connection, which a broken stream may look like too.
+ */
+export type ServerEnding = "marked" | "unmarked";
+
 /** Logs and counts a request that is refused by its head. */
 export function logRefusal(
   { logger, metrics }: ForwardContext,
@@ -54,6 +65,7 @@
     request: caller.id,
     try: choice.attemptCount,
     cause: choice.attempts.at(-1),
+    lastEvent: choice.lastEvent,
     route: route.name,
     server: server.id,
     serverPlace: permittedRegions === undefined ? undefined : server.place,
@@ -86,6 +98,7 @@
     request: caller.id,
     try: relay.attemptCount,
     cause: relay.attempts.at(-1),
+    lastEvent: relay.lastEvent,
     route: route.name,
     through: relay.vm,
     ageMs: Math.round(clock() - receivedAtMs),
@@ -123,7 +136,11 @@
   request: ForwardRequest,
   end: LoggedProgress & {
     readonly outcome: string;
-    readonly status: number;
+    readonly exchange: CallerExchange;
+    /** `undefined` where no server has ended a stream. */
+    readonly serverEnd: ServerEnding | undefined;
+    /** How often the server had to wait for the caller. */
+    readonly callerWaitCount: number;
     readonly timing: AnswerTiming;
     readonly medianPauseMs: number | undefined;
     /** How long it waited for a slot; undefined if it was decided at once. */
@@ -132,9 +149,14 @@
 ): void {
   const { caller, route, service, workspace, manifestVersion } = request;
   const { permittedRegions } = request;
-  const { outcome, status, timing } = end;
+  const { outcome, exchange, serverEnd, timing } = end;
+  const { status, framing, ending } = exchange;
   const durationMs = clock() - request.receivedAtMs;
   metrics.count("requests", { route: route.name, outcome, status });
+  if (framing !== undefined && ending !== undefined) {
+    const server = serverEnd ?? "none";
+    metrics.count("answer_ends", { caller: ending, framing, server });
+  }
   if (workspace !== undefined) {
     metrics.count("workspace_requests", { workspace: workspace.name, status });
   }
@@ -160,6 +182,11 @@
     version: end.version,
     manifestVersion,
     trail: end.attempts.join(" "),
+    callerEnd: ending,
+    framing,
+    serverEnd,
+    lastEvent: end.lastEvent,
+    callerWaitCount: end.callerWaitCount || undefined,
     durationMs: Math.round(durationMs),
     firstByteMs: rounded(firstByteMs),
     medianPauseMs: rounded(end.medianPauseMs),
--- a/src/gateway/forwarding/forwarding.ts
+++ b/src/gateway/forwarding/forwarding.ts
@@ -26,6 +26,7 @@
   logEnd,
   type LoggedProgress,
   logRelay,
+  type ServerEnding,
 } from "./forward_log.ts";
 import { type AnswerHead } from "../protocol.ts";
 import { crashPartIds } from "../callers/request_digest.ts";
@@ -58,6 +59,8 @@
   #attempt: Attempt | undefined;
   #model: string | undefined;
   #fallback: CompleteAnswer | undefined;
+  #serverEnd: ServerEnding | undefined;
+  #callerWaitCount = 0;
   #deadlineTimer: NodeJS.Timeout | undefined;
   #ticket: AdmissionTicket | undefined;
   #onFinish: () => void = () => {};
@@ -215,6 +218,7 @@
     const step = relay.push(chunk);
     this.#timing.recordPart(this.#context.clock());
     if (step === "slow_caller") {
+      this.#callerWaitCount += 1;
       this.#silence.stop();
       return attempt.pause();
     }
@@ -244,6 +248,7 @@
         this.#exchange.answer(outcome.answer);
         return this.#finish("answered");
       case "stream_end":
+        this.#serverEnd = outcome.head.isFramed ? "marked" : "unmarked";
         if (this.#relay?.end(outcome.head) === false) {
           return this.#retry("incomplete");
         }
@@ -357,7 +362,9 @@
     logEnd(this.#context, this.#request, {
       ...this.#progress(),
       outcome,
-      status: this.#exchange.status,
+      exchange: this.#exchange,
+      serverEnd: this.#serverEnd,
+      callerWaitCount: this.#callerWaitCount,
       timing: this.#timing,
       medianPauseMs: this.#attempt?.medianPauseMs,
       waitedMs: this.#ticket?.waitedMs(),
@@ -366,7 +373,9 @@
 
   #progress(): LoggedProgress {
     const version = this.#attempt?.version;
-    return { model: this.#model, version, attempts: this.#history.attempts };
+    const { attempts } = this.#history;
+    const lastEvent = this.#relay?.lastId;
+    return { model: this.#model, version, attempts, lastEvent };
   }
 
   #timeLeftMs(): number {
