--- a/src/gateway/servers/raw_server_fixture.ts
+++ b/src/gateway/servers/raw_server_fixture.ts
@@ -17,7 +17,12 @@
 /** Starts a server that takes one request on each connection. */
 export async function startRawServer(
   context: TestContext,
-  { id = "raw", answer }: { readonly id?: string; readonly answer: RawAnswer },
+  { id = "raw", answer }: {
+    readonly id?: string;
+    readonly answer: (
+      ...parameters: [...Parameters<RawAnswer>, head: string]
+    ) => void;
+  },
 ): Promise<RawServer> {
   const requestIds: string[] = [];
   const open = new Set<Socket>();
@@ -28,7 +33,7 @@
     socket.once("data", (bytes) => {
       const requestId = /test-id: (\S+)/i.exec(bytes.toString())?.[1] ?? "";
       requestIds.push(requestId);
-      answer(socket, requestId);
+      answer(socket, requestId, String(bytes));
     });
   });
   await new Promise<void>((resolve) =>
