Watch an attempt for silence again once its slow caller has read on

Callers saw a stream cut at its deadline whose server had fallen silent after an event longer than the caller's write buffer, at any pace of reading: such an event fills the buffer at once, the attempt is paused and its watch for silence ends, and only the next data began it again. The caller's buffer being empty now resumes the attempt that was paused for it, and no other, and begins the watch.

--- a/src/gateway/forwarding/forwarding.ts
+++ b/src/gateway/forwarding/forwarding.ts
@@ -57,6 +57,8 @@
   readonly #targets: TargetChoice;
   readonly #silence: SilenceWatch;
   #attempt: Attempt | undefined;
+  /** An attempt that waits until its caller has read on. */
+  #pausedAttempt: Attempt | undefined;
   #model: string | undefined;
   #fallback: CompleteAnswer | undefined;
   #serverEnd: ServerEnding | undefined;
@@ -104,7 +106,7 @@
     if (!caller.isRelayed) this.#context.budget.earn(service);
     this.#exchange.onDisconnect = () =>
       this.#guard(() => this.#finish("caller_gone"));
-    this.#exchange.onDrain = () => this.#guard(() => this.#attempt?.resume());
+    this.#exchange.onDrain = () => this.#guard(() => this.#resumePaused());
     this.#deadlineTimer = setTimeout(
       () => this.#guard(() => this.#handleDeadline()),
       Math.max(0, this.#timeLeftMs()),
@@ -220,6 +222,7 @@
     if (step === "slow_caller") {
       this.#callerWaitCount += 1;
       this.#silence.stop();
+      this.#pausedAttempt = attempt;
       return attempt.pause();
     }
     this.#silence.startGap();
@@ -228,6 +231,16 @@
     this.#handleOutcome({ kind: "fault", isUnsent: false, cause: step });
   }
 
+  /** The server may have fallen silent while the caller was slow. */
+  #resumePaused(): void {
+    const attempt = this.#pausedAttempt;
+    this.#pausedAttempt = undefined;
+    if (attempt === undefined || attempt !== this.#attempt) return;
+    if (this.#exchange.isOver) return;
+    attempt.resume();
+    this.#silence.startGap();
+  }
+
   #handleOutcome(outcome: AttemptOutcome): void {
     this.#silence.stop();
     if (this.#exchange.isOver) return;
