Show by tests that plain ends of servers are taken for ends of answers

What callers saw: streams that look complete and lack events (ORDER). An answer without a length or chunks ends with its connection, and a server or VM that breaks off or whose process ends closes its connections the same way.

--- /dev/null
+++ b/src/gateway/forwarding/ended_server_test.ts
@@ -0,0 +1,189 @@
+/**
+ * Tests of answers that may run once and end with their connection: the end of
+ * a server's process closes connections as well.
+ */
+import assert from "node:assert/strict";
+import { test, type TestContext } from "node:test";
+import { applyRoster, EMPTY_ROSTER, type Roster } from "../../decision/mod.ts";
+import { type BackendServer } from "../../model/mod.ts";
+import { type AttemptOutcome } from "./attempt_outcome.ts";
+import {
+  eventsOf,
+  sendCompleteAnswer,
+  startBackend,
+  type TestBackend,
+} from "../servers/backend_fixture.ts";
+import { type ForwardContext } from "./forward_context.ts";
+import { forwardContextOf } from "./forward_context_fixture.ts";
+import {
+  call,
+  LOOKUP_ROUTE,
+  REGISTER_ROUTE,
+  startGateway,
+  testProtocol,
+  untilReady,
+} from "../gateway_fixture.ts";
+import { ServerAttempt } from "../servers/server_attempt.ts";
+import {
+  beginUnframed,
+  type RunEnd,
+  sendUnmarked,
+} from "./unmarked_end_fixture.ts";
+
+const ONCE = { isResumable: false } as const;
+const PART = eventsOf(1, 3);
+
+// Guards against ORDER: the part of a stream that a server had sent as its
+// process ended was given to the caller as the whole.
+test("a stream that may run once is cut as its server ends between two events", async (context) => {
+  const result = await sendUnmarked(context, {
+    runs: [{ lastId: 3, end: "gone" }],
+    route: ONCE,
+  });
+  const cut = { status: 200, body: PART, isComplete: false };
+  assert.deepEqual(result, { ...cut, runs: [undefined] });
+});
+
+test("a stream that may run once is complete if its server lives on", async (context) => {
+  const result = await sendUnmarked(context, {
+    runs: [{ lastId: 3, end: "closed" }],
+    route: ONCE,
+  });
+  const whole = { status: 200, body: PART, isComplete: true };
+  assert.deepEqual(result, { ...whole, runs: [undefined] });
+});
+
+interface PlainResult {
+  readonly status: number;
+  readonly body: string;
+  readonly isComplete: boolean;
+  readonly runCount: number;
+}
+
+/** Sends a request whose first server closes after a part of the answer. */
+async function sendPlain(
+  context: TestContext,
+  { path, end }: { readonly path: string; readonly end: RunEnd },
+): Promise<PlainResult> {
+  const backends: TestBackend[] = [];
+  let runCount = 0;
+  for (const id of ["one", "two"]) {
+    const backend = await startBackend(id, (request, response) => {
+      runCount += 1;
+      if (runCount > 1) return sendCompleteAnswer(request, response);
+      beginUnframed(request, response);
+      response.write("a part");
+      setTimeout(() => {
+        if (end === "gone") backend.stopListening();
+        response.end();
+      }, 20);
+    });
+    backends.push(backend);
+  }
+  const vm = await startGateway({
+    backends,
+    manifest: { routes: [LOOKUP_ROUTE, REGISTER_ROUTE] },
+  });
+  context.after(async () => {
+    await vm.gateway.stop();
+    await Promise.all(backends.map((backend) => backend.close()));
+  });
+  await untilReady(vm);
+  const { status, body, isComplete } = await call(vm.callerAddress, { path });
+  return { status, body, isComplete, runCount };
+}
+
+// Guards against MIXED: the same of an answer that is no stream.
+test("an answer that its server's end cut short is asked for again", async (context) => {
+  const result = await sendPlain(context, { path: "/lookups/a", end: "gone" });
+  const whole = { status: 200, body: "whole", isComplete: true };
+  assert.deepEqual(result, { ...whole, runCount: 2 });
+});
+
+// Guards against MIXED and TWICE: the same of one that may run once.
+test("an answer that may run once is a failure as its server ends", async (context) => {
+  const path = "/registrations/a";
+  const { status, runCount } = await sendPlain(context, { path, end: "gone" });
+  assert.deepEqual([status, runCount], [502, 1]);
+});
+
+for (const path of ["/lookups/a", "/registrations/a"]) {
+  test(`an answer without a length is complete if its server lives on: ${path}`, async (context) => {
+    const result = await sendPlain(context, { path, end: "closed" });
+    const whole = { status: 200, body: "a part", isComplete: true };
+    assert.deepEqual(result, { ...whole, runCount: 1 });
+  });
+}
+
+/** What is known of a server that stops listening and then ends a stream. */
+const LEAVES = {
+  draining: ({ fleet }, server) =>
+    fleet.update(rosterOf({ ...server, status: "draining" })),
+  removed: ({ fleet }) => fleet.update(EMPTY_ROSTER),
+  stated: ({ statements }, server) => statements.recordLeaving(server),
+  nothing: () => {},
+} satisfies Record<
+  string,
+  (context: ForwardContext, server: BackendServer) => void
+>;
+
+function rosterOf(server: BackendServer): Roster {
+  const records = [{ id: server.id, server, offset: 2 }];
+  return applyRoster(EMPTY_ROSTER, { kind: "changed", records }, 0);
+}
+
+/** The outcome of a stream at a server that stops listening meanwhile. */
+async function leave(
+  test: TestContext,
+  how: keyof typeof LEAVES,
+): Promise<AttemptOutcome["kind"]> {
+  const backend = await startBackend("one", (request, response) => {
+    LEAVES[how](context, backend.server);
+    backend.stopListening();
+    beginUnframed(request, response);
+    response.end(PART);
+  });
+  test.after(() => backend.close());
+  const { context } = forwardContextOf([backend.server]);
+  const caller = testProtocol.readRequest({
+    method: "POST",
+    target: "/drafts/one",
+    rawHeaders: ["test-id", "one"],
+  });
+  assert.ok(typeof caller !== "string");
+  return await new Promise((resolve) => {
+    new ServerAttempt({
+      context,
+      server: backend.server,
+      route: "drafts",
+      digest: "digest",
+      body: Buffer.alloc(0),
+      request: {
+        caller,
+        backend: backend.server,
+        workspace: undefined,
+        deadlineLeftMs: 2000,
+        model: undefined,
+        lastEventId: undefined,
+        priority: 0,
+      },
+      isStreaming: true,
+      onHead: () => "relay",
+      onData: () => {},
+      onOutcome: ({ kind }) => resolve(kind),
+      onException: assert.fail,
+    });
+  });
+}
+
+// Guards against LOST: the last streams of a server that leaves were cut.
+for (const how of ["draining", "removed", "stated"] as const) {
+  test(`a server that leaves may end its last stream: ${how}`, async (context) => {
+    assert.equal(await leave(context, how), "stream_end");
+  });
+}
+
+// Guards against ORDER: the end of a process was taken for the end of a stream.
+test("a stream whose server stops unannounced has broken off", async (context) => {
+  assert.equal(await leave(context, "nothing"), "fault");
+});
--- /dev/null
+++ b/src/gateway/forwarding/unmarked_end_test.ts
@@ -0,0 +1,131 @@
+/**
+ * Tests of resumable streams whose servers end them by closing their connection
+ * between two events.
+ */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { eventsOf } from "../servers/backend_fixture.ts";
+import { sendUnmarked, startUnmarked } from "./unmarked_end_fixture.ts";
+
+const WHOLE = { status: 200, body: eventsOf(1, 6), isComplete: true };
+const CUT = { status: 200, body: eventsOf(1, 3), isComplete: false };
+const NO_RETRIES = { ratio: 0, slackCount: 0, windowMs: 10_000 };
+
+// Guards against ORDER: a server closed its connection between two events, and
+// its part of a stream was given to the caller as the whole.
+test("a resumable stream that closes between two events goes on elsewhere", async (context) => {
+  const result = await sendUnmarked(context, {
+    runs: [{ lastId: 3, end: "closed" }],
+  });
+  assert.deepEqual(result, { ...WHOLE, runs: [undefined, "3", "6"] });
+});
+
+// Guards against ORDER: the same, as the server's process ended.
+test("a resumable stream whose server ends between two events goes on elsewhere", async (context) => {
+  const result = await sendUnmarked(context, {
+    runs: [{ lastId: 3, end: "gone" }],
+  });
+  assert.deepEqual(result, { ...WHOLE, runs: [undefined, "3", "6"] });
+});
+
+// Guards against ORDER: a stream was reset, and a server that closed before it
+// gave an event of the rest counted as its end.
+for (const end of ["closed", "gone"] as const) {
+  test(`a stream that was reset is not complete by a first empty answer: ${end}`, async (context) => {
+    const result = await sendUnmarked(context, {
+      runs: [{ lastId: 3, end: "reset" }, { lastId: 3, end }],
+      route: { maxAttempts: 4 },
+      serverCount: 3,
+    });
+    assert.deepEqual(result, { ...WHOLE, runs: [undefined, "3", "3", "6"] });
+  });
+}
+
+// Guards against ORDER: two ends at one event that another break separates.
+test("closes at one event with a reset between them don't confirm each other", async (context) => {
+  const result = await sendUnmarked(context, {
+    runs: [
+      { lastId: 3, end: "closed" },
+      { lastId: 3, end: "reset" },
+      { lastId: 3, end: "closed" },
+    ],
+  });
+  assert.deepEqual(result, { ...CUT, runs: [undefined, "3", "3"] });
+});
+
+// Guards against ORDER and LOST: a complete stream ran more or less often than
+// it takes to confirm its end.
+test("two runs that close after the same event complete a stream", async (context) => {
+  const result = await sendUnmarked(context, { runs: [] });
+  assert.deepEqual(result, { ...WHOLE, runs: [undefined, "6"] });
+});
+
+test("the only server confirms the end of its stream itself", async (context) => {
+  const result = await sendUnmarked(context, { runs: [], serverCount: 1 });
+  assert.deepEqual(result, { ...WHOLE, runs: [undefined, "6"] });
+});
+
+test("a marked end without further events confirms an unmarked one", async (context) => {
+  const result = await sendUnmarked(context, {
+    runs: [{ lastId: 6, end: "closed" }, { lastId: 6, end: "marked" }],
+  });
+  assert.deepEqual(result, { ...WHOLE, runs: [undefined, "6"] });
+});
+
+test("a marked end needs no second run", async (context) => {
+  const result = await sendUnmarked(context, {
+    runs: [{ lastId: 6, end: "marked" }],
+  });
+  assert.deepEqual(result, { ...WHOLE, runs: [undefined] });
+});
+
+// Guards against ORDER: an end that can't be confirmed was believed.
+test("a stream that closes between two events is cut without retries left", async (context) => {
+  const result = await sendUnmarked(context, {
+    runs: [{ lastId: 3, end: "closed" }],
+    settings: { retryBound: NO_RETRIES },
+  });
+  assert.deepEqual(result, { ...CUT, runs: [undefined] });
+});
+
+// Guards against ORDER: the same of a route that allows one run.
+test("a stream that closes between two events is cut after its only attempt", async (context) => {
+  const result = await sendUnmarked(context, {
+    runs: [{ lastId: 3, end: "closed" }],
+    route: { maxAttempts: 1 },
+  });
+  assert.deepEqual(result, { ...CUT, runs: [undefined] });
+});
+
+// Guards against LOST: a caller that resumes after each cut never finished.
+test("a caller can finish a stream of a route that allows one attempt", async (context) => {
+  const { send, runsOf } = await startUnmarked(context, {
+    route: { maxAttempts: 1 },
+    runOf: (requestId) => ({
+      lastId: requestId === "one" ? 3 : 6,
+      end: "closed",
+    }),
+  });
+  const answers = [];
+  let lastId = 0;
+  for (const requestId of ["one", "two", "three"]) {
+    const headers: Record<string, string> = { "test-id": requestId };
+    if (lastId > 0) headers["test-last"] = String(lastId);
+    const { status, body, isComplete } = await send({ headers });
+    answers.push({ status, body, isComplete });
+    lastId = requestId === "one" ? 3 : 6;
+    assert.equal(runsOf(requestId).length, 1);
+  }
+  assert.deepEqual(answers, [
+    CUT,
+    { status: 200, body: eventsOf(4, 6), isComplete: false },
+    { status: 200, body: "", isComplete: true },
+  ]);
+});
+
+test("an empty end at the caller's own last event is confirmed where runs are left", async (context) => {
+  const result = await sendUnmarked(context, { runs: [], lastEventId: 6 });
+  const { status, body, isComplete, runs } = result;
+  assert.deepEqual([status, body, isComplete], [200, "", true]);
+  assert.deepEqual(runs, ["6", "6"]);
+});
--- a/src/gateway/servers/backend_fixture.ts
+++ b/src/gateway/servers/backend_fixture.ts
@@ -22,6 +22,8 @@
   readonly requestIds: readonly string[];
   /** Headers of the received requests, in order. */
   readonly requestHeaders: readonly IncomingMessage["headers"][];
+  /** Refuses new connections, as after the end of the server's process. */
+  readonly stopListening: () => void;
   readonly close: () => Promise<void>;
 }
 
@@ -45,6 +47,7 @@
     server: serverOf(id, { address: `${LOOPBACK_HOST}:${port}`, ...fields }),
     requestIds: requestIds,
     requestHeaders: requestHeaders,
+    stopListening: () => void http.close(),
     close: () =>
       new Promise((resolve) => {
         http.close(() => resolve());
