--- a/src/gateway/forwarding/forwarding.ts
+++ b/src/gateway/forwarding/forwarding.ts
@@ -29,8 +29,7 @@
   type ServerEnding,
 } from "./forward_log.ts";
 import { type AnswerHead } from "../protocol.ts";
-import { crashPartIds } from "../callers/request_digest.ts";
-import { type RetryReason } from "./retry_budget.ts";
+import { RequestRetries } from "./request_retries.ts";
 import {
   noServerReason,
   retryDelayMs,
@@ -43,8 +42,6 @@
 
 /** Statuses that promise callers that their request has not run. */
 const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
-/** With less time left, a request is not sent again. */
-const MIN_ATTEMPT_MS = 20;
 
 /** The forwarding of one caller's request. */
 export class Forwarding {
@@ -55,6 +52,7 @@
   readonly #relay: StreamRelay | undefined;
   readonly #timing: AnswerTiming;
   readonly #targets: TargetChoice;
+  readonly #retries: RequestRetries;
   readonly #silence: SilenceWatch;
   #attempt: Attempt | undefined;
   /** An attempt that waits until its caller has read on. */
@@ -79,6 +77,10 @@
     const { caller, route } = request;
     this.#history = new AttemptHistory(route, caller.maxRunCount);
     this.#targets = new TargetChoice(context, request);
+    this.#retries = new RequestRetries(context, request, {
+      history: this.#history,
+      timeLeftMs: () => this.#timeLeftMs(),
+    });
     this.#silence = new SilenceWatch(context, request, {
       onSilent: () => this.#guard(() => this.#handleSilence()),
       timeLeftMs: () => this.#timeLeftMs(),
@@ -202,7 +204,9 @@
       timeLeftMs: this.#timeLeftMs(),
       acceptsVersion: this.#targets.acceptsVersion,
     });
-    if (model === undefined || !this.#spendRetry("escalation")) return "relay";
+    if (model === undefined || !this.#retries.spend("escalation")) {
+      return "relay";
+    }
     this.#context.metrics.count("escalations", { service });
     this.#history.addEscalation({ from: this.#model, to: model }, confidence);
     this.#model = model;
@@ -284,36 +288,13 @@
 
   /** Sends the request again, if that is allowed and enough time is left. */
   #retry(cause: string): void {
-    if (!this.#canRetry()) return this.#giveUp(cause);
-    if (this.#history.wasSent && !this.#spendRetry("failure")) {
-      return this.#giveUp(cause);
-    }
+    if (!this.#retries.take(cause)) return this.#giveUp(cause);
     if (this.#history.mayHaveRun) {
       this.#targets.avoidVersion(this.#attempt?.version);
     }
-    this.#countRepeat(cause);
     this.#startAttempt();
   }
 
-  #countRepeat(cause: string): void {
-    const { service } = this.#request;
-    this.#context.metrics.count("repeats", { service, cause });
-  }
-
-  /** Takes one retry from the budget; if none is left, counts a forgone retry. */
-  #spendRetry(reason: RetryReason): boolean {
-    const { service } = this.#request;
-    const { budget, metrics } = this.#context;
-    if (budget.spend(service, reason)) return true;
-    metrics.count("repeats_forgone", { service, reason });
-    return false;
-  }
-
-  #canRetry(): boolean {
-    return this.#timeLeftMs() >= MIN_ATTEMPT_MS && this.#history.mayRetry() &&
-      !this.#context.prompts.isSuspect(crashPartIds(this.#request));
-  }
-
   /** Ends a silent attempt, if another server may run the request. */
   #handleSilence(): void {
     const attempt = this.#attempt;
@@ -322,8 +303,8 @@
     const next = this.#targets.choose(this.#history.triedIds, this.#model);
     if (next === undefined || targetIdOf(next) === attempt.targetId) return;
     if (!this.#silence.mayLeave(next)) return;
-    if (!attempt.isUnsent && !this.#spendRetry("failure")) return;
-    this.#countRepeat("silent");
+    if (!attempt.isUnsent && !this.#retries.spend("failure")) return;
+    this.#retries.count("silent");
     attempt.cancel("down");
     this.#history.addOutcome(attempt.targetId, {
       kind: "fault",
--- /dev/null
+++ b/src/gateway/forwarding/request_retries.ts
@@ -0,0 +1,62 @@
+/**
+ * Whether one request may be sent again: by its attempts so far, the time left,
+ * the suspicion that servers end under it, and the budget of retries.
+ */
+import { type AttemptHistory } from "./attempt_history.ts";
+import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
+import { crashPartIds } from "../callers/request_digest.ts";
+import { type RetryReason } from "./retry_budget.ts";
+
+/** With less time left, a request is not sent again. */
+const MIN_ATTEMPT_MS = 20;
+
+export interface RequestRetriesOptions {
+  readonly history: AttemptHistory;
+  readonly timeLeftMs: () => number;
+}
+
+/** The retries of one request. */
+export class RequestRetries {
+  readonly #context: ForwardContext;
+  readonly #request: ForwardRequest;
+  readonly #options: RequestRetriesOptions;
+
+  constructor(
+    context: ForwardContext,
+    request: ForwardRequest,
+    options: RequestRetriesOptions,
+  ) {
+    this.#context = context;
+    this.#request = request;
+    this.#options = options;
+  }
+
+  /** Takes and counts a retry after an attempt has ended, if one is allowed. */
+  take(cause: string): boolean {
+    if (!this.#isAllowed()) return false;
+    if (this.#options.history.wasSent && !this.spend("failure")) return false;
+    this.count(cause);
+    return true;
+  }
+
+  /** Takes one retry from the budget; if none is left, counts a forgone retry. */
+  spend(reason: RetryReason): boolean {
+    const { service } = this.#request;
+    const { budget, metrics } = this.#context;
+    if (budget.spend(service, reason)) return true;
+    metrics.count("repeats_forgone", { service, reason });
+    return false;
+  }
+
+  /** Counts a retry by its cause. */
+  count(cause: string): void {
+    const { service } = this.#request;
+    this.#context.metrics.count("repeats", { service, cause });
+  }
+
+  #isAllowed(): boolean {
+    const { history, timeLeftMs } = this.#options;
+    return timeLeftMs() >= MIN_ATTEMPT_MS && history.mayRetry() &&
+      !this.#context.prompts.isSuspect(crashPartIds(this.#request));
+  }
+}
