Confirm an unmarked end of a resumable stream by a second run

What callers saw: streams that look complete and lack events (ORDER), where a server closed the connection of an unframed answer between two events; and, found by reading, a stream that was reset and went on at a server whose unframed answer closed before its first event: that counted as the end too.

Cause: the relay took any close after an event for the end of the stream, and asked only whether any event was ever sent.

Change: the relay tells three ends apart, complete, broken and unmarked. Where the route allows further runs, an unmarked end completes a stream only if the run before it closed after the same event too; otherwise the stream goes on at another server, on the budget and the attempts of all retries (cause `unmarked_end`). One that can't be confirmed is cut, so that its caller can go on; but where a route allows one run, a caller that resumes and gets nothing further has the whole. A version is not avoided for an unmarked end.

Two tests are changed and as strict as before: servers in unframed_stream_test and broken_head_test ignored Last-Event-Id, so that a second run sent events twice, and the latter needs two retries for its unframed stream, more than the default budget has for a VM's first request.

--- a/src/gateway/callers/stream_relay.ts
+++ b/src/gateway/callers/stream_relay.ts
@@ -17,6 +17,13 @@
   | "no_stream"
   | "oversize";
 
+/**
+ * The end of a server's answer to a stream: complete by its framing, broken off,
+ * or unmarked, after an event and only by closing the connection, as servers
+ * that break off or end do too.
+ */
+export type StreamEnd = "complete" | "broken" | "unmarked";
+
 /** The relay of one caller's stream. */
 export class StreamRelay {
   readonly #exchange: CallerExchange;
@@ -73,26 +80,31 @@
       : result;
   }
 
+  /** Whether any event was sent to the caller. */
+  get hasEvent(): boolean {
+    return this.#hasEvent;
+  }
+
   /**
-   * Ends the stream after the attached server has completed its answer; returns
-   * false if that server has broken it off, inside an event or before the first
-   * one, or has not continued it. If it marked the end only by closing its
-   * connection, but the caller's head announced a marked end, the caller's
-   * connection is closed without one.
+   * Returns what the end of the attached server's answer means. Inside an event
+   * or, without a mark, before the first one, the stream has been broken off.
    */
-  end(server: AnswerHead): boolean {
+  endOf(server: AnswerHead): StreamEnd {
     const hasNoEvent = this.#lastId === undefined && !this.#hasEvent;
-    if (this.#splitter.isInsideEvent) return false;
-    if (hasNoEvent && !server.isFramed) return false;
-    if (!this.#continues(server)) return false;
+    if (this.#splitter.isInsideEvent) return "broken";
+    if (hasNoEvent && !server.isFramed) return "broken";
+    if (!this.#continues(server)) return "broken";
+    return server.isFramed ? "complete" : "unmarked";
+  }
+
+  /** Ends the caller's answer as complete, with the last server's answer. */
+  complete(server: AnswerHead): void {
     // A stream without further events has not attached its server.
     if (!this.#exchange.isHeadSent) this.#head = server;
     const { remainder } = this.#splitter;
     if (remainder.length > 0) this.#write(remainder);
     this.#sendHead();
-    if (this.#head?.isFramed && !server.isFramed) this.#exchange.abort();
-    else this.#exchange.end();
-    return true;
+    this.#exchange.end();
   }
 
   #continues(head: AnswerHead): boolean {
--- a/src/gateway/callers/unframed_stream_test.ts
+++ b/src/gateway/callers/unframed_stream_test.ts
@@ -101,7 +101,8 @@
     (request, response) => {
       count += 1;
       beginUnframed(request, response);
-      response.end(count === 1 ? "" : eventsOf(1, 3));
+      const next = Number(request.headers["test-last"] ?? 0) + 1;
+      response.end(count === 1 ? "" : eventsOf(next, 3));
     },
   );
   assert.equal(answer.body, eventsOf(1, 3));
--- a/src/gateway/forwarding/attempt_history.ts
+++ b/src/gateway/forwarding/attempt_history.ts
@@ -20,6 +20,10 @@
   #runCount = 0;
   /** How often the current attempt may run. */
   #currentRunCount = 1;
+  /** The event after which the last run closed without a mark, if it did. */
+  #unmarkedId: number | undefined;
+  /** The same of the run before it. */
+  #earlierUnmarkedId: number | undefined;
 
   /** `maxRunCount` is what a VM that relays the request has left of its runs. */
   constructor(route: ServiceRoute, maxRunCount = Infinity) {
@@ -69,12 +73,15 @@
   /** Records the end of an attempt. */
   addOutcome(serverId: string, outcome: AttemptOutcome): void {
     const cause = "cause" in outcome ? outcome.cause : undefined;
-    const detail = cause ?? outcome.kind;
+    const isUnmarked = outcome.kind === "stream_end" && !outcome.head.isFramed;
+    const detail = isUnmarked ? "unmarked_end" : cause ?? outcome.kind;
     this.#attempts.push(`${serverId}:${detail}`);
     const isUnsent = outcome.kind === "fault" && outcome.isUnsent;
     if (!isUnsent) this.#sentCount += 1;
     if (!isUnsent && outcome.kind !== "not_run") {
       this.#runCount += this.#currentRunCount;
+      this.#earlierUnmarkedId = this.#unmarkedId;
+      this.#unmarkedId = undefined;
     }
     // The next attempt uses another model, for which no server was tried.
     if (outcome.kind === "dropped") this.#triedIds.clear();
@@ -90,6 +97,22 @@
     );
   }
 
+  /**
+   * Records that the run that has just ended closed a stream after an event
+   * without a mark. Returns whether that completes the stream: where the request
+   * may run again, only if the run before it closed after the same event, or if
+   * the route allows one run, which gave a caller that resumes nothing further.
+   */
+  recordUnmarkedEnd(
+    lastId: number,
+    { hasEvent }: { readonly hasEvent: boolean },
+  ): boolean {
+    this.#unmarkedId = lastId;
+    if (!isRetriable(this.#route)) return true;
+    if (this.#earlierUnmarkedId === lastId) return true;
+    return this.#maxRunCount === 1 && !hasEvent;
+  }
+
   /** Whether the request may run once more after the current attempt. */
   mayRunAgain(): boolean {
     return this.#runCount + this.#currentRunCount < this.#maxRunCount;
--- a/src/gateway/forwarding/broken_head_test.ts
+++ b/src/gateway/forwarding/broken_head_test.ts
@@ -52,6 +52,11 @@
   },
 ];
 
+/** Answers by the request's head. */
+type HeadAnswer = (
+  ...parameters: [...Parameters<RawAnswer>, head: string]
+) => void;
+
 type End = typeof ENDS[number];
 
 /** Sends the first bytes of an answer and ends the connection. */
@@ -67,21 +72,24 @@
   };
 }
 
-function answerWhole({ framing, body }: Kind): RawAnswer {
-  return (socket, requestId) =>
-    socket.end(answerHeadOf(requestId, framing) + body);
+function answerWhole({ framing, body }: Kind): HeadAnswer {
+  return (socket, requestId, head) => {
+    const lastId = Number(/test-last: (\d+)/i.exec(head)?.[1] ?? 0);
+    const sentLength = eventsOf(1, lastId).length;
+    socket.end(answerHeadOf(requestId, framing) + body.slice(sentLength));
+  };
 }
 
 /** Two servers, of which the first one asked breaks off. */
 async function startServers(
   context: TestContext,
-  { first, others }: { readonly first: RawAnswer; readonly others: RawAnswer },
+  { first, others }: { readonly first: RawAnswer; readonly others: HeadAnswer },
 ): Promise<readonly RawServer[]> {
   let isFirst = true;
-  const answer: RawAnswer = (socket, requestId) => {
+  const answer: HeadAnswer = (socket, requestId, head) => {
     const chosen = isFirst ? first : others;
     isFirst = false;
-    chosen(socket, requestId);
+    chosen(socket, requestId, head);
   };
   return await Promise.all(
     ["a", "b"].map((id) => startRawServer(context, { id, answer })),
@@ -93,7 +101,11 @@
   servers: readonly RawServer[],
   options: CallOptions,
 ): Promise<CallerAnswer> {
-  const vm = await startGateway({ manifest: { routes: ROUTES } });
+  const vm = await startGateway({
+    manifest: { routes: ROUTES },
+    // One for the broken head and one to confirm an unframed end.
+    settings: { retryBound: { ratio: 3, slackCount: 0, windowMs: 10_000 } },
+  });
   for (const { server } of servers) vm.servers.put(server.id, server);
   await untilReady(vm);
   const answer = await call(vm.callerAddress, options);
@@ -190,8 +202,10 @@
   const [kind] = KINDS;
   assert.ok(kind);
   const breakOff = breakOffBefore(kind, { cut: "2\r\n\r\n", end: "end" });
-  const answer: RawAnswer = (socket, requestId) =>
-    (requestId === "relayed" ? breakOff : answerWhole(kind))(socket, requestId);
+  const answer: HeadAnswer = (socket, requestId, head) => {
+    const chosen = requestId === "relayed" ? breakOff : answerWhole(kind);
+    chosen(socket, requestId, head);
+  };
   const servers = await Promise.all(
     ["a", "b", "c"].map((id) => startRawServer(context, { id, answer })),
   );
--- a/src/gateway/forwarding/forwarding.ts
+++ b/src/gateway/forwarding/forwarding.ts
@@ -265,11 +265,7 @@
         this.#exchange.answer(outcome.answer);
         return this.#finish("answered");
       case "stream_end":
-        this.#serverEnd = outcome.head.isFramed ? "marked" : "unmarked";
-        if (this.#relay?.end(outcome.head) === false) {
-          return this.#retry("incomplete");
-        }
-        return this.#finish("answered");
+        return this.#handleStreamEnd(outcome.head);
       case "dropped":
         this.#relay?.discardHead();
         return this.#startAttempt();
@@ -280,6 +276,25 @@
     }
   }
 
+  #handleStreamEnd(head: AnswerHead): void {
+    this.#serverEnd = head.isFramed ? "marked" : "unmarked";
+    const end = this.#relay?.endOf(head);
+    if (end === "broken") return this.#retry("incomplete");
+    if (end === "unmarked" && !this.#isConfirmed()) {
+      return this.#retry("unmarked_end");
+    }
+    this.#relay?.complete(head);
+    this.#finish("answered");
+  }
+
+  /** Whether the unmarked end of the last run completes the stream. */
+  #isConfirmed(): boolean {
+    const { lastId, hasEvent = false } = this.#relay ?? {};
+    // A stream without numbers can't be resumed.
+    if (lastId === undefined) return true;
+    return this.#history.recordUnmarkedEnd(lastId, { hasEvent });
+  }
+
   /** Whether callers take a status for "not run" of a request that may have. */
   #isFalsePromise({ status }: CompleteAnswer): boolean {
     return NOT_RUN_STATUSES.includes(status) &&
@@ -289,7 +304,8 @@
   /** Sends the request again, if that is allowed and enough time is left. */
   #retry(cause: string): void {
     if (!this.#retries.take(cause)) return this.#giveUp(cause);
-    if (this.#history.mayHaveRun) {
+    // A version whose servers don't mark their ends is no worse for that.
+    if (this.#history.mayHaveRun && cause !== "unmarked_end") {
       this.#targets.avoidVersion(this.#attempt?.version);
     }
     this.#startAttempt();
--- a/src/gateway/forwarding/request_retries.ts
+++ b/src/gateway/forwarding/request_retries.ts
@@ -34,7 +34,8 @@
   /** Takes and counts a retry after an attempt has ended, if one is allowed. */
   take(cause: string): boolean {
     if (!this.#isAllowed()) return false;
-    if (this.#options.history.wasSent && !this.spend("failure")) return false;
+    const reason = cause === "unmarked_end" ? cause : "failure";
+    if (this.#options.history.wasSent && !this.spend(reason)) return false;
     this.count(cause);
     return true;
   }
--- a/src/gateway/forwarding/retry_budget.ts
+++ b/src/gateway/forwarding/retry_budget.ts
@@ -17,7 +17,7 @@
 import { type Clock } from "../../model/mod.ts";
 
 /** Why a request is sent again. */
-export type RetryReason = "failure" | "escalation";
+export type RetryReason = "failure" | "unmarked_end" | "escalation";
 
 /** Used share of the limit: windows of servers and VMs are not aligned. */
 const USED_SHARE = 0.92;
@@ -59,9 +59,9 @@
       this.#windowOf(service),
       this.#options(),
     );
-    const reservedCount = reason === "failure"
-      ? 0
-      : Math.max(this.#minReserve, FAILURE_RESERVE_SHARE * allowedCount);
+    const reservedCount = reason === "escalation"
+      ? Math.max(this.#minReserve, FAILURE_RESERVE_SHARE * allowedCount)
+      : 0;
     if (leftCount - reservedCount < 1) return false;
     this.#count(service, "repeat");
     return true;
--- a/src/gateway/forwarding/unmarked_end_fixture.ts
+++ b/src/gateway/forwarding/unmarked_end_fixture.ts
@@ -32,6 +32,8 @@
 export interface StreamRun {
   readonly lastId: number;
   readonly end: RunEnd;
+  /** Time from its last event to its end. */
+  readonly endDelayMs?: number;
 }
 
 /** A run that sends all that is left and closes its connection. */
@@ -49,7 +51,7 @@
 
 /** Sends the events of one run and ends it. */
 export function play(
-  { lastId, end }: StreamRun,
+  { lastId, end, endDelayMs = END_DELAY_MS }: StreamRun,
   { request, response, stopListening }: {
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
@@ -67,7 +69,7 @@
     if (end === "gone") stopListening();
     if (end === "reset") response.socket?.resetAndDestroy();
     else response.end();
-  }, END_DELAY_MS);
+  }, endDelayMs);
 }
 
 export interface UnmarkedSetup {
--- a/src/gateway/forwarding/unmarked_end_test.ts
+++ b/src/gateway/forwarding/unmarked_end_test.ts
@@ -10,6 +10,8 @@
 const WHOLE = { status: 200, body: eventsOf(1, 6), isComplete: true };
 const CUT = { status: 200, body: eventsOf(1, 3), isComplete: false };
 const NO_RETRIES = { ratio: 0, slackCount: 0, windowMs: 10_000 };
+/** A server that breaks off later has not ended under its prompt. */
+const LONGER_THAN_CRASHES_MS = 600;
 
 // Guards against ORDER: a server closed its connection between two events, and
 // its part of a stream was given to the caller as the whole.
@@ -30,10 +32,16 @@
 
 // Guards against ORDER: a stream was reset, and a server that closed before it
 // gave an event of the rest counted as its end.
+// Guards against LOST: an answer without an event counted as a server's crash
+// under the request, and two of these end its repeats.
 for (const end of ["closed", "gone"] as const) {
   test(`a stream that was reset is not complete by a first empty answer: ${end}`, async (context) => {
+    const endDelayMs = end === "gone" ? LONGER_THAN_CRASHES_MS : 20;
     const result = await sendUnmarked(context, {
-      runs: [{ lastId: 3, end: "reset" }, { lastId: 3, end }],
+      runs: [
+        { lastId: 3, end: "reset", endDelayMs },
+        { lastId: 3, end },
+      ],
       route: { maxAttempts: 4 },
       serverCount: 3,
     });
--- a/src/gateway/forwarding/unmarked_vm_end_test.ts
+++ b/src/gateway/forwarding/unmarked_vm_end_test.ts
@@ -29,6 +29,7 @@
   type UnmarkedResult,
   WHOLE_RUN,
 } from "./unmarked_end_fixture.ts";
+import { RetryBudget } from "./retry_budget.ts";
 import { VmRelays } from "./vm_relays.ts";
 
 const WHOLE = { status: 200, body: eventsOf(1, 6), isComplete: true };
@@ -36,7 +37,7 @@
 const SELF = { vm: "vm-0", place: "khomas-a", address: "", peerAddress: "" };
 const STEP = { random: () => 0.5, nowMs: 0 };
 
-/** Sends a stream through two other VMs, whose runs are given. */
+/** Sends a stream through other VMs, whose runs are given. */
 async function sendThroughVms(
   context: TestContext,
   { runs, route, status }: {
@@ -52,7 +53,7 @@
     const event = { kind: "met", from } as const;
     membership = applyMembership(membership, event, STEP).state;
   };
-  for (const vm of ["vm-1", "vm-2"]) {
+  for (const vm of ["vm-1", "vm-2", "vm-3"]) {
     const backend = await startBackend(vm, (request, response) => {
       const run = runs[lastIds.length] ?? WHOLE_RUN;
       lastIds.push(request.headers["test-last"]?.toString());
@@ -105,8 +106,13 @@
     clock: context.clock,
     random: context.random,
   });
+  const budget = new RetryBudget({
+    fleetBound: { ratio: 5, slackCount: 20, windowMs: 10_000 },
+    clock: context.clock,
+    vmCount: () => 3,
+  });
   const http = createServer((request, response) => {
-    forward({ ...context, relays }, route, {
+    forward({ ...context, relays, budget }, route, {
       caller: testProtocol.readRequest({
         method: request.method ?? "",
         target: request.url ?? "",
--- a/src/gateway/gateway_fixture.ts
+++ b/src/gateway/gateway_fixture.ts
@@ -248,15 +248,22 @@
       },
       ...signal === undefined ? {} : { signal },
     });
-    sent.on("error", reject);
+    let hasHead = false;
+    let isBroken = false;
+    sent.on("error", (error) => {
+      // After the head Node takes it for the end of an answer without framing.
+      isBroken = true;
+      if (!hasHead) reject(error);
+    });
     sent.on("response", (response) => {
+      hasHead = true;
       let text = "";
       const settle = (): void =>
         resolve({
           status: response.statusCode ?? 0,
           headers: response.headers,
           body: text,
-          isComplete: response.complete,
+          isComplete: response.complete && !isBroken,
         });
       response.on("data", (chunk) => text += String(chunk));
       response.on("error", settle);
