Take no empty end of a resumed stream for a crash under its prompt

What callers saw: a stream that was reset early and whose next server closed without a further event was cut, as two servers seemed to have ended under the request; runs that confirm an unmarked end close like that.

Cause: an unframed answer without data counted as a crash, whether or not the request went on after an event. Such a run may have nothing left to send.

Test: "a stream that was reset is not complete by a first empty answer: closed" fails without the change.

--- a/src/gateway/servers/server_attempt.ts
+++ b/src/gateway/servers/server_attempt.ts
@@ -205,10 +205,7 @@
     const isProof = head.status < 300 && head.isFramed &&
       this.#progress.hasData;
     this.#progress.end();
-    // A server that crashes may just close a connection without framing.
-    if (this.#isRelayed && !head.isFramed && !this.#progress.hasData) {
-      this.#recordBreak("ended");
-    }
+    if (this.#isBareEnd(head)) this.#recordBreak("ended");
     if (isProof) context.prompts.recordSurvival(this.#promptAttempt.partIds);
     if (this.#isRelayed) {
       return this.#options.onOutcome({ kind: "stream_end", head });
@@ -224,6 +221,13 @@
     this.#options.onOutcome({ kind: "answer", answer });
   }
 
+  /** Whether a stream ended as of a server that crashes under its prompt. */
+  #isBareEnd({ isFramed }: AnswerHead): boolean {
+    if (!this.#isRelayed || isFramed || this.#progress.hasData) return false;
+    // One that goes on after an event may have none left.
+    return this.#options.request.lastEventId === undefined;
+  }
+
   #handleFault(fault: ExchangeFault): void {
     const { context, server } = this.#options;
     // Says nothing about the server, which was not tried.
