Take the end of a VM for no end of the answers it sends on

Cause: the same as for servers: a killed process closes its connections plainly, and a VM of an earlier build passes on unframed answers as such.

Change: before the close of an unframed success through another VM counts as its end, this VM opens a connection to it (400 ms at most). If that fails and the VM had not announced that it leaves, the attempt has failed (cause `vm_ended`).

Tests: "a stream that may run once is cut as the VM that sends it on ends" failed before and passes; those of VMs that live on or leave pass as before.

--- a/src/gateway/forwarding/vm_attempt.ts
+++ b/src/gateway/forwarding/vm_attempt.ts
@@ -13,6 +13,7 @@
 } from "../servers/backend_exchange.ts";
 import { type ForwardContext } from "./forward_context.ts";
 import { type AnswerHead, type RelayedRequest } from "../protocol.ts";
+import { isEndUnmarked, isListening } from "../servers/unmarked_answers.ts";
 import { type RelayVm } from "./vm_relays.ts";
 
 const CONNECT_TIMEOUT_MS = 400;
@@ -119,6 +120,20 @@
   #handleEnd(): void {
     const head = this.#head;
     if (head === undefined) return this.#fail("no_answer");
+    const { context, vm, request, onException } = this.#options;
+    const isUnmarked = isEndUnmarked(head, request.caller);
+    if (!isUnmarked || context.relays.isLeaving(vm.vm)) {
+      return this.#complete(head);
+    }
+    isListening(vm.address).then((isAlive) => {
+      if (this.#isOver) return;
+      if (isAlive) return this.#complete(head);
+      this.#recordFailure();
+      this.#fail("vm_ended");
+    }).catch(onException);
+  }
+
+  #complete(head: AnswerHead): void {
     const isRelayed = this.#isRelayed;
     const body = this.#buffer.concat();
     this.#buffer.release();
