Cut a broken stream whose events have no numbers

What callers saw: nothing reported; found by reading while tracing ORDER. A stream of a resumable route that broke off after events without numbers was sent again from its start, after the events that its caller already had.

Cause: without a number the next server isn't told where to go on, and any event counted as the next.

Change: such a stream is not sent again, after a break or for silence; the caller's answer is cut. The platform's streams are numbered, so this is for servers that don't keep to it.

Test: "a broken stream without numbers is cut" failed before (five events in place of two, complete).

--- a/src/gateway/callers/stream_relay.ts
+++ b/src/gateway/callers/stream_relay.ts
@@ -80,6 +80,11 @@
       : result;
   }
 
+  /** Whether another server can go on: not after events without a number. */
+  get canGoOn(): boolean {
+    return !this.#hasEvent || this.#lastId !== undefined;
+  }
+
   /** Whether any event was sent to the caller. */
   get hasEvent(): boolean {
     return this.#hasEvent;
--- a/src/gateway/forwarding/broken_stream_test.ts
+++ b/src/gateway/forwarding/broken_stream_test.ts
@@ -142,3 +142,21 @@
   assert.equal(answer.headers["test-signature"], "next");
   assert.equal(answer.body, eventsOf(1, 2));
 });
+
+// Guards against ORDER: a stream without numbers was sent again from its start,
+// after the events that its caller had.
+test("a broken stream without numbers is cut", async () => {
+  const event = "data: piece\n\n";
+  const answer = await stream(
+    firstThen((request, response) => {
+      beginStream(request, response, STREAM);
+      response.write(event + event);
+      setTimeout(() => response.destroy(), 30);
+    }, (request, response) => {
+      beginStream(request, response, STREAM);
+      response.end(event + event + event);
+    }),
+  );
+  assert.equal(answer.body, event + event);
+  assert.equal(answer.isComplete, false);
+});
--- a/src/gateway/forwarding/forwarding.ts
+++ b/src/gateway/forwarding/forwarding.ts
@@ -303,7 +303,9 @@
 
   /** Sends the request again, if that is allowed and enough time is left. */
   #retry(cause: string): void {
-    if (!this.#retries.take(cause)) return this.#giveUp(cause);
+    if (!this.#canGoOn || !this.#retries.take(cause)) {
+      return this.#giveUp(cause);
+    }
     // A version whose servers don't mark their ends is no worse for that.
     if (this.#history.mayHaveRun && cause !== "unmarked_end") {
       this.#targets.avoidVersion(this.#attempt?.version);
@@ -311,11 +313,16 @@
     this.#startAttempt();
   }
 
+  /** Whether another attempt can go on with what the caller got. */
+  get #canGoOn(): boolean {
+    return this.#relay?.canGoOn ?? true;
+  }
+
   /** Ends a silent attempt, if another server may run the request. */
   #handleSilence(): void {
     const attempt = this.#attempt;
     if (attempt === undefined || this.#exchange.isOver) return;
-    if (!this.#history.mayLeaveServer()) return;
+    if (!this.#canGoOn || !this.#history.mayLeaveServer()) return;
     const next = this.#targets.choose(this.#history.triedIds, this.#model);
     if (next === undefined || targetIdOf(next) === attempt.targetId) return;
     if (!this.#silence.mayLeave(next)) return;
