Show by tests which answers end early and look complete

Callers' side: a caller that reads HTTP/1.0, or whose server marks no end, gets a part of a stream and a plain end, as if that were all (ORDER).

The tests play callers on raw sockets, who have only the framing and the end of the connection to go by: both HTTP versions, servers with chunks and without, streams that servers reset, callers that end their side at random moments, the planned end of a VM and the end of its process, also where another VM has sent the request on. `bytes` callers see each reset; `blocks` callers read as programs on libuv do, which take a reset behind unread bytes for a plain end.

--- /dev/null
+++ b/src/gateway/callers/answer_end_test.ts
@@ -0,0 +1,101 @@
+/**
+ * Tests of how the ends of answers look to callers: one that ended early must
+ * not look complete, whatever its server and its caller speak.
+ */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { seededRandom } from "../../decision/membership_fixture.ts";
+import {
+  callAtOnce,
+  countsByLook,
+  ENDLESS_COUNT,
+  EVENT_COUNT,
+  openCount,
+  PAUSE_MS,
+  startVm,
+  STREAM_FRAMINGS,
+  streamOf,
+  WHOLE,
+} from "./framed_server_fixture.ts";
+import { CALLER_READERS, CALLER_VERSIONS } from "./raw_caller_fixture.ts";
+import { until } from "../until_fixture.ts";
+
+const CALLER_COUNT = 100;
+const HALF_CLOSED_COUNT = 300;
+const SEED = 51;
+const MAX_DELAY_MS = 80;
+/** Callers whose own end has a time come one after another. */
+const CALL_PERIOD_MS = 5;
+
+const CASES = CALLER_VERSIONS.flatMap((version) =>
+  STREAM_FRAMINGS.flatMap((framing) =>
+    CALLER_READERS.map((reader) => ({ version, framing, reader }))
+  )
+);
+
+for (const { version, framing, reader } of CASES) {
+  const title = `HTTP/${version}, ${framing}, ${reader}`;
+  const caller = { version, reader };
+  const stream = { framing, eventCount: EVENT_COUNT, pauseMs: PAUSE_MS };
+
+  // Guards against ORDER: a stream that its server reset ended plainly.
+  test(`a stream that its server resets looks cut: ${title}`, async (context) => {
+    const random = seededRandom(SEED);
+    const resetAfter = (): number => 1 + Math.floor(random() * EVENT_COUNT);
+    const vm = await startVm(context, streamOf({ ...stream, resetAfter }));
+    const address = vm.callerAddress;
+    const answers = await callAtOnce(CALLER_COUNT, () => ({
+      ...caller,
+      address,
+    }));
+    assert.deepEqual(countsByLook(answers), { "200 cut": CALLER_COUNT });
+  });
+
+  // Guards against ORDER: a caller that had ended its side of the connection
+  // got a part of a stream and then a plain end.
+  test(`a stream to a half-closed caller is whole or looks cut: ${title}`, async (context) => {
+    const random = seededRandom(SEED);
+    const { callerAddress } = await startVm(context, streamOf(stream));
+    const answers = await callAtOnce(HALF_CLOSED_COUNT, (index) => ({
+      ...caller,
+      address: callerAddress,
+      startAfterMs: index * CALL_PERIOD_MS,
+      endAfterMs: random() * MAX_DELAY_MS,
+    }));
+    const counts = countsByLook(answers);
+    const message = JSON.stringify(counts);
+    assert.equal(counts["200 short"], undefined, message);
+    assert.equal(counts["200 other"], undefined, message);
+    assert.ok((counts["200 cut"] ?? 0) > 0, message);
+  });
+
+  // Guards against ORDER: a stream that was open as the VM's process ended.
+  test(`a stream cut by the end of the VM looks cut: ${title}`, async (context) => {
+    const endless = streamOf({ ...stream, eventCount: ENDLESS_COUNT });
+    const { callerAddress, gateway } = await startVm(context, endless);
+    const sent = callAtOnce(CALLER_COUNT, () => ({
+      ...caller,
+      address: callerAddress,
+    }));
+    await until(() => openCount(gateway) === CALLER_COUNT);
+    await gateway.stop();
+    const counts = countsByLook(await sent, ENDLESS_COUNT);
+    assert.deepEqual(counts, { "200 cut": CALLER_COUNT });
+  });
+
+  test(`a complete stream looks complete: ${title}`, async (context) => {
+    const { callerAddress } = await startVm(context, streamOf(stream));
+    // Some callers send blank lines or bytes that are no request afterwards.
+    const trailers = ["", "\r\n", "\r\nbytes"];
+    const answers = await callAtOnce(CALLER_COUNT, (index) => ({
+      ...caller,
+      address: callerAddress,
+      trailer: trailers[index % trailers.length] ?? "",
+    }));
+    assert.deepEqual(countsByLook(answers), { "200 whole": CALLER_COUNT });
+    for (const { body, ending } of answers) {
+      assert.equal(body, WHOLE);
+      assert.notEqual(ending, "reset");
+    }
+  });
+}
--- /dev/null
+++ b/src/gateway/callers/ending_vm_test.ts
@@ -0,0 +1,118 @@
+/**
+ * Tests of VMs whose process ends at once: the kernel then closes their
+ * connections, and a caller or another VM sees plain ends.
+ */
+import assert from "node:assert/strict";
+import { subscribe, unsubscribe } from "node:diagnostics_channel";
+import { type Socket } from "node:net";
+import { test, type TestContext } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
+import { startCutOff } from "../cut_off_fixture.ts";
+import { call, type TestGateway } from "../gateway_fixture.ts";
+import { splitAddress } from "../../model/mod.ts";
+import {
+  callAtOnce,
+  countsByLook,
+  ENDLESS_COUNT,
+  openCount,
+  PAUSE_MS,
+  sendText,
+  type ServedStream,
+  startServers,
+  startVm,
+  STREAM_FRAMINGS,
+  streamOf,
+  TEST_ROUTES,
+} from "./framed_server_fixture.ts";
+import { CALLER_VERSIONS } from "./raw_caller_fixture.ts";
+import { until } from "../until_fixture.ts";
+
+const CALLER_COUNT = 60;
+/** When a process ends: some events of each stream have been sent. */
+const END_AFTER_MS = 4 * PAUSE_MS;
+const OTHER_COUNT = 3;
+/** A request that servers answer at once. */
+const PROBE_ID = "probe";
+
+/** Records the connections that this process accepts from now on. */
+function recordAccepted(context: TestContext): readonly Socket[] {
+  const accepted: Socket[] = [];
+  const record = (message: unknown): void => {
+    accepted.push((message as { socket: Socket }).socket);
+  };
+  subscribe("net.server.socket", record);
+  context.after(() => unsubscribe("net.server.socket", record));
+  return accepted;
+}
+
+/** Closes a VM's connections to callers as the kernel does after its end. */
+function closeAll(accepted: readonly Socket[], vm: TestGateway): void {
+  const { port } = splitAddress(vm.callerAddress);
+  for (const socket of accepted) {
+    if (socket.localPort === port) socket.destroy();
+  }
+}
+
+function servedStream(framing: ServedStream["framing"]): ServedStream {
+  return { framing, eventCount: ENDLESS_COUNT, pauseMs: PAUSE_MS };
+}
+
+/** Sends requests until one is answered through another VM. */
+async function untilRelayed(address: string): Promise<void> {
+  const probe = { path: "/lookups/a", headers: { "test-id": PROBE_ID } };
+  while ((await call(address, probe)).status !== 200) await delay(PAUSE_MS);
+}
+
+/** Fails if a stream does not look cut; some have no head yet. */
+function assertCut(counts: Record<string, number>): void {
+  const message = JSON.stringify(counts);
+  assert.ok((counts["200 cut"] ?? 0) > CALLER_COUNT / 2, message);
+  for (const look of ["whole", "short", "other", "timeout"]) {
+    assert.equal(counts[`200 ${look}`], undefined, message);
+  }
+}
+
+for (const framing of STREAM_FRAMINGS) {
+  // Guards against ORDER: a stream that its server did not frame was passed on
+  // without framing, so that the end of the VM's process looked like its own.
+  test(`a stream through a VM that ends looks cut: ${framing}`, async (context) => {
+    const accepted = recordAccepted(context);
+    const vm = await startVm(context, streamOf(servedStream(framing)));
+    const address = vm.callerAddress;
+    const sent = callAtOnce(CALLER_COUNT, () => ({ address, version: "1.1" }));
+    await until(() => openCount(vm.gateway) >= CALLER_COUNT);
+    await delay(END_AFTER_MS);
+    closeAll(accepted, vm);
+    assertCut(countsByLook(await sent, ENDLESS_COUNT));
+  });
+
+  for (const version of CALLER_VERSIONS) {
+    // Guards against ORDER: the same where another VM has sent the request on.
+    test(`a stream relayed through a VM that ends looks cut: HTTP/${version}, ${framing}`, async (context) => {
+      const accepted = recordAccepted(context);
+      const stream = streamOf(servedStream(framing));
+      const servers = await startServers(
+        context,
+        (socket, requestId) =>
+          requestId === PROBE_ID
+            ? sendText(socket, { requestId })
+            : stream(socket, requestId),
+      );
+      const { cutOff, others } = await startCutOff(context, {
+        servers,
+        manifest: { routes: TEST_ROUTES },
+        settings: { graceMs: 1500 },
+        others: Array(OTHER_COUNT).fill({ graceMs: 1500 }),
+      });
+      const address = cutOff.callerAddress;
+      await untilRelayed(address);
+      const sent = callAtOnce(CALLER_COUNT, () => ({ address, version }));
+      const relayedCount = (): number =>
+        others.reduce((sum, { gateway }) => sum + openCount(gateway), 0);
+      await until(() => relayedCount() >= CALLER_COUNT);
+      await delay(END_AFTER_MS);
+      for (const vm of others) closeAll(accepted, vm);
+      assertCut(countsByLook(await sent, ENDLESS_COUNT));
+    });
+  }
+}
