Mark the end of every answer, whether or not its server did

A caller that speaks HTTP/1.0 got a plain end where a stream of a server with chunks broke off. A stream of a server without framing looked complete when the process of the VM, or of the VM through which another one sent the request on, had ended.

Cause: answers were framed for their callers as their servers had framed them. HTTP/1.0 has no chunks, so that a close there is the end of the answer. The kernel closes the connections of a process that ends plainly, which an answer without framing shows as its end.

An answer that is sent whole now states its length, and a stream comes in chunks, also between VMs. Only a caller that speaks HTTP/1.0 gets a stream that ends with its connection, and a reset where that is cut. An answer 204 or 304 states no length.

Two tests asserted that an answer without a length has none for its caller, and that no request behind it on its connection is passed on. They now assert the length, that the request behind it gets its own answer, and that none behind a stream that ends with its connection is passed on. Two tests of unframed streams asserted a reset or an incomplete answer for HTTP/1.1; they now run for both versions, and what is no reset for HTTP/1.1 must lack its end.

--- a/src/gateway/callers/answer_length_test.ts
+++ b/src/gateway/callers/answer_length_test.ts
@@ -1,12 +1,14 @@
 /** Tests of the framing of complete answers. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { eventsOf } from "../servers/backend_fixture.ts";
 import {
   callAtOnce,
   chunkOf,
   sendText,
   type ServedText,
   startVm,
+  streamOf,
 } from "./framed_server_fixture.ts";
 import { CALLER_VERSIONS, callRaw } from "./raw_caller_fixture.ts";
 
@@ -79,6 +81,19 @@
   }
 }
 
+// Guards against chunks to a caller that does not know them.
+test("a stream to a caller of HTTP/1.0 has no chunks, whatever it accepts", async (context) => {
+  const stream = { framing: "chunks", eventCount: 3, pauseMs: 1 } as const;
+  const { callerAddress } = await startVm(context, streamOf(stream));
+  const { head, body, ending } = await callRaw({
+    address: callerAddress,
+    version: "1.0",
+    headerLines: ["TE: chunked"],
+  });
+  assert.doesNotMatch(head, /^transfer-encoding:/im);
+  assert.deepEqual([body, ending], [eventsOf(1, 3), "plain"]);
+});
+
 for (const version of CALLER_VERSIONS) {
   test(`the answer to bytes that are no request states its length: HTTP/${version}`, async (context) => {
     const { callerAddress } = await startVm(
--- a/src/gateway/callers/caller_connection_test.ts
+++ b/src/gateway/callers/caller_connection_test.ts
@@ -90,7 +90,24 @@
 });
 
 // Guards against a lost answer behind one that ends with the connection.
-test("a request behind an answer without framing is not passed on", async (context) => {
+test("a request behind a stream that ends with the connection is not passed on", async (context) => {
+  const site = await setUp(context, (request, response) => {
+    beginStream(request, response);
+    response.write(eventOf(1));
+    setTimeout(() => response.end(eventsOf(2, 3)), SHORT_WORK_MS);
+  });
+  const caller = connectCaller(site);
+  // A caller that does not know chunks, and sends requests ahead all the same.
+  const first = requestOf("a").replace("/registrations/", "/drafts/")
+    .replace("HTTP/1.1\r\n", "HTTP/1.0\r\nConnection: keep-alive\r\n");
+  caller.socket.write(first + requestOf("b"));
+  await until(() => caller.isClosed);
+  assert.deepEqual(statusesIn(caller), ["200"]);
+  assert.ok(caller.text.endsWith(`\r\n\r\n${eventsOf(1, 3)}`), caller.text);
+  assert.deepEqual(site.backend.requestIds, ["a"]);
+});
+
+test("a request behind an answer without framing gets its own answer", async (context) => {
   const site = await setUp(context, (request, response) => {
     response.useChunkedEncodingByDefault = false;
     response.shouldKeepAlive = false;
@@ -102,9 +119,12 @@
   });
   const caller = connectCaller(site);
   caller.socket.write(requestOf("a") + requestOf("b"));
-  await until(() => caller.isClosed);
-  assert.deepEqual(statusesIn(caller), ["200"]);
-  assert.deepEqual(site.backend.requestIds, ["a"]);
+  await until(() => caller.text.split("whole").length === 3);
+  assert.deepEqual(statusesIn(caller), ["200", "200"]);
+  const answered = [...caller.text.matchAll(/test-id: (\w)/g)];
+  assert.deepEqual(answered.map(([, id]) => id), ["a", "b"]);
+  assert.equal(caller.text.match(/^content-length: 5\r$/gim)?.length, 2);
+  assert.deepEqual(site.backend.requestIds, ["a", "b"]);
 });
 
 // Guards against a request that runs before it is known that it is answered.
--- a/src/gateway/callers/caller_exchange.ts
+++ b/src/gateway/callers/caller_exchange.ts
@@ -1,7 +1,10 @@
 /**
  * The answer to one caller's request. The head is sent once, with the first
  * bytes of the body. An answer that cannot be completed ends by closing the
- * connection, so that the caller can't take it for complete.
+ * connection, so that the caller can't take it for complete. Therefore every
+ * answer marks its end, whether or not its server did: by its length or, as a
+ * stream, by chunks. Only a caller that does not know chunks gets a stream that
+ * ends with its connection.
  */
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Socket } from "node:net";
@@ -13,11 +16,6 @@
   /** Alternating names and values. */
   readonly headers: readonly string[];
   readonly body: Buffer;
-  /**
-   * Whether the server marked the end of the body; without that, the answer
-   * is sent without a length.
-   */
-  readonly isFramed: boolean;
 }
 
 /** An error answer that the gateway itself creates. */
@@ -43,6 +41,10 @@
 const MS_PER_SECOND = 1000;
 /** With it and with all 4xx a request has not run; with other 5xx it may have. */
 const NOT_RUN_STATUS = 503;
+/** Answers that end with their head. */
+const BODILESS_STATUSES: readonly number[] = [204, 304];
+/** The HTTP version from which on callers know chunks. */
+const CHUNKS_VERSION = "1.1";
 
 /** Sends the answer of one request to its caller. */
 export class CallerExchange {
@@ -51,7 +53,6 @@
   readonly #options: CallerExchangeOptions;
   #isOver = false;
   #isHeld = false;
-  #isFramed = true;
   #onDisconnect: () => void = () => {};
   #onDrain: () => void = () => {};
   #onClosed: () => void = () => {};
@@ -139,14 +140,14 @@
 
   /** Ends the connection of a caller that has ended its side of it. */
   breakOff(): void {
-    // Without framing a plain end would look like the end of the answer.
-    if (this.#isFramed) this.#socket.destroySoon();
-    else this.#socket.resetAndDestroy();
+    if (this.#endsWithConnection) this.#socket.resetAndDestroy();
+    else this.#socket.destroySoon();
   }
 
   /** Resets the connection of an unframed answer that has not ended. */
   resetUnframed(): void {
-    if (!this.#isFramed && !this.#isOver) this.#socket.resetAndDestroy();
+    if (!this.#endsWithConnection || this.#isOver) return;
+    this.#socket.resetAndDestroy();
   }
 
   /** Called once when all earlier requests of the connection are answered. */
@@ -174,23 +175,17 @@
   }
 
   /** Sends a complete answer; cuts one off whose head has been sent. */
-  answer({ status, headers, body, isFramed }: CompleteAnswer): void {
+  answer({ status, headers, body }: CompleteAnswer): void {
     if (this.#isOver) return;
     if (this.isHeadSent) return this.abort();
-    if (!isFramed) {
-      this.sendHead(status, headers, { isFramed });
-      this.write(body);
-      return this.end();
-    }
     this.#isOver = true;
     this.#status = status;
     this.#ending = "complete";
     this.#framing = "length";
-    this.#response.writeHead(status, [
-      ...headers,
-      "Content-Length",
-      String(body.length),
-    ]);
+    const length = BODILESS_STATUSES.includes(status)
+      ? []
+      : ["Content-Length", String(body.length)];
+    this.#response.writeHead(status, [...headers, ...length]);
     if (this.isRead || this.#response.shouldKeepAlive) {
       this.#response.end(body);
       return;
@@ -224,22 +219,14 @@
       headers.push(...this.#options.writeRefusal(this.#request));
     }
     const body = Buffer.from(`${reason}\n`);
-    this.answer({ status, headers, body, isFramed: true });
+    this.answer({ status, headers, body });
   }
 
-  /**
-   * Sends the head of a stream. A stream without framing ends by closing the
-   * connection.
-   */
-  sendHead(
-    status: number,
-    headers: readonly string[],
-    { isFramed }: { readonly isFramed: boolean },
-  ): void {
+  /** Sends the head of a stream. */
+  sendHead(status: number, headers: readonly string[]): void {
     if (this.#isOver) return;
     this.#status = status;
-    this.#isFramed = isFramed;
-    if (!isFramed) {
+    if (this.#request.httpVersion !== CHUNKS_VERSION) {
       this.#response.useChunkedEncodingByDefault = false;
       this.closeAfterAnswer();
     }
@@ -266,9 +253,13 @@
     if (this.#isOver) return;
     this.#isOver = true;
     this.#ending = "cut";
-    // Without framing a plain close would look like the end of the answer.
-    if (this.#isFramed) this.#response.destroy();
-    else this.#response.socket?.resetAndDestroy();
+    if (this.#endsWithConnection) this.#socket.resetAndDestroy();
+    else this.#response.destroy();
+  }
+
+  /** Whether a plain end of the connection looks like the end of the answer. */
+  get #endsWithConnection(): boolean {
+    return this.#framing === "close";
   }
 
   get #socket(): Socket {
--- a/src/gateway/callers/stream_relay.ts
+++ b/src/gateway/callers/stream_relay.ts
@@ -131,7 +131,7 @@
 
   #sendHead(): void {
     if (this.#exchange.isHeadSent || this.#head === undefined) return;
-    const { status, passedHeaders, isFramed } = this.#head;
-    this.#exchange.sendHead(status, passedHeaders, { isFramed });
+    const { status, passedHeaders } = this.#head;
+    this.#exchange.sendHead(status, passedHeaders);
   }
 }
--- a/src/gateway/callers/unframed_stream_test.ts
+++ b/src/gateway/callers/unframed_stream_test.ts
@@ -1,7 +1,6 @@
-/** Tests of streams that end with their connection. */
+/** Tests of streams that their servers end with their connection. */
 import assert from "node:assert/strict";
 import { type IncomingMessage, type ServerResponse } from "node:http";
-import { connect } from "node:net";
 import { test, type TestContext } from "node:test";
 import { routeOf } from "../../decision/manifest_fixture.ts";
 import {
@@ -11,15 +10,14 @@
   eventsOf,
   startBackend,
 } from "../servers/backend_fixture.ts";
-import { splitAddress } from "../../model/mod.ts";
 import {
-  API_HOST,
   call,
   type CallerAnswer,
   startGateway,
   type TestGateway,
   untilReady,
 } from "../gateway_fixture.ts";
+import { CALLER_VERSIONS, callRaw } from "./raw_caller_fixture.ts";
 
 /** Begins a stream with neither a length nor chunks. */
 function beginUnframed(
@@ -75,11 +73,18 @@
   assert.equal(answer.body, eventsOf(1, 6));
 });
 
-test("a stream that ends inside an event and can't be resumed is reset", async (context) => {
-  const answer = await stream(context, { isResumable: false }, breakFirst())
-    .catch(() => undefined);
-  assert.notEqual(answer?.isComplete, true);
-});
+for (const version of CALLER_VERSIONS) {
+  test(`a stream that ends inside an event and can't be resumed is cut: HTTP/${version}`, async (context) => {
+    const { callerAddress } = await startVm(
+      context,
+      { isResumable: false },
+      breakFirst(),
+    );
+    const answer = await callRaw({ address: callerAddress, version });
+    assert.equal(answer.body, eventsOf(1, 3));
+    assert.ok(!answer.looksComplete);
+  });
+}
 
 test("a stream that ends after an event is complete", async (context) => {
   const answer = await stream(
@@ -110,33 +115,26 @@
 
 // Guards against MIXED: a caller that had ended its side of the connection got a
 // part of an unframed answer, and then the end by which such an answer is whole.
-test("an unframed answer to a half-closed caller is reset", async (context) => {
-  const { callerAddress } = await startVm(
-    context,
-    { isResumable: false },
-    (request, response) => {
-      beginUnframed(request, response);
-      response.write(eventsOf(1, 3));
-      setTimeout(() => response.end(eventsOf(4, 6)), 300);
-    },
-  );
-  const { host, port } = splitAddress(callerAddress);
-  const socket = connect({ port, host, allowHalfOpen: true });
-  socket.write(
-    `POST /drafts/one HTTP/1.1\r\nHost: ${API_HOST}\r\ntest-id: one\r\n` +
-      "test-key: a-key\r\nContent-Length: 0\r\n\r\n",
-  );
-  let text = "";
-  const end = new Promise<string>((resolve) => {
-    socket.on("data", (bytes) => {
-      text += String(bytes);
-      if (text.includes("piece 3")) socket.end();
+for (const version of CALLER_VERSIONS) {
+  test(`an unframed answer to a half-closed caller is cut visibly: HTTP/${version}`, async (context) => {
+    const { callerAddress } = await startVm(
+      context,
+      { isResumable: false },
+      (request, response) => {
+        beginUnframed(request, response);
+        response.write(eventsOf(1, 3));
+        setTimeout(() => response.end(eventsOf(4, 6)), 300);
+      },
+    );
+    const { status, body, looksComplete, ending } = await callRaw({
+      address: callerAddress,
+      version,
+      endAfterMs: 100,
     });
-    socket.on("end", () => resolve("end"));
-    socket.on("error", ({ code }: NodeJS.ErrnoException) => resolve(`${code}`));
+    assert.equal(status, 200);
+    const isWhole = body === eventsOf(1, 6);
+    assert.equal(looksComplete, isWhole, body);
+    // Nothing but a reset shows a caller without chunks that a part is one.
+    if (version === "1.0") assert.equal(ending, isWhole ? "plain" : "reset");
   });
-  const how = await end;
-  const isWhole = text.endsWith(eventsOf(1, 6));
-  assert.equal(how, isWhole ? "end" : "ECONNRESET", text);
-  socket.destroy();
-});
+}
--- a/src/gateway/servers/server_attempt.ts
+++ b/src/gateway/servers/server_attempt.ts
@@ -234,10 +234,10 @@
       server.service,
       context.clock() - this.#startedAtMs,
     );
-    const { status, passedHeaders, isFramed } = head;
+    const { status, passedHeaders } = head;
     const body = this.#buffer.concat();
     this.#buffer.release();
-    const answer = { status, headers: passedHeaders, body, isFramed };
+    const answer = { status, headers: passedHeaders, body };
     this.#options.onOutcome({ kind: "answer", answer });
   }
 
--- a/tools/incident_mechanisms.ts
+++ b/tools/incident_mechanisms.ts
@@ -132,9 +132,8 @@
   {
     name: "an unframed answer to a half-closed caller",
     file: "src/gateway/callers/caller_exchange.ts",
-    source:
-      "if (!this.#isFramed && !this.#isOver) this.#socket.resetAndDestroy();",
-    replacement: "",
+    source: "if (!this.#endsWithConnection || this.#isOver) return;",
+    replacement: "return;",
     tests: ["src/gateway/callers/unframed_stream_test.ts"],
   },
   {
--- a/tools/mechanisms.ts
+++ b/tools/mechanisms.ts
@@ -11,6 +11,7 @@
 import { SERVER_MECHANISMS } from "./server_mechanisms.ts";
 import { SERVER_START_MECHANISMS } from "./server_start_mechanisms.ts";
 
+const ANSWER_LENGTH_TEST = "src/gateway/callers/answer_length_test.ts";
 const FORWARDING_TEST = "src/gateway/forwarding/forwarding_test.ts";
 const GATEWAY_TEST = "src/gateway/gateway_test.ts";
 const REGISTRY_TEST = "src/gateway/rollout/rollout_registry_test.ts";
@@ -105,11 +106,32 @@
     tests: ["src/gateway/servers/server_attempt_test.ts"],
   },
   {
-    name: "framing is passed on",
+    name: "the length of a whole answer",
+    file: "src/gateway/callers/caller_exchange.ts",
+    source: ': ["Content-Length", String(body.length)];',
+    replacement: ": [];",
+    tests: [FORWARDING_TEST, ANSWER_LENGTH_TEST],
+  },
+  {
+    name: "no length of an answer without a body",
+    file: "src/gateway/callers/caller_exchange.ts",
+    source: "const length = BODILESS_STATUSES.includes(status)",
+    replacement: "const length = BODILESS_STATUSES.includes(0 * status)",
+    tests: [ANSWER_LENGTH_TEST],
+  },
+  {
+    name: "every stream in chunks",
+    file: "src/gateway/callers/caller_exchange.ts",
+    source: "if (this.#request.httpVersion !== CHUNKS_VERSION) {",
+    replacement: "if (CHUNKS_VERSION) {",
+    tests: ["src/gateway/callers/ending_vm_test.ts"],
+  },
+  {
+    name: "no chunks to callers that do not know them",
     file: "src/gateway/callers/caller_exchange.ts",
     source: "this.#response.useChunkedEncodingByDefault = false;",
     replacement: "",
-    tests: [FORWARDING_TEST],
+    tests: [ANSWER_LENGTH_TEST],
   },
   {
     name: "cancellation when the caller leaves",
--- a/tools/server_mechanisms.ts
+++ b/tools/server_mechanisms.ts
@@ -274,8 +274,9 @@
   {
     name: "an unframed answer is reset",
     file: "src/gateway/callers/caller_exchange.ts",
-    source: "else this.#response.socket?.resetAndDestroy();",
-    replacement: "else this.#response.destroy();",
+    source:
+      "if (this.#endsWithConnection) this.#socket.resetAndDestroy();\n    else this.#response.destroy();",
+    replacement: "this.#response.destroy();",
     tests: ["src/gateway/callers/unframed_stream_test.ts"],
   },
 ];
