State the length of the answer to bytes that are no request

What callers saw: a 400, 408, 413 or 431 to bytes that can't be read as a request had neither a length nor chunks, so that only the end of the connection ended it.

It states that it has no body.

--- a/src/gateway/callers/caller_connection.ts
+++ b/src/gateway/callers/caller_connection.ts
@@ -88,7 +88,8 @@
   if (socket.writable) {
     const status = ERROR_STATUSES[code ?? ""] ?? DEFAULT_ERROR_STATUS;
     socket.write(
-      `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`,
+      `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\n` +
+        "Connection: close\r\nContent-Length: 0\r\n\r\n",
     );
   }
   socket.destroySoon();
