Let a caller that resumes finish where its end can't be confirmed

Change: an unmarked end without a further event, at the event that the caller itself named, completes its answer if no further run is allowed, for whatever reason; so far only if the route allows one run. The server has been found to listen, or known to leave, by then, and the caller's earlier answer had ended at that event too. Where a retry is left it is still used.

--- a/src/gateway/forwarding/forwarding.ts
+++ b/src/gateway/forwarding/forwarding.ts
@@ -278,21 +278,24 @@
 
   #handleStreamEnd(head: AnswerHead): void {
     this.#serverEnd = head.isFramed ? "marked" : "unmarked";
-    const end = this.#relay?.endOf(head);
+    const relay = this.#relay;
+    const end = relay?.endOf(head);
     if (end === "broken") return this.#retry("incomplete");
     if (end === "unmarked" && !this.#isConfirmed()) {
-      return this.#retry("unmarked_end");
+      if (this.#takeRetry("unmarked_end")) return this.#startAttempt();
+      // Without an event, the caller has resumed here after an earlier end.
+      if (relay?.hasEvent) return this.#giveUp("unmarked_end");
     }
-    this.#relay?.complete(head);
+    relay?.complete(head);
     this.#finish("answered");
   }
 
   /** Whether the unmarked end of the last run completes the stream. */
   #isConfirmed(): boolean {
-    const { lastId, hasEvent = false } = this.#relay ?? {};
+    const lastId = this.#relay?.lastId;
     // A stream without numbers can't be resumed.
     if (lastId === undefined) return true;
-    return this.#history.recordUnmarkedEnd(lastId, { hasEvent });
+    return this.#history.recordUnmarkedEnd(lastId);
   }
 
   /** Whether callers take a status for "not run" of a request that may have. */
@@ -303,14 +306,17 @@
 
   /** Sends the request again, if that is allowed and enough time is left. */
   #retry(cause: string): void {
-    if (!this.#canGoOn || !this.#retries.take(cause)) {
-      return this.#giveUp(cause);
-    }
+    if (this.#takeRetry(cause)) this.#startAttempt();
+    else this.#giveUp(cause);
+  }
+
+  #takeRetry(cause: string): boolean {
+    if (!this.#canGoOn || !this.#retries.take(cause)) return false;
     // A version whose servers don't mark their ends is no worse for that.
     if (this.#history.mayHaveRun && cause !== "unmarked_end") {
       this.#targets.avoidVersion(this.#attempt?.version);
     }
-    this.#startAttempt();
+    return true;
   }
 
   /** Whether another attempt can go on with what the caller got. */
