Take only digits of a Last-Event-Id for a number

Callers that sent an empty Last-Event-Id, or a text that JavaScript reads as a number, got 502 after the stream had run at up to five servers: an empty text was taken for 0 and sent on as 0, and an answer from event 0 on was out of order. Such a text reaches the server as it was sent, and any first event is taken.

--- a/src/gateway/callers/stream_relay.ts
+++ b/src/gateway/callers/stream_relay.ts
@@ -24,6 +24,9 @@
  */
 export type StreamEnd = "complete" | "broken" | "unmarked";
 
+/** A number as callers state it; any other text is left to the server. */
+const ID_PATTERN = /^\d{1,15}$/;
+
 /** The relay of one caller's stream. */
 export class StreamRelay {
   readonly #exchange: CallerExchange;
@@ -37,9 +40,8 @@
 
   constructor(exchange: CallerExchange, lastEventId: string | undefined) {
     this.#exchange = exchange;
-    const requestedId = Number(lastEventId);
-    if (lastEventId !== undefined && Number.isSafeInteger(requestedId)) {
-      this.#lastId = requestedId;
+    if (lastEventId !== undefined && ID_PATTERN.test(lastEventId)) {
+      this.#lastId = Number(lastEventId);
     }
   }
 
