End a stream without the bytes of a server that broke off

Callers got part of a comment of the server that had broken off before the end of the next server's answer, where that one had no further event: an answer without bytes doesn't attach its server, and what was left of the one before was written. It is written only of the server that ends the stream. Part of a further event still shows that the stream isn't complete.

--- a/src/gateway/callers/stream_relay.ts
+++ b/src/gateway/callers/stream_relay.ts
@@ -32,6 +32,8 @@
   readonly #exchange: CallerExchange;
   #splitter = new EventSplitter();
   #head: AnswerHead | undefined;
+  /** The head of the server whose bytes the splitter has. */
+  #splitHead: AnswerHead | undefined;
   #lastId: number | undefined;
   #hasEvent = false;
   #isAttached = false;
@@ -56,6 +58,7 @@
    */
   attach(head: AnswerHead): void {
     this.#splitter = new EventSplitter();
+    this.#splitHead = head;
     this.#isAttached = this.#continues(head);
     this.#isResuming = this.#exchange.isHeadSent;
     if (!this.#exchange.isHeadSent) this.#head = head;
@@ -109,7 +112,8 @@
     // A stream without further events has not attached its server.
     if (!this.#exchange.isHeadSent) this.#head = server;
     const { remainder } = this.#splitter;
-    if (remainder.length > 0) this.#write(remainder);
+    const isOfServer = server === this.#splitHead;
+    if (isOfServer && remainder.length > 0) this.#write(remainder);
     this.#sendHead();
     this.#exchange.end();
   }
