--- a/src/gateway/callers/large_event_test.ts
+++ b/src/gateway/callers/large_event_test.ts
@@ -5,7 +5,7 @@
 import { routeOf } from "../../decision/manifest_fixture.ts";
 import {
   drawFrom,
-  largeEvents,
+  eventsOfLength,
   playStream,
   randomFor,
   type ServedPart,
@@ -38,7 +38,7 @@
     const random = randomFor(seed);
     const streams = Array.from({ length: STREAM_COUNT }, (_, index) => {
       const stream = `s${index}`;
-      return { stream, events: largeEvents({ stream, random, ...EVENTS }) };
+      return { stream, events: eventsOfLength({ stream, random, ...EVENTS }) };
     });
     const address = await startVm(context, ({ stream, last, arrival }) => {
       const index = Number(stream.slice(1));
@@ -89,7 +89,7 @@
   test(`a server that falls silent after a large event is left: caller rests ${restMs} ms`, async (context) => {
     const stream = "s0";
     const random = randomFor(1);
-    const events = largeEvents({ stream, random, ...EVENTS, count: 100 });
+    const events = eventsOfLength({ stream, random, ...EVENTS, count: 100 });
     const address = await startVm(context, ({ last, arrival }) => ({
       bytes: Buffer.concat(events.slice(last, arrival === 1 ? 90 : 100)),
       chunkBytes: CHUNK_BYTES,
--- a/src/gateway/callers/stream_play_fixture.ts
+++ b/src/gateway/callers/stream_play_fixture.ts
@@ -17,13 +17,15 @@
 import { MemoryTopic } from "../store/memory_topic_fixture.ts";
 
 /** Every stream may be sent again as often as its route allows. */
-const RETRY_BOUND = { ratio: 9, slackCount: 900, windowMs: 10_000 };
+export const RETRY_BOUND = { ratio: 9, slackCount: 900, windowMs: 10_000 };
 
 /** What a server sends in answer to one request for a stream. */
 export interface ServedPart {
   readonly bytes: Buffer;
   /** Lengths of the chunks, in turn. */
   readonly chunkBytes: readonly number[];
+  /** The pause after each chunk; short ones now and then if absent. */
+  readonly paceMs?: number;
   /** `stall`: nothing more comes; `late`: the `rest` comes after `lateMs`. */
   readonly end: "whole" | "close" | "reset" | "stall" | "late";
   readonly rest?: Buffer;
@@ -101,8 +103,9 @@
 async function sendPart(
   socket: Socket,
   requestId: string,
-  { bytes, chunkBytes, end, rest, lateMs, headers = [] }: ServedPart,
+  part: ServedPart,
 ): Promise<void> {
+  const { bytes, end, rest, lateMs, headers = [] } = part;
   socket.setNoDelay(true);
   socket.write(
     answerHeadOf(
@@ -112,10 +115,10 @@
       ...headers,
     ),
   );
-  await sendChunks(socket, bytes, chunkBytes);
+  await sendChunks(socket, bytes, part);
   if (end === "late" && rest !== undefined) {
     await delay(lateMs);
-    await sendChunks(socket, rest, chunkBytes);
+    await sendChunks(socket, rest, part);
   }
   if (end === "whole" || end === "late") socket.end("0\r\n\r\n");
   else if (end === "close") socket.end();
@@ -125,16 +128,17 @@
 async function sendChunks(
   socket: Socket,
   bytes: Buffer,
-  sizes: readonly number[],
+  { chunkBytes, paceMs }: ServedPart,
 ): Promise<void> {
   for (let at = 0, turn = 0; at < bytes.length; turn++) {
-    const size = sizes[turn % sizes.length] ?? bytes.length;
+    const size = chunkBytes[turn % chunkBytes.length] ?? bytes.length;
     const part = bytes.subarray(at, at + size);
     at += part.length;
     socket.write(`${part.length.toString(16)}\r\n`);
     socket.write(part);
     const isDone = socket.write("\r\n");
     if (!isDone) await drained(socket);
+    else if (paceMs !== undefined) await delay(paceMs);
     else if (turn % 8 === 7) await delay(1);
     if (socket.destroyed) return;
   }
@@ -337,7 +341,7 @@
 }
 
 /** Events of a stream, from 1 on, of random lengths within the bounds. */
-export function largeEvents(
+export function eventsOfLength(
   { stream, random, count, bytes }: {
     readonly stream: string;
     readonly random: Random;
