--- a/src/gateway/callers/stream_play_fixture.ts
+++ b/src/gateway/callers/stream_play_fixture.ts
@@ -35,6 +35,7 @@
 
 /** A request for a stream at a server. */
 export interface StreamArrival {
+  readonly requestId: string;
   readonly stream: string;
   /** The last event that the sender of the request has; 0 if it names none. */
   readonly last: number;
@@ -59,10 +60,17 @@
         const stream = requestId.split("~")[0] ?? "";
         const arrival = (arrivals.get(stream) ?? 0) + 1;
         arrivals.set(stream, arrival);
-        const lastText = headerIn(head, "test-last");
+        const lastText = headerIn(head, "(?:test-last|last-event-id)");
         const model = headerIn(head, "test-model");
         const last = Number(lastText ?? 0);
-        const part = partOf({ stream, last, lastText, arrival, model });
+        const part = partOf({
+          requestId,
+          stream,
+          last,
+          lastText,
+          arrival,
+          model,
+        });
         void sendPart(socket, requestId, part);
       },
     })
@@ -163,7 +171,12 @@
   readonly path: string;
   readonly id: string;
   readonly last?: string | undefined;
-  readonly headers?: readonly string[];
+  readonly host?: string;
+  /** Further lines of the head. */
+  readonly headers?: (request: {
+    readonly id: string;
+    readonly last: string | undefined;
+  }) => readonly string[];
   /** How long to rest after some bytes have been read; not at all if absent. */
   readonly pauseMs?: (() => number) | undefined;
   /** A caller whose connection has been silent for so long goes elsewhere. */
@@ -175,15 +188,15 @@
   address: string,
   options: ReadOptions,
 ): Promise<RawAnswer> {
-  const { path, id, last, headers = [], pauseMs, leaveAfterMs } = options;
+  const { path, id, last, pauseMs, leaveAfterMs } = options;
   const socket = connect(splitAddress(address));
   const lines = [
     `POST ${path} HTTP/1.1`,
-    `Host: ${API_HOST}`,
+    `Host: ${options.host ?? API_HOST}`,
     `test-id: ${id}`,
     "test-key: a-key",
     ...last === undefined ? [] : [`test-last: ${last}`],
-    ...headers,
+    ...options.headers?.({ id, last }) ?? [],
     "Content-Length: 0",
     "\r\n",
   ];
--- a/src/gateway/forwarding/escalated_stream_test.ts
+++ b/src/gateway/forwarding/escalated_stream_test.ts
@@ -68,7 +68,7 @@
         const { status, body, isComplete } = await readAnswer(address, {
           id: `s${index}~0`,
           path: `/drafts/s${index}`,
-          headers: ["test-model: any"],
+          headers: () => ["test-model: any"],
         });
         if (status !== 200) return counts.refused += 1;
         counts[isComplete ? "whole" : "cut"] += 1;
