--- a/src/gateway/callers/large_event_test.ts
+++ b/src/gateway/callers/large_event_test.ts
@@ -3,16 +3,15 @@
 import process from "node:process";
 import { test, type TestContext } from "node:test";
 import { routeOf } from "../../decision/manifest_fixture.ts";
+import { playStream, summaryOf } from "./stream_caller_fixture.ts";
 import {
   drawFrom,
   eventsOfLength,
-  playStream,
   randomFor,
   type ServedPart,
   startStreamVm,
   type StreamArrival,
-  summaryOf,
-} from "./stream_play_fixture.ts";
+} from "./stream_server_fixture.ts";
 
 const MIB = 1024 * 1024;
 const SEEDS = (process.env["PLAY_SEEDS"] ?? "7").split(",").map(Number);
--- a/src/gateway/callers/stream_form_test.ts
+++ b/src/gateway/callers/stream_form_test.ts
@@ -5,16 +5,14 @@
 import { routeOf } from "../../decision/manifest_fixture.ts";
 import { type ServiceRoute } from "../../model/mod.ts";
 import { eventsOf } from "../servers/backend_fixture.ts";
+import { playStream, readAnswer, summaryOf } from "./stream_caller_fixture.ts";
 import {
   drawFrom,
-  playStream,
   randomFor,
-  readAnswer,
   type ServedPart,
   startStreamVm,
   type StreamArrival,
-  summaryOf,
-} from "./stream_play_fixture.ts";
+} from "./stream_server_fixture.ts";
 
 const SEEDS = (process.env["PLAY_SEEDS"] ?? "5").split(",").map(Number);
 const STREAM_COUNT = 60;
--- a/src/gateway/forwarding/escalated_stream_test.ts
+++ b/src/gateway/forwarding/escalated_stream_test.ts
@@ -3,12 +3,12 @@
 import process from "node:process";
 import { test } from "node:test";
 import { routeOf } from "../../decision/manifest_fixture.ts";
+import { readAnswer } from "../callers/stream_caller_fixture.ts";
 import {
   drawFrom,
   randomFor,
-  readAnswer,
   startStreamVm,
-} from "../callers/stream_play_fixture.ts";
+} from "../callers/stream_server_fixture.ts";
 
 const SEEDS = (process.env["PLAY_SEEDS"] ?? "4").split(",").map(Number);
 const STREAM_COUNT = 80;
--- a/src/gateway/forwarding/relayed_stream_test.ts
+++ b/src/gateway/forwarding/relayed_stream_test.ts
@@ -8,15 +8,14 @@
 import process from "node:process";
 import { test, type TestContext } from "node:test";
 import { routeOf } from "../../decision/manifest_fixture.ts";
+import { playStream, summaryOf } from "../callers/stream_caller_fixture.ts";
 import {
   drawFrom,
   eventsOfLength,
-  playStream,
   randomFor,
   RETRY_BOUND,
   startStreamServers,
-  summaryOf,
-} from "../callers/stream_play_fixture.ts";
+} from "../callers/stream_server_fixture.ts";
 import { startCutOff } from "../cut_off_fixture.ts";
 import { call } from "../gateway_fixture.ts";
 
