--- a/src/gateway/forwarding/forwarding.ts
+++ b/src/gateway/forwarding/forwarding.ts
@@ -15,6 +15,12 @@
   type CallerExchange,
   type CompleteAnswer,
 } from "../callers/caller_exchange.ts";
+import {
+  answerFailure,
+  isFalsePromise,
+  refuseOverloaded,
+  type RequestFailure,
+} from "./failure_answer.ts";
 import { chooseEscalation } from "./escalation_choice.ts";
 import {
   type AdmissionTicket,
@@ -30,19 +36,12 @@
 } from "./forward_log.ts";
 import { type AnswerHead } from "../protocol.ts";
 import { RequestRetries } from "./request_retries.ts";
-import {
-  noServerReason,
-  retryDelayMs,
-  unreachedReason,
-} from "./retry_delay.ts";
+import { noServerReason, unreachedReason } from "./retry_delay.ts";
 import { type AttemptOutcome } from "./attempt_outcome.ts";
 import { SilenceWatch } from "./silence_watch.ts";
 import { StreamRelay } from "../callers/stream_relay.ts";
 import { TargetChoice, targetIdOf } from "./target_choice.ts";
 
-/** Statuses that promise callers that their request has not run. */
-const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
-
 /** The forwarding of one caller's request. */
 export class Forwarding {
   readonly #context: ForwardContext;
@@ -116,7 +115,10 @@
     this.#ticket = this.#context.admission.enter(this.#context, this.#request, {
       onStart: () => this.#guard(() => this.#startAttempt()),
       onRefuse: (retryAfterMs) =>
-        this.#guard(() => this.#refuseOverloaded(retryAfterMs)),
+        this.#guard(() => {
+          refuseOverloaded(this.#context, this.#exchange, retryAfterMs);
+          this.#finish("overloaded");
+        }),
     });
   }
 
@@ -140,16 +142,6 @@
     }
   }
 
-  #refuseOverloaded(retryAfterMs: number): void {
-    const refusal = { status: 503, reason: "overloaded", retryAfterMs };
-    this.#context.metrics.count("refused", {
-      status: 503,
-      reason: "overloaded",
-    });
-    this.#exchange.refuse(refusal);
-    this.#finish("overloaded");
-  }
-
   #startAttempt(): void {
     const target = this.#targets.choose(this.#history.triedIds, this.#model);
     if (target === undefined) {
@@ -256,7 +248,7 @@
           this.#fallback = outcome.answer;
           return this.#retry("backend_error");
         }
-        if (this.#isFalsePromise(outcome.answer)) {
+        if (isFalsePromise(this.#request, outcome.answer)) {
           const reason = "unmarked_refusal";
           this.#exchange.refuse({ status: 502, reason });
           return this.#finish(reason);
@@ -298,12 +290,6 @@
     return this.#history.recordUnmarkedEnd(lastId);
   }
 
-  /** Whether callers take a status for "not run" of a request that may have. */
-  #isFalsePromise({ status }: CompleteAnswer): boolean {
-    return NOT_RUN_STATUSES.includes(status) &&
-      !isRetriable(this.#request.route);
-  }
-
   /** Sends the request again, if that is allowed and enough time is left. */
   #retry(cause: string): void {
     if (this.#takeRetry(cause)) this.#startAttempt();
@@ -354,26 +340,26 @@
     if (this.#exchange.isOver) return;
     const isSent = this.#history.wasSent || this.#attempt?.isUnsent === false;
     this.#attempt?.cancel(undefined);
-    if (this.#exchange.isHeadSent) this.#exchange.abort();
-    else if (isSent) this.#exchange.refuse({ status: sentStatus, reason });
-    else this.#refuse(reason);
-    this.#finish(reason);
+    this.#fail(reason, { sentStatus: isSent ? sentStatus : undefined });
   }
 
   #giveUp(attemptCause: string): void {
     const cause = unreachedReason(this.#context, this.#request, attemptCause);
-    if (this.#exchange.isHeadSent) this.#exchange.abort();
-    else if (this.#fallback !== undefined) {
-      this.#exchange.answer(this.#fallback);
-    } else if (this.#history.mayHaveRun) {
-      this.#exchange.refuse({ status: 502, reason: cause });
-    } else this.#refuse(cause);
-    this.#finish(cause);
+    const sentStatus = this.#history.mayHaveRun ? 502 : undefined;
+    this.#fail(cause, { sentStatus, fallback: this.#fallback });
   }
 
-  #refuse(reason: string): void {
-    const retryAfterMs = retryDelayMs(this.#context, this.#request);
-    this.#exchange.refuse({ status: 503, reason, retryAfterMs });
+  #fail(
+    reason: string,
+    failure: Pick<RequestFailure, "sentStatus" | "fallback">,
+  ): void {
+    const exchange = this.#exchange;
+    answerFailure(this.#context, this.#request, {
+      exchange,
+      reason,
+      ...failure,
+    });
+    this.#finish(reason);
   }
 
   #finish(outcome: string): void {
