State no length for an answer whose end its server did not mark

The part that had come was given its own length, by which it looks whole to its caller.

What a VM whose process ends has not written of one is then not seen as missing; whole answers are written at once.

--- a/src/gateway/callers/caller_exchange.ts
+++ b/src/gateway/callers/caller_exchange.ts
@@ -1,10 +1,10 @@
 /**
  * The answer to one caller's request. The head is sent once, with the first
  * bytes of the body. An answer that cannot be completed ends by closing the
- * connection, so that the caller can't take it for complete. Therefore every
- * answer marks its end, whether or not its server did: by its length or, as a
- * stream, by chunks. Only a caller that does not know chunks gets a stream that
- * ends with its connection.
+ * connection, so that the caller can't take it for complete. Therefore
+ * streams come in chunks, whether or not their servers marked their ends; only a
+ * caller that does not know chunks gets a stream that ends with its connection.
+ * A whole answer states its length if its server marked its end.
  */
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Socket } from "node:net";
@@ -16,6 +16,11 @@
   /** Alternating names and values. */
   readonly headers: readonly string[];
   readonly body: Buffer;
+  /**
+   * Whether its server marked the end of the body. A length would vouch for one
+   * that may be a part.
+   */
+  readonly isEndMarked: boolean;
 }
 
 /** An error answer that the gateway itself creates. */
@@ -182,16 +187,18 @@
   }
 
   /** Sends a complete answer; cuts one off whose head has been sent. */
-  answer({ status, headers, body }: CompleteAnswer): void {
+  answer({ status, headers, body, isEndMarked }: CompleteAnswer): void {
     if (this.#isOver) return;
     if (this.isHeadSent) return this.abort();
     this.#isOver = true;
     this.#status = status;
     this.#ending = "complete";
-    this.#framing = "length";
-    const length = BODILESS_STATUSES.includes(status)
-      ? []
-      : ["Content-Length", String(body.length)];
+    const hasBody = !BODILESS_STATUSES.includes(status);
+    this.#framing = isEndMarked || !hasBody ? "length" : "close";
+    if (this.#framing === "close") this.#endWithConnection();
+    const length = isEndMarked && hasBody
+      ? ["Content-Length", String(body.length)]
+      : [];
     this.#response.writeHead(status, [...headers, ...length]);
     if (this.isRead || this.#response.shouldKeepAlive) {
       this.#response.end(body);
@@ -226,17 +233,14 @@
       headers.push(...this.#options.writeRefusal(this.#request));
     }
     const body = Buffer.from(`${reason}\n`);
-    this.answer({ status, headers, body });
+    this.answer({ status, headers, body, isEndMarked: true });
   }
 
   /** Sends the head of a stream. */
   sendHead(status: number, headers: readonly string[]): void {
     if (this.#isOver) return;
     this.#status = status;
-    if (this.#request.httpVersion !== CHUNKS_VERSION) {
-      this.#response.useChunkedEncodingByDefault = false;
-      this.closeAfterAnswer();
-    }
+    if (this.#request.httpVersion !== CHUNKS_VERSION) this.#endWithConnection();
     this.#response.writeHead(status, headers as string[]);
     this.#framing = this.#response.chunkedEncoding ? "chunks" : "close";
   }
@@ -264,6 +268,11 @@
     else this.#response.destroy();
   }
 
+  #endWithConnection(): void {
+    this.#response.useChunkedEncodingByDefault = false;
+    this.closeAfterAnswer();
+  }
+
   get #socket(): Socket {
     return this.#request.socket;
   }
--- a/src/gateway/forwarding/vm_attempt.ts
+++ b/src/gateway/forwarding/vm_attempt.ts
@@ -139,8 +139,8 @@
     this.#buffer.release();
     this.#isOver = true;
     if (isRelayed) return this.#options.onOutcome({ kind: "stream_end", head });
-    const { status, passedHeaders } = head;
-    const answer = { status, headers: passedHeaders, body };
+    const { status, passedHeaders, isFramed: isEndMarked } = head;
+    const answer = { status, headers: passedHeaders, body, isEndMarked };
     this.#options.onOutcome({ kind: "answer", answer });
   }
 
--- a/src/gateway/servers/server_attempt.ts
+++ b/src/gateway/servers/server_attempt.ts
@@ -234,10 +234,10 @@
       server.service,
       context.clock() - this.#startedAtMs,
     );
-    const { status, passedHeaders } = head;
+    const { status, passedHeaders, isFramed: isEndMarked } = head;
     const body = this.#buffer.concat();
     this.#buffer.release();
-    const answer = { status, headers: passedHeaders, body };
+    const answer = { status, headers: passedHeaders, body, isEndMarked };
     this.#options.onOutcome({ kind: "answer", answer });
   }
 
