--- a/src/gateway/callers/ending_vm_test.ts
+++ b/src/gateway/callers/ending_vm_test.ts
@@ -2,13 +2,11 @@
  * Tests of VMs whose process ends at once: the kernel then closes their
  * connections, and a caller or another VM sees plain ends.
  */
-import { subscribe, unsubscribe } from "node:diagnostics_channel";
-import { type Socket } from "node:net";
-import { test, type TestContext } from "node:test";
+import { test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { startCutOff } from "../cut_off_fixture.ts";
-import { call, type TestGateway } from "../gateway_fixture.ts";
-import { splitAddress } from "../../model/mod.ts";
+import { call } from "../gateway_fixture.ts";
+import { closeAll, recordAccepted } from "./accepted_fixture.ts";
 import {
   assertCut,
   beginAtOnce,
@@ -30,25 +28,6 @@
 /** A request that servers answer at once. */
 const PROBE_ID = "probe";
 
-/** Records the connections that this process accepts from now on. */
-function recordAccepted(context: TestContext): readonly Socket[] {
-  const accepted: Socket[] = [];
-  const record = (message: unknown): void => {
-    accepted.push((message as { socket: Socket }).socket);
-  };
-  subscribe("net.server.socket", record);
-  context.after(() => unsubscribe("net.server.socket", record));
-  return accepted;
-}
-
-/** Closes a VM's connections to callers as the kernel does after its end. */
-function closeAll(accepted: readonly Socket[], vm: TestGateway): void {
-  const { port } = splitAddress(vm.callerAddress);
-  for (const socket of accepted) {
-    if (socket.localPort === port) socket.destroy();
-  }
-}
-
 function servedStream(framing: ServedStream["framing"]): ServedStream {
   return { framing, eventCount: ENDLESS_COUNT, pauseMs: ENDLESS_PAUSE_MS };
 }
