Show that living servers are taken for ended ones

Callers get 502 in place of a whole answer without a length, which may run once, where its server resets connections beyond its limit or this process was busy for longer than the timeout of the probe. Where a request may be repeated it is sent once more, and the server counts as broken.

connects takes any error for a closed address, also ECONNRESET, which only a listening server sends; and its timer is handled before the connection of which the kernel has told meanwhile.

--- a/src/gateway/forwarding/ended_server_test.ts
+++ b/src/gateway/forwarding/ended_server_test.ts
@@ -23,6 +23,7 @@
   testProtocol,
   untilReady,
 } from "../gateway_fixture.ts";
+import { answerHeadOf, startRawServer } from "../servers/raw_server_fixture.ts";
 import { ServerAttempt } from "../servers/server_attempt.ts";
 import {
   beginUnframed,
@@ -115,6 +116,27 @@
   });
 }
 
+// Guards against LOST: an answer that may run once was replaced by a failure as
+// its server was at its limit of connections, beyond which it resets them.
+test("an answer without a length is complete if its server is full", async (context) => {
+  let runCount = 0;
+  const { server } = await startRawServer(context, {
+    answer: (socket, requestId) => {
+      runCount += 1;
+      socket.end(`${answerHeadOf(requestId)}whole`);
+    },
+    isFull: () => runCount > 0,
+  });
+  const vm = await startGateway({ manifest: { routes: [REGISTER_ROUTE] } });
+  context.after(() => vm.gateway.stop());
+  vm.servers.put(server.id, server);
+  await untilReady(vm);
+  const { status, body } = await call(vm.callerAddress, {
+    path: "/registrations/a",
+  });
+  assert.deepEqual([status, body, runCount], [200, "whole", 1]);
+});
+
 /** What is known of a server that stops listening and then ends a stream. */
 const LEAVES = {
   draining: ({ fleet }, server) =>
--- a/src/gateway/servers/raw_server_fixture.ts
+++ b/src/gateway/servers/raw_server_fixture.ts
@@ -17,8 +17,10 @@
 /** Starts a server that takes one request on each connection. */
 export async function startRawServer(
   context: TestContext,
-  { id = "raw", answer }: {
+  { id = "raw", answer, isFull = () => false }: {
     readonly id?: string;
+    /** Whether a further connection is reset. */
+    readonly isFull?: () => boolean;
     readonly answer: (
       ...parameters: [...Parameters<RawAnswer>, head: string]
     ) => void;
@@ -27,6 +29,7 @@
   const requestIds: string[] = [];
   const open = new Set<Socket>();
   const listener = createServer((socket) => {
+    if (isFull()) return void socket.resetAndDestroy();
     open.add(socket);
     socket.on("close", () => open.delete(socket));
     socket.on("error", () => {});
