Show that parts of answers of plain services count as whole

The client of plain services uses undici, which takes a reset for the end of an answer with neither a length nor chunks; callers of our own interface get the part with a length.

--- a/src/client/plain_service_test.ts
+++ b/src/client/plain_service_test.ts
@@ -2,7 +2,11 @@
 import assert from "node:assert/strict";
 import { createServer, type Server } from "node:http";
 import { once } from "node:events";
-import { type AddressInfo } from "node:net";
+import {
+  type AddressInfo,
+  createServer as createSocketServer,
+  type Socket,
+} from "node:net";
 import { test } from "node:test";
 import { type ServiceRequest } from "../model/mod.ts";
 import { ServiceClient } from "./plain_service.ts";
@@ -72,3 +76,40 @@
   assert.equal(failedCount, 0);
   assert.equal(connectionCount(), ROUNDS * CONCURRENCY);
 });
+
+/** How a server breaks off an answer that states no length. */
+const BREAKS = {
+  reset: (socket) => void socket.resetAndDestroy(),
+  closed: (socket) => void socket.destroy(),
+} satisfies Record<string, (socket: Socket) => void>;
+
+for (const how of ["reset", "closed"] as const) {
+  // Guards against MIXED: part of an answer without a length was passed on as a
+  // whole one.
+  test(`an answer that breaks off without a length is no answer: ${how}`, async (context) => {
+    const server = createSocketServer((socket) => {
+      socket.on("error", () => {});
+      socket.once("data", () => {
+        socket.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\na part");
+        server.close();
+        setTimeout(() => BREAKS[how](socket), 50);
+      });
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    const client = new ServiceClient({
+      connectTimeoutMs: 1000,
+      maxConnectionsPerServer: 4,
+      maxBodyBytes: 1024,
+    });
+    context.after(() => client.close());
+    const called = await client.call(keyedRequest(0), {
+      address: `127.0.0.1:${port}`,
+      signal: new AbortController().signal,
+      timeoutMs: TIMEOUT_MS,
+      isFresh: true,
+    });
+    assert.equal(called.isErr() && called.error.fault, "broken");
+  });
+}
