Show that confirming unmarked ends takes the retries of failures

Where half of the streams of a service come without framing, streams that break are cut instead of resumed: runs that confirm an unmarked end take from the same budget as failures, and nothing is kept back for these, as it is for escalations.

--- a/src/gateway/forwarding/retry_budget_test.ts
+++ b/src/gateway/forwarding/retry_budget_test.ts
@@ -113,3 +113,19 @@
   while (budget.spend(SERVICE, "failure")) spentCount += 1;
   assert.ok(spentCount >= 0.9 * BOUND.slackCount / 3 - 1, `${spentCount}`);
 });
+
+// Guards against ORDER and LOST: where servers mark no ends, the runs that
+// confirm them left no retry for streams that broke.
+test("confirming unmarked ends leaves retries for failures", () => {
+  const requestCount = 100;
+  const budget = new RetryBudget({
+    fleetBound: { ratio: 0.2, slackCount: 0, windowMs: 10_000 },
+    clock: () => 0,
+    vmCount: () => 1,
+  });
+  for (let index = 0; index < requestCount; index++) {
+    budget.earn(SERVICE);
+    budget.spend(SERVICE, "unmarked_end");
+  }
+  assert.ok(budget.spend(SERVICE, "failure"));
+});
