Keep retries back for failures from runs that confirm an end

Cause: a confirmation drew on the budget like a failure, to its last retry.

Change: it leaves the reserve that escalations leave.

Test: "confirming unmarked ends leaves retries for failures" failed before and passes; the tests of unmarked ends pass as before.

--- a/src/gateway/forwarding/retry_budget.ts
+++ b/src/gateway/forwarding/retry_budget.ts
@@ -59,9 +59,9 @@
       this.#windowOf(service),
       this.#options(),
     );
-    const reservedCount = reason === "escalation"
-      ? Math.max(this.#minReserve, FAILURE_RESERVE_SHARE * allowedCount)
-      : 0;
+    const reservedCount = reason === "failure"
+      ? 0
+      : Math.max(this.#minReserve, FAILURE_RESERVE_SHARE * allowedCount);
     if (leftCount - reservedCount < 1) return false;
     this.#count(service, "repeat");
     return true;
