Take a full or slow connection for a server that still listens

What callers saw: 502 or a cut in place of a whole answer without a length, whose server was at its limit of connections and reset the probe of, or whose VM was busy for longer than the probe's time limit.

Cause: any error of the probe counted as a server that has ended, and the timer was seen before a connection that had been established in time.

Change: a reset shows that the server's process lives, and the probe looks once more for pending events before it gives up. Whether a VM is cut off from its servers is decided as before: what cuts it off may reset its connections.

--- a/src/gateway/peers/gateway_peers.ts
+++ b/src/gateway/peers/gateway_peers.ts
@@ -178,7 +178,13 @@
 ): ServerReachParts {
   const servers = (): BackendServer[] => fleet.servers;
   return {
-    reach: new ReachWatch({ ...options, servers, connects }),
+    reach: new ReachWatch({
+      ...options,
+      servers,
+      // What cuts a VM off may reset its connections.
+      connects: (address, { timeoutMs }) =>
+        connects(address, { timeoutMs, isResetAccepted: false }),
+    }),
     relays: new VmRelays({ ...options, ...options.settings, membership }),
   };
 }
--- a/src/gateway/servers/connect_probe.ts
+++ b/src/gateway/servers/connect_probe.ts
@@ -2,10 +2,19 @@
 import { connect } from "node:net";
 import { splitAddress } from "../../model/mod.ts";
 
+export interface ConnectOptions {
+  readonly timeoutMs: number;
+  /**
+   * Whether a connection that is reset at once counts as established, as by a
+   * server at its limit of connections; true unless stated.
+   */
+  readonly isResetAccepted?: boolean;
+}
+
 /** Connects and closes at once; resolves to whether that worked in time. */
 export function connects(
   address: string,
-  { timeoutMs }: { readonly timeoutMs: number },
+  { timeoutMs, isResetAccepted = true }: ConnectOptions,
 ): Promise<boolean> {
   return new Promise((resolve) => {
     const socket = connect(splitAddress(address));
@@ -14,8 +23,14 @@
       socket.destroy();
       resolve(isConnected);
     };
-    const timer = setTimeout(() => end(false), timeoutMs);
+    // A busy process sees its timers before connections made in time.
+    const timer = setTimeout(
+      () => setImmediate(() => end(false)),
+      timeoutMs,
+    );
     socket.once("connect", () => end(true));
-    socket.on("error", () => end(false));
+    socket.on("error", ({ code }: NodeJS.ErrnoException) => {
+      end(code === "ECONNRESET" && isResetAccepted);
+    });
   });
 }
