--- a/src/gateway/callers/caller_connection.ts
+++ b/src/gateway/callers/caller_connection.ts
@@ -22,7 +22,7 @@
  * Time for a caller to read what it has been sent before a reset: many programs
  * take a reset behind bytes that they have not read for a plain end.
  */
-const READ_MS = 200;
+export const CUT_MS = 200;
 
 export class CallerConnection {
   readonly #socket: Socket;
@@ -106,7 +106,7 @@
     if (this.#socket.destroyed) return;
     this.#resetTimer ??= setTimeout(
       () => this.#socket.resetAndDestroy(),
-      READ_MS,
+      CUT_MS,
     );
   }
 
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -1,6 +1,7 @@
 /** The gateway: requests forwarded byte for byte under a service manifest. */
 export * from "./servers/backend_exchange.ts";
 export * from "./servers/backend_fleet.ts";
+export { CUT_MS } from "./callers/caller_connection.ts";
 export * from "./callers/caller_exchange.ts";
 export * from "./callers/caller_server.ts";
 export * from "./callers/event_splitter.ts";
--- a/tools/incident_mechanisms.ts
+++ b/tools/incident_mechanisms.ts
@@ -162,8 +162,8 @@
   {
     name: "time to read before a reset",
     file: "src/gateway/callers/caller_connection.ts",
-    source: "const READ_MS = 200;",
-    replacement: "const READ_MS = 0;",
+    source: "const CUT_MS = 200;",
+    replacement: "const CUT_MS = 0;",
     tests: [HALF_CLOSED_TEST],
   },
   {
