Accept no request while a VM that stops closes its last connections

Cause: requests were accepted while the VM waited for the resets of others, and their streams, begun after the look for what has to be reset, were closed plainly.

Change: from the answers of its open requests on, the VM doesn't listen and refuses with 503 what still comes on open connections: it has not run.

--- a/src/gateway/callers/caller_server.ts
+++ b/src/gateway/callers/caller_server.ts
@@ -66,6 +66,7 @@
   #bodyBytes = 0;
   #openCount = 0;
   #isClosing = false;
+  #isRefusing = false;
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
@@ -126,15 +127,21 @@
     this.#server.closeIdleConnections();
   }
 
+  /** Stops listening, and refuses what still comes on open connections. */
+  refuseRequests(): void {
+    this.#isRefusing = true;
+    this.#server.close();
+  }
+
   /**
-   * Stops listening and closes all connections: at once, unless callers have to
+   * Refuses requests and closes all connections: at once, unless callers have to
    * be shown that their answers are cut.
    */
   async close(): Promise<void> {
+    this.refuseRequests();
     await Promise.all(
       [...this.#connections.values()].map((one) => one.resetUnfinished()),
     );
-    this.#server.close();
     this.#server.closeAllConnections();
   }
 
@@ -154,6 +161,7 @@
     };
     if (this.#isClosing) exchange.closeAfterAnswer();
     if (!connection.isOpen) return drain(request, exchange);
+    if (this.#isRefusing) return refuseUnread(request, exchange, VM_ENDS);
     const fault = this.#findFault(request);
     if (fault !== undefined) {
       return refuseUnread(request, exchange, fault);
@@ -171,7 +179,9 @@
 
   /** Passes on a request that has waited for earlier ones. */
   #passOn(received: ReceivedRequest, body: Buffer): void {
-    if (this.#isClosing) received.exchange.closeAfterAnswer();
+    const { request, exchange } = received;
+    if (this.#isRefusing) return refuseUnread(request, exchange, VM_ENDS);
+    if (this.#isClosing) exchange.closeAfterAnswer();
     this.#options.onHead(received)?.(body);
   }
 
@@ -246,6 +256,9 @@
   readonly retryAfterMs?: number;
 }
 
+/** The refusal of requests that come as the VM ends. */
+const VM_ENDS: RequestFault = { status: 503, reason: "vm_stopped" };
+
 /** Refuses a request, discards its body and closes the connection. */
 function refuseUnread(
   request: IncomingMessage,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -296,6 +296,7 @@
     await shutdownDone;
     this.#stopController.abort();
     logger.info("stopped", { openCount: this.#callers.openCount });
+    this.#callers.refuseRequests();
     this.#openRequests.endAll();
     await sleep(STOP_POLL_MS);
     await this.#callers.close();
