--- a/src/gateway/callers/caller_exchange.ts
+++ b/src/gateway/callers/caller_exchange.ts
@@ -1,10 +1,11 @@
 /**
  * The answer to one caller's request. The head is sent once, with the first
  * bytes of the body. An answer that cannot be completed ends by closing the
- * connection, so that the caller can't take it for complete. Therefore
- * streams come in chunks, whether or not their servers marked their ends; only a
- * caller that does not know chunks gets a stream that ends with its connection.
- * A whole answer states its length if its server marked its end.
+ * connection, so that the caller can't take it for complete. Therefore streams
+ * come in chunks and whole answers state their length, but only where the end is
+ * known: an end that the server did not mark, and that no further run may
+ * confirm, is passed on as it came, by the end of the connection. So ends a
+ * stream to a caller that does not know chunks.
  */
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Socket } from "node:net";
@@ -61,7 +62,7 @@
   #onDisconnect: () => void = () => {};
   #onDrain: () => void = () => {};
   #onClosed: () => void = () => {};
-  #onCut: () => void = () => {};
+  #onCut: () => void = () => this.#socket.resetAndDestroy();
   #onBodyRelease: () => void = () => {};
   #onTurn: (() => void) | undefined;
   #isClosed = false;
@@ -236,11 +237,19 @@
     this.answer({ status, headers, body, isEndMarked: true });
   }
 
-  /** Sends the head of a stream. */
-  sendHead(status: number, headers: readonly string[]): void {
+  /**
+   * Sends the head of a stream. Unless its end can be marked, also to callers
+   * that do not know chunks, it ends with the connection.
+   */
+  sendHead(
+    status: number,
+    headers: readonly string[],
+    { marksEnd }: { readonly marksEnd: boolean },
+  ): void {
     if (this.#isOver) return;
     this.#status = status;
-    if (this.#request.httpVersion !== CHUNKS_VERSION) this.#endWithConnection();
+    const knowsChunks = this.#request.httpVersion === CHUNKS_VERSION;
+    if (!marksEnd || !knowsChunks) this.#endWithConnection();
     this.#response.writeHead(status, headers as string[]);
     this.#framing = this.#response.chunkedEncoding ? "chunks" : "close";
   }
--- a/src/gateway/callers/ending_vm_test.ts
+++ b/src/gateway/callers/ending_vm_test.ts
@@ -12,6 +12,7 @@
   beginAtOnce,
   ENDLESS_COUNT,
   ENDLESS_PAUSE_MS,
+  markedRoutesOf,
   PAUSE_MS,
   sendText,
   type ServedStream,
@@ -19,7 +20,6 @@
   startVm,
   STREAM_FRAMINGS,
   streamOf,
-  TEST_ROUTES,
 } from "./framed_server_fixture.ts";
 import { CALLER_VERSIONS } from "./raw_caller_fixture.ts";
 
@@ -43,7 +43,8 @@
   // without framing, so that the end of the VM's process looked like its own.
   test(`a stream through a VM that ends looks cut: ${framing}`, async (context) => {
     const accepted = recordAccepted(context);
-    const vm = await startVm(context, streamOf(servedStream(framing)));
+    const stream = streamOf(servedStream(framing));
+    const vm = await startVm(context, stream, markedRoutesOf(framing));
     const address = vm.callerAddress;
     const call = { address, version: "1.1" } as const;
     const { answers } = await beginAtOnce(CALLER_COUNT, call);
@@ -65,7 +66,7 @@
       );
       const { cutOff, others } = await startCutOff(context, {
         servers,
-        manifest: { routes: TEST_ROUTES },
+        manifest: { routes: markedRoutesOf(framing) },
         settings: { graceMs: 1500 },
         others: Array(OTHER_COUNT).fill({ graceMs: 1500 }),
       });
--- a/src/gateway/callers/framed_server_fixture.ts
+++ b/src/gateway/callers/framed_server_fixture.ts
@@ -3,7 +3,7 @@
 import { type Socket } from "node:net";
 import { type TestContext } from "node:test";
 import { routeOf } from "../../decision/manifest_fixture.ts";
-import { type BackendServer } from "../../model/mod.ts";
+import { type BackendServer, type ServiceRoute } from "../../model/mod.ts";
 import { eventOf, eventsOf } from "../servers/backend_fixture.ts";
 import {
   answerHeadOf,
@@ -48,6 +48,15 @@
   LOOKUP_ROUTE,
 ];
 
+/**
+ * The same, with streams that can be resumed where they have no framing: their
+ * end is marked only where a further run may confirm it.
+ */
+export function markedRoutesOf(framing: StreamFraming): ServiceRoute[] {
+  const isResumable = framing === "none";
+  return [routeOf({ isResumable, maxAttempts: 1 }), LOOKUP_ROUTE];
+}
+
 /** Returns an answer that sends one event after another. */
 export function streamOf(stream: ServedStream): ServerAnswer {
   const { framing, eventCount, pauseMs } = stream;
@@ -117,9 +126,10 @@
 export async function startVm(
   context: TestContext,
   answer: ServerAnswer,
+  routes: readonly ServiceRoute[] = TEST_ROUTES,
 ): Promise<TestGateway> {
   const vm = await startGateway({
-    manifest: { routes: TEST_ROUTES },
+    manifest: { routes },
     settings: { graceMs: 1500 },
   });
   for (const server of await startServers(context, answer)) {
--- a/src/gateway/callers/stream_relay.ts
+++ b/src/gateway/callers/stream_relay.ts
@@ -27,9 +27,17 @@
 /** A number as callers state it; any other text is left to the server. */
 const ID_PATTERN = /^\d{1,15}$/;
 
+export interface StreamRelayOptions {
+  /** The last event that the caller named. */
+  readonly lastEventId: string | undefined;
+  /** Whether a further run may show that an unmarked end is the stream's. */
+  readonly isResumable: boolean;
+}
+
 /** The relay of one caller's stream. */
 export class StreamRelay {
   readonly #exchange: CallerExchange;
+  readonly #isResumable: boolean;
   #splitter = new EventSplitter();
   #head: AnswerHead | undefined;
   /** The head of the server whose bytes the splitter has. */
@@ -40,8 +48,12 @@
   /** Whether the attached server has sent no event of a begun stream yet. */
   #isResuming = false;
 
-  constructor(exchange: CallerExchange, lastEventId: string | undefined) {
+  constructor(
+    exchange: CallerExchange,
+    { lastEventId, isResumable }: StreamRelayOptions,
+  ) {
     this.#exchange = exchange;
+    this.#isResumable = isResumable;
     if (lastEventId !== undefined && ID_PATTERN.test(lastEventId)) {
       this.#lastId = Number(lastEventId);
     }
@@ -137,7 +149,8 @@
 
   #sendHead(): void {
     if (this.#exchange.isHeadSent || this.#head === undefined) return;
-    const { status, passedHeaders } = this.#head;
-    this.#exchange.sendHead(status, passedHeaders);
+    const { status, passedHeaders, isFramed } = this.#head;
+    const marksEnd = isFramed || this.#isResumable;
+    this.#exchange.sendHead(status, passedHeaders, { marksEnd });
   }
 }
--- a/src/gateway/forwarding/forwarding.ts
+++ b/src/gateway/forwarding/forwarding.ts
@@ -85,7 +85,10 @@
       timeLeftMs: () => this.#timeLeftMs(),
     });
     if (route.kind === "streaming") {
-      this.#relay = new StreamRelay(exchange, caller.lastEventId);
+      this.#relay = new StreamRelay(exchange, {
+        lastEventId: caller.lastEventId,
+        isResumable: isRetriable(route),
+      });
     }
     if (caller.isAnyModelAllowed) this.#model = firstModel(route.models);
   }
--- a/tools/mechanisms.ts
+++ b/tools/mechanisms.ts
@@ -130,8 +130,8 @@
   {
     name: "every stream in chunks",
     file: "src/gateway/callers/caller_exchange.ts",
-    source: "if (this.#request.httpVersion !== CHUNKS_VERSION) ",
-    replacement: "if (CHUNKS_VERSION) ",
+    source: "if (!marksEnd || !knowsChunks) ",
+    replacement: "if (knowsChunks) ",
     tests: ["src/gateway/callers/ending_vm_test.ts"],
   },
   {
