Log the session of a request, and why its version was allowed

The filter of versions now comes with its reason: kept session, share, only the target ready, none settled, stage unknown and so on. `request sent` has it as `versionReason`, and a hash of the session.

--- a/src/gateway/forwarding/forward_context.ts
+++ b/src/gateway/forwarding/forward_context.ts
@@ -71,13 +71,39 @@
   readonly failingIds: readonly string[];
 }
 
+/**
+ * Why a request may run on the versions that its filter accepts. Without an
+ * order: `settled` or `none_settled`; by the ready servers: `only_target` or
+ * `no_target`; by the state of the roll-out: the others.
+ */
+export type VersionReason =
+  | "settled"
+  | "none_settled"
+  | "only_target"
+  | "no_target"
+  | "failed_on_target"
+  | "stage_unknown"
+  | "session_kept"
+  | "share"
+  | "load_trial"
+  | "free_place"
+  | "last_phase"
+  | "completed"
+  | "reverted";
+
+/** The versions that a request may run on. */
+export interface VersionAcceptor {
+  readonly accepts: (version: string) => boolean;
+  readonly reason: VersionReason;
+}
+
 /** Selects the versions of a service that a request may run on. */
 export interface VersionSelector {
   /** Returns the version filter of a session; it is the same on all VMs. */
   readonly acceptorOf: (
     service: string,
     session: VersionSession,
-  ) => (version: string) => boolean;
+  ) => VersionAcceptor;
   /** Returns the version of a service that is tried under load, if any. */
   readonly loadTrialOf: (service: string) => LoadTrial | undefined;
   readonly record: (sample: VersionSample) => void;
--- a/src/gateway/forwarding/forward_context_fixture.ts
+++ b/src/gateway/forwarding/forward_context_fixture.ts
@@ -118,7 +118,7 @@
     }),
     budget: new RetryBudget({ fleetBound, clock: now, vmCount: () => 1 }),
     versions: {
-      acceptorOf: () => () => true,
+      acceptorOf: () => ({ accepts: () => true, reason: "settled" }),
       loadTrialOf: () => undefined,
       record: () => {},
       recordPace: () => {},
--- a/src/gateway/forwarding/forward_log.ts
+++ b/src/gateway/forwarding/forward_log.ts
@@ -1,11 +1,16 @@
 /** Log lines and metrics of a forwarded request. */
+import { hash32 } from "../../model/mod.ts";
 import { type AnswerTiming } from "../callers/answer_timing.ts";
 import { type FleetCandidate } from "../servers/backend_fleet.ts";
 import {
   type CallerExchange,
   type GatewayRefusal,
 } from "../callers/caller_exchange.ts";
-import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
+import {
+  type ForwardContext,
+  type ForwardRequest,
+  type VersionReason,
+} from "./forward_context.ts";
 import { type PromptAttempt } from "../prompts/prompt_quarantine.ts";
 
 const PERCENT = 100;
@@ -57,6 +62,7 @@
   choice: LoggedProgress & {
     readonly candidate: FleetCandidate;
     readonly attemptCount: number;
+    readonly versionReason: VersionReason;
   },
 ): void {
   const { server, loadCount, waitMs, failureShare, placement, estimate } =
@@ -70,6 +76,10 @@
     server: server.id,
     serverPlace: permittedRegions === undefined ? undefined : server.place,
     version: server.version,
+    versionReason: choice.versionReason,
+    session: caller.session === undefined
+      ? undefined
+      : hash32(caller.session).toString(36),
     model: choice.model ?? caller.model,
     loadCount: Math.round(loadCount),
     waitMs: Math.round(waitMs),
--- a/src/gateway/forwarding/forwarding.ts
+++ b/src/gateway/forwarding/forwarding.ts
@@ -181,8 +181,11 @@
       const { vm } = target.vm;
       return logRelay(this.#context, this.#request, { ...attempt, vm });
     }
-    const { candidate } = target;
-    logChoice(this.#context, this.#request, { ...attempt, candidate });
+    logChoice(this.#context, this.#request, {
+      ...attempt,
+      candidate: target.candidate,
+      versionReason: this.#targets.versions.reason,
+    });
   }
 
   /** Cascade: drops an answer of low confidence and tries a larger model. */
@@ -197,7 +200,7 @@
     const model = chooseEscalation(this.#context, this.#request, {
       answer: { model: this.#model, confidence },
       timeLeftMs: this.#timeLeftMs(),
-      acceptsVersion: this.#targets.acceptsVersion,
+      acceptsVersion: this.#targets.versions.accepts,
     });
     if (model === undefined || !this.#retries.spend("escalation")) {
       return "relay";
--- a/src/gateway/forwarding/target_choice.ts
+++ b/src/gateway/forwarding/target_choice.ts
@@ -5,7 +5,11 @@
  */
 import { isRetriable } from "../../model/mod.ts";
 import { type AttemptTarget } from "./attempt_start.ts";
-import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
+import {
+  type ForwardContext,
+  type ForwardRequest,
+  type VersionAcceptor,
+} from "./forward_context.ts";
 import { isWithoutServer } from "./retry_delay.ts";
 import { chooseServer } from "../servers/server_choice.ts";
 
@@ -17,22 +21,22 @@
 export class TargetChoice {
   readonly #context: ForwardContext;
   readonly #request: ForwardRequest;
-  #acceptsVersion: (version: string) => boolean;
+  #versions: VersionAcceptor;
 
   constructor(context: ForwardContext, request: ForwardRequest) {
     this.#context = context;
     this.#request = request;
-    this.#acceptsVersion = this.#versionFilter(undefined);
+    this.#versions = this.#acceptorOf(undefined);
   }
 
-  /** Which versions the request may run on. */
-  get acceptsVersion(): (version: string) => boolean {
-    return this.#acceptsVersion;
+  /** Which versions the request may run on, and why. */
+  get versions(): VersionAcceptor {
+    return this.#versions;
   }
 
   /** Avoids the version on which an attempt failed, if possible. */
   avoidVersion(failedVersion: string | undefined): void {
-    this.#acceptsVersion = this.#versionFilter(failedVersion);
+    this.#versions = this.#acceptorOf(failedVersion);
   }
 
   /** Returns the next target; one tried before only if there is no other. */
@@ -52,7 +56,7 @@
       if (vm !== undefined) return { kind: "vm", vm };
     }
     const candidate = chooseServer(this.#context, this.#request, {
-      acceptsVersion: this.#acceptsVersion,
+      acceptsVersion: this.#versions.accepts,
       triedIds,
       model,
       isRetriable: isRetriable(this.#request.route),
@@ -60,9 +64,7 @@
     return candidate === undefined ? undefined : { kind: "server", candidate };
   }
 
-  #versionFilter(
-    failedVersion: string | undefined,
-  ): (version: string) => boolean {
+  #acceptorOf(failedVersion: string | undefined): VersionAcceptor {
     const { versions, regions } = this.#context;
     const { caller, service } = this.#request;
     return versions.acceptorOf(service, {
--- a/src/gateway/rollout/observed_versions.ts
+++ b/src/gateway/rollout/observed_versions.ts
@@ -5,7 +5,10 @@
  */
 import { type Clock } from "../../model/mod.ts";
 import { type BackendFleet } from "../servers/backend_fleet.ts";
-import { type VersionSession } from "../forwarding/forward_context.ts";
+import {
+  type VersionAcceptor,
+  type VersionSession,
+} from "../forwarding/forward_context.ts";
 
 /** Delay after which a version without an order gets requests. */
 const UNORDERED_VERSION_DELAY_MS = 3000;
@@ -51,14 +54,16 @@
   acceptorOf(
     service: string,
     { allowsPlace }: Pick<VersionSession, "allowsPlace">,
-  ): (version: string) => boolean {
+  ): VersionAcceptor {
     const versions = this.#versions.get(service);
     const latestMs = this.#options.clock() - UNORDERED_VERSION_DELAY_MS;
     const isSettled = (version: string): boolean =>
       (versions?.get(version)?.firstObservedAtMs ?? -Infinity) <= latestMs;
     const ready = this.#options.fleet.readyVersionsOf(service, allowsPlace);
     const hasSettled = [...ready].some(isSettled);
-    return hasSettled ? isSettled : () => true;
+    return hasSettled
+      ? { accepts: isSettled, reason: "settled" }
+      : { accepts: () => true, reason: "none_settled" };
   }
 
   #evictAbsent(service: string, versions: Map<string, ObservedVersion>): void {
--- a/src/gateway/rollout/rollout_play_fixture.ts
+++ b/src/gateway/rollout/rollout_play_fixture.ts
@@ -242,7 +242,7 @@
         isMultiRequest: session !== undefined,
         failedVersion: undefined,
         allowsPlace: undefined,
-      });
+      }).accepts;
     const candidate = chooseServer(vm.context, this.#requestOf(id), {
       acceptsVersion: accepts,
       triedIds: new Set(),
--- a/src/gateway/rollout/rollout_registry.ts
+++ b/src/gateway/rollout/rollout_registry.ts
@@ -4,15 +4,11 @@
 import {
   isEnded,
   isLoadTrial,
-  keepsSessions,
-  loadTrialQuota,
   type OrderedRollout,
   summarise,
-  targetShare,
 } from "../../decision/mod.ts";
 import {
   type Clock,
-  hashShare,
   type Logger,
   type RolloutOrder,
   type RolloutStatus,
@@ -20,6 +16,7 @@
 import { type BackendFleet } from "../servers/backend_fleet.ts";
 import {
   type LoadTrial,
+  type VersionAcceptor,
   type VersionPace,
   type VersionSample,
   type VersionSelector,
@@ -27,6 +24,7 @@
 } from "../forwarding/forward_context.ts";
 import { ObservedVersions } from "./observed_versions.ts";
 import { type RolloutReport } from "../peers/peer_update.ts";
+import { chooseVersion } from "./version_choice.ts";
 import { relateOrder } from "./rollout_order.ts";
 import { RolloutRecord } from "./rollout_record.ts";
 
@@ -177,17 +175,20 @@
   acceptorOf(
     service: string,
     session: VersionSession,
-  ): (version: string) => boolean {
+  ): VersionAcceptor {
     const rollout = this.#rollouts.get(service);
-    const target = rollout?.order.target;
-    const isOnTarget = rollout !== undefined &&
-      this.#isOnTarget(rollout, session);
     if (rollout === undefined) {
       return this.#versions.acceptorOf(service, session);
     }
+    const { isOnTarget, reason } = chooseVersion(rollout, {
+      ...this.#options,
+      session,
+    });
+    const { target } = rollout.order;
     // Checks the fault per call: it may be found while the request runs.
-    return (version) =>
+    const accepts = (version: string): boolean =>
       (version === target) === (isOnTarget && rollout.fault === undefined);
+    return { accepts, reason };
   }
 
   loadTrialOf(service: string): LoadTrial | undefined {
@@ -249,55 +250,4 @@
     const { service, target } = order;
     this.#options.logger.warn("version found bad", { service, target, fault });
   }
-
-  #isOnTarget(
-    rollout: RolloutRecord,
-    session: VersionSession,
-  ): boolean {
-    const { service, target } = rollout.order;
-    const { fleet, isEvacuated = (): boolean => false } = this.#options;
-    const { allowsPlace = (): boolean => true } = session;
-    // Other versions count also in evacuated data centres, as an evacuation must
-    // not raise the target's share.
-    const ready = fleet.readyVersionsOf(service, allowsPlace);
-    const hasOthers = [...ready].some((version) => version !== target);
-    if (!hasOthers) return rollout.fault === undefined;
-    const isOpen = (place: string): boolean =>
-      allowsPlace(place) && !isEvacuated(place);
-    if (!fleet.readyVersionsOf(service, isOpen).has(target)) return false;
-    const { key, isMultiRequest, failedVersion } = session;
-    const hasFailed = failedVersion === target && !isEnded(rollout.stage);
-    // A session of several requests keeps its version after a failed one.
-    if (hasFailed && !isMultiRequest) return false;
-    const nowMs = this.#options.clock();
-    if (!rollout.isStageKnown && rollout.stage !== "completed") return false;
-    const share = targetShare(rollout, nowMs);
-    if (share === 0 || share === 1) return share === 1;
-    const isChosen = hashShare(`${target} ${key}`) < share;
-    const isRetry = failedVersion !== undefined;
-    if (isMultiRequest) {
-      if (!keepsSessions(rollout, nowMs)) return isChosen;
-      if (isChosen && !isRetry) rollout.freePlaceCount += 1;
-      return false;
-    }
-    if (this.#joinsLoadTrial(rollout) || isChosen) return true;
-    if (isRetry || rollout.freePlaceCount === 0) return false;
-    rollout.freePlaceCount -= 1;
-    return true;
-  }
-
-  /** Whether a request of no session is part of the load trial; counts it. */
-  #joinsLoadTrial(rollout: RolloutRecord): boolean {
-    const { clock, canarySlackCount, vm, vmCount } = this.#options;
-    if (!isLoadTrial(rollout, clock())) return false;
-    const { service, offset } = rollout.order;
-    const quota = loadTrialQuota({
-      slackCount: canarySlackCount,
-      vmCount: vmCount(),
-      vmHashShare: hashShare(`${service} ${offset} ${vm}`),
-    });
-    if (rollout.loadTrialCount >= quota) return false;
-    rollout.loadTrialCount += 1;
-    return true;
-  }
 }
--- a/src/gateway/rollout/rollout_registry_test.ts
+++ b/src/gateway/rollout/rollout_registry_test.ts
@@ -58,7 +58,10 @@
     registry.recordVersions([SERVICE]);
   };
   const versionOf = (session: string): string | undefined => {
-    const accepts = registry.acceptorOf(SERVICE, sessionOf({ key: session }));
+    const { accepts } = registry.acceptorOf(
+      SERVICE,
+      sessionOf({ key: session }),
+    );
     return ["v1", "v2"].find(accepts);
   };
   return { registry, clock, evacuated, register, versionOf };
@@ -138,7 +141,7 @@
     for (let index = 0; index < 400; index++) {
       const key = `${prefix}-${index}`;
       const session = sessionOf({ key, isMultiRequest: false });
-      if (setup.registry.acceptorOf(SERVICE, session)("v2")) count += 1;
+      if (setup.registry.acceptorOf(SERVICE, session).accepts("v2")) count += 1;
     }
     return count;
   };
@@ -161,7 +164,7 @@
   let count = 0;
   for (let index = 0; index < 400; index++) {
     const session = sessionOf({ key: `new-${index}`, isMultiRequest: false });
-    if (setup.registry.acceptorOf(SERVICE, session)("v2")) count += 1;
+    if (setup.registry.acceptorOf(SERVICE, session).accepts("v2")) count += 1;
   }
   assert.ok(canaryCount < 400 * CANARY_SHARE, `${canaryCount}`);
   assert.ok(count >= canaryCount + SLACK_COUNT / 2, `${count}`);
@@ -271,20 +274,24 @@
   const single = { isMultiRequest: false };
   const keys = Array.from({ length: 400 }, (_, index) => `request-${index}`);
   const onTarget = keys.filter((key) =>
-    setup.registry.acceptorOf(SERVICE, sessionOf({ ...single, key }))("v2")
+    setup.registry.acceptorOf(SERVICE, sessionOf({ ...single, key }))
+      .accepts("v2")
   );
   assert.ok(onTarget.length > 0);
   for (const key of onTarget) {
     const failed = { ...single, key, failedVersion: "v2" };
-    const accepts = setup.registry.acceptorOf(SERVICE, sessionOf(failed));
+    const { accepts } = setup.registry.acceptorOf(
+      SERVICE,
+      sessionOf(failed),
+    );
     assert.deepEqual(["v1", "v2"].filter(accepts), ["v1"]);
   }
   // A session of several requests keeps its version after a failed one.
   setup.clock.nowMs = SECOND_HALF_MS;
   for (const key of onTarget) {
     const session = sessionOf({ key, failedVersion: "v2" });
-    const acceptsInSession = setup.registry.acceptorOf(SERVICE, session);
-    assert.deepEqual(["v1", "v2"].filter(acceptsInSession), ["v2"]);
+    const inSession = setup.registry.acceptorOf(SERVICE, session);
+    assert.deepEqual(["v1", "v2"].filter(inSession.accepts), ["v2"]);
   }
 });
 
@@ -296,7 +303,7 @@
   const keys = Array.from({ length: 400 }, (_, index) => `session-${index}`);
   const accepting = keys
     .map((key) => setup.registry.acceptorOf(SERVICE, sessionOf({ key })))
-    .filter((accepts) => accepts("v2"));
+    .filter(({ accepts }) => accepts("v2"));
   assert.ok(accepting.length > 0);
   setup.registry.applyStatus({
     service: SERVICE,
@@ -304,7 +311,7 @@
     stage: "reverted",
     orderOffset: 4,
   });
-  for (const accepts of accepting) {
+  for (const { accepts } of accepting) {
     assert.deepEqual(["v1", "v2"].filter(accepts), ["v1"]);
   }
 });
@@ -345,7 +352,9 @@
   registry.applyStatus({ ...completed, stage: "completed" });
   const versionIn = (place: string): string | undefined => {
     const session = sessionOf({ allowsPlace: (other) => other === place });
-    return ["v1", "v2"].find(registry.acceptorOf(SERVICE, session));
+    return ["v1", "v2"].find(
+      registry.acceptorOf(SERVICE, session).accepts,
+    );
   };
   register([...BOTH, serverOf("e", inErongo)]);
   assert.equal(versionIn("khomas-a"), "v2");
@@ -359,7 +368,7 @@
   register([...OLD, serverOf("e", { place: "erongo-a", version: "v2" })]);
   const acceptsIn = (place: string): boolean => {
     const session = sessionOf({ allowsPlace: (other) => other === place });
-    return registry.acceptorOf(SERVICE, session)("v2");
+    return registry.acceptorOf(SERVICE, session).accepts("v2");
   };
   assert.equal(acceptsIn("khomas-a"), false);
   assert.equal(acceptsIn("erongo-a"), true);
--- a/src/gateway/rollout/rollout_session_test.ts
+++ b/src/gateway/rollout/rollout_session_test.ts
@@ -35,7 +35,7 @@
     false,
   );
   const versionOf = (session: string): string | undefined => {
-    const accepts = registry.acceptorOf(SERVICE, {
+    const { accepts } = registry.acceptorOf(SERVICE, {
       key: session,
       isMultiRequest: true,
       failedVersion: undefined,
--- a/tools/mechanisms.ts
+++ b/tools/mechanisms.ts
@@ -237,14 +237,14 @@
   },
   {
     name: "version pin of a session",
-    file: "src/gateway/rollout/rollout_registry.ts",
-    source: "if (!keepsSessions(rollout, nowMs)) return isChosen;",
-    replacement: "return isChosen;",
+    file: "src/gateway/rollout/version_choice.ts",
+    source: "if (!keepsSessions(rollout, nowMs)) {",
+    replacement: "if (isMultiRequest) {",
     tests: [SESSION_TEST, REGISTRY_TEST],
   },
   {
     name: "places of sessions that keep their version",
-    file: "src/gateway/rollout/rollout_registry.ts",
+    file: "src/gateway/rollout/version_choice.ts",
     source: "if (isChosen && !isRetry) rollout.freePlaceCount += 1;",
     replacement: "",
     tests: [REGISTRY_TEST],
--- a/tools/place_mechanisms.ts
+++ b/tools/place_mechanisms.ts
@@ -44,7 +44,7 @@
   },
   {
     name: "a target in an evacuated data centre",
-    file: "src/gateway/rollout/rollout_registry.ts",
+    file: "src/gateway/rollout/version_choice.ts",
     source: "allowsPlace(place) && !isEvacuated(place);",
     replacement: "allowsPlace(place) && isEvacuated !== undefined;",
     tests: ["src/gateway/rollout/rollout_registry_test.ts"],
--- a/tools/region_mechanisms.ts
+++ b/tools/region_mechanisms.ts
@@ -49,7 +49,7 @@
   },
   {
     name: "versions ready in the allowed regions",
-    file: "src/gateway/rollout/rollout_registry.ts",
+    file: "src/gateway/rollout/version_choice.ts",
     source: "const { allowsPlace = (): boolean => true } = session;",
     replacement: "const allowsPlace = (): boolean => session !== undefined;",
     tests: ["src/gateway/rollout/rollout_registry_test.ts"],
--- a/tools/server_mechanisms.ts
+++ b/tools/server_mechanisms.ts
@@ -210,9 +210,9 @@
   },
   {
     name: "load trial",
-    file: "src/gateway/rollout/rollout_registry.ts",
-    source: "if (this.#joinsLoadTrial(rollout) || isChosen) return true;",
-    replacement: "if (isChosen) return true;",
+    file: "src/gateway/rollout/version_choice.ts",
+    source: "if (joinsLoadTrial(rollout, context)) {",
+    replacement: "if (isMultiRequest) {",
     tests: ["src/gateway/rollout/rollout_registry_test.ts"],
   },
   {
