Keep sessions off a version whose order is on its way, also after an earlier one

Cause: a version that appears waits three seconds for its order only at VMs that know no order of the service. After a reverted roll-out its order stays known there, and its filter accepted every version but the reverted one.

Change: the versions beside the target of the known order are those that the observed versions accept: settled ones, or any where none is settled.

--- a/src/gateway/rollout/observed_versions.ts
+++ b/src/gateway/rollout/observed_versions.ts
@@ -1,7 +1,7 @@
 /**
  * When the versions of each service were first observed. A version without an
  * order gets no requests for a few seconds after it appears, as its order may
- * arrive after its servers.
+ * arrive after its servers. This holds also while an earlier order is known.
  */
 import { type Clock } from "../../model/mod.ts";
 import { type BackendFleet } from "../servers/backend_fleet.ts";
@@ -49,19 +49,21 @@
   /**
    * Accepts the versions of a service without an order, except those that were
    * first observed a moment ago while an older one is ready where the request
-   * may go.
+   * may go. The target of the order in force, if any, is not among them.
    */
   acceptorOf(
     service: string,
-    { allowsPlace }: Pick<VersionSession, "allowsPlace">,
+    { allowsPlace, target }: Pick<VersionSession, "allowsPlace"> & {
+      readonly target?: string;
+    },
   ): VersionAcceptor {
     const versions = this.#versions.get(service);
     const latestMs = this.#options.clock() - UNORDERED_VERSION_DELAY_MS;
     const isSettled = (version: string): boolean =>
       (versions?.get(version)?.firstObservedAtMs ?? -Infinity) <= latestMs;
     const ready = this.#options.fleet.readyVersionsOf(service, allowsPlace);
-    const hasSettled = [...ready].some(isSettled);
-    return hasSettled
+    const others = [...ready].filter((version) => version !== target);
+    return others.some(isSettled)
       ? { accepts: isSettled, reason: "settled" }
       : { accepts: () => true, reason: "none_settled" };
   }
--- a/src/gateway/rollout/rollout_registry.ts
+++ b/src/gateway/rollout/rollout_registry.ts
@@ -185,9 +185,12 @@
       session,
     });
     const { target } = rollout.order;
-    // Checks the fault per call: it may be found while the request runs.
-    const accepts = (version: string): boolean =>
-      (version === target) === (isOnTarget && rollout.fault === undefined);
+    const others = this.#versions.acceptorOf(service, { ...session, target });
+    const accepts = (version: string): boolean => {
+      // Checks the fault per call: it may be found while the request runs.
+      const isTaken = isOnTarget && rollout.fault === undefined;
+      return version === target ? isTaken : !isTaken && others.accepts(version);
+    };
     return { accepts, reason };
   }
 
--- a/src/gateway/rollout/rollout_site_play_test.ts
+++ b/src/gateway/rollout/rollout_site_play_test.ts
@@ -25,6 +25,13 @@
     rollouts: [GOOD, { ...GOOD, target: "v3", atMs: 40_000 }],
     endMs: 68_000,
   },
+  "one after a reverted one": {
+    rollouts: [
+      { ...GOOD, foundAfterMs: 5000 },
+      { ...GOOD, target: "v3", atMs: 24_000 },
+    ],
+    endMs: 52_000,
+  },
   "VMs that start in the middle": {
     restarts: Array.from({ length: 24 }, (_, index) => ({
       atMs: 4000 + 1000 * index,
@@ -38,7 +45,9 @@
   test(`sessions keep their version at many VMs: ${name}`, () => {
     for (const seed of SEEDS) {
       const { changes, ranCount } = playSite({ ...SITE, ...fields, seed });
-      assert.deepEqual(changes, [], `seed ${seed}`);
+      const [first] = changes;
+      const fault = first && { count: changes.length, first };
+      assert.equal(fault, undefined, `seed ${seed}: ${JSON.stringify(fault)}`);
       assert.ok(ranCount > 4000, `${ranCount} requests ran`);
     }
   });
