Leave a version aside that an earlier order left, while a later one is in force

Cause: an order replaced the record of the one before it, and with it the knowledge that a version had been reverted or got a small share only. All ready versions but the new target counted as the old one.

Change: a new record takes over which ready versions are not in use: the earlier target, or the others if all requests ran on it by then. They get requests only where no other settled version is ready, so no service is left without servers. It needs no message: a VM that learns the next order before the end of the one before it leaves the target aside by its share. (Sending the reverted versions to other VMs was tried and dropped: no case of the play needed it.)

--- a/src/gateway/rollout/observed_versions.ts
+++ b/src/gateway/rollout/observed_versions.ts
@@ -5,6 +5,7 @@
  */
 import { type Clock } from "../../model/mod.ts";
 import { type BackendFleet } from "../servers/backend_fleet.ts";
+import { type RolloutRecord } from "./rollout_record.ts";
 import {
   type VersionAcceptor,
   type VersionSession,
@@ -49,12 +50,13 @@
   /**
    * Accepts the versions of a service without an order, except those that were
    * first observed a moment ago while an older one is ready where the request
-   * may go. The target of the order in force, if any, is not among them.
+   * may go. The target of the order in force, if any, is not among them; those
+   * that earlier orders have left aside are, where no other is ready.
    */
   acceptorOf(
     service: string,
-    { allowsPlace, target }: Pick<VersionSession, "allowsPlace"> & {
-      readonly target?: string;
+    { allowsPlace, rollout }: Pick<VersionSession, "allowsPlace"> & {
+      readonly rollout?: RolloutRecord;
     },
   ): VersionAcceptor {
     const versions = this.#versions.get(service);
@@ -62,10 +64,17 @@
     const isSettled = (version: string): boolean =>
       (versions?.get(version)?.firstObservedAtMs ?? -Infinity) <= latestMs;
     const ready = this.#options.fleet.readyVersionsOf(service, allowsPlace);
-    const others = [...ready].filter((version) => version !== target);
-    return others.some(isSettled)
-      ? { accepts: isSettled, reason: "settled" }
-      : { accepts: () => true, reason: "none_settled" };
+    const isPreferred = (version: string): boolean =>
+      isSettled(version) && rollout?.setAside.has(version) !== true;
+    const others = [...ready].filter((version) =>
+      version !== rollout?.order.target
+    );
+    const accepts = [isPreferred, isSettled].find((isAccepted) =>
+      others.some(isAccepted)
+    );
+    return accepts === undefined
+      ? { accepts: () => true, reason: "none_settled" }
+      : { accepts, reason: "settled" };
   }
 
   #evictAbsent(service: string, versions: Map<string, ObservedVersion>): void {
--- a/src/gateway/rollout/rollout_record.ts
+++ b/src/gateway/rollout/rollout_record.ts
@@ -16,6 +16,7 @@
   tallySince,
   targetDoubt,
   targetFault,
+  targetShare,
   type VersionTally,
 } from "../../decision/mod.ts";
 import { type RolloutOrder, type RolloutStage } from "../../model/mod.ts";
@@ -71,6 +72,7 @@
    * target: as many requests of no session run on the target in their place.
    */
   freePlaceCount = 0;
+  readonly #setAside = new Set<string>();
   #ownTally: VersionTally = EMPTY_TALLY;
   /** All tallies when the load trial began. */
   #tallyAtTrial: VersionTally | undefined;
@@ -95,6 +97,30 @@
     this.isStageKnown = initial.isStageKnown;
   }
 
+  /** The versions that earlier orders have left aside. */
+  get setAside(): ReadonlySet<string> {
+    return this.#setAside;
+  }
+
+  /**
+   * Takes the place of an earlier order: the version on which not all requests
+   * ran by then is left aside, so that sessions keep to one version.
+   */
+  follow(
+    earlier: RolloutRecord,
+    { nowMs, readyVersions }: {
+      readonly nowMs: number;
+      readonly readyVersions: ReadonlySet<string>;
+    },
+  ): void {
+    const isInUse = targetShare(earlier, nowMs) === 1;
+    for (const version of readyVersions) {
+      const isLeft = (version === earlier.order.target) !== isInUse;
+      if (version === this.order.target) continue;
+      if (isLeft || earlier.setAside.has(version)) this.#setAside.add(version);
+    }
+  }
+
   /** Moves the order to the position at which a restored store has it. */
   moveTo(position: number): void {
     this.isCopied = eraOf(position) !== eraOf(this.position) &&
--- a/src/gateway/rollout/rollout_registry.ts
+++ b/src/gateway/rollout/rollout_registry.ts
@@ -78,16 +78,18 @@
     const relation = relateOrder(order, { current, earlier });
     if (relation === "old") return;
     if (relation === "again") return current?.moveTo(order.offset);
-    if (current !== undefined) this.#retain(current, earlier);
     const { clock, canaryShare, logger } = this.#options;
-    this.#rollouts.set(
-      order.service,
-      new RolloutRecord(order, {
-        canaryShare,
-        startedAtMs: clock(),
-        isStageKnown: isNew,
-      }),
-    );
+    const record = new RolloutRecord(order, {
+      canaryShare,
+      startedAtMs: clock(),
+      isStageKnown: isNew,
+    });
+    if (current !== undefined) {
+      this.#retain(current, earlier);
+      const ready = this.#options.fleet.readyVersionsOf(order.service);
+      record.follow(current, { nowMs: clock(), readyVersions: ready });
+    }
+    this.#rollouts.set(order.service, record);
     const { service, target, durationMs, offset } = order;
     logger.info("roll-out ordered", {
       service,
@@ -185,7 +187,7 @@
       session,
     });
     const { target } = rollout.order;
-    const others = this.#versions.acceptorOf(service, { ...session, target });
+    const others = this.#versions.acceptorOf(service, { ...session, rollout });
     const accepts = (version: string): boolean => {
       // Checks the fault per call: it may be found while the request runs.
       const isTaken = isOnTarget && rollout.fault === undefined;
--- a/src/gateway/rollout/rollout_site_play_test.ts
+++ b/src/gateway/rollout/rollout_site_play_test.ts
@@ -32,6 +32,18 @@
     ],
     endMs: 52_000,
   },
+  "one before the servers of a reverted one have left": {
+    rollouts: [
+      { ...GOOD, foundAfterMs: 5000 },
+      { ...GOOD, target: "v3", atMs: 13_000 },
+    ],
+    restarts: [8, 9, 10, 11].map((vm) => ({ atMs: 500 + 1000 * vm, vm })),
+    endMs: 40_000,
+  },
+  "one that takes the place of an open one": {
+    rollouts: [GOOD, { ...GOOD, target: "v3", atMs: 13_000 }],
+    endMs: 40_000,
+  },
   "VMs that start in the middle": {
     restarts: Array.from({ length: 24 }, (_, index) => ({
       atMs: 4000 + 1000 * index,
