Hold sessions while the servers of their version drain or have just left

Cause: with no ready server of another version in its view, a VM took the target for all that there is, and sent everything there.

Change: a session stays off the target, unless its hash chooses it in the second half, while a server of another version is registered where the request may go, or was within 10 s. The fleet keeps which servers have left. Requests that name no session go to the target as before.

"a target without other versions serves unless it is bad" asked for a session on the target at the moment the old servers leave in the first half, which is what the rule forbids. It now asks that a request of no session is served there at once, that the session is not while the servers drain and for 10 s after, and that it is from then on; a new test asks that sessions are served at once where no other version was.

--- a/src/gateway/forwarding/forward_context.ts
+++ b/src/gateway/forwarding/forward_context.ts
@@ -73,13 +73,14 @@
 
 /**
  * Why a request may run on the versions that its filter accepts. Without an
- * order: `settled` or `none_settled`; by the ready servers: `only_target` or
- * `no_target`; by the state of the roll-out: the others.
+ * order: `settled` or `none_settled`; by the ready servers: `only_target`,
+ * `session_held` or `no_target`; by the state of the roll-out: the others.
  */
 export type VersionReason =
   | "settled"
   | "none_settled"
   | "only_target"
+  | "session_held"
   | "no_target"
   | "failed_on_target"
   | "stage_unknown"
--- a/src/gateway/rollout/rollout_registry_test.ts
+++ b/src/gateway/rollout/rollout_registry_test.ts
@@ -12,6 +12,8 @@
 const DURATION_MS = 24_000;
 const CANARY_SHARE = 0.15;
 const SLACK_COUNT = 30;
+/** How long sessions wait for servers of other versions that have left. */
+const HOLD_MS = 10_000;
 /** From here on sessions may run on the target. */
 const SECOND_HALF_MS = DURATION_MS / 2;
 
@@ -252,11 +254,24 @@
   assert.equal(targetCount(other, "session"), 0);
 });
 
+// Guards against PINNED: sessions on the target while other servers are back soon.
 test("a target without other versions serves unless it is bad", () => {
   const setup = setUp();
   setup.register(BOTH);
   order(setup.registry);
-  setup.register(BOTH.slice(2));
+  const draining = OLD.map((server) => ({
+    ...server,
+    status: "draining" as const,
+  }));
+  const lone = sessionOf({ isMultiRequest: false });
+  for (const servers of [[...draining, ...BOTH.slice(2)], BOTH.slice(2)]) {
+    setup.register(servers);
+    assert.ok(setup.registry.acceptorOf(SERVICE, lone).accepts("v2"));
+    assert.equal(setup.versionOf("any"), "v1");
+    setup.clock.nowMs += HOLD_MS - 1;
+    assert.equal(setup.versionOf("any"), "v1");
+  }
+  setup.clock.nowMs += 2;
   assert.equal(setup.versionOf("any"), "v2");
   setup.registry.applyStatus({
     service: SERVICE,
@@ -267,6 +282,15 @@
   assert.notEqual(setup.versionOf("any"), "v2");
 });
 
+test("a target serves sessions at once where no other version was", () => {
+  const { registry, register } = setUp();
+  register([...OLD, serverOf("e", { version: "v2", place: "erongo-a" })]);
+  order(registry);
+  const allowsPlace = (place: string): boolean => place === "erongo-a";
+  const { accepts } = registry.acceptorOf(SERVICE, sessionOf({ allowsPlace }));
+  assert.ok(accepts("v2"));
+});
+
 test("a request that failed on the target is retried on the previous version", () => {
   const setup = setUp();
   setup.register(BOTH);
--- a/src/gateway/rollout/version_choice.ts
+++ b/src/gateway/rollout/version_choice.ts
@@ -18,6 +18,12 @@
 import { type BackendFleet } from "../servers/backend_fleet.ts";
 import { type RolloutRecord } from "./rollout_record.ts";
 
+/**
+ * How long sessions wait for versions whose servers have left: longer than a
+ * session pauses after the last answer of a server that goes on for a while.
+ */
+const HOLD_MS = 10_000;
+
 /** What a VM knows beside the roll-out. */
 export interface VersionChoiceContext {
   readonly session: VersionSession;
@@ -47,6 +53,9 @@
   const ready = fleet.readyVersionsOf(service, allowsPlace);
   const hasOthers = [...ready].some((version) => version !== target);
   if (!hasOthers) {
+    if (isHeld(rollout, context)) {
+      return { isOnTarget: false, reason: "session_held" };
+    }
     return { isOnTarget: rollout.fault === undefined, reason: "only_target" };
   }
   const isOpen = (place: string): boolean =>
@@ -100,6 +109,28 @@
   return { isOnTarget: true, reason: "free_place" };
 }
 
+/**
+ * Whether a session waits for the other versions, whose servers were there a
+ * moment ago: on the target it would change its version, and change it again
+ * when they are back.
+ */
+function isHeld(
+  rollout: RolloutRecord,
+  { session, fleet, clock }: VersionChoiceContext,
+): boolean {
+  const { service, target } = rollout.order;
+  const { key, isMultiRequest, allowsPlace = (): boolean => true } = session;
+  if (!isMultiRequest) return false;
+  const nowMs = clock();
+  const share = keepsSessions(rollout, nowMs) ? 0 : targetShare(rollout, nowMs);
+  if (hashShare(`${target} ${key}`) < share) return false;
+  const recent = fleet.recentVersionsOf(service, {
+    allowsPlace,
+    withinMs: HOLD_MS,
+  });
+  return [...recent].some((version) => version !== target);
+}
+
 /** Whether a request of no session is part of the load trial; counts it. */
 function joinsLoadTrial(
   rollout: RolloutRecord,
--- a/src/gateway/servers/backend_fleet.ts
+++ b/src/gateway/servers/backend_fleet.ts
@@ -24,6 +24,7 @@
   type Clock,
   type EngineTraits,
 } from "../../model/mod.ts";
+import { ServerDepartures } from "./server_departures.ts";
 import {
   type BackendState,
   InFlightRequest,
@@ -90,15 +91,18 @@
   #byService = new Map<string, BackendState[]>();
   #readyVersions = new Map<string, Set<string>>();
   #states = new Map<string, BackendState>();
+  readonly #departures: ServerDepartures;
   readonly #serviceTimesMs = new Map<string, number>();
   readonly #usualWork = new Map<string, UsualWork>();
 
   constructor(options: { readonly clock: Clock }) {
     this.#clock = options.clock;
+    this.#departures = new ServerDepartures(options);
   }
 
   /** Applies a new roster; keeps the state of servers still in it. */
   update(roster: Roster): void {
+    this.#departures.record(this.servers, roster);
     const states = new Map<string, BackendState>();
     const byService = new Map<string, BackendState[]>();
     const readyVersions = new Map<string, Set<string>>();
@@ -149,6 +153,26 @@
     return versions;
   }
 
+  /**
+   * The versions of a service with a server at an allowed place that is
+   * registered, ready or not, or was within a time.
+   */
+  recentVersionsOf(
+    service: string,
+    { allowsPlace, withinMs }: {
+      readonly allowsPlace: (place: string) => boolean;
+      readonly withinMs: number;
+    },
+  ): ReadonlySet<string> {
+    const versions = new Set<string>();
+    const present = this.serversOf(service);
+    const departed = this.#departures.of(service, withinMs);
+    for (const { place, version } of [...present, ...departed]) {
+      if (allowsPlace(place)) versions.add(version);
+    }
+    return versions;
+  }
+
   /** Returns the ready servers that match the query. */
   candidates(query: FleetQuery): FleetCandidate[] {
     const nowMs = this.#clock();
