--- a/src/gateway/rollout/observed_versions.ts
+++ b/src/gateway/rollout/observed_versions.ts
@@ -1,11 +1,15 @@
 /**
  * When the versions of each service were first observed. A version without an
  * order gets no requests for a few seconds after it appears, as its order may
- * arrive after its servers.
+ * arrive after its servers. This holds also while an earlier order is known.
  */
 import { type Clock } from "../../model/mod.ts";
 import { type BackendFleet } from "../servers/backend_fleet.ts";
-import { type VersionSession } from "../forwarding/forward_context.ts";
+import { type RolloutRecord } from "./rollout_record.ts";
+import {
+  type VersionAcceptor,
+  type VersionSession,
+} from "../forwarding/forward_context.ts";
 
 /** Delay after which a version without an order gets requests. */
 const UNORDERED_VERSION_DELAY_MS = 3000;
@@ -46,19 +50,31 @@
   /**
    * Accepts the versions of a service without an order, except those that were
    * first observed a moment ago while an older one is ready where the request
-   * may go.
+   * may go. The target of the order in force, if any, is not among them; those
+   * that earlier orders have left aside are, where no other is ready.
    */
   acceptorOf(
     service: string,
-    { allowsPlace }: Pick<VersionSession, "allowsPlace">,
-  ): (version: string) => boolean {
+    { allowsPlace, rollout }: Pick<VersionSession, "allowsPlace"> & {
+      readonly rollout?: RolloutRecord;
+    },
+  ): VersionAcceptor {
     const versions = this.#versions.get(service);
     const latestMs = this.#options.clock() - UNORDERED_VERSION_DELAY_MS;
     const isSettled = (version: string): boolean =>
       (versions?.get(version)?.firstObservedAtMs ?? -Infinity) <= latestMs;
     const ready = this.#options.fleet.readyVersionsOf(service, allowsPlace);
-    const hasSettled = [...ready].some(isSettled);
-    return hasSettled ? isSettled : () => true;
+    const isPreferred = (version: string): boolean =>
+      isSettled(version) && rollout?.setAside.has(version) !== true;
+    const others = [...ready].filter((version) =>
+      version !== rollout?.order.target
+    );
+    const accepts = [isPreferred, isSettled].find((isAccepted) =>
+      others.some(isAccepted)
+    );
+    return accepts === undefined
+      ? { accepts: () => true, reason: "none_settled" }
+      : { accepts, reason: "settled" };
   }
 
   #evictAbsent(service: string, versions: Map<string, ObservedVersion>): void {
