Tell what closed a connection with open requests

Reports of lost requests couldn't be traced: no line said that a connection closed before its requests were answered, nor whether its caller or this VM closed it, and what had been received of a request only ended with it.

A line 'connection lost' and the counter connections_lost name the cause, how many requests went along, how many of them were not received completely and the first ids; a warning where the VM itself closed the connection. At most one line a connection.

--- a/src/gateway/callers/caller_connection.ts
+++ b/src/gateway/callers/caller_connection.ts
@@ -9,6 +9,7 @@
 import { STATUS_CODES } from "node:http";
 import { type Socket } from "node:net";
 import { type CallerExchange } from "./caller_exchange.ts";
+import { type CloseCause, type ConnectionLoss } from "./connection_loss.ts";
 
 const DEFAULT_ERROR_STATUS = 400;
 /** Statuses of errors of Node's parser, by their code. */
@@ -24,18 +25,28 @@
  */
 export const CUT_MS = 200;
 
+/** Requests named in the report of a loss. */
+const MAX_REPORTED_IDS = 8;
+/** Codes of errors by which a caller's reset is seen. */
+const RESET_CODES: readonly string[] = ["ECONNRESET", "EPIPE"];
+
 export class CallerConnection {
   readonly #socket: Socket;
+  readonly #onLoss: (loss: ConnectionLoss) => void;
   readonly #open: CallerExchange[] = [];
+  #unsent: CallerExchange[] = [];
+  #closeCause: CloseCause | undefined;
   #isEnding = false;
   #resetTimer: NodeJS.Timeout | undefined;
 
-  constructor(socket: Socket) {
+  /** `onLoss` is called when a close has taken requests along. */
+  constructor(socket: Socket, onLoss: (loss: ConnectionLoss) => void) {
     this.#socket = socket;
+    this.#onLoss = onLoss;
     // Node tells only the first open response that its connection is closed.
     socket.once("close", () => {
       clearTimeout(this.#resetTimer);
-      for (const exchange of [...this.#open]) exchange.handleClosed();
+      this.#abandon("unknown");
     });
     socket.once("end", () => this.#handleCallerEnd());
   }
@@ -60,6 +71,8 @@
   remove(exchange: CallerExchange): void {
     const index = this.#open.indexOf(exchange);
     if (index >= 0) this.#open.splice(index, 1);
+    if (!exchange.isSent) this.#unsent.push(exchange);
+    if (exchange.ending === "cut") this.#closeCause ??= "cut";
     if (this.isOpen) this.#open[0]?.beginTurn();
   }
 
@@ -72,6 +85,7 @@
   /** Handles an error of the connection or in what the caller sends. */
   handleError(error: NodeJS.ErrnoException): void {
     if (this.#resetTimer !== undefined) return;
+    this.#closeCause ??= causeOf(error);
     const [first] = this.#open;
     if (first === undefined || this.#isOnlyUnread(first)) {
       return answerError(this.#socket, error);
@@ -82,19 +96,24 @@
   }
 
   /**
-   * Resets the connection if closing it now would make a part of an answer look
-   * complete; resolves once it is closed.
+   * Closes the connection as the VM stops: at once, unless that would make a
+   * part of an answer look complete. Then it is reset; resolves once it is
+   * closed.
    */
-  async resetUnfinished(): Promise<void> {
+  async close(): Promise<void> {
+    this.#closeCause ??= "stop";
     const isCut = this.#open[0]?.isCutByClose === true;
-    if (!isCut && this.#resetTimer === undefined) return;
-    this.#resetSoon();
-    await new Promise((resolve) => this.#socket.once("close", resolve));
+    if (isCut || this.#resetTimer !== undefined) {
+      this.#resetSoon();
+      await new Promise((resolve) => this.#socket.once("close", resolve));
+    }
+    this.#abandon("stop");
   }
 
   /** Nothing tells a caller that sends no more from one that has left. */
   #handleCallerEnd(): void {
     if (this.#open.length === 0) return;
+    this.#closeCause ??= "caller_end";
     if (this.#open[0]?.isCutByEnd === true) this.#resetSoon();
     if (this.#resetTimer === undefined) this.#socket.end();
     for (const exchange of [...this.#open]) {
@@ -102,6 +121,21 @@
     }
   }
 
+  /** Ends what is open and reports what has not been answered. */
+  #abandon(cause: CloseCause): void {
+    for (const exchange of [...this.#open]) exchange.handleClosed();
+    const unsent = this.#unsent;
+    this.#unsent = [];
+    if (unsent.length === 0) return;
+    this.#onLoss({
+      cause: this.#closeCause ?? cause,
+      requestCount: unsent.length,
+      unreadCount: unsent.filter(({ isRead }) => !isRead).length,
+      requestIds: unsent.flatMap(({ requestId }) => requestId ?? [])
+        .slice(0, MAX_REPORTED_IDS),
+    });
+  }
+
   #resetSoon(): void {
     if (this.#socket.destroyed) return;
     this.#resetTimer ??= setTimeout(
@@ -116,6 +150,11 @@
   }
 }
 
+function causeOf({ code = "" }: NodeJS.ErrnoException): CloseCause {
+  if (RESET_CODES.includes(code)) return "caller_reset";
+  return code === "ERR_HTTP_REQUEST_TIMEOUT" ? "head_timeout" : "unreadable";
+}
+
 /** Writes the status of an error, if possible, and closes the connection. */
 export function answerError(
   socket: Socket,
--- a/src/gateway/callers/caller_connection_fixture.ts
+++ b/src/gateway/callers/caller_connection_fixture.ts
@@ -102,6 +102,13 @@
   setTimeout(() => sendCompleteAnswer(request, response), SHORT_WORK_MS);
 };
 
+/** What closed the connections whose requests were lost, each cause once. */
+export function lossCauses({ gateway }: TestSite): string[] {
+  const lines = gateway.gateway.metricsText()
+    .matchAll(/^connections_lost\{cause="(\w+)"\}/gm);
+  return [...lines].map(([, cause]) => cause ?? "");
+}
+
 /** The number of requests that the gateway has open. */
 export function openCount({ gateway }: TestSite): number {
   const [, count] = gateway.gateway.metricsText()
--- a/src/gateway/callers/caller_exchange.ts
+++ b/src/gateway/callers/caller_exchange.ts
@@ -69,6 +69,8 @@
   #status = 0;
   #ending: AnswerEnding | undefined;
   #framing: AnswerFraming | undefined;
+  /** The id that its caller gave the request; `undefined` before it is known. */
+  requestId: string | undefined;
 
   constructor(
     request: IncomingMessage,
@@ -95,6 +97,14 @@
     return this.#request.complete;
   }
 
+  /**
+   * Whether the whole answer has left the process; one that is held counts as
+   * sent.
+   */
+  get isSent(): boolean {
+    return this.#response.writableFinished || this.#isHeld;
+  }
+
   /** Whether the answer's head has been sent. */
   get isHeadSent(): boolean {
     return this.#response.headersSent;
--- a/src/gateway/callers/caller_server.ts
+++ b/src/gateway/callers/caller_server.ts
@@ -11,6 +11,7 @@
   CallerExchange,
   type CallerExchangeOptions,
 } from "./caller_exchange.ts";
+import { type ConnectionLoss } from "./connection_loss.ts";
 
 /** Limit of Node's parser; the manifest's limit is lower. */
 const MAX_HEAD_BYTES = 64 * 1024;
@@ -56,6 +57,8 @@
   readonly clock: () => number;
   readonly limits: () => CallerLimits | undefined;
   readonly onHead: HeadHandler;
+  /** Called for each connection whose close took requests along. */
+  readonly onLoss: (loss: ConnectionLoss) => void;
 }
 
 export class CallerServer {
@@ -140,7 +143,7 @@
   async close(): Promise<void> {
     this.refuseRequests();
     await Promise.all(
-      [...this.#connections.values()].map((one) => one.resetUnfinished()),
+      [...this.#connections.values()].map((one) => one.close()),
     );
     this.#server.closeAllConnections();
   }
@@ -188,7 +191,7 @@
   #connectionOf(socket: Socket): CallerConnection {
     const known = this.#connections.get(socket);
     if (known !== undefined) return known;
-    const connection = new CallerConnection(socket);
+    const connection = new CallerConnection(socket, this.#options.onLoss);
     this.#connections.set(socket, connection);
     socket.once("close", () => this.#connections.delete(socket));
     return connection;
--- a/src/gateway/callers/request_intake.ts
+++ b/src/gateway/callers/request_intake.ts
@@ -57,6 +57,7 @@
       target: request.url ?? "/",
       rawHeaders: request.rawHeaders,
     });
+    if (typeof caller !== "string") exchange.requestId = caller.id;
     const admitted = typeof caller === "string"
       ? { status: 400, reason: caller }
       : this.#admit(caller);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -15,6 +15,7 @@
 import { AnswerMemory } from "./callers/answer_buffer.ts";
 import { BackendFleet } from "./servers/backend_fleet.ts";
 import { CallerServer } from "./callers/caller_server.ts";
+import { logLoss } from "./callers/connection_loss.ts";
 import { type EntryCaller, EntryRegions } from "./callers/entry_regions.ts";
 import { type ForwardContext } from "./forwarding/forward_context.ts";
 import { GatewayMetrics } from "./telemetry/gateway_metrics.ts";
@@ -312,6 +313,7 @@
       limits: () => this.#state.routes?.manifest.limits,
       writeRefusal: protocol.writeRefusal,
       onHead: (received) => this.#intake.receive(received),
+      onLoss: (loss) => logLoss(this.#context, loss),
     });
   }
 
