Read what has arrived before a caller's time limit ends its connection

What callers saw: at a VM whose event loop was held up for longer than a limit, a request that had come in time was refused with 408 (the rest of its body or of its head was there), or its kept connection was closed without an answer.

Cause: after a hold-up, timers run before sockets are read. The limits for idle connections, heads and bodies then judged what the VM had not looked at yet.

Change: a limit that passes ends the connection only after a further turn of reading, and not if that brought what was missing: a part of the body, the rest of the head, the next request.

--- a/src/gateway/callers/caller_connection.ts
+++ b/src/gateway/callers/caller_connection.ts
@@ -11,12 +11,14 @@
 import { type CallerExchange } from "./caller_exchange.ts";
 import { type CloseCause, type ConnectionLoss } from "./connection_loss.ts";
 
+/** The code of the error for a head that has not arrived in time. */
+export const HEAD_TIMEOUT_CODE = "ERR_HTTP_REQUEST_TIMEOUT";
 const DEFAULT_ERROR_STATUS = 400;
 /** Statuses of errors of Node's parser, by their code. */
 const ERROR_STATUSES: Readonly<Record<string, number>> = {
   HPE_HEADER_OVERFLOW: 431,
   HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
-  ERR_HTTP_REQUEST_TIMEOUT: 408,
+  [HEAD_TIMEOUT_CODE]: 408,
 };
 
 /**
@@ -35,6 +37,7 @@
   readonly #onLoss: (loss: ConnectionLoss) => void;
   readonly #open: CallerExchange[] = [];
   #unsent: CallerExchange[] = [];
+  #requestCount = 0;
   #closeCause: CloseCause | undefined;
   #isEnding = false;
   #resetTimer: NodeJS.Timeout | undefined;
@@ -61,8 +64,14 @@
     return this.#open.length > 0;
   }
 
+  /** The number of requests whose heads have been received. */
+  get requestCount(): number {
+    return this.#requestCount;
+  }
+
   /** Adds the exchange of a request that has been received. */
   add(exchange: CallerExchange): void {
+    this.#requestCount += 1;
     exchange.onCut = () => this.#resetSoon();
     this.#open.push(exchange);
   }
@@ -152,7 +161,7 @@
 
 function causeOf({ code = "" }: NodeJS.ErrnoException): CloseCause {
   if (RESET_CODES.includes(code)) return "caller_reset";
-  return code === "ERR_HTTP_REQUEST_TIMEOUT" ? "head_timeout" : "unreadable";
+  return code === HEAD_TIMEOUT_CODE ? "head_timeout" : "unreadable";
 }
 
 /** Writes the status of an error, if possible, and closes the connection. */
--- a/src/gateway/callers/caller_connection_fixture.ts
+++ b/src/gateway/callers/caller_connection_fixture.ts
@@ -25,6 +25,8 @@
 };
 /** Longer than the head timeout and the interval at which it is checked. */
 export const WORK_MS = 1500;
+/** Longer than the head timeout and the interval at which it is checked. */
+export const HELD_UP_MS = 1800;
 /** The time that a server needs to answer soon. */
 export const SHORT_WORK_MS = 300;
 
@@ -38,14 +40,17 @@
 export async function setUp(
   context: TestContext,
   handler: BackendHandler,
-  memoryBytes = 350 * 1024 * 1024,
+  { memoryBytes = 350 * 1024 * 1024, limits = LIMITS }: {
+    readonly memoryBytes?: number;
+    readonly limits?: typeof LIMITS;
+  } = {},
 ): Promise<TestSite> {
   const backend = await startBackend("server", handler);
   const gateway = await startGateway({
     backends: [backend],
     manifest: {
       routes: [{ ...REGISTER_ROUTE, timeoutMs: 5000 }, routeOf()],
-      limits: LIMITS,
+      limits,
     },
     settings: { graceMs: 3000, entryMaxAgeMs: 400, memoryBytes },
   });
@@ -102,6 +107,24 @@
   setTimeout(() => sendCompleteAnswer(request, response), SHORT_WORK_MS);
 };
 
+/**
+ * Writes to a connection and holds up the event loop, as on a busy or paused
+ * machine; what has been written is read after the timers that are due then.
+ */
+export function writeAndHoldUp(
+  { socket }: TestCaller,
+  text: string,
+): Promise<void> {
+  return new Promise((resolve) => {
+    setImmediate(() => {
+      socket.write(text);
+      const endMs = performance.now() + HELD_UP_MS;
+      while (performance.now() < endMs);
+      resolve();
+    });
+  });
+}
+
 /** What closed the connections whose requests were lost, each cause once. */
 export function lossCauses({ gateway }: TestSite): string[] {
   const lines = gateway.gateway.metricsText()
--- a/src/gateway/callers/caller_connection_test.ts
+++ b/src/gateway/callers/caller_connection_test.ts
@@ -158,7 +158,7 @@
 test("the body of a waiting request counts within the memory bound", async (context) => {
   const memoryBytes = 2_000_000;
   const bodyBytes = 300_000;
-  const site = await setUp(context, answerLate, memoryBytes);
+  const site = await setUp(context, answerLate, { memoryBytes });
   const body = "x".repeat(bodyBytes);
   const caller = connectCaller(site);
   caller.socket.write(requestOf("a") + headOf("b", bodyBytes) + body);
--- a/src/gateway/callers/caller_server.ts
+++ b/src/gateway/callers/caller_server.ts
@@ -6,12 +6,24 @@
 import { createServer, type IncomingMessage, type Server } from "node:http";
 import { type AddressInfo, type Socket } from "node:net";
 import { type CallerLimits } from "../../model/mod.ts";
-import { answerError, CallerConnection } from "./caller_connection.ts";
+import {
+  answerError,
+  CallerConnection,
+  HEAD_TIMEOUT_CODE,
+} from "./caller_connection.ts";
 import {
   CallerExchange,
   type CallerExchangeOptions,
 } from "./caller_exchange.ts";
 import { type ConnectionLoss } from "./connection_loss.ts";
+import { afterReading, ReadTimeout } from "./read_timeout.ts";
+import {
+  BODY_DRAIN_MS,
+  drain,
+  refuseUnread,
+  type RequestFault,
+  VM_ENDS,
+} from "./unread_request.ts";
 
 /** Limit of Node's parser; the manifest's limit is lower. */
 const MAX_HEAD_BYTES = 64 * 1024;
@@ -23,13 +35,6 @@
   idleTimeoutMs: 15_000,
 };
 const CHECK_PERIOD_MS = 500;
-/**
- * How long the rest of a refused request's body is read and discarded before
- * the connection closes. Closing it at once could reset it before the caller
- * has read the answer.
- * Also the retry delay sent when the memory for request bodies is used up.
- */
-const BODY_DRAIN_MS = 1000;
 /** Separators of one header line: colon, space, CR and LF. */
 const HEADER_OVERHEAD_BYTES = 4;
 /** Share of the process's memory for request bodies. */
@@ -86,13 +91,11 @@
     // Node would end its own side as a caller does, by which a part of an answer
     // may look complete; connections end themselves.
     Object.assign(this.#server, { httpAllowHalfOpen: true });
+    // The streams of a server without TLS are sockets.
     this.#server.on("clientError", (error, stream) => {
-      // The stream of a server without TLS is a socket.
-      const socket = stream as Socket;
-      const connection = this.#connections.get(socket);
-      if (connection === undefined) answerError(socket, error);
-      else connection.handleError(error);
+      this.#handleError(stream as Socket, error);
     });
+    this.#server.on("timeout", (socket) => closeIdle(socket));
     this.applyLimits();
   }
 
@@ -188,6 +191,21 @@
     this.#options.onHead(received)?.(body);
   }
 
+  #handleError(socket: Socket, error: NodeJS.ErrnoException): void {
+    const known = this.#connections.get(socket);
+    const answer = (): void => {
+      const connection = this.#connections.get(socket);
+      if (connection === undefined) answerError(socket, error);
+      else connection.handleError(error);
+    };
+    if (error.code !== HEAD_TIMEOUT_CODE) return answer();
+    const requestCount = known?.requestCount;
+    afterReading(() => {
+      const connection = this.#connections.get(socket);
+      if (connection?.requestCount === requestCount) answer();
+    });
+  }
+
   #connectionOf(socket: Socket): CallerConnection {
     const known = this.#connections.get(socket);
     if (known !== undefined) return known;
@@ -219,16 +237,19 @@
     let length = 0;
     const { maxBodyBytes, idleTimeoutMs } = this.#limits();
     const stop = (fault: RequestFault): void => {
-      clearTimeout(idleTimer);
+      idle.stop();
       request.removeAllListeners("data").removeAllListeners("end");
       this.#bodyBytes -= length;
       length = 0;
       refuseUnread(request, exchange, fault);
     };
-    const onIdle = (): void => stop({ status: 408, reason: "body_timeout" });
-    let idleTimer = setTimeout(onIdle, idleTimeoutMs);
+    const idle = new ReadTimeout(
+      idleTimeoutMs,
+      () => stop({ status: 408, reason: "body_timeout" }),
+    );
+    idle.restart();
     request.on("data", (chunk: Buffer) => {
-      clearTimeout(idleTimer);
+      idle.restart();
       length += chunk.length;
       this.#bodyBytes += chunk.length;
       if (length > maxBodyBytes) {
@@ -239,50 +260,25 @@
         return stop({ status: 503, reason: "busy", retryAfterMs });
       }
       chunks.push(chunk);
-      idleTimer = setTimeout(onIdle, idleTimeoutMs);
     });
     exchange.onBodyRelease = () => {
-      clearTimeout(idleTimer);
+      idle.stop();
       this.#bodyBytes -= length;
       length = 0;
     };
     request.on("end", () => {
-      clearTimeout(idleTimer);
+      idle.stop();
       if (!exchange.isOver) onBody(Buffer.concat(chunks));
     });
   }
 }
 
-interface RequestFault {
-  readonly status: number;
-  readonly reason: string;
-  readonly retryAfterMs?: number;
-}
-
-/** The refusal of requests that come as the VM ends. */
-const VM_ENDS: RequestFault = { status: 503, reason: "vm_stopped" };
-
-/** Refuses a request, discards its body and closes the connection. */
-function refuseUnread(
-  request: IncomingMessage,
-  exchange: CallerExchange,
-  fault: RequestFault,
-): void {
-  exchange.closeAfterAnswer();
-  exchange.refuse(fault);
-  drain(request, exchange);
-}
-
-/** Reads and discards the rest of a body for up to `BODY_DRAIN_MS`. */
-function drain(request: IncomingMessage, exchange: CallerExchange): void {
-  request.resume();
-  if (request.complete) return;
-  request.once("end", () => exchange.endHeld());
-  const timer = setTimeout(() => {
-    if (exchange.isHeld) exchange.endHeld();
-    else if (!request.complete && exchange.isOver) request.destroy();
-  }, BODY_DRAIN_MS);
-  timer.unref();
+/** Closes a kept connection, unless its next request has arrived. */
+function closeIdle(socket: Socket): void {
+  const { bytesRead } = socket;
+  afterReading(() => {
+    if (socket.bytesRead === bytesRead) socket.destroy();
+  });
 }
 
 function headSizeBytes(request: IncomingMessage): number {
--- a/src/gateway/callers/connection_loss.ts
+++ b/src/gateway/callers/connection_loss.ts
@@ -15,7 +15,6 @@
   | "caller_reset"
   | "stop"
   | "head_timeout"
-  | "idle_timeout"
   | "unreadable"
   | "cut"
   | "unknown";
--- /dev/null
+++ b/src/gateway/callers/read_timeout.ts
@@ -0,0 +1,36 @@
+/**
+ * Timeouts for what others send. After the event loop was held up, timers come
+ * before what has arrived meanwhile is read; such a timeout passes only once that
+ * is read, and not if it has been stopped or restarted by it.
+ */
+
+/** A timeout that is restarted by each part that is read. */
+export class ReadTimeout {
+  readonly #timeoutMs: number;
+  readonly #onTimeout: () => void;
+  #timer: NodeJS.Timeout | undefined;
+  #check: NodeJS.Immediate | undefined;
+
+  constructor(timeoutMs: number, onTimeout: () => void) {
+    this.#timeoutMs = timeoutMs;
+    this.#onTimeout = onTimeout;
+  }
+
+  /** Starts the timeout anew. */
+  restart(): void {
+    this.stop();
+    this.#timer = setTimeout(() => {
+      this.#check = afterReading(this.#onTimeout);
+    }, this.#timeoutMs);
+  }
+
+  stop(): void {
+    clearTimeout(this.#timer);
+    clearImmediate(this.#check);
+  }
+}
+
+/** Calls the listener when all that has arrived by now is read. */
+export function afterReading(listener: () => void): NodeJS.Immediate {
+  return setImmediate(listener);
+}
