Read answers that have arrived before a time limit gives up on their server

What callers saw at a VM whose event loop was held up: 504 although the answer had come in time, a second run of a request that had been answered, and attempts given up although their connections were open.

Cause: the same as for callers' limits. Timers run before sockets are read, so the request's deadline, the silence timeout and the connect timeout judged what the VM had not read yet. The probe of connections took a further turn already.

Change: all of them are read timeouts, which pass only after a further turn of reading.

Evidence: the three tests of src/gateway/held_up_vm_test failed before (504, two arrivals, 'connection timed out') and pass.

--- a/src/gateway/callers/caller_connection_fixture.ts
+++ b/src/gateway/callers/caller_connection_fixture.ts
@@ -1,6 +1,7 @@
 /** Callers that write to the connections of a gateway byte by byte. */
 import { connect, type Socket } from "node:net";
 import { type TestContext } from "node:test";
+import { holdUpAfter } from "../hold_up_fixture.ts";
 import { routeOf } from "../../decision/manifest_fixture.ts";
 import {
   type BackendHandler,
@@ -107,22 +108,12 @@
   setTimeout(() => sendCompleteAnswer(request, response), SHORT_WORK_MS);
 };
 
-/**
- * Writes to a connection and holds up the event loop, as on a busy or paused
- * machine; what has been written is read after the timers that are due then.
- */
+/** Writes to a connection and holds up the event loop. */
 export function writeAndHoldUp(
   { socket }: TestCaller,
   text: string,
 ): Promise<void> {
-  return new Promise((resolve) => {
-    setImmediate(() => {
-      socket.write(text);
-      const endMs = performance.now() + HELD_UP_MS;
-      while (performance.now() < endMs);
-      resolve();
-    });
-  });
+  return holdUpAfter(() => socket.write(text), HELD_UP_MS);
 }
 
 /** What closed the connections whose requests were lost, each cause once. */
--- a/src/gateway/callers/caller_server.ts
+++ b/src/gateway/callers/caller_server.ts
@@ -16,7 +16,7 @@
   type CallerExchangeOptions,
 } from "./caller_exchange.ts";
 import { type ConnectionLoss } from "./connection_loss.ts";
-import { afterReading, ReadTimeout } from "./read_timeout.ts";
+import { afterReading, ReadTimeout } from "../read_timeout.ts";
 import {
   BODY_DRAIN_MS,
   drain,
@@ -247,7 +247,6 @@
       idleTimeoutMs,
       () => stop({ status: 408, reason: "body_timeout" }),
     );
-    idle.restart();
     request.on("data", (chunk: Buffer) => {
       idle.restart();
       length += chunk.length;
--- a/src/gateway/forwarding/forwarding.ts
+++ b/src/gateway/forwarding/forwarding.ts
@@ -35,6 +35,7 @@
   type ServerEnding,
 } from "./forward_log.ts";
 import { type AnswerHead } from "../protocol.ts";
+import { ReadTimeout } from "../read_timeout.ts";
 import { RequestRetries } from "./request_retries.ts";
 import { noServerReason, unreachedReason } from "./retry_delay.ts";
 import { type AttemptOutcome } from "./attempt_outcome.ts";
@@ -60,7 +61,7 @@
   #fallback: CompleteAnswer | undefined;
   #serverEnd: ServerEnding | undefined;
   #callerWaitCount = 0;
-  #deadlineTimer: NodeJS.Timeout | undefined;
+  #deadline: ReadTimeout | undefined;
   #ticket: AdmissionTicket | undefined;
   #onFinish: () => void = () => {};
 
@@ -111,9 +112,9 @@
     this.#exchange.onDisconnect = () =>
       this.#guard(() => this.#finish("caller_gone"));
     this.#exchange.onDrain = () => this.#guard(() => this.#resumePaused());
-    this.#deadlineTimer = setTimeout(
-      () => this.#guard(() => this.#handleDeadline()),
+    this.#deadline = new ReadTimeout(
       Math.max(0, this.#timeLeftMs()),
+      () => this.#guard(() => this.#handleDeadline()),
     );
     this.#ticket = this.#context.admission.enter(this.#context, this.#request, {
       onStart: () => this.#guard(() => this.#startAttempt()),
@@ -366,7 +367,7 @@
   }
 
   #finish(outcome: string): void {
-    clearTimeout(this.#deadlineTimer);
+    this.#deadline?.stop();
     this.#silence.stop();
     this.#attempt?.cancel(undefined);
     this.#ticket?.end(outcome === "answered");
--- a/src/gateway/forwarding/silence_watch.ts
+++ b/src/gateway/forwarding/silence_watch.ts
@@ -9,6 +9,7 @@
 import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
 import { prefillKeyOf } from "../servers/prefill_rates.ts";
 import { firstByteTimeoutMs, gapTimeoutMs } from "./silence_timeouts.ts";
+import { ReadTimeout } from "../read_timeout.ts";
 import { targetIdOf } from "./target_choice.ts";
 
 /** Another VM moves a request from a silent server by itself first. */
@@ -45,7 +46,7 @@
   #target: AttemptTarget | undefined;
   #model: string | undefined;
   #silence: Silence | undefined;
-  #timer: NodeJS.Timeout | undefined;
+  #timer: ReadTimeout | undefined;
 
   constructor(
     context: ForwardContext,
@@ -80,7 +81,7 @@
   }
 
   stop(): void {
-    clearTimeout(this.#timer);
+    this.#timer?.stop();
   }
 
   /** Whether the request goes to the next server; waits on if not. */
@@ -119,7 +120,7 @@
 
   #startTimer(timeoutMs: number): void {
     this.stop();
-    this.#timer = setTimeout(this.#options.onSilent, timeoutMs);
+    this.#timer = new ReadTimeout(timeoutMs, this.#options.onSilent);
   }
 
   #patienceMs(next: AttemptTarget): number {
--- a/src/gateway/callers/read_timeout.ts
+++ b/src/gateway/read_timeout.ts
@@ -4,7 +4,7 @@
  * is read, and not if it has been stopped or restarted by it.
  */
 
-/** A timeout that is restarted by each part that is read. */
+/** A timeout for what has not been read yet; it starts at once. */
 export class ReadTimeout {
   readonly #timeoutMs: number;
   readonly #onTimeout: () => void;
@@ -14,6 +14,7 @@
   constructor(timeoutMs: number, onTimeout: () => void) {
     this.#timeoutMs = timeoutMs;
     this.#onTimeout = onTimeout;
+    this.restart();
   }
 
   /** Starts the timeout anew. */
--- a/src/gateway/servers/backend_exchange.ts
+++ b/src/gateway/servers/backend_exchange.ts
@@ -11,6 +11,7 @@
   request,
 } from "node:http";
 import { splitAddress } from "../../model/mod.ts";
+import { ReadTimeout } from "../read_timeout.ts";
 
 /** The request to send and its destination. */
 export interface BackendCall {
@@ -61,7 +62,7 @@
   #isConnected = false;
   #isReset = false;
   #isOver = false;
-  #connectTimer: NodeJS.Timeout | undefined;
+  #connectTimeout: ReadTimeout | undefined;
 
   constructor(call: BackendCall, events: ExchangeEvents) {
     this.#events = events;
@@ -72,9 +73,9 @@
       setImmediate(() => this.#fail("unsendable", String(error)));
       return;
     }
-    this.#connectTimer = setTimeout(
-      () => this.#fail("unreachable", "connection timed out"),
+    this.#connectTimeout = new ReadTimeout(
       call.connectTimeoutMs,
+      () => this.#fail("unreachable", "connection timed out"),
     );
     this.#addListeners(this.#request);
     this.#request.end(call.body);
@@ -110,7 +111,7 @@
       });
       socket.once("connect", () => {
         this.#isConnected = true;
-        clearTimeout(this.#connectTimer);
+        this.#connectTimeout?.stop();
         if (!this.#isOver) this.#tell(() => this.#events.onConnected());
       });
     });
@@ -188,7 +189,7 @@
 
   #end(): void {
     this.#isOver = true;
-    clearTimeout(this.#connectTimer);
+    this.#connectTimeout?.stop();
   }
 }
 
--- a/src/gateway/servers/connect_probe.ts
+++ b/src/gateway/servers/connect_probe.ts
@@ -1,6 +1,7 @@
 /** Finds out whether a connection to an address can be established. */
 import { connect } from "node:net";
 import { splitAddress } from "../../model/mod.ts";
+import { ReadTimeout } from "../read_timeout.ts";
 
 export interface ConnectOptions {
   readonly timeoutMs: number;
@@ -19,15 +20,11 @@
   return new Promise((resolve) => {
     const socket = connect(splitAddress(address));
     const end = (isConnected: boolean): void => {
-      clearTimeout(timer);
+      timeout.stop();
       socket.destroy();
       resolve(isConnected);
     };
-    // A busy process sees its timers before connections made in time.
-    const timer = setTimeout(
-      () => setImmediate(() => end(false)),
-      timeoutMs,
-    );
+    const timeout = new ReadTimeout(timeoutMs, () => end(false));
     socket.once("connect", () => end(true));
     socket.on("error", ({ code }: NodeJS.ErrnoException) => {
       end(code === "ECONNRESET" && isResetAccepted);
