Read what has arrived before a VM that stops closes its connections

What callers saw at a VM that was held up until its grace period was nearly over: a request that it had time to answer was lost with its connection, and one whose answer had arrived got 502.

Cause: the stop found its time over and closed idle connections and ended open requests before it had read anything.

Change: before that the VM takes two turns of its event loop, to accept and to read. What comes is refused as not run, what was answered is passed on.

--- a/src/gateway/callers/held_up_vm_test.ts
+++ b/src/gateway/callers/held_up_vm_test.ts
@@ -17,10 +17,13 @@
   writeAndHoldUp,
 } from "./caller_connection_fixture.ts";
 import { sendCompleteAnswer } from "../servers/backend_fixture.ts";
+import { holdUpAfter } from "../hold_up_fixture.ts";
 import { until } from "../until_fixture.ts";
 
 /** Shorter than the time for which the VM is held up. */
 const IDLE_MS = 400;
+/** The grace period of the VM, but for the end of its stop. */
+const GRACE_MS = 2500;
 const SHORT_LIMITS = { ...LIMITS, idleTimeoutMs: IDLE_MS };
 
 // Guards against a connection closed as idle although its next request is there.
@@ -71,6 +74,19 @@
   assert.deepEqual(statusesIn(caller), ["200", "200"]);
 });
 
+// Guards against a request that a stopping VM closes before it looks at it.
+test("a request that came while a stopping VM was held up is answered", async (context) => {
+  const site = await setUp(context, sendCompleteAnswer);
+  const caller = connectCaller(site);
+  caller.socket.write(requestOf("a"));
+  await until(() => caller.text.endsWith("whole"));
+  const stopped = site.gateway.gateway.stop();
+  await holdUpAfter(() => caller.socket.write(requestOf("b")), GRACE_MS);
+  await stopped;
+  await until(() => caller.isClosed);
+  assert.deepEqual(statusesIn(caller), ["200", "503"]);
+});
+
 // Guards against timeouts that no longer come.
 test("limits for callers hold after a VM was held up", async (context) => {
   const site = await setUp(context, sendCompleteAnswer, {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -38,6 +38,7 @@
 import { PromptRates } from "./servers/prompt_rates.ts";
 import { watchLoad } from "./telemetry/process_load.ts";
 import { RequestIntake } from "./callers/request_intake.ts";
+import { afterReading } from "./read_timeout.ts";
 import { RetryBudget } from "./forwarding/retry_budget.ts";
 import { RolloutRegistry } from "./rollout/rollout_registry.ts";
 import { RolloutStatusWriter } from "./rollout/rollout_status_writer.ts";
@@ -45,6 +46,8 @@
 import { StoreFeed } from "./store/store_feed.ts";
 
 const TICK_MS = 200;
+/** Turns of the event loop that accept a connection and read its request. */
+const STOP_READ_TURNS = 2;
 /** Delays the histogram library: loading it slows the first requests. */
 const METRICS_LOAD_DELAY_MS = 5000;
 
@@ -295,6 +298,10 @@
     const shutdownDone = this.#shutdown.run();
     this.#callers.beginClosing();
     await shutdownDone;
+    // The VM may have been held up: accepts, then reads what has arrived.
+    for (let turn = 0; turn < STOP_READ_TURNS; turn++) {
+      await new Promise<void>((resolve) => afterReading(resolve));
+    }
     this.#stopController.abort();
     logger.info("stopped", { openCount: this.#callers.openCount });
     this.#callers.refuseRequests();
--- a/src/gateway/held_up_vm_test.ts
+++ b/src/gateway/held_up_vm_test.ts
@@ -81,6 +81,17 @@
   assert.equal(arrivalsAt(backends), 1);
 });
 
+// Guards against 502 for an answer that is there as the grace period ends.
+test("an answer that came in time is passed on by a VM that was held up in its stop", async (context) => {
+  const options = { heldUpMs: GRACE_MS, timeoutMs: 2 * GRACE_MS };
+  const { gateway, backends } = await startHeldUp(context, options);
+  const { callerAddress } = gateway;
+  const answer = call(callerAddress, { path: "/registrations/a" });
+  void gateway.gateway.stop();
+  await until(() => arrivalsAt(backends) === 1);
+  assert.equal((await answer).status, 200);
+});
+
 // Guards against attempts given up although their connections are open.
 test("a connection made in time counts at a VM that was held up", async (context) => {
   const backend = await startBackend("a", sendCompleteAnswer);
