--- a/src/gateway/callers/caller_connection_fixture.ts
+++ b/src/gateway/callers/caller_connection_fixture.ts
@@ -1,6 +1,7 @@
 /** Callers that write to the connections of a gateway byte by byte. */
 import { connect, type Socket } from "node:net";
 import { type TestContext } from "node:test";
+import { holdUpAfter } from "../hold_up_fixture.ts";
 import { routeOf } from "../../decision/manifest_fixture.ts";
 import {
   type BackendHandler,
@@ -25,6 +26,8 @@
 };
 /** Longer than the head timeout and the interval at which it is checked. */
 export const WORK_MS = 1500;
+/** Longer than the head timeout and the interval at which it is checked. */
+export const HELD_UP_MS = 1800;
 /** The time that a server needs to answer soon. */
 export const SHORT_WORK_MS = 300;
 
@@ -38,14 +41,17 @@
 export async function setUp(
   context: TestContext,
   handler: BackendHandler,
-  memoryBytes = 350 * 1024 * 1024,
+  { memoryBytes = 350 * 1024 * 1024, limits = LIMITS }: {
+    readonly memoryBytes?: number;
+    readonly limits?: typeof LIMITS;
+  } = {},
 ): Promise<TestSite> {
   const backend = await startBackend("server", handler);
   const gateway = await startGateway({
     backends: [backend],
     manifest: {
       routes: [{ ...REGISTER_ROUTE, timeoutMs: 5000 }, routeOf()],
-      limits: LIMITS,
+      limits,
     },
     settings: { graceMs: 3000, entryMaxAgeMs: 400, memoryBytes },
   });
@@ -102,6 +108,21 @@
   setTimeout(() => sendCompleteAnswer(request, response), SHORT_WORK_MS);
 };
 
+/** Writes to a connection and holds up the event loop. */
+export function writeAndHoldUp(
+  { socket }: TestCaller,
+  text: string,
+): Promise<void> {
+  return holdUpAfter(() => socket.write(text), HELD_UP_MS);
+}
+
+/** What closed the connections whose requests were lost, each cause once. */
+export function lossCauses({ gateway }: TestSite): string[] {
+  const lines = gateway.gateway.metricsText()
+    .matchAll(/^connections_lost\{cause="(\w+)"\}/gm);
+  return [...lines].map(([, cause]) => cause ?? "");
+}
+
 /** The number of requests that the gateway has open. */
 export function openCount({ gateway }: TestSite): number {
   const [, count] = gateway.gateway.metricsText()
