Sum up the tallies of a roll-out in place, and only after a change

While a roll-out is open each VM evaluates the sum of all tallies it has five times a second. The sum was built anew each time, and copied in whole for each VM's tally: at a store reader that has the tallies of 195 VMs an evaluation took 39 ms, a fifth of a whole core, and more than half of a VM of a third of a core.

The sums are now added up in place, in the same order, so that they are the same to the last bit, and kept until a tally changes.

--- a/src/decision/log_sums.ts
+++ b/src/decision/log_sums.ts
@@ -13,6 +13,11 @@
 
 export type GroupedLogSums = Readonly<Record<string, LogSums>>;
 
+/** A value that is summed up in place. */
+export type Mutable<Value> = { -readonly [Key in keyof Value]: Value[Key] };
+
+export type MutableGroups<Value> = Record<string, Mutable<Value>>;
+
 /** How much longer one side's times are than the other's. */
 export interface LogComparison {
   /** Times of the first side. */
@@ -61,6 +66,23 @@
   return result;
 }
 
+/** Adds to a sum in place. */
+export function addLogSums(sum: Mutable<LogSums>, added: LogSums): void {
+  sum.count += added.count;
+  sum.logSum += added.logSum;
+  sum.logSquareSum += added.logSquareSum;
+}
+
+/** Adds the groups to sums in place. */
+export function addGroups(
+  sums: MutableGroups<LogSums>,
+  added: GroupedLogSums,
+): void {
+  for (const [group, groupSums] of Object.entries(added)) {
+    addLogSums(sums[group] ??= { ...EMPTY_LOG_SUMS }, groupSums);
+  }
+}
+
 /**
  * Compares two sides over the groups that both have; undefined without one.
  * The scatter is taken to be at least `minScatter`, as a few times may agree by
--- a/src/decision/time_counts.ts
+++ b/src/decision/time_counts.ts
@@ -63,6 +63,21 @@
   return result;
 }
 
+/** Adds the groups to sums in place. */
+export function addTimeCounts(
+  sums: Record<string, number[]>,
+  added: GroupedTimeCounts,
+): void {
+  for (const [group, counts] of Object.entries(added)) {
+    const sum = sums[group] ??= [];
+    for (let bucket = 0; bucket < counts.length; bucket++) {
+      const count = counts[bucket] ?? 0;
+      if (bucket < sum.length) sum[bucket] = (sum[bucket] ?? 0) + count;
+      else sum.push(count);
+    }
+  }
+}
+
 /**
  * Returns the strongest evidence that a share of the answers is slow, over the
  * groups that both have. What is slow in a group follows from its median.
--- a/src/decision/version_tally.ts
+++ b/src/decision/version_tally.ts
@@ -3,14 +3,19 @@
  * of the other versions of its service, by route, and the pace of their answers.
  */
 import {
+  addGroups,
+  addLogSums,
   combineGroups,
   combineLogSums,
   EMPTY_LOG_SUMS,
   type GroupedLogSums,
   type LogSums,
   logSumsOf,
+  type Mutable,
+  type MutableGroups,
 } from "./log_sums.ts";
 import {
+  addTimeCounts,
   combineTimeCounts,
   type GroupedTimeCounts,
   timeCountsOf,
@@ -141,22 +146,35 @@
 
 /** Returns the sum of the tallies of several VMs. */
 export function mergeTallies(tallies: Iterable<VersionTally>): VersionTally {
-  let merged = EMPTY_TALLY;
+  // Mutable sums: with a copy for each VM's tally this took 40 ms for 195 VMs.
+  const target: MutableGroups<RouteTally> = {};
+  const others: MutableGroups<RouteTally> = {};
+  const busyTarget = { ...NO_ERRORS };
+  const busyOthers = { ...NO_ERRORS };
+  const failingIds = new Set<string>();
+  const targetTimes: Record<string, number[]> = {};
+  const otherTimes: Record<string, number[]> = {};
+  const targetPaces: MutableGroups<LogSums> = {};
+  const otherPaces: MutableGroups<LogSums> = {};
+  const pacedIds = new Set<string>();
   for (const tally of tallies) {
-    merged = {
-      target: combineRoutes(merged.target, tally.target, 1),
-      others: combineRoutes(merged.others, tally.others, 1),
-      busyTarget: combineErrors(merged.busyTarget, tally.busyTarget, 1),
-      busyOthers: combineErrors(merged.busyOthers, tally.busyOthers, 1),
-      failingIds: union(merged.failingIds, tally.failingIds),
-      targetTimes: combineTimeCounts(merged.targetTimes, tally.targetTimes, 1),
-      otherTimes: combineTimeCounts(merged.otherTimes, tally.otherTimes, 1),
-      targetPaces: combineGroups(merged.targetPaces, tally.targetPaces, 1),
-      otherPaces: combineGroups(merged.otherPaces, tally.otherPaces, 1),
-      pacedIds: union(merged.pacedIds, tally.pacedIds),
-    };
+    addRoutes(target, tally.target);
+    addRoutes(others, tally.others);
+    addErrors(busyTarget, tally.busyTarget);
+    addErrors(busyOthers, tally.busyOthers);
+    for (const id of tally.failingIds) failingIds.add(id);
+    addTimeCounts(targetTimes, tally.targetTimes);
+    addTimeCounts(otherTimes, tally.otherTimes);
+    addGroups(targetPaces, tally.targetPaces);
+    addGroups(otherPaces, tally.otherPaces);
+    for (const id of tally.pacedIds) pacedIds.add(id);
   }
-  return merged;
+  return {
+    ...{ target, others, busyTarget, busyOthers },
+    failingIds: [...failingIds],
+    ...{ targetTimes, otherTimes, targetPaces, otherPaces },
+    pacedIds: [...pacedIds],
+  };
 }
 
 /**
@@ -200,10 +218,6 @@
   return ids.includes(id) || ids.length >= MAX_IDS ? ids : [...ids, id];
 }
 
-function union(a: readonly string[], b: readonly string[]): readonly string[] {
-  return [...new Set([...a, ...b])];
-}
-
 /** Returns the sum over all routes. */
 export function totalOf(tallies: RouteTallies): RouteTally {
   let sum = EMPTY_ROUTE;
@@ -223,6 +237,19 @@
   return result;
 }
 
+function addRoutes(sums: MutableGroups<RouteTally>, added: RouteTallies): void {
+  for (const [route, tally] of Object.entries(added)) {
+    const sum = sums[route] ??= { ...EMPTY_ROUTE };
+    addLogSums(sum, tally);
+    sum.errorCount += tally.errorCount;
+  }
+}
+
+function addErrors(sum: Mutable<ErrorTally>, added: ErrorTally): void {
+  sum.count += added.count;
+  sum.errorCount += added.errorCount;
+}
+
 function combineErrors(
   a: ErrorTally,
   b: ErrorTally,
--- a/src/gateway/rollout/rollout_record.ts
+++ b/src/gateway/rollout/rollout_record.ts
@@ -72,6 +72,8 @@
    */
   freePlaceCount = 0;
   #ownTally: VersionTally = EMPTY_TALLY;
+  /** The sum of all tallies; undefined after one of them has changed. */
+  #merged: VersionTally | undefined;
   /** All tallies when the load trial began. */
   #tallyAtTrial: VersionTally | undefined;
   /** Doubt in the load trial, kept until it is decided: later answers hide it. */
@@ -106,11 +108,13 @@
   /** Adds one of this VM's requests to its tally. */
   add(sample: TallySample): void {
     this.#ownTally = addSample(this.#ownTally, sample);
+    this.#merged = undefined;
   }
 
   /** Adds the pace of one of this VM's answers to its tally. */
   addPace(pace: PaceSample): void {
     this.#ownTally = addPace(this.#ownTally, pace);
+    this.#merged = undefined;
   }
 
   /** Returns this VM's tally under the next sequence number. */
@@ -143,6 +147,7 @@
     if (last !== undefined && last.vmTally.sequence >= vmTally.sequence) return;
     if (last === undefined && this.#received.size >= MAX_VMS) return;
     this.#received.set(vmTally.vm, { vmTally, atMs: nowMs, isDirect });
+    this.#merged = undefined;
   }
 
   /** Requests of other VMs in flight at other versions than the target. */
@@ -156,7 +161,7 @@
 
   /** The tallies of all VMs together. */
   get mergedTally(): VersionTally {
-    return mergeTallies([
+    return this.#merged ??= mergeTallies([
       this.#ownTally,
       ...[...this.#received.values()].map(({ vmTally }) => vmTally.tally),
     ]);
