--- a/src/gateway/rollout/rollout_record.ts
+++ b/src/gateway/rollout/rollout_record.ts
@@ -74,6 +74,8 @@
   freePlaceCount = 0;
   readonly #setAside = new Set<string>();
   #ownTally: VersionTally = EMPTY_TALLY;
+  /** The sum of all tallies; undefined after one of them has changed. */
+  #merged: VersionTally | undefined;
   /** All tallies when the load trial began. */
   #tallyAtTrial: VersionTally | undefined;
   /** Doubt in the load trial, kept until it is decided: later answers hide it. */
@@ -132,11 +134,13 @@
   /** Adds one of this VM's requests to its tally. */
   add(sample: TallySample): void {
     this.#ownTally = addSample(this.#ownTally, sample);
+    this.#merged = undefined;
   }
 
   /** Adds the pace of one of this VM's answers to its tally. */
   addPace(pace: PaceSample): void {
     this.#ownTally = addPace(this.#ownTally, pace);
+    this.#merged = undefined;
   }
 
   /** Returns this VM's tally under the next sequence number. */
@@ -169,6 +173,7 @@
     if (last !== undefined && last.vmTally.sequence >= vmTally.sequence) return;
     if (last === undefined && this.#received.size >= MAX_VMS) return;
     this.#received.set(vmTally.vm, { vmTally, atMs: nowMs, isDirect });
+    this.#merged = undefined;
   }
 
   /** Requests of other VMs in flight at other versions than the target. */
@@ -182,7 +187,7 @@
 
   /** The tallies of all VMs together. */
   get mergedTally(): VersionTally {
-    return mergeTallies([
+    return this.#merged ??= mergeTallies([
       this.#ownTally,
       ...[...this.#received.values()].map(({ vmTally }) => vmTally.tally),
     ]);
