End an answer of which too much is neither head nor body

Callers saw: nothing at first. A faulty server could send bytes that the HTTP parser takes for neither head nor body (interim answers, blank lines before the head, zeros of a chunk's size, extensions of many chunks) as long as the request had time, and the VM read them all: 0.3 to 1.1 GB in 4 s from one server, with the processor time for it.

Cause: Node's parser bounds a head and the extensions of one chunk, the answer's buffer bounds a body; nothing bounded the rest.

Change: an exchange compares what its connection has read with the body that it has passed on or that waits. Beyond 64 KiB and 32 bytes for each part of the body the answer is malformed, and the connection closes.

--- a/src/gateway/servers/backend_exchange.ts
+++ b/src/gateway/servers/backend_exchange.ts
@@ -51,6 +51,13 @@
 const STATUSES = { first: 200, last: 599 } as const;
 /** Methods of which a server may expect a body. */
 const BODY_METHODS: readonly string[] = ["POST", "PUT", "PATCH"];
+/**
+ * Bytes that an answer may take beyond its body: its head, trailers, interim
+ * answers and blank lines. Node's parser bounds only some of them.
+ */
+const MAX_FRAMING_BYTES = 64 * 1024;
+/** Bytes that frame one part of a body; a chunk without extensions takes 20. */
+const MAX_PART_FRAMING_BYTES = 32;
 const connectionAgent = new Agent({ keepAlive: false, maxSockets: Infinity });
 
 /** A running exchange. */
@@ -58,6 +65,8 @@
   readonly #request: ClientRequest | undefined;
   readonly #events: ExchangeEvents;
   #response: IncomingMessage | undefined;
+  #bodyBytes = 0;
+  #partCount = 0;
   #isConnected = false;
   #isReset = false;
   #isOver = false;
@@ -113,6 +122,8 @@
         clearTimeout(this.#connectTimer);
         if (!this.#isOver) this.#tell(() => this.#events.onConnected());
       });
+      // After Node's own listener, which parses the bytes.
+      socket.on("data", () => this.#checkFraming(socket.bytesRead));
     });
     request.on("error", (error: NodeJS.ErrnoException) => {
       if (this.#isAnswerComplete) return;
@@ -148,6 +159,8 @@
     this.#tell(() => this.#events.onHead(statusCode, response.rawHeaders));
     if (this.#isOver) return;
     response.on("data", (chunk: Buffer) => {
+      this.#bodyBytes += chunk.length;
+      this.#partCount += 1;
       if (!this.#isOver) this.#tell(() => this.#events.onData(chunk));
     });
     response.on("aborted", () => this.#fail("reset", "answer truncated"));
@@ -163,6 +176,19 @@
     });
   }
 
+  /** Ends an answer of which too much is neither its head nor its body. */
+  #checkFraming(readBytes: number): void {
+    // Parts of the body that wait, of a byte or more each.
+    const waitingBytes = this.#response?.readableLength ?? 0;
+    const partCount = this.#partCount + waitingBytes;
+    const framingBytes = readBytes - this.#bodyBytes - waitingBytes;
+    if (
+      framingBytes > MAX_FRAMING_BYTES + partCount * MAX_PART_FRAMING_BYTES
+    ) {
+      this.#fail("malformed", `${framingBytes} bytes beside the body`);
+    }
+  }
+
   #faultKind(isParserFault: boolean): ExchangeFault["kind"] {
     if (isParserFault) return "malformed";
     return this.#isConnected ? "reset" : "unreachable";
--- a/src/gateway/servers/backend_exchange_test.ts
+++ b/src/gateway/servers/backend_exchange_test.ts
@@ -2,6 +2,7 @@
 import assert from "node:assert/strict";
 import { test, type TestContext } from "node:test";
 import { answerHeadOf, startRawServer } from "./raw_server_fixture.ts";
+import { ENDLESS_ANSWERS, startEndless } from "./endless_server_fixture.ts";
 import { eventsOf } from "./backend_fixture.ts";
 import {
   type BackendCall,
@@ -64,6 +65,8 @@
 });
 
 const EXCHANGE_COUNT = 300;
+const ENDLESS_MS = 2000;
+const SMALL_CHUNK_COUNT = 200_000;
 
 /** How exchanges end whose server closes or resets behind an unframed part. */
 async function endsOf(
@@ -109,3 +112,55 @@
 test("a server that closes an unframed answer has completed it", async (context) => {
   assert.deepEqual(await endsOf(context, "end"), { end: EXCHANGE_COUNT });
 });
+
+// Guards against bytes that are read without a bound: 0.3 to 1.1 GB in 4 s, as
+// the parser takes them for neither head nor body.
+for (const endless of ENDLESS_ANSWERS.filter((one) => one.isUncounted)) {
+  test(`an answer of endless framing is malformed: ${endless.place}`, async (context) => {
+    const { server, sentBytes } = await startEndless(context, endless, {
+      isSound: () => false,
+      soundBody: "",
+    });
+    let exchange: BackendExchange | undefined;
+    const end = await new Promise((resolve) => {
+      exchange = new BackendExchange({ ...CALL, address: server.address }, {
+        onConnected: () => {},
+        onHead: () => {},
+        onData: () => {},
+        onEnd: () => resolve("end"),
+        onFault: ({ kind }) => resolve(kind),
+        onException: (error) => assert.fail(error),
+      });
+      setTimeout(() => resolve("goes on"), ENDLESS_MS);
+    });
+    exchange?.cancel();
+    assert.equal(end, "malformed", `${sentBytes} bytes sent`);
+  });
+}
+
+test("a sound body in the smallest chunks is whole, also if read with pauses", async (context) => {
+  const chunk = "0000000000000001\r\nx\r\n";
+  const { server } = await startRawServer(context, {
+    answer: (socket, requestId) => {
+      socket.write(answerHeadOf(requestId, "transfer-encoding: chunked"));
+      socket.end(chunk.repeat(SMALL_CHUNK_COUNT) + "0\r\n\r\n");
+    },
+  });
+  let bytes = 0;
+  const end = await new Promise((resolve) => {
+    const exchange = new BackendExchange({ ...CALL, address: server.address }, {
+      onConnected: () => {},
+      onHead: () => {},
+      onData: ({ length }) => {
+        bytes += length;
+        if (bytes % 10_000 !== 0) return;
+        exchange.pause();
+        setTimeout(() => exchange.resume(), 10);
+      },
+      onEnd: () => resolve("end"),
+      onFault: ({ kind, message }) => resolve(`${kind}: ${message}`),
+      onException: (error) => assert.fail(error),
+    });
+  });
+  assert.deepEqual([end, bytes], ["end", SMALL_CHUNK_COUNT]);
+});
