--- a/src/gateway/forwarding/forward_log.ts
+++ b/src/gateway/forwarding/forward_log.ts
@@ -11,6 +11,7 @@
   type ForwardRequest,
   type VersionReason,
 } from "./forward_context.ts";
+import { type RetryDenial } from "./request_retries.ts";
 import { type PromptAttempt } from "../prompts/prompt_quarantine.ts";
 
 const PERCENT = 100;
@@ -149,6 +150,8 @@
     readonly exchange: CallerExchange;
     /** `undefined` where no server has ended a stream. */
     readonly serverEnd: ServerEnding | undefined;
+    /** Why it was not sent again, if that was not allowed. */
+    readonly retryDenial: RetryDenial | undefined;
     /** How often the server had to wait for the caller. */
     readonly callerWaitCount: number;
     readonly timing: AnswerTiming;
@@ -192,6 +195,7 @@
     version: end.version,
     manifestVersion,
     trail: end.attempts.join(" "),
+    retryDenial: outcome === "answered" ? undefined : end.retryDenial,
     callerEnd: ending,
     framing,
     serverEnd,
--- a/src/gateway/forwarding/forwarding.ts
+++ b/src/gateway/forwarding/forwarding.ts
@@ -380,6 +380,7 @@
       outcome,
       exchange: this.#exchange,
       serverEnd: this.#serverEnd,
+      retryDenial: this.#retries.denial,
       callerWaitCount: this.#callerWaitCount,
       timing: this.#timing,
       medianPauseMs: this.#attempt?.medianPauseMs,
--- a/src/gateway/forwarding/request_retries.ts
+++ b/src/gateway/forwarding/request_retries.ts
@@ -10,6 +10,9 @@
 /** With less time left, a request is not sent again. */
 const MIN_ATTEMPT_MS = 20;
 
+/** Why a request was not sent again. */
+export type RetryDenial = "time" | "attempts" | "suspect" | "budget";
+
 export interface RequestRetriesOptions {
   readonly history: AttemptHistory;
   readonly timeLeftMs: () => number;
@@ -20,6 +23,7 @@
   readonly #context: ForwardContext;
   readonly #request: ForwardRequest;
   readonly #options: RequestRetriesOptions;
+  #denial: RetryDenial | undefined;
 
   constructor(
     context: ForwardContext,
@@ -31,9 +35,15 @@
     this.#options = options;
   }
 
+  /** Why the last retry was not allowed; `undefined` if all were. */
+  get denial(): RetryDenial | undefined {
+    return this.#denial;
+  }
+
   /** Takes and counts a retry after an attempt has ended, if one is allowed. */
   take(cause: string): boolean {
-    if (!this.#isAllowed()) return false;
+    this.#denial = this.#denialNow();
+    if (this.#denial !== undefined) return false;
     const reason = cause === "unmarked_end" ? cause : "failure";
     if (this.#options.history.wasSent && !this.spend(reason)) return false;
     this.count(cause);
@@ -46,6 +56,7 @@
     const { budget, metrics } = this.#context;
     if (budget.spend(service, reason)) return true;
     metrics.count("repeats_forgone", { service, reason });
+    this.#denial = "budget";
     return false;
   }
 
@@ -55,9 +66,11 @@
     this.#context.metrics.count("repeats", { service, cause });
   }
 
-  #isAllowed(): boolean {
+  #denialNow(): RetryDenial | undefined {
     const { history, timeLeftMs } = this.#options;
-    return timeLeftMs() >= MIN_ATTEMPT_MS && history.mayRetry() &&
-      !this.#context.prompts.isSuspect(crashPartIds(this.#request));
+    if (timeLeftMs() < MIN_ATTEMPT_MS) return "time";
+    if (!history.mayRetry()) return "attempts";
+    const partIds = crashPartIds(this.#request);
+    return this.#context.prompts.isSuspect(partIds) ? "suspect" : undefined;
   }
 }
