Leave the retry of an attempt that reached no server for the next one

Cause: a retry was taken from the budget before each attempt, also after one that never arrived at a server, while the budget bounds what arrives there.

Change: the attempt after one that reached no server uses its retry.

Evidence: 'a retry that reached no server is left for the next attempt' failed before and passes, with the tests of budget, history and forwarding.

--- a/src/gateway/forwarding/attempt_history.ts
+++ b/src/gateway/forwarding/attempt_history.ts
@@ -17,6 +17,7 @@
   readonly #attempts: string[] = [];
   #attemptCount = 0;
   #sentCount = 0;
+  #isLastUnsent = false;
   #runCount = 0;
   /** How often the current attempt may run. */
   #currentRunCount = 1;
@@ -58,6 +59,14 @@
     return this.#sentCount > 0;
   }
 
+  /**
+   * Whether the last attempt reached no server, so that a retry taken for it is
+   * left.
+   */
+  get isRetryLeft(): boolean {
+    return this.wasSent && this.#isLastUnsent;
+  }
+
   /** Whether a server may have run the request. */
   get mayHaveRun(): boolean {
     return this.#runCount > 0;
@@ -77,6 +86,7 @@
     const detail = isUnmarked ? "unmarked_end" : cause ?? outcome.kind;
     this.#attempts.push(`${serverId}:${detail}`);
     const isUnsent = outcome.kind === "fault" && outcome.isUnsent;
+    this.#isLastUnsent = isUnsent;
     if (!isUnsent) this.#sentCount += 1;
     if (!isUnsent && outcome.kind !== "not_run") {
       this.#runCount += this.#currentRunCount;
--- a/src/gateway/forwarding/request_retries.ts
+++ b/src/gateway/forwarding/request_retries.ts
@@ -45,7 +45,8 @@
     this.#denial = this.#denialNow();
     if (this.#denial !== undefined) return false;
     const reason = cause === "unmarked_end" ? cause : "failure";
-    if (this.#options.history.wasSent && !this.spend(reason)) return false;
+    const { wasSent, isRetryLeft } = this.#options.history;
+    if (wasSent && !isRetryLeft && !this.spend(reason)) return false;
     this.count(cause);
     return true;
   }
