Leave a silent server only for one that is reached

Cause: a silent attempt was ended before it was known whether the next server could be reached. What followed, a refused connection, attempts or retries used up, then ended an answer that only had to be waited for.

Change: the next server is connected to first. If it isn't reached, another one is tried, else the stream waits on; the attempt also stays if its server speaks meanwhile. The connection costs a round trip where a request leaves a silent server.

--- a/src/gateway/forwarding/forwarding.ts
+++ b/src/gateway/forwarding/forwarding.ts
@@ -41,7 +41,7 @@
 import { type AttemptOutcome } from "./attempt_outcome.ts";
 import { SilenceWatch } from "./silence_watch.ts";
 import { StreamRelay } from "../callers/stream_relay.ts";
-import { TargetChoice, targetIdOf } from "./target_choice.ts";
+import { isReached, TargetChoice, targetIdOf } from "./target_choice.ts";
 
 /** The forwarding of one caller's request. */
 export class Forwarding {
@@ -55,6 +55,10 @@
   readonly #retries: RequestRetries;
   readonly #silence: SilenceWatch;
   #attempt: Attempt | undefined;
+  /** Where the request goes from a silent server, once it is reached. */
+  #nextTarget: AttemptTarget | undefined;
+  /** Targets that were not reached as the request was to leave its server. */
+  readonly #unreachedIds = new Set<string>();
   /** An attempt that waits until its caller has read on. */
   #pausedAttempt: Attempt | undefined;
   #model: string | undefined;
@@ -151,6 +155,10 @@
     if (target === undefined) {
       return this.#giveUp(noServerReason(this.#context, this.#request));
     }
+    this.#startAttemptAt(target);
+  }
+
+  #startAttemptAt(target: AttemptTarget): void {
     const isRelay = target.kind === "vm";
     const maxRunCount = this.#history.relayedRunCount;
     this.#history.addAttempt(targetIdOf(target), isRelay ? maxRunCount : 1);
@@ -192,6 +200,7 @@
   /** Cascade: drops an answer of low confidence and tries a larger model. */
   #handleHead(head: AnswerHead): "relay" | "drop" {
     const { service } = this.#request;
+    this.#nextTarget = undefined;
     this.#silence.startGap();
     const { confidence } = head;
     if (this.#model === undefined || this.#exchange.isHeadSent) return "relay";
@@ -216,6 +225,7 @@
     const relay = this.#relay;
     const attempt = this.#attempt;
     if (relay === undefined || attempt === undefined) return;
+    this.#nextTarget = undefined;
     if (attempt.head !== undefined && !attempt.isAttached) {
       attempt.isAttached = true;
       relay.attach(attempt.head);
@@ -245,6 +255,7 @@
   }
 
   #handleOutcome(outcome: AttemptOutcome): void {
+    this.#nextTarget = undefined;
     this.#silence.stop();
     if (this.#exchange.isOver) return;
     this.#history.addOutcome(this.#attempt?.targetId ?? "", outcome);
@@ -317,14 +328,36 @@
     return this.#relay?.canGoOn ?? true;
   }
 
-  /** Ends a silent attempt, if another server may run the request. */
+  /**
+   * Ends a silent attempt, if another server may run the request and is reached:
+   * the silent one may still be at work.
+   */
   #handleSilence(): void {
     const attempt = this.#attempt;
     if (attempt === undefined || this.#exchange.isOver) return;
     if (!this.#canGoOn || !this.#history.mayLeaveServer()) return;
-    const next = this.#targets.choose(this.#history.triedIds, this.#model);
-    if (next === undefined || targetIdOf(next) === attempt.targetId) return;
+    const { triedIds } = this.#history;
+    const avoidedIds = new Set([...triedIds, ...this.#unreachedIds]);
+    const next = this.#targets.choose(avoidedIds, this.#model);
+    if (next === undefined) return;
+    const nextId = targetIdOf(next);
+    if (nextId === attempt.targetId) return;
+    if (this.#unreachedIds.has(nextId)) return this.#silence.waitOn();
     if (!this.#silence.mayLeave(next)) return;
+    this.#nextTarget = next;
+    void isReached(next).then((isUp) =>
+      this.#guard(() => {
+        if (this.#nextTarget !== next) return;
+        this.#nextTarget = undefined;
+        if (isUp) return this.#leave(attempt, next);
+        this.#unreachedIds.add(nextId);
+        this.#retries.count("silent_unreached");
+        this.#handleSilence();
+      })
+    );
+  }
+
+  #leave(attempt: Attempt, next: AttemptTarget): void {
     if (!attempt.isUnsent && !this.#retries.spend("failure")) return;
     this.#retries.count("silent");
     attempt.cancel("down");
@@ -333,7 +366,7 @@
       isUnsent: attempt.isUnsent,
       cause: "silent",
     });
-    this.#startAttempt();
+    this.#startAttemptAt(next);
   }
 
   #handleDeadline(): void {
@@ -370,6 +403,7 @@
   }
 
   #finish(outcome: string): void {
+    this.#nextTarget = undefined;
     this.#deadline?.stop();
     this.#silence.stop();
     this.#attempt?.cancel(undefined);
--- a/src/gateway/forwarding/silence_watch.ts
+++ b/src/gateway/forwarding/silence_watch.ts
@@ -84,6 +84,12 @@
     this.#timer?.stop();
   }
 
+  /** Waits once more, as no other server is reached. */
+  waitOn(): void {
+    const { boundMs = 0 } = this.#silence ?? {};
+    this.#startTimer(boundMs);
+  }
+
   /** Whether the request goes to the next server; waits on if not. */
   mayLeave(next: AttemptTarget): boolean {
     const patienceMs = this.#patienceMs(next);
--- a/src/gateway/forwarding/target_choice.ts
+++ b/src/gateway/forwarding/target_choice.ts
@@ -12,12 +12,21 @@
 } from "./forward_context.ts";
 import { isWithoutServer } from "./retry_delay.ts";
 import { chooseServer } from "../servers/server_choice.ts";
+import { isListening } from "../servers/unmarked_answers.ts";
 
 /** Returns the id of the server or the name of the VM. */
 export function targetIdOf(target: AttemptTarget): string {
   return target.kind === "vm" ? target.vm.vm : target.candidate.id;
 }
 
+/** Whether a target accepts connections. */
+export function isReached(target: AttemptTarget): Promise<boolean> {
+  const { address } = target.kind === "vm"
+    ? target.vm
+    : target.candidate.server;
+  return isListening(address);
+}
+
 export class TargetChoice {
   readonly #context: ForwardContext;
   readonly #request: ForwardRequest;
