Let a request for a tunnel not close a connection with an open request

What callers saw: a request that ran at its server was lost with its connection when CONNECT followed on it; alone, CONNECT got no answer.

Cause: Node closes such a connection at once unless the server listens for 'connect', and tells nobody.

Change: CONNECT is treated as input that can't be read: 405 where no request is open, else the open one gets its answer and the connection closes after it.

Evidence: the test failed before (the answer never came) and passes, with the other tests of caller_connection.

--- a/src/gateway/callers/caller_connection.ts
+++ b/src/gateway/callers/caller_connection.ts
@@ -13,12 +13,15 @@
 
 /** The code of the error for a head that has not arrived in time. */
 export const HEAD_TIMEOUT_CODE = "ERR_HTTP_REQUEST_TIMEOUT";
+/** The code of the error for a request that asks for a tunnel. */
+export const TUNNEL_CODE = "ERR_TUNNEL";
 const DEFAULT_ERROR_STATUS = 400;
 /** Statuses of errors of Node's parser, by their code. */
 const ERROR_STATUSES: Readonly<Record<string, number>> = {
   HPE_HEADER_OVERFLOW: 431,
   HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
   [HEAD_TIMEOUT_CODE]: 408,
+  [TUNNEL_CODE]: 405,
 };
 
 /**
--- a/src/gateway/callers/caller_connection_test.ts
+++ b/src/gateway/callers/caller_connection_test.ts
@@ -1,6 +1,7 @@
 /** Tests of connections that carry more than one request of a caller. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
 import {
   beginStream,
   eventOf,
@@ -58,6 +59,31 @@
   assert.match(caller.text, /piece 3[^]*\r\n0\r\n\r\n$/);
 });
 
+const TUNNEL_REQUEST = "CONNECT b:80 HTTP/1.1\r\nHost: b\r\n\r\n";
+
+// Guards against LOST: Node closes a connection at once that asks for a tunnel,
+// and gives it away with its listeners where that is answered.
+test("a request for a tunnel leaves the open request its answer", async (context) => {
+  const site = await setUp(context, answerLate);
+  const callers = ["a", "b"].map((id) => {
+    const caller = connectCaller(site);
+    caller.socket.write(requestOf(id));
+    return caller;
+  });
+  const [caller, leaving] = callers;
+  await until(() => site.backend.requestIds.length === 2);
+  for (const { socket } of callers) socket.write(TUNNEL_REQUEST);
+  await delay(SHORT_WORK_MS);
+  leaving?.socket.resetAndDestroy();
+  await until(() => openCount(site) === 1);
+  await until(() => caller?.isClosed === true);
+  assert.deepEqual(callers.map(statusesIn), [["200"], []]);
+  const other = connectCaller(site);
+  other.socket.write(TUNNEL_REQUEST);
+  await until(() => other.isClosed);
+  assert.deepEqual(statusesIn(other), ["405"]);
+});
+
 // Guards against other statuses where no request is open.
 test("garbage after an answered request and a broken body get 400", async (context) => {
   const site = await setUp(context, sendCompleteAnswer);
--- a/src/gateway/callers/caller_server.ts
+++ b/src/gateway/callers/caller_server.ts
@@ -10,6 +10,7 @@
   answerError,
   CallerConnection,
   HEAD_TIMEOUT_CODE,
+  TUNNEL_CODE,
 } from "./caller_connection.ts";
 import {
   CallerExchange,
@@ -35,6 +36,11 @@
   idleTimeoutMs: 15_000,
 };
 const CHECK_PERIOD_MS = 500;
+/** A caller asks for a tunnel, which HTTP allows on any connection. */
+const TUNNEL_ERROR: NodeJS.ErrnoException = Object.assign(
+  new Error("tunnels are not supported"),
+  { code: TUNNEL_CODE },
+);
 /** Separators of one header line: colon, space, CR and LF. */
 const HEADER_OVERHEAD_BYTES = 4;
 /** Share of the process's memory for request bodies. */
@@ -96,6 +102,13 @@
       this.#handleError(stream as Socket, error);
     });
     this.#server.on("timeout", (socket) => closeIdle(socket));
+    // Node would close the connection at once. Its listeners are gone by now.
+    this.#server.on("connect", (_request, stream) => {
+      const socket = stream as Socket;
+      socket.on("error", (error) => this.#handleError(socket, error));
+      socket.resume();
+      this.#handleError(socket, TUNNEL_ERROR);
+    });
     this.applyLimits();
   }
 
