Let a connection that can't be accepted not end the process of a VM

What callers would see: all open requests of a VM lost at once.

Cause: the listeners of callers' and peers' servers and of those for management went with the first error after their start. Node emits one for each connection that the operating system can't hand over, as while memory is short, and ends the process for the second.

--- a/src/gateway/callers/caller_server.ts
+++ b/src/gateway/callers/caller_server.ts
@@ -4,8 +4,9 @@
  * limit is refused at once with the matching status.
  */
 import { createServer, type IncomingMessage, type Server } from "node:http";
-import { type AddressInfo, type Socket } from "node:net";
+import { type Socket } from "node:net";
 import { type CallerLimits } from "../../model/mod.ts";
+import { listen } from "../../wire/mod.ts";
 import {
   answerError,
   CallerConnection,
@@ -68,6 +69,8 @@
   readonly clock: () => number;
   readonly limits: () => CallerLimits | undefined;
   readonly onHead: HeadHandler;
+  /** Called when a connection could not be accepted. */
+  readonly onAcceptError: (error: Error) => void;
   /** Called for each connection whose close took requests along. */
   readonly onLoss: (loss: ConnectionLoss) => void;
 }
@@ -120,12 +123,8 @@
   /** Starts listening and returns the port. */
   listen(): Promise<number> {
     const { host, port } = this.#options;
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen({ host, port, backlog: 1024 }, () => {
-        resolve((this.#server.address() as AddressInfo).port);
-      });
-    });
+    const { onAcceptError } = this.#options;
+    return listen(this.#server, { host, port, backlog: 1024, onAcceptError });
   }
 
   /** Applies the timeouts of the current manifest. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -293,6 +293,16 @@
     this.#openRequests.endAll();
   }
 
+  /** Logs and counts a connection that could not be accepted. */
+  handleAcceptError(
+    from: "caller" | "management",
+    { message }: Error,
+  ): void {
+    this.#metrics.count("accept_errors", { from });
+    const { logger } = this.#options;
+    logger.warn("connection not accepted", { from, reason: message });
+  }
+
   async #stop(): Promise<void> {
     const { sleep, logger } = this.#options;
     const shutdownDone = this.#shutdown.run();
@@ -320,6 +330,7 @@
       limits: () => this.#state.routes?.manifest.limits,
       writeRefusal: protocol.writeRefusal,
       onHead: (received) => this.#intake.receive(received),
+      onAcceptError: (error) => this.handleAcceptError("caller", error),
       onLoss: (loss) => logLoss(this.#context, loss),
     });
   }
--- a/src/wire/mod.ts
+++ b/src/wire/mod.ts
@@ -2,6 +2,7 @@
 export * from "./error.ts";
 export { encodeFrame, FrameDecoder, MAX_FRAME_BYTES } from "./frame.ts";
 export { type Answer, PROTOCOL_VERSION, type Query } from "./message.ts";
+export * from "./listen.ts";
 export * from "./no_records.ts";
 export * from "./peer_node.ts";
 export * from "./peer_node_options.ts";
--- a/src/wire/transport.ts
+++ b/src/wire/transport.ts
@@ -4,13 +4,7 @@
  * connection that received no data for too long is discarded: its peer may be
  * idle, or a device on the path may no longer forward its packets.
  */
-import {
-  type AddressInfo,
-  connect,
-  createServer,
-  type Server,
-  type Socket,
-} from "node:net";
+import { connect, createServer, type Server, type Socket } from "node:net";
 import { err, ok, type Result } from "neverthrow";
 import {
   type Clock,
@@ -27,6 +21,7 @@
   type VerifiedPeer,
 } from "./socket_handshake.ts";
 import { type Identity } from "./handshake.ts";
+import { listen } from "./listen.ts";
 import { type PeerMessage } from "./message.ts";
 
 /** Limits of the pool and of each connection. */
@@ -97,17 +92,21 @@
   }
 
   /** Listens; returns the port, which the system chooses for port 0. */
-  listen(host: string, port: number): Promise<Result<number, WireError>> {
-    const server = createServer((socket) => void this.#accept(socket));
-    this.#server = server;
-    return new Promise((resolve) => {
-      server.once("error", (error) => {
-        resolve(err(new WireError("unreachable", error.message)));
-      });
-      server.listen(port, host, () => {
-        resolve(ok((server.address() as AddressInfo).port));
-      });
-    });
+  async listen(
+    host: string,
+    port: number,
+  ): Promise<Result<number, WireError>> {
+    const { logger, metrics } = this.#options;
+    this.#server = createServer((socket) => void this.#accept(socket));
+    const onAcceptError = ({ message }: Error): void => {
+      metrics.count("wire.accept_errors");
+      logger.warn("connection not accepted", { from: "peer", reason: message });
+    };
+    try {
+      return ok(await listen(this.#server, { host, port, onAcceptError }));
+    } catch (error) {
+      return err(new WireError("unreachable", (error as Error).message));
+    }
   }
 
   /** Counts the bytes of all connections, open and closed. */
