--- a/src/gateway/forwarding/forward_log.ts
+++ b/src/gateway/forwarding/forward_log.ts
@@ -1,11 +1,17 @@
 /** Log lines and metrics of a forwarded request. */
+import { hash32 } from "../../model/mod.ts";
 import { type AnswerTiming } from "../callers/answer_timing.ts";
 import { type FleetCandidate } from "../servers/backend_fleet.ts";
 import {
   type CallerExchange,
   type GatewayRefusal,
 } from "../callers/caller_exchange.ts";
-import { type ForwardContext, type ForwardRequest } from "./forward_context.ts";
+import {
+  type ForwardContext,
+  type ForwardRequest,
+  type VersionReason,
+} from "./forward_context.ts";
+import { type RetryDenial } from "./request_retries.ts";
 import { type PromptAttempt } from "../prompts/prompt_quarantine.ts";
 
 const PERCENT = 100;
@@ -57,6 +63,7 @@
   choice: LoggedProgress & {
     readonly candidate: FleetCandidate;
     readonly attemptCount: number;
+    readonly versionReason: VersionReason;
   },
 ): void {
   const { server, loadCount, waitMs, failureShare, placement, estimate } =
@@ -70,6 +77,10 @@
     server: server.id,
     serverPlace: permittedRegions === undefined ? undefined : server.place,
     version: server.version,
+    versionReason: choice.versionReason,
+    session: caller.session === undefined
+      ? undefined
+      : hash32(caller.session).toString(36),
     model: choice.model ?? caller.model,
     loadCount: Math.round(loadCount),
     waitMs: Math.round(waitMs),
@@ -139,6 +150,8 @@
     readonly exchange: CallerExchange;
     /** `undefined` where no server has ended a stream. */
     readonly serverEnd: ServerEnding | undefined;
+    /** Why it was not sent again, if that was not allowed. */
+    readonly retryDenial: RetryDenial | undefined;
     /** How often the server had to wait for the caller. */
     readonly callerWaitCount: number;
     readonly timing: AnswerTiming;
@@ -182,6 +195,7 @@
     version: end.version,
     manifestVersion,
     trail: end.attempts.join(" "),
+    retryDenial: outcome === "answered" ? undefined : end.retryDenial,
     callerEnd: ending,
     framing,
     serverEnd,
--- a/src/gateway/forwarding/forwarding.ts
+++ b/src/gateway/forwarding/forwarding.ts
@@ -182,8 +182,11 @@
       const { vm } = target.vm;
       return logRelay(this.#context, this.#request, { ...attempt, vm });
     }
-    const { candidate } = target;
-    logChoice(this.#context, this.#request, { ...attempt, candidate });
+    logChoice(this.#context, this.#request, {
+      ...attempt,
+      candidate: target.candidate,
+      versionReason: this.#targets.versions.reason,
+    });
   }
 
   /** Cascade: drops an answer of low confidence and tries a larger model. */
@@ -198,7 +201,7 @@
     const model = chooseEscalation(this.#context, this.#request, {
       answer: { model: this.#model, confidence },
       timeLeftMs: this.#timeLeftMs(),
-      acceptsVersion: this.#targets.acceptsVersion,
+      acceptsVersion: this.#targets.versions.accepts,
     });
     if (model === undefined || !this.#retries.spend("escalation")) {
       return "relay";
@@ -377,6 +380,7 @@
       outcome,
       exchange: this.#exchange,
       serverEnd: this.#serverEnd,
+      retryDenial: this.#retries.denial,
       callerWaitCount: this.#callerWaitCount,
       timing: this.#timing,
       medianPauseMs: this.#attempt?.medianPauseMs,
--- a/src/gateway/rollout/rollout_record.ts
+++ b/src/gateway/rollout/rollout_record.ts
@@ -16,6 +16,7 @@
   tallySince,
   targetDoubt,
   targetFault,
+  targetShare,
   type VersionTally,
 } from "../../decision/mod.ts";
 import { type RolloutOrder, type RolloutStage } from "../../model/mod.ts";
@@ -71,7 +72,10 @@
    * target: as many requests of no session run on the target in their place.
    */
   freePlaceCount = 0;
+  readonly #setAside = new Set<string>();
   #ownTally: VersionTally = EMPTY_TALLY;
+  /** The sum of all tallies; undefined after one of them has changed. */
+  #merged: VersionTally | undefined;
   /** All tallies when the load trial began. */
   #tallyAtTrial: VersionTally | undefined;
   /** Doubt in the load trial, kept until it is decided: later answers hide it. */
@@ -95,6 +99,30 @@
     this.isStageKnown = initial.isStageKnown;
   }
 
+  /** The versions that earlier orders have left aside. */
+  get setAside(): ReadonlySet<string> {
+    return this.#setAside;
+  }
+
+  /**
+   * Takes the place of an earlier order: the version on which not all requests
+   * ran by then is left aside, so that sessions keep to one version.
+   */
+  follow(
+    earlier: RolloutRecord,
+    { nowMs, readyVersions }: {
+      readonly nowMs: number;
+      readonly readyVersions: ReadonlySet<string>;
+    },
+  ): void {
+    const isInUse = targetShare(earlier, nowMs) === 1;
+    for (const version of readyVersions) {
+      const isLeft = (version === earlier.order.target) !== isInUse;
+      if (version === this.order.target) continue;
+      if (isLeft || earlier.setAside.has(version)) this.#setAside.add(version);
+    }
+  }
+
   /** Moves the order to the position at which a restored store has it. */
   moveTo(position: number): void {
     this.isCopied = eraOf(position) !== eraOf(this.position) &&
@@ -106,11 +134,13 @@
   /** Adds one of this VM's requests to its tally. */
   add(sample: TallySample): void {
     this.#ownTally = addSample(this.#ownTally, sample);
+    this.#merged = undefined;
   }
 
   /** Adds the pace of one of this VM's answers to its tally. */
   addPace(pace: PaceSample): void {
     this.#ownTally = addPace(this.#ownTally, pace);
+    this.#merged = undefined;
   }
 
   /** Returns this VM's tally under the next sequence number. */
@@ -143,6 +173,7 @@
     if (last !== undefined && last.vmTally.sequence >= vmTally.sequence) return;
     if (last === undefined && this.#received.size >= MAX_VMS) return;
     this.#received.set(vmTally.vm, { vmTally, atMs: nowMs, isDirect });
+    this.#merged = undefined;
   }
 
   /** Requests of other VMs in flight at other versions than the target. */
@@ -156,7 +187,7 @@
 
   /** The tallies of all VMs together. */
   get mergedTally(): VersionTally {
-    return mergeTallies([
+    return this.#merged ??= mergeTallies([
       this.#ownTally,
       ...[...this.#received.values()].map(({ vmTally }) => vmTally.tally),
     ]);
--- a/src/gateway/rollout/rollout_registry_test.ts
+++ b/src/gateway/rollout/rollout_registry_test.ts
@@ -12,6 +12,8 @@
 const DURATION_MS = 24_000;
 const CANARY_SHARE = 0.15;
 const SLACK_COUNT = 30;
+/** How long sessions wait for servers of other versions that have left. */
+const HOLD_MS = 10_000;
 /** From here on sessions may run on the target. */
 const SECOND_HALF_MS = DURATION_MS / 2;
 
@@ -58,7 +60,10 @@
     registry.recordVersions([SERVICE]);
   };
   const versionOf = (session: string): string | undefined => {
-    const accepts = registry.acceptorOf(SERVICE, sessionOf({ key: session }));
+    const { accepts } = registry.acceptorOf(
+      SERVICE,
+      sessionOf({ key: session }),
+    );
     return ["v1", "v2"].find(accepts);
   };
   return { registry, clock, evacuated, register, versionOf };
@@ -138,7 +143,7 @@
     for (let index = 0; index < 400; index++) {
       const key = `${prefix}-${index}`;
       const session = sessionOf({ key, isMultiRequest: false });
-      if (setup.registry.acceptorOf(SERVICE, session)("v2")) count += 1;
+      if (setup.registry.acceptorOf(SERVICE, session).accepts("v2")) count += 1;
     }
     return count;
   };
@@ -161,7 +166,7 @@
   let count = 0;
   for (let index = 0; index < 400; index++) {
     const session = sessionOf({ key: `new-${index}`, isMultiRequest: false });
-    if (setup.registry.acceptorOf(SERVICE, session)("v2")) count += 1;
+    if (setup.registry.acceptorOf(SERVICE, session).accepts("v2")) count += 1;
   }
   assert.ok(canaryCount < 400 * CANARY_SHARE, `${canaryCount}`);
   assert.ok(count >= canaryCount + SLACK_COUNT / 2, `${count}`);
@@ -249,11 +254,24 @@
   assert.equal(targetCount(other, "session"), 0);
 });
 
+// Guards against PINNED: sessions on the target while other servers are back soon.
 test("a target without other versions serves unless it is bad", () => {
   const setup = setUp();
   setup.register(BOTH);
   order(setup.registry);
-  setup.register(BOTH.slice(2));
+  const draining = OLD.map((server) => ({
+    ...server,
+    status: "draining" as const,
+  }));
+  const lone = sessionOf({ isMultiRequest: false });
+  for (const servers of [[...draining, ...BOTH.slice(2)], BOTH.slice(2)]) {
+    setup.register(servers);
+    assert.ok(setup.registry.acceptorOf(SERVICE, lone).accepts("v2"));
+    assert.equal(setup.versionOf("any"), "v1");
+    setup.clock.nowMs += HOLD_MS - 1;
+    assert.equal(setup.versionOf("any"), "v1");
+  }
+  setup.clock.nowMs += 2;
   assert.equal(setup.versionOf("any"), "v2");
   setup.registry.applyStatus({
     service: SERVICE,
@@ -264,6 +282,15 @@
   assert.notEqual(setup.versionOf("any"), "v2");
 });
 
+test("a target serves sessions at once where no other version was", () => {
+  const { registry, register } = setUp();
+  register([...OLD, serverOf("e", { version: "v2", place: "erongo-a" })]);
+  order(registry);
+  const allowsPlace = (place: string): boolean => place === "erongo-a";
+  const { accepts } = registry.acceptorOf(SERVICE, sessionOf({ allowsPlace }));
+  assert.ok(accepts("v2"));
+});
+
 test("a request that failed on the target is retried on the previous version", () => {
   const setup = setUp();
   setup.register(BOTH);
@@ -271,20 +298,24 @@
   const single = { isMultiRequest: false };
   const keys = Array.from({ length: 400 }, (_, index) => `request-${index}`);
   const onTarget = keys.filter((key) =>
-    setup.registry.acceptorOf(SERVICE, sessionOf({ ...single, key }))("v2")
+    setup.registry.acceptorOf(SERVICE, sessionOf({ ...single, key }))
+      .accepts("v2")
   );
   assert.ok(onTarget.length > 0);
   for (const key of onTarget) {
     const failed = { ...single, key, failedVersion: "v2" };
-    const accepts = setup.registry.acceptorOf(SERVICE, sessionOf(failed));
+    const { accepts } = setup.registry.acceptorOf(
+      SERVICE,
+      sessionOf(failed),
+    );
     assert.deepEqual(["v1", "v2"].filter(accepts), ["v1"]);
   }
   // A session of several requests keeps its version after a failed one.
   setup.clock.nowMs = SECOND_HALF_MS;
   for (const key of onTarget) {
     const session = sessionOf({ key, failedVersion: "v2" });
-    const acceptsInSession = setup.registry.acceptorOf(SERVICE, session);
-    assert.deepEqual(["v1", "v2"].filter(acceptsInSession), ["v2"]);
+    const inSession = setup.registry.acceptorOf(SERVICE, session);
+    assert.deepEqual(["v1", "v2"].filter(inSession.accepts), ["v2"]);
   }
 });
 
@@ -296,7 +327,7 @@
   const keys = Array.from({ length: 400 }, (_, index) => `session-${index}`);
   const accepting = keys
     .map((key) => setup.registry.acceptorOf(SERVICE, sessionOf({ key })))
-    .filter((accepts) => accepts("v2"));
+    .filter(({ accepts }) => accepts("v2"));
   assert.ok(accepting.length > 0);
   setup.registry.applyStatus({
     service: SERVICE,
@@ -304,7 +335,7 @@
     stage: "reverted",
     orderOffset: 4,
   });
-  for (const accepts of accepting) {
+  for (const { accepts } of accepting) {
     assert.deepEqual(["v1", "v2"].filter(accepts), ["v1"]);
   }
 });
@@ -345,7 +376,9 @@
   registry.applyStatus({ ...completed, stage: "completed" });
   const versionIn = (place: string): string | undefined => {
     const session = sessionOf({ allowsPlace: (other) => other === place });
-    return ["v1", "v2"].find(registry.acceptorOf(SERVICE, session));
+    return ["v1", "v2"].find(
+      registry.acceptorOf(SERVICE, session).accepts,
+    );
   };
   register([...BOTH, serverOf("e", inErongo)]);
   assert.equal(versionIn("khomas-a"), "v2");
@@ -359,7 +392,7 @@
   register([...OLD, serverOf("e", { place: "erongo-a", version: "v2" })]);
   const acceptsIn = (place: string): boolean => {
     const session = sessionOf({ allowsPlace: (other) => other === place });
-    return registry.acceptorOf(SERVICE, session)("v2");
+    return registry.acceptorOf(SERVICE, session).accepts("v2");
   };
   assert.equal(acceptsIn("khomas-a"), false);
   assert.equal(acceptsIn("erongo-a"), true);
