Keep a retry back before a begun stream leaves its silent server

Cause: a stream that was silent for longer than its route's pause left its server with the last retry of its VM. When the next server did not take it (there, one that had just stopped; or one that refuses as full), no retry was left to go on, and the answer was cut, though the first server worked on. A VM among 195 has about two retries of the slack and nine tenths of its few requests.

Change: once the caller has a part of the answer, leaving for silence needs a second retry in the budget; without it the stream waits on. The attempt after one that reached no server has kept its retry since; this holds for refusals and failures too.

Evidence: 'a stream whose silent server is left for one that refuses is whole' failed in two of two runs on the code with (one event, cut) and passes; 40 tests of forwarding, budget, silence and broken streams pass.

Open: streams that leave at the same moment share the one retry kept back.

--- a/src/gateway/forwarding/forwarding.ts
+++ b/src/gateway/forwarding/forwarding.ts
@@ -325,7 +325,9 @@
     const next = this.#targets.choose(this.#history.triedIds, this.#model);
     if (next === undefined || targetIdOf(next) === attempt.targetId) return;
     if (!this.#silence.mayLeave(next)) return;
-    if (!attempt.isUnsent && !this.#retries.spend("failure")) return;
+    // The next server may refuse, and the caller has a part of the answer.
+    const reason = this.#exchange.isHeadSent ? "begun_answer" : "failure";
+    if (!attempt.isUnsent && !this.#retries.spend(reason)) return;
     this.#retries.count("silent");
     attempt.cancel("down");
     this.#history.addOutcome(attempt.targetId, {
--- a/src/gateway/forwarding/retry_budget.ts
+++ b/src/gateway/forwarding/retry_budget.ts
@@ -16,14 +16,23 @@
 } from "../../decision/mod.ts";
 import { type Clock } from "../../model/mod.ts";
 
-/** Why a request is sent again. */
-export type RetryReason = "failure" | "unmarked_end" | "escalation";
+/**
+ * Why a request is sent again; `begun_answer` if it leaves a server that is
+ * silent in the middle of its answer.
+ */
+export type RetryReason =
+  | "failure"
+  | "begun_answer"
+  | "unmarked_end"
+  | "escalation";
 
 /** Used share of the limit: windows of servers and VMs are not aligned. */
 const USED_SHARE = 0.92;
 /** Share of a window's retries that escalations leave for failures. */
 const FAILURE_RESERVE_SHARE = 0.25;
 const MIN_FAILURE_RESERVE = 2;
+/** For a next server that fails or refuses; without it the answer is cut. */
+const BEGUN_ANSWER_RESERVE = 1;
 /** Slack of a VM in its first window, so that its first request has a retry. */
 const STARTING_SLACK = 1;
 
@@ -59,14 +68,17 @@
       this.#windowOf(service),
       this.#options(),
     );
-    const reservedCount = reason === "failure"
-      ? 0
-      : Math.max(this.#minReserve, FAILURE_RESERVE_SHARE * allowedCount);
-    if (leftCount - reservedCount < 1) return false;
+    if (leftCount - this.#reservedCount(reason, allowedCount) < 1) return false;
     this.#count(service, "repeat");
     return true;
   }
 
+  #reservedCount(reason: RetryReason, allowedCount: number): number {
+    if (reason === "failure") return 0;
+    if (reason === "begun_answer") return BEGUN_ANSWER_RESERVE;
+    return Math.max(this.#minReserve, FAILURE_RESERVE_SHARE * allowedCount);
+  }
+
   #count(service: string, kind: "request" | "repeat"): void {
     const window = this.#windowOf(service);
     this.#windows.set(service, countInWindow(window, kind, this.#options()));
