--- a/src/gateway/callers/caller_server.ts
+++ b/src/gateway/callers/caller_server.ts
@@ -4,12 +4,14 @@
  * limit is refused at once with the matching status.
  */
 import { createServer, type IncomingMessage, type Server } from "node:http";
-import { type AddressInfo, type Socket } from "node:net";
+import { type Socket } from "node:net";
 import { type CallerLimits } from "../../model/mod.ts";
+import { listen } from "../../wire/mod.ts";
 import {
   answerError,
   CallerConnection,
   HEAD_TIMEOUT_CODE,
+  TUNNEL_CODE,
 } from "./caller_connection.ts";
 import {
   CallerExchange,
@@ -35,6 +37,11 @@
   idleTimeoutMs: 15_000,
 };
 const CHECK_PERIOD_MS = 500;
+/** A caller asks for a tunnel, which HTTP allows on any connection. */
+const TUNNEL_ERROR: NodeJS.ErrnoException = Object.assign(
+  new Error("tunnels are not supported"),
+  { code: TUNNEL_CODE },
+);
 /** Separators of one header line: colon, space, CR and LF. */
 const HEADER_OVERHEAD_BYTES = 4;
 /** Share of the process's memory for request bodies. */
@@ -62,6 +69,8 @@
   readonly clock: () => number;
   readonly limits: () => CallerLimits | undefined;
   readonly onHead: HeadHandler;
+  /** Called when a connection could not be accepted. */
+  readonly onAcceptError: (error: Error) => void;
   /** Called for each connection whose close took requests along. */
   readonly onLoss: (loss: ConnectionLoss) => void;
 }
@@ -96,6 +105,13 @@
       this.#handleError(stream as Socket, error);
     });
     this.#server.on("timeout", (socket) => closeIdle(socket));
+    // Node would close the connection at once. Its listeners are gone by now.
+    this.#server.on("connect", (_request, stream) => {
+      const socket = stream as Socket;
+      socket.on("error", (error) => this.#handleError(socket, error));
+      socket.resume();
+      this.#handleError(socket, TUNNEL_ERROR);
+    });
     this.applyLimits();
   }
 
@@ -107,12 +123,8 @@
   /** Starts listening and returns the port. */
   listen(): Promise<number> {
     const { host, port } = this.#options;
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen({ host, port, backlog: 1024 }, () => {
-        resolve((this.#server.address() as AddressInfo).port);
-      });
-    });
+    const { onAcceptError } = this.#options;
+    return listen(this.#server, { host, port, backlog: 1024, onAcceptError });
   }
 
   /** Applies the timeouts of the current manifest. */
--- a/src/gateway/forwarding/forwarding.ts
+++ b/src/gateway/forwarding/forwarding.ts
@@ -358,7 +358,9 @@
   }
 
   #leave(attempt: Attempt, next: AttemptTarget): void {
-    if (!attempt.isUnsent && !this.#retries.spend("failure")) return;
+    // The next server may refuse, and the caller has a part of the answer.
+    const reason = this.#exchange.isHeadSent ? "begun_answer" : "failure";
+    if (!attempt.isUnsent && !this.#retries.spend(reason)) return;
     this.#retries.count("silent");
     attempt.cancel("down");
     this.#history.addOutcome(attempt.targetId, {
--- a/src/gateway/forwarding/silent_stream_test.ts
+++ b/src/gateway/forwarding/silent_stream_test.ts
@@ -83,6 +83,13 @@
   const { gateway, register } = await startSite(context);
   const next = await startBackend("next", pauseOnce);
   context.after(() => next.close());
+  // Earns the retries that a stream needs to leave its server.
+  const first = await Promise.all(
+    ["a", "b"].map((id) =>
+      call(gateway.callerAddress, { headers: { "test-id": id } })
+    ),
+  );
+  assert.ok(first.every(({ isComplete }) => isComplete));
   const startedAtMs = performance.now();
   const answer = call(gateway.callerAddress, {});
   register(next, ...await startStopped(1));
