Count a version as settled only against orders that are newer than it

Cause: a VM that reads the servers' entries but not the orders, as the two topics are read apart, took a version for one without an order three seconds after its servers appeared, and sent sessions there while its roll-out began.

Change: the three seconds count up to the time at which the known orders were up to date. A VM without orders keeps to the versions that it had, as long as one of them is ready.

Evidence: "a version waits as long as its order may be unknown" failed before and passes.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -104,6 +104,7 @@
       fleet: this.#fleet,
       ...settings,
       vmCount,
+      ordersAgeMs: () => this.#feed.replicas.operators.ageMs,
       isEvacuated: (place) => this.#guards.evacuations.isEvacuated(place),
       clock,
       logger,
--- a/src/gateway/rollout/observed_versions.ts
+++ b/src/gateway/rollout/observed_versions.ts
@@ -1,7 +1,8 @@
 /**
  * When the versions of each service were first observed. A version without an
- * order gets no requests for a few seconds after it appears, as its order may
- * arrive after its servers. This holds also while an earlier order is known.
+ * order gets no requests until orders are known that are a few seconds newer, as
+ * its order may arrive after its servers. This holds also while an earlier order
+ * is known.
  */
 import { type Clock } from "../../model/mod.ts";
 import { type BackendFleet } from "../servers/backend_fleet.ts";
@@ -11,7 +12,10 @@
   type VersionSession,
 } from "../forwarding/forward_context.ts";
 
-/** Delay after which a version without an order gets requests. */
+/**
+ * Delay after which a version without an order gets requests: it is unknown in
+ * orders that are so much newer.
+ */
 const UNORDERED_VERSION_DELAY_MS = 3000;
 /** Versions of a service above which those without servers are evicted. */
 const MAX_VERSIONS = 64;
@@ -20,14 +24,19 @@
   readonly firstObservedAtMs: number;
 }
 
+export interface ObservedVersionsOptions {
+  readonly fleet: BackendFleet;
+  readonly clock: Clock;
+  /** Time since the known orders were up to date; 0 by default. */
+  readonly ordersAgeMs?: () => number;
+}
+
 /** The versions of all services. */
 export class ObservedVersions {
-  readonly #options: { readonly fleet: BackendFleet; readonly clock: Clock };
+  readonly #options: ObservedVersionsOptions;
   readonly #versions = new Map<string, Map<string, ObservedVersion>>();
 
-  constructor(
-    options: { readonly fleet: BackendFleet; readonly clock: Clock },
-  ) {
+  constructor(options: ObservedVersionsOptions) {
     this.#options = options;
   }
 
@@ -60,7 +69,8 @@
     },
   ): VersionAcceptor {
     const versions = this.#versions.get(service);
-    const latestMs = this.#options.clock() - UNORDERED_VERSION_DELAY_MS;
+    const { clock, ordersAgeMs = (): number => 0 } = this.#options;
+    const latestMs = clock() - ordersAgeMs() - UNORDERED_VERSION_DELAY_MS;
     const isSettled = (version: string): boolean =>
       (versions?.get(version)?.firstObservedAtMs ?? -Infinity) <= latestMs;
     const ready = this.#options.fleet.readyVersionsOf(service, allowsPlace);
--- a/src/gateway/rollout/rollout_registry.ts
+++ b/src/gateway/rollout/rollout_registry.ts
@@ -37,6 +37,8 @@
   readonly vm: string;
   /** The number of VMs with this one; `undefined` while it is not known. */
   readonly vmCount: () => number | undefined;
+  /** Time since the known orders were up to date; 0 by default. */
+  readonly ordersAgeMs?: () => number;
   /** Whether the servers of a data centre get no more requests. */
   readonly isEvacuated?: (place: string) => boolean;
   readonly clock: Clock;
--- a/src/gateway/rollout/rollout_registry_test.ts
+++ b/src/gateway/rollout/rollout_registry_test.ts
@@ -31,6 +31,8 @@
   readonly registry: RolloutRegistry;
   readonly clock: { nowMs: number };
   readonly evacuated: Set<string>;
+  /** How old the known orders are. */
+  readonly orders: { ageMs: number };
   readonly register: (servers: readonly BackendServer[]) => void;
   /** The version of a session's next request. */
   readonly versionOf: (session: string) => string | undefined;
@@ -39,6 +41,7 @@
 function setUp(): Setup {
   const clock = { nowMs: 0 };
   const evacuated = new Set<string>();
+  const orders = { ageMs: 0 };
   const fleet = new BackendFleet({ clock: () => clock.nowMs });
   const registry = new RolloutRegistry({
     fleet,
@@ -46,6 +49,7 @@
     canarySlackCount: SLACK_COUNT,
     vm: "vm-1",
     vmCount: () => 1,
+    ordersAgeMs: () => orders.ageMs,
     isEvacuated: (place) => evacuated.has(place),
     clock: () => clock.nowMs,
     logger: silentLogger,
@@ -66,7 +70,7 @@
     );
     return ["v1", "v2"].find(accepts);
   };
-  return { registry, clock, evacuated, register, versionOf };
+  return { registry, clock, evacuated, orders, register, versionOf };
 }
 
 const OLD = [serverOf("a"), serverOf("b")];
@@ -100,6 +104,22 @@
   assert.equal(targetCount(setup, "session"), 0);
 });
 
+// Guards against PINNED: a VM that learns of servers, but not of their order.
+test("a version waits as long as its order may be unknown", () => {
+  const setup = setUp();
+  setup.register(OLD);
+  setup.clock.nowMs = 10_000;
+  setup.register(BOTH);
+  setup.clock.nowMs = 20_000;
+  for (
+    const [ageMs, versions] of [[9000, ["v1"]], [0, ["v1", "v2"]]] as const
+  ) {
+    setup.orders.ageMs = ageMs;
+    const { accepts } = setup.registry.acceptorOf(SERVICE, sessionOf({}));
+    assert.deepEqual(["v1", "v2"].filter(accepts), versions);
+  }
+});
+
 test("a session that began before the order keeps its version in the first half", () => {
   const setup = setUp();
   setup.register(OLD);
