Hold sessions also from a version whose order isn't known yet

Cause: where no settled version is ready, any is accepted, and sessions did not wait for one that has just left, as they do once the order is known.

Change: for sessions, a settled version that is registered or was within 10 s goes before one that isn't settled.

The play is closer to the gateway now: a VM that is told nothing for 1.5 s reads the store itself, versions settle by the age of the known orders, and servers that have ended don't come back.

--- a/src/gateway/rollout/observed_versions.ts
+++ b/src/gateway/rollout/observed_versions.ts
@@ -60,28 +60,39 @@
    * Accepts the versions of a service without an order, except those that were
    * first observed a moment ago while an older one is ready where the request
    * may go. The target of the order in force, if any, is not among them; those
-   * that earlier orders have left aside are, where no other is ready.
+   * that earlier orders have left aside are, where no other is ready. Sessions
+   * wait for a version whose servers have just left.
    */
   acceptorOf(
     service: string,
-    { allowsPlace, rollout }: Pick<VersionSession, "allowsPlace"> & {
+    { allowsPlace, isMultiRequest, rollout }: VersionSession & {
       readonly rollout?: RolloutRecord;
     },
   ): VersionAcceptor {
     const versions = this.#versions.get(service);
-    const { clock, ordersAgeMs = (): number => 0 } = this.#options;
+    const { fleet, clock, ordersAgeMs = (): number => 0 } = this.#options;
     const latestMs = clock() - ordersAgeMs() - UNORDERED_VERSION_DELAY_MS;
     const isSettled = (version: string): boolean =>
       (versions?.get(version)?.firstObservedAtMs ?? -Infinity) <= latestMs;
-    const ready = this.#options.fleet.readyVersionsOf(service, allowsPlace);
+    const ready = fleet.readyVersionsOf(service, allowsPlace);
     const isPreferred = (version: string): boolean =>
       isSettled(version) && rollout?.setAside.has(version) !== true;
-    const others = [...ready].filter((version) =>
-      version !== rollout?.order.target
-    );
-    const accepts = [isPreferred, isSettled].find((isAccepted) =>
-      others.some(isAccepted)
-    );
+    const filterOf = (
+      present: ReadonlySet<string>,
+    ): VersionAcceptor["accepts"] | undefined => {
+      const others = [...present].filter((version) =>
+        version !== rollout?.order.target
+      );
+      return [isPreferred, isSettled].find((accepts) => others.some(accepts));
+    };
+    const accepts = filterOf(ready);
+    if (accepts === isPreferred) return { accepts, reason: "settled" };
+    const held = isMultiRequest
+      ? filterOf(fleet.recentVersionsOf(service, allowsPlace))
+      : undefined;
+    if (held !== undefined && held !== accepts) {
+      return { accepts: held, reason: "session_held" };
+    }
     return accepts === undefined
       ? { accepts: () => true, reason: "none_settled" }
       : { accepts, reason: "settled" };
--- a/src/gateway/rollout/rollout_site_fixture.ts
+++ b/src/gateway/rollout/rollout_site_fixture.ts
@@ -45,6 +45,8 @@
 /** One way between two VMs. */
 const MAX_WAY_MS = 40;
 const SERVER_PAUSE_MS = 750;
+/** A VM that is told nothing for this long reads the store itself. */
+const STALE_MS = 1500;
 const EXCHANGE_MS = 400;
 const VMS_PER_PERIOD = 16;
 const READER_EXCHANGE_MS = 700;
@@ -66,6 +68,8 @@
   readonly #topics: SiteTopics = { orders: [], servers: [] };
   /** Servers that answer. */
   readonly #running = new Map<string, BackendServer>();
+  /** Servers that have left for a while. */
+  readonly #away = new Map<string, BackendServer>();
   /** Entries to be written, by time. */
   readonly #due: { atMs: number; write: () => void }[] = [];
   readonly #hops: SessionHops;
@@ -150,13 +154,20 @@
   #register(id: string, version: string): void {
     const server = serverOf(id, { service: SERVICE, version });
     this.#running.set(id, server);
+    this.#away.delete(id);
     this.#topics.servers.push({ id, server });
   }
 
+  /** A server that has left may be back, until its version has ended. */
   #change(id: string, status: ServerChange["status"]): void {
-    if (status === "ready") return this.#register(id, id.split("-")[0] ?? "");
+    const away = this.#away.get(id);
+    if (status === "ready") {
+      if (away !== undefined) this.#register(id, away.version);
+      return;
+    }
     const server = this.#running.get(id);
     if (server === undefined) return;
+    this.#away.set(id, server);
     if (status === "draining") {
       this.#topics.servers.push({ id, server: { ...server, status } });
       return;
@@ -175,11 +186,16 @@
       service: SERVICE,
     });
     vm.nextReadMs += SERVER_PAUSE_MS * this.#random();
+    this.#readAll(vm);
+    return vm;
+  }
+
+  #readAll(vm: SiteVm): void {
     vm.read(this.#topics, {
       orders: this.#topics.orders.length,
       servers: this.#topics.servers.length,
+      ageMs: 0,
     });
-    return vm;
   }
 
   /** The first VM of each place reads the store; the others ask it. */
@@ -193,8 +209,9 @@
       vm.read(this.#topics, {
         orders: this.#topics.orders.length,
         servers: isDue ? this.#topics.servers.length : 0,
+        ageMs: 0,
       });
-    }
+    } else if (vm.ageMs > STALE_MS) this.#readAll(vm);
     if (nowMs < vm.nextExchangeMs) return;
     const nearCount = vmCount / placeCount;
     const pauseMs = isReader
@@ -208,7 +225,7 @@
     const wayMs = MAX_WAY_MS * this.#random();
     vm.tell(reader, wayMs);
     reader.tell(vm, wayMs);
-    vm.read(this.#topics, reader.readCounts);
+    vm.readFrom(reader, this.#topics);
   }
 
   /** The first reader writes the statuses; the others learn them from it. */
@@ -230,15 +247,19 @@
     this.#hops.recordEnd(target, { stage, nowMs });
     // The operators stop the other versions at once, or drain the target.
     const isTarget = stage === "reverted";
+    this.#due.push({
+      atMs: isTarget ? nowMs + DRAIN_AFTER_MS : nowMs,
+      write: () => this.#end((version) => (version === target) === isTarget),
+    });
+  }
+
+  /** Ends the versions for good. */
+  #end(isOf: (version: string) => boolean): void {
     for (const { id, version } of [...this.#running.values()]) {
-      if ((version === target) !== isTarget) continue;
-      if (!isTarget) this.#change(id, "gone");
-      else {
-        this.#due.push({
-          atMs: nowMs + DRAIN_AFTER_MS,
-          write: () => this.#change(id, "draining"),
-        });
-      }
+      if (isOf(version)) this.#change(id, "gone");
+    }
+    for (const [id, { version }] of this.#away) {
+      if (isOf(version)) this.#away.delete(id);
     }
   }
 }
--- a/src/gateway/rollout/site_vm_fixture.ts
+++ b/src/gateway/rollout/site_vm_fixture.ts
@@ -37,6 +37,7 @@
   readonly #service: string;
   #roster = EMPTY_ROSTER;
   #read: ReadCounts = { orders: 0, servers: 0 };
+  #currentAtMs = -Infinity;
 
   constructor(
     name: string,
@@ -59,17 +60,28 @@
       canarySlackCount: 30,
       vm: name,
       vmCount: () => vmCount,
+      ordersAgeMs: () => this.ageMs,
       clock,
       logger: silentLogger,
     });
   }
 
-  get readCounts(): ReadCounts {
-    return this.#read;
+  /** Time since the known orders were up to date. */
+  get ageMs(): number {
+    return this.#clock() - this.#currentAtMs;
+  }
+
+  /** Reads what a store reader has read. */
+  readFrom(reader: SiteVm, topics: SiteTopics): void {
+    this.read(topics, { ...reader.#read, ageMs: reader.ageMs });
   }
 
   /** Applies the records up to the counts. */
-  read({ orders, servers }: SiteTopics, counts: ReadCounts): void {
+  read(
+    { orders, servers }: SiteTopics,
+    { ageMs, ...counts }: ReadCounts & { readonly ageMs: number },
+  ): void {
+    this.#currentAtMs = Math.max(this.#currentAtMs, this.#clock() - ageMs);
     const before = this.#read;
     const isFirst = before.servers === 0;
     this.#read = {
--- a/src/gateway/rollout/version_choice.ts
+++ b/src/gateway/rollout/version_choice.ts
@@ -18,12 +18,6 @@
 import { type BackendFleet } from "../servers/backend_fleet.ts";
 import { type RolloutRecord } from "./rollout_record.ts";
 
-/**
- * How long sessions wait for versions whose servers have left: longer than a
- * session pauses after the last answer of a server that goes on for a while.
- */
-const HOLD_MS = 10_000;
-
 /** What a VM knows beside the roll-out. */
 export interface VersionChoiceContext {
   readonly session: VersionSession;
@@ -119,15 +113,12 @@
   { session, fleet, clock }: VersionChoiceContext,
 ): boolean {
   const { service, target } = rollout.order;
-  const { key, isMultiRequest, allowsPlace = (): boolean => true } = session;
+  const { key, isMultiRequest, allowsPlace } = session;
   if (!isMultiRequest) return false;
   const nowMs = clock();
   const share = keepsSessions(rollout, nowMs) ? 0 : targetShare(rollout, nowMs);
   if (hashShare(`${target} ${key}`) < share) return false;
-  const recent = fleet.recentVersionsOf(service, {
-    allowsPlace,
-    withinMs: HOLD_MS,
-  });
+  const recent = fleet.recentVersionsOf(service, allowsPlace);
   return [...recent].some((version) => version !== target);
 }
 
--- a/src/gateway/servers/backend_fleet.ts
+++ b/src/gateway/servers/backend_fleet.ts
@@ -155,18 +155,15 @@
 
   /**
    * The versions of a service with a server at an allowed place that is
-   * registered, ready or not, or was within a time.
+   * registered, ready or not, or was a moment ago.
    */
   recentVersionsOf(
     service: string,
-    { allowsPlace, withinMs }: {
-      readonly allowsPlace: (place: string) => boolean;
-      readonly withinMs: number;
-    },
+    allowsPlace = (_place: string): boolean => true,
   ): ReadonlySet<string> {
     const versions = new Set<string>();
     const present = this.serversOf(service);
-    const departed = this.#departures.of(service, withinMs);
+    const departed = this.#departures.recentOf(service);
     for (const { place, version } of [...present, ...departed]) {
       if (allowsPlace(place)) versions.add(version);
     }
--- a/src/gateway/servers/server_departures.ts
+++ b/src/gateway/servers/server_departures.ts
@@ -2,6 +2,11 @@
 import { type Roster } from "../../decision/mod.ts";
 import { type BackendServer, type Clock } from "../../model/mod.ts";
 
+/**
+ * How long a server counts as one that has just left: longer than a session
+ * pauses after the last answer of a server that goes on for a while.
+ */
+const RECENT_MS = 10_000;
 /** Departures that are kept, the newest ones. */
 const MAX_DEPARTURES = 256;
 
@@ -32,9 +37,9 @@
       .slice(-MAX_DEPARTURES);
   }
 
-  /** The servers of a service that have left within a time. */
-  of(service: string, withinMs: number): BackendServer[] {
-    const sinceMs = this.#clock() - withinMs;
+  /** The servers of a service that have left a moment ago. */
+  recentOf(service: string): BackendServer[] {
+    const sinceMs = this.#clock() - RECENT_MS;
     return this.#departures
       .filter(({ server, atMs }) =>
         server.service === service && atMs >= sinceMs
