Hold a session on the target of an open roll-out while its servers are away

Cause: without a ready server of the target everything went to the old version.

Change: sessions whose hash is the target's wait for it as the others do for the old version, while a server of it is registered where the request may go, or was within 10 s. Only while the roll-out is open: once it is completed, another version may take the place of the target without an order. Evacuated data centres don't count, as before.

--- a/src/gateway/rollout/rollout_registry_test.ts
+++ b/src/gateway/rollout/rollout_registry_test.ts
@@ -302,6 +302,24 @@
   assert.notEqual(setup.versionOf("any"), "v2");
 });
 
+// Guards against PINNED: sessions that go back while a good target is away.
+test("sessions wait for an open roll-out's target, others don't", () => {
+  const setup = setUp();
+  setup.register(BOTH);
+  order(setup.registry);
+  setup.clock.nowMs = SECOND_HALF_MS;
+  const onTarget = targetCount(setup, "s");
+  assert.ok(onTarget > 0);
+  setup.register(OLD);
+  assert.equal(targetCount(setup, "s"), onTarget);
+  const lone = sessionOf({ isMultiRequest: false });
+  assert.ok(setup.registry.acceptorOf(SERVICE, lone).accepts("v1"));
+  // Then a version without an order may take the place of the target.
+  const completed = { service: SERVICE, target: "v2", orderOffset: 4 };
+  setup.registry.applyStatus({ ...completed, stage: "completed" });
+  assert.equal(targetCount(setup, "s"), 0);
+});
+
 test("a target serves sessions at once where no other version was", () => {
   const { registry, register } = setUp();
   register([...OLD, serverOf("e", { version: "v2", place: "erongo-a" })]);
--- a/src/gateway/rollout/rollout_site_hunt_test.ts
+++ b/src/gateway/rollout/rollout_site_hunt_test.ts
@@ -73,6 +73,11 @@
   // The old servers were away as the target's came, before its order.
   52,
   58,
+  // The target's servers were away in the second half.
+  10,
+  28,
+  89,
+  113,
 ];
 const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 9, ...FOUND_SEEDS];
 
--- a/src/gateway/rollout/version_choice.ts
+++ b/src/gateway/rollout/version_choice.ts
@@ -47,15 +47,23 @@
   const ready = fleet.readyVersionsOf(service, allowsPlace);
   const hasOthers = [...ready].some((version) => version !== target);
   if (!hasOthers) {
-    if (isHeld(rollout, context)) {
-      return { isOnTarget: false, reason: "session_held" };
-    }
-    return { isOnTarget: rollout.fault === undefined, reason: "only_target" };
+    const isHeld = session.isMultiRequest &&
+      !isChosenSession(rollout, context) &&
+      [...fleet.recentVersionsOf(service, allowsPlace)]
+        .some((version) => version !== target);
+    return isHeld
+      ? { isOnTarget: false, reason: "session_held" }
+      : { isOnTarget: rollout.fault === undefined, reason: "only_target" };
   }
   const isOpen = (place: string): boolean =>
     allowsPlace(place) && !isEvacuated(place);
   if (!fleet.readyVersionsOf(service, isOpen).has(target)) {
-    return { isOnTarget: false, reason: "no_target" };
+    const isHeld = !isEnded(rollout.stage) &&
+      isChosenSession(rollout, context) &&
+      fleet.recentVersionsOf(service, isOpen).has(target);
+    return isHeld
+      ? { isOnTarget: true, reason: "session_held" }
+      : { isOnTarget: false, reason: "no_target" };
   }
   const { isMultiRequest, failedVersion } = session;
   const hasFailed = failedVersion === target && !isEnded(rollout.stage);
@@ -104,22 +112,18 @@
 }
 
 /**
- * Whether a session waits for the other versions, whose servers were there a
- * moment ago: on the target it would change its version, and change it again
- * when they are back.
+ * Whether a session runs on the target now, by its hash and the time alone. It
+ * waits for servers that were there a moment ago: elsewhere it would change its
+ * version, and change it again when they are back.
  */
-function isHeld(
+function isChosenSession(
   rollout: RolloutRecord,
-  { session, fleet, clock }: VersionChoiceContext,
+  { session: { key, isMultiRequest }, clock }: VersionChoiceContext,
 ): boolean {
-  const { service, target } = rollout.order;
-  const { key, isMultiRequest, allowsPlace } = session;
   if (!isMultiRequest) return false;
   const nowMs = clock();
   const share = keepsSessions(rollout, nowMs) ? 0 : targetShare(rollout, nowMs);
-  if (hashShare(`${target} ${key}`) < share) return false;
-  const recent = fleet.recentVersionsOf(service, allowsPlace);
-  return [...recent].some((version) => version !== target);
+  return hashShare(`${rollout.order.target} ${key}`) < share;
 }
 
 /** Whether a request of no session is part of the load trial; counts it. */
