Choose the store readers once for each state of the members

A VM asks whether it is a store reader with each check of its two topics, ten times a second each, and for each update that it sends. The choice sorted the members out and hashed every one each time; as a share of the requests of other VMs, that was 15 % of what a store reader among 195 VMs spent at rest. The VMs among which limits are divided were gathered anew for each request.

Both depend on this VM and its members alone. They are now computed again when one of these has changed, which messages of members do some ten times a second.

--- a/src/decision/limited_vms.ts
+++ b/src/decision/limited_vms.ts
@@ -14,18 +14,26 @@
 
 /** Returns the other VMs; `undefined` while this VM may not know them. */
 export function limitedVms(
-  { self, members }: MembershipState,
-  { hasSeeds, ageMs }: {
+  state: MembershipState,
+  { hasSeeds, ageMs, known = knownVms }: {
     /** Whether this VM was given addresses of others. */
     readonly hasSeeds: boolean;
     /** Time since this VM's start. */
     readonly ageMs: number;
+    /** Returns the same as {@link knownVms}. */
+    readonly known?: typeof knownVms;
   },
 ): readonly LimitedVm[] | undefined {
-  if (members.size === 0) {
+  if (state.members.size === 0) {
     return hasSeeds && ageMs < ALONE_MS ? undefined : [];
   }
-  if (ageMs < SETTLE_MS) return undefined;
+  return ageMs < SETTLE_MS ? undefined : known(state);
+}
+
+/** Returns the other VMs but for those that have left or were replaced. */
+export function knownVms(
+  { self, members }: MembershipState,
+): readonly LimitedVm[] {
   const vms: LimitedVm[] = [];
   const addresses = new Set([self.peerAddress]);
   const goneVms: { readonly vm: LimitedVm; readonly address: string }[] = [];
--- a/src/decision/membership_state.ts
+++ b/src/decision/membership_state.ts
@@ -173,6 +173,23 @@
   return state;
 }
 
+/**
+ * Returns a function that computes something of one VM and its members, and
+ * keeps it until one of them changes. It is for what is asked for far more often
+ * than messages of members arrive.
+ */
+export function cachedByMembers<Value>(
+  compute: (state: MembershipState) => Value,
+): (state: MembershipState) => Value {
+  let last: { readonly state: MembershipState; readonly value: Value };
+  return (state) => {
+    const isKept = last?.state.members === state.members &&
+      last.state.self === state.self;
+    if (!isKept) last = { state, value: compute(state) };
+    return last.value;
+  };
+}
+
 /** Returns the number of members that take part, including this VM. */
 export function groupSize(state: MembershipState): number {
   return 1 + state.members.count((member) => isPresent(member.update.status));
--- a/src/decision/mod.ts
+++ b/src/decision/mod.ts
@@ -64,6 +64,7 @@
 export * from "./version_watch.ts";
 export * from "./workspace_use.ts";
 export {
+  cachedByMembers,
   createMembership,
   DEFAULT_MEMBERSHIP,
   groupSize,
--- a/src/decision/store_reader.ts
+++ b/src/decision/store_reader.ts
@@ -5,12 +5,22 @@
  * that are present; while two views differ, the store has an extra reader.
  */
 import { hash32 } from "../model/mod.ts";
+import { type MembershipState } from "./membership_state.ts";
 
 export interface StoreReaderCandidate {
   readonly vm: string;
   readonly place: string;
 }
 
+/** Returns the store readers by one VM's membership, in rank order. */
+export function storeReadersOf(
+  { self, members }: MembershipState,
+): StoreReaderCandidate[] {
+  const updates = [...members.values()].map(({ update }) => update);
+  const alive = [self, ...updates].filter(({ status }) => status === "alive");
+  return chooseStoreReaders(alive);
+}
+
 /** Returns one store reader per place, in rank order. */
 export function chooseStoreReaders(
   members: readonly StoreReaderCandidate[],
--- a/src/gateway/peers/gateway_peers.ts
+++ b/src/gateway/peers/gateway_peers.ts
@@ -1,5 +1,7 @@
 /** The node that connects a gateway to the other VMs, and place latencies. */
 import {
+  cachedByMembers,
+  knownVms,
   type LimitedVms,
   limitedVms,
   type MembershipState,
@@ -80,11 +82,13 @@
   membership: () => MembershipState,
 ): () => LimitedVms {
   const startedAtMs = clock();
+  const known = cachedByMembers(knownVms);
   return () => ({
     self: settings,
     others: limitedVms(membership(), {
       hasSeeds: settings.seeds.some((seed) => seed !== settings.peerAddress),
       ageMs: clock() - startedAtMs,
+      known,
     }),
   });
 }
--- a/src/gateway/peers/peer_exchange.ts
+++ b/src/gateway/peers/peer_exchange.ts
@@ -9,10 +9,11 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import {
-  chooseStoreReaders,
+  cachedByMembers,
   maxHopCountFor,
   presentMembers,
   type StoreReaderCandidate,
+  storeReadersOf,
 } from "../../decision/mod.ts";
 import {
   type Clock,
@@ -93,6 +94,7 @@
   readonly #options: PeerExchangeOptions;
   /** Distinguishes this process's tallies from those before a restart. */
   readonly #instance: string;
+  readonly #readersOf = cachedByMembers(storeReadersOf);
   #next: NextPeer = "reader";
   #turn = 0;
 
@@ -104,13 +106,8 @@
   }
 
   /** The store readers by this VM's membership, in order of rank. */
-  #storeReaders(): StoreReaderCandidate[] {
-    const state = this.#options.node().membership();
-    const members = presentMembers(state).map(({ update }) => update);
-    const alive = [state.self, ...members].filter(({ status }) =>
-      status === "alive"
-    );
-    return chooseStoreReaders(alive);
+  #storeReaders(): readonly StoreReaderCandidate[] {
+    return this.#readersOf(this.#options.node().membership());
   }
 
   /** This VM's rank among the store readers; undefined if it is not one. */
