Judge a version again only where its tallies have changed

Each VM judges an open roll-out five times a second, by all tallies and by those of the last 3 and 8 s, whether or not a request has ended since. On a large site each VM has few requests of the service, so most of this was done on the same sums. A VM now remembers the earlier sums since which the present one shows no fault, until the present one changes; a sum compared with itself shows none.

--- a/src/gateway/rollout/merged_tally_test.ts
+++ b/src/gateway/rollout/merged_tally_test.ts
@@ -87,14 +87,18 @@
   };
 }
 
+function recordOf(): RolloutRecord {
+  return new RolloutRecord(
+    { service: "drafting", target: "v2", durationMs: 24_000, offset: 4 },
+    { canaryShare: 0.15, startedAtMs: 0, isStageKnown: true },
+  );
+}
+
 // Guards against a version that is judged by an older or another sum.
 test("the sum of all tallies is that of the plain computation after each change", () => {
   fc.assert(
     fc.property(fc.array(stepArbitrary, { maxLength: 40 }), (steps) => {
-      const record = new RolloutRecord(
-        { service: "drafting", target: "v2", durationMs: 24_000, offset: 4 },
-        { canaryShare: 0.15, startedAtMs: 0, isStageKnown: true },
-      );
+      const record = recordOf();
       const tallies = new Map([["own", EMPTY_TALLY]]);
       for (const [sequence, { vm, outcome }] of steps.entries()) {
         const before = tallies.get(vm) ?? EMPTY_TALLY;
@@ -116,3 +120,44 @@
     { seed: SEED, numRuns: 100 },
   );
 });
+
+// Guards against a fault that is found late as nothing has changed meanwhile.
+test("a version is judged the same whether or not its sum is computed anew", () => {
+  const sample = fc.record({
+    isTarget: fc.boolean(),
+    isError: fc.boolean(),
+    backendId: flags.backendId,
+  });
+  const periodArbitrary = fc.record({
+    stepCount: fc.integer({ min: 1, max: 30 }),
+    samples: fc.array(sample, { maxLength: 12 }),
+  });
+  let faultCount = 0;
+  fc.assert(
+    fc.property(fc.array(periodArbitrary, { maxLength: 8 }), (periods) => {
+      const record = recordOf();
+      const renewed = recordOf();
+      let nowMs = 0;
+      for (const { stepCount, samples } of periods) {
+        for (const fields of samples) {
+          const outcome = { ...fields, route: "drafts", isBusy: false };
+          for (const each of [record, renewed]) {
+            each.add({ ...outcome, firstByteMs: 90, distanceMs: 0 });
+          }
+        }
+        for (let step = 0; step < stepCount; step++) {
+          nowMs += 200;
+          // Adds nothing, but the sum is another one.
+          renewed.receiveTally({
+            ...{ vm: "vm-1", sequence: nowMs, otherInFlightCount: 0 },
+            tally: EMPTY_TALLY,
+          }, { nowMs, isDirect: true });
+          assert.equal(record.evaluate(nowMs), renewed.evaluate(nowMs));
+        }
+      }
+      if (record.fault !== undefined) faultCount += 1;
+    }),
+    { seed: SEED, numRuns: 200 },
+  );
+  assert.ok(faultCount > 20 && faultCount < 180, String(faultCount));
+});
--- a/src/gateway/rollout/rollout_record.ts
+++ b/src/gateway/rollout/rollout_record.ts
@@ -74,6 +74,9 @@
   #ownTally: VersionTally = EMPTY_TALLY;
   /** The sum of all tallies; undefined after one of them has changed. */
   #merged: VersionTally | undefined;
+  /** The sum judged last, and the earlier ones since which it has no fault. */
+  #judged: VersionTally | undefined;
+  readonly #soundSince = new Set<VersionTally>();
   /** All tallies when the load trial began. */
   #tallyAtTrial: VersionTally | undefined;
   /** Doubt in the load trial, kept until it is decided: later answers hide it. */
@@ -179,7 +182,8 @@
       this.#tallyAtTrial ??= all;
       this.#trialDoubt ??= loadTrialDoubt(all, this.#tallyAtTrial);
     }
-    this.fault = targetFault(all) ?? this.#recentFault(all, nowMs) ??
+    this.fault = this.#faultSince(EMPTY_TALLY, all) ??
+      this.#recentFault(all, nowMs) ??
       (isDecisionDue(this, nowMs)
         ? targetDoubt(all) ?? this.#trialDoubt
         : undefined);
@@ -192,12 +196,23 @@
         nowMs - atMs >= windowMs
       );
       if (earlier === undefined) continue;
-      const fault = targetFault(tallySince(all, earlier.tally));
+      const fault = this.#faultSince(earlier.tally, all);
       if (fault !== undefined) return `${fault} in ${windowMs} ms`;
     }
     return undefined;
   }
 
+  /** Judges what was added since an earlier sum, once for each pair of sums. */
+  #faultSince(earlier: VersionTally, all: VersionTally): string | undefined {
+    if (this.#judged !== all) this.#soundSince.clear();
+    this.#judged = all;
+    if (earlier === all || this.#soundSince.has(earlier)) return undefined;
+    const added = earlier === EMPTY_TALLY ? all : tallySince(all, earlier);
+    const fault = targetFault(added);
+    if (fault === undefined) this.#soundSince.add(earlier);
+    return fault;
+  }
+
   #recordHistory(tally: VersionTally, nowMs: number): void {
     const last = this.#history.at(-1);
     if (last !== undefined && nowMs - last.atMs < HISTORY_STEP_MS) return;
