--- a/src/gateway/peers/gateway_peers.ts
+++ b/src/gateway/peers/gateway_peers.ts
@@ -1,5 +1,7 @@
 /** The node that connects a gateway to the other VMs, and place latencies. */
 import {
+  cachedByMembers,
+  knownVms,
   type LimitedVms,
   limitedVms,
   type MembershipState,
@@ -35,6 +37,8 @@
 import { VmRelays } from "../forwarding/vm_relays.ts";
 
 const PROBE_PERIOD_MS = 500;
+/** A VM that leaves a probe unanswered for longer is suspected by others. */
+export const ALLOWED_SILENCE_MS = PROBE_PERIOD_MS;
 /** Added latency of another data centre of the same region. */
 const SAME_REGION_MS = 8;
 /** Added latency of a data centre of another region. */
@@ -80,11 +84,13 @@
   membership: () => MembershipState,
 ): () => LimitedVms {
   const startedAtMs = clock();
+  const known = cachedByMembers(knownVms);
   return () => ({
     self: settings,
     others: limitedVms(membership(), {
       hasSeeds: settings.seeds.some((seed) => seed !== settings.peerAddress),
       ageMs: clock() - startedAtMs,
+      known,
     }),
   });
 }
