Count an answer until its caller has read it, and wait for memory

Callers saw: 120 requests that may run once, whose sound answers of 7 MB were read at 320 KB a second at one VM, took 541 to 724 MB, and 32 to 73 of them had run and ended as 502. Whoever reads slowly could end the VM with the requests of all its callers; and a request was lost because others read slowly.

Cause: an answer counted against the VM's memory only until it was complete, not until its caller had read it; where the memory was used up it was given up, although it had run. Request bodies had a figure of their own.

An answer counts until the connection to its caller has taken its last byte. It reserves its stated length before its body is read, or grows by steps; where there is no room its server is not read from, the oldest request gets room first, and the oldest goes on where all wait for each other. Requests of a route whose usual answer has no room are refused with 503 and a time to come back, before they are sent. An answer of a stated length is read into one buffer instead of being copied at its end. A caller that reads nothing of a long answer for the manifest's idle time is cut off.

The test of waiting bodies states 5 MB of memory in place of 2, as bodies have 0.08 of so little memory in place of 0.2: the same 400,000 bytes. The tests of AnswerBuffer are replaced, as the share and what happens at its end are others; those of short answers and of many small parts stay.

--- a/src/gateway/callers/answer_buffer.ts
+++ b/src/gateway/callers/answer_buffer.ts
@@ -1,71 +1,104 @@
 /**
- * The bytes of answers that are sent to their callers only when complete. A
- * short answer always has room; what longer ones take is bounded for the VM, so
- * that servers that send without end cannot use up its memory.
+ * The bytes of one answer that is sent to its caller only when complete. It is
+ * read as far as the VM has memory for it; its connection pauses meanwhile.
  */
+import { type RequestMemory, SHORT_ANSWER_BYTES } from "./answer_memory.ts";
 
-/** Bytes of an answer that do not count against the VM's bound. */
-const FREE_BYTES = 64 * 1024;
-/** Share of the VM's memory for what longer answers take. */
-const SHARE_OF_MEMORY = 0.1;
 /** Largest answer. */
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 /** A server that sends so many small parts makes the VM work for nothing. */
 const MAX_PARTS = 4096;
 
-/** The memory of one VM for long answers. */
-export class AnswerMemory {
-  #freeBytes: number;
-
-  constructor(vm: { readonly memoryBytes: number }) {
-    this.#freeBytes = vm.memoryBytes * SHARE_OF_MEMORY;
-  }
-
-  /** Takes memory; returns false if there is not enough. */
-  take(bytes: number): boolean {
-    if (bytes > this.#freeBytes) return false;
-    this.#freeBytes -= bytes;
-    return true;
-  }
-
-  /** Returns memory that was taken. */
-  release(bytes: number): void {
-    this.#freeBytes += bytes;
-  }
+export interface AnswerBufferOptions {
+  /** Stops reading the answer. */
+  readonly onPause: () => void;
+  readonly onResume: () => void;
 }
 
-/** The parts of one answer. */
+/** The bytes of one answer. */
 export class AnswerBuffer {
-  readonly #memory: AnswerMemory;
+  readonly #memory: RequestMemory;
+  readonly #options: AnswerBufferOptions;
   #chunks: Buffer[] = [];
+  #whole: Buffer | undefined;
   #bytes = 0;
-  #takenBytes = 0;
+  #partCount = 0;
+  #reservedBytes = SHORT_ANSWER_BYTES;
+  #isWaiting = false;
 
-  constructor(memory: AnswerMemory) {
+  constructor(memory: RequestMemory, options: AnswerBufferOptions) {
     this.#memory = memory;
+    this.#options = options;
+  }
+
+  /** Whether the answer waits for memory. */
+  get isWaiting(): boolean {
+    return this.#isWaiting;
+  }
+
+  /**
+   * Reserves the length that the answer's head states, if it does; returns false
+   * if it is too long to be held.
+   */
+  begin(statedBytes: number | undefined): boolean {
+    if (statedBytes === undefined) return true;
+    if (statedBytes > MAX_ANSWER_BYTES) return false;
+    if (statedBytes > SHORT_ANSWER_BYTES) {
+      this.#reserve(statedBytes, () => {
+        // Filled as the bytes come; they need not be copied at the end.
+        this.#whole = Buffer.allocUnsafeSlow(statedBytes);
+      });
+    }
+    return true;
   }
 
   /** Adds a part; returns false if the answer is too long to be held. */
   push(chunk: Buffer): boolean {
+    const start = this.#bytes;
     this.#bytes += chunk.length;
-    this.#chunks.push(chunk);
+    this.#partCount += 1;
     if (this.#bytes > MAX_ANSWER_BYTES) return false;
-    if (this.#chunks.length > MAX_PARTS) return false;
-    if (this.#bytes <= FREE_BYTES) return true;
-    if (!this.#memory.take(chunk.length)) return false;
-    this.#takenBytes += chunk.length;
+    if (this.#whole !== undefined) {
+      chunk.copy(this.#whole, start);
+      return true;
+    }
+    if (this.#partCount > MAX_PARTS) return false;
+    this.#chunks.push(chunk);
+    if (this.#bytes > this.#reservedBytes && !this.#isWaiting) {
+      this.#reserve(Math.min(2 * this.#bytes, MAX_ANSWER_BYTES));
+    }
     return true;
   }
 
-  /** Returns the whole answer. */
+  /** Returns the whole answer, whose memory the request keeps. */
   concat(): Buffer {
-    return Buffer.concat(this.#chunks);
+    this.#memory.settle(this.#bytes);
+    const whole = this.#whole?.subarray(0, this.#bytes) ??
+      Buffer.concat(this.#chunks);
+    this.#chunks = [];
+    return whole;
   }
 
-  /** Frees the memory of the answer. */
+  /** Drops the answer. */
   release(): void {
-    this.#memory.release(this.#takenBytes);
-    this.#takenBytes = 0;
+    this.#isWaiting = false;
+    this.#memory.drop();
     this.#chunks = [];
+    this.#whole = undefined;
+  }
+
+  #reserve(bytes: number, onReserved: () => void = () => {}): void {
+    const finish = (): void => {
+      this.#reservedBytes = bytes;
+      onReserved();
+    };
+    const isReserved = this.#memory.reserve(bytes, () => {
+      this.#isWaiting = false;
+      finish();
+      this.#options.onResume();
+    });
+    if (isReserved) return finish();
+    this.#isWaiting = true;
+    this.#options.onPause();
   }
 }
--- a/src/gateway/callers/answer_buffer_test.ts
+++ b/src/gateway/callers/answer_buffer_test.ts
@@ -1,39 +1,116 @@
-/** Tests of the memory of answers that are not complete yet. */
+/** Tests of the memory of answers that are held. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { AnswerBuffer, AnswerMemory } from "./answer_buffer.ts";
+import { AnswerBuffer } from "./answer_buffer.ts";
+import { AnswerMemory, type RequestMemory } from "./answer_memory.ts";
+import { VmMemory } from "./vm_memory.ts";
 
 const KIB = 1024;
+const MIB = 1024 * KIB;
 const CHUNK = Buffer.alloc(16 * KIB);
+/** Of which a fifth is used, and three fifths of that for answers: 6.2 MiB. */
+const MEMORY_BYTES = 52 * MIB;
 
-/** Adds parts until the buffer refuses one; returns how many it took. */
-function fill(buffer: AnswerBuffer, chunk = CHUNK): number {
-  let count = 0;
-  while (buffer.push(chunk)) count += 1;
-  return count;
+interface TestAnswer {
+  readonly memory: RequestMemory;
+  readonly buffer: AnswerBuffer;
+  isPaused: boolean;
 }
 
-test("long answers share a tenth of the VM's memory", () => {
-  const memory = new AnswerMemory({ memoryBytes: 20 * 1024 * KIB });
-  const first = new AnswerBuffer(memory);
-  // 64 KiB are free for each answer, 2 MiB for all together.
-  assert.equal(fill(first), (64 + 2048) / 16);
-  const second = new AnswerBuffer(memory);
-  assert.equal(fill(second), 64 / 16);
-  first.release();
-  first.release();
-  const third = new AnswerBuffer(memory);
-  assert.equal(fill(third), (64 + 2048) / 16);
+function answersOf(memoryBytes: number): () => TestAnswer {
+  const memory = new AnswerMemory(new VmMemory({ memoryBytes }));
+  return () => {
+    const request = memory.open("lookups");
+    const buffer = new AnswerBuffer(request, {
+      onPause: () => answer.isPaused = true,
+      onResume: () => answer.isPaused = false,
+    });
+    const answer: TestAnswer = { memory: request, buffer, isPaused: false };
+    return answer;
+  };
+}
+
+/** Adds parts until the answer pauses or ends; returns its length. */
+function fill(answer: TestAnswer, chunk = CHUNK): number {
+  let bytes = 0;
+  while (!answer.isPaused && answer.buffer.push(chunk)) bytes += chunk.length;
+  return bytes;
+}
+
+test("answers wait for memory until others are read, the oldest first", () => {
+  const open = answersOf(MEMORY_BYTES);
+  const answers = [open(), open(), open(), open()];
+  for (const { buffer } of answers) assert.ok(buffer.begin(3 * MIB));
+  const paused = (): boolean[] => answers.map(({ isPaused }) => isPaused);
+  assert.deepEqual(paused(), [false, false, true, true]);
+  const [first, second, third] = answers;
+  for (let count = 0; count < 3 * 64; count++) first?.buffer.push(CHUNK);
+  assert.equal(first?.buffer.concat().length, 3 * MIB);
+  // Its caller has not read it.
+  assert.deepEqual(paused(), [false, false, true, true]);
+  first?.memory.release();
+  first?.memory.release();
+  assert.deepEqual(paused(), [false, false, false, true]);
+  second?.buffer.release();
+  third?.memory.release();
+  assert.deepEqual(paused(), [false, false, false, false]);
+});
+
+// Guards against answers that wait for each other for good.
+test("the oldest answer goes on where all wait for more", () => {
+  const open = answersOf(MEMORY_BYTES);
+  const answers = [open(), open(), open()];
+  // All grow alike until no memory is left for the next steps.
+  while (answers.every(({ isPaused }) => !isPaused)) {
+    for (const { buffer } of answers) assert.ok(buffer.push(CHUNK));
+  }
+  const [oldest] = answers;
+  assert.ok(oldest !== undefined);
+  for (const answer of answers) fill(answer);
+  assert.deepEqual(answers.map(({ isPaused }) => isPaused), [
+    false,
+    true,
+    true,
+  ]);
+  oldest.memory.release();
+  for (const answer of answers.slice(1)) fill(answer);
+  assert.deepEqual(answers.map(({ isPaused }) => isPaused), [
+    false,
+    false,
+    true,
+  ]);
+});
+
+test("an answer longer than the share goes on alone", () => {
+  const open = answersOf(0);
+  const answers = [open(), open()];
+  for (const { buffer } of answers) assert.ok(buffer.begin(8 * MIB));
+  assert.deepEqual(answers.map(({ isPaused }) => isPaused), [false, true]);
+  assert.ok(!open().buffer.begin(8 * MIB + 1));
 });
 
 test("a short answer has room when others have used up the memory", () => {
-  const memory = new AnswerMemory({ memoryBytes: 0 });
-  const buffer = new AnswerBuffer(memory);
+  const open = answersOf(0);
+  assert.ok(open().buffer.begin(8 * MIB));
+  const { buffer } = open();
   for (let count = 0; count < 4; count++) assert.ok(buffer.push(CHUNK));
+  assert.ok(!buffer.isWaiting);
   assert.equal(buffer.concat().length, 64 * KIB);
 });
 
 test("an answer of very many small parts is refused", () => {
-  const memory = new AnswerMemory({ memoryBytes: 1024 * 1024 * KIB });
-  assert.equal(fill(new AnswerBuffer(memory), Buffer.from("more ")), 4096);
+  const part = Buffer.from("more ");
+  assert.equal(fill(answersOf(1024 * MIB)(), part), 4096 * part.length);
+});
+
+test("requests begin as long as the usual answer has room", () => {
+  const open = answersOf(MEMORY_BYTES);
+  const isBegun = (): boolean => open().memory.begin();
+  assert.ok(isBegun());
+  const { buffer } = open();
+  buffer.begin(5 * MIB);
+  for (let count = 0; count < 5 * 64; count++) buffer.push(CHUNK);
+  buffer.concat();
+  // An answer of 1 MiB is expected from now on.
+  assert.deepEqual([isBegun(), isBegun()], [true, false]);
 });
--- a/src/gateway/callers/caller_connection_test.ts
+++ b/src/gateway/callers/caller_connection_test.ts
@@ -156,7 +156,8 @@
 
 // Guards against memory used up by bodies of waiting requests.
 test("the body of a waiting request counts within the memory bound", async (context) => {
-  const memoryBytes = 2_000_000;
+  // 400,000 bytes for bodies.
+  const memoryBytes = 5_000_000;
   const bodyBytes = 300_000;
   const site = await setUp(context, answerLate, memoryBytes);
   const body = "x".repeat(bodyBytes);
--- a/src/gateway/callers/caller_exchange.ts
+++ b/src/gateway/callers/caller_exchange.ts
@@ -9,6 +9,7 @@
  */
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Socket } from "node:net";
+import { SHORT_ANSWER_BYTES } from "./answer_memory.ts";
 import { type GatewayProtocol } from "../protocol.ts";
 
 /** A complete answer. */
@@ -41,8 +42,12 @@
 /** What shows a caller the end of an answer. */
 export type AnswerFraming = "length" | "chunks" | "close";
 
-/** How a gateway's own answers are encoded. */
-export type CallerExchangeOptions = Pick<GatewayProtocol, "writeRefusal">;
+export interface CallerExchangeOptions {
+  /** Encodes a gateway's own answers. */
+  readonly writeRefusal: GatewayProtocol["writeRefusal"];
+  /** How long a caller may read nothing of a long answer that has memory. */
+  readonly readTimeoutMs: () => number;
+}
 
 const MS_PER_SECOND = 1000;
 /** With it and with all 4xx a request has not run; with other 5xx it may have. */
@@ -63,7 +68,7 @@
   #onDrain: () => void = () => {};
   #onClosed: () => void = () => {};
   #onCut: () => void = () => this.#socket.resetAndDestroy();
-  #onBodyRelease: () => void = () => {};
+  readonly #releases: (() => void)[] = [];
   #onTurn: (() => void) | undefined;
   #isClosed = false;
   #status = 0;
@@ -130,9 +135,13 @@
     this.#onClosed = listener;
   }
 
-  /** Called after `onClosed`, to free the memory of the request's body. */
-  set onBodyRelease(listener: () => void) {
-    this.#onBodyRelease = listener;
+  /**
+   * Calls the listener when the caller has read the answer or has left, to free
+   * memory of the request or its answer; at once if that has been so.
+   */
+  releaseWhenClosed(listener: () => void): void {
+    if (this.#isClosed) listener();
+    else this.#releases.push(listener);
   }
 
   /**
@@ -180,7 +189,7 @@
     if (this.#isClosed) return;
     this.#isClosed = true;
     this.#onClosed();
-    this.#onBodyRelease();
+    for (const release of this.#releases) release();
     if (this.#isOver) return;
     this.#isOver = true;
     this.#ending = "left";
@@ -201,6 +210,11 @@
       ? ["Content-Length", String(body.length)]
       : [];
     this.#response.writeHead(status, [...headers, ...length]);
+    if (body.length > SHORT_ANSWER_BYTES) {
+      // Counts from the last byte that the connection has taken.
+      const timeoutMs = this.#options.readTimeoutMs();
+      this.#response.setTimeout(timeoutMs, () => this.#cutUnread());
+    }
     if (this.isRead || this.#response.shouldKeepAlive) {
       this.#response.end(body);
       return;
@@ -277,6 +291,13 @@
     else this.#response.destroy();
   }
 
+  /** Ends an answer whose caller doesn't read it, unless it has all of it. */
+  #cutUnread(): void {
+    if (this.#response.writableFinished || this.#isClosed) return;
+    if (this.#framing === "close") this.#onCut();
+    else this.#response.destroy();
+  }
+
   #endWithConnection(): void {
     this.#response.useChunkedEncodingByDefault = false;
     this.closeAfterAnswer();
--- a/src/gateway/callers/caller_server.ts
+++ b/src/gateway/callers/caller_server.ts
@@ -11,6 +11,7 @@
   CallerExchange,
   type CallerExchangeOptions,
 } from "./caller_exchange.ts";
+import { type VmMemory } from "./vm_memory.ts";
 
 /** Limit of Node's parser; the manifest's limit is lower. */
 const MAX_HEAD_BYTES = 64 * 1024;
@@ -31,8 +32,6 @@
 const BODY_DRAIN_MS = 1000;
 /** Separators of one header line: colon, space, CR and LF. */
 const HEADER_OVERHEAD_BYTES = 4;
-/** Share of the process's memory for request bodies. */
-const BODY_SHARE_OF_MEMORY = 0.2;
 
 /** A caller's request whose head has been received. */
 export interface ReceivedRequest {
@@ -49,10 +48,11 @@
   received: ReceivedRequest,
 ) => ((body: Buffer) => void) | undefined;
 
-export interface CallerServerOptions extends CallerExchangeOptions {
+export interface CallerServerOptions
+  extends Pick<CallerExchangeOptions, "writeRefusal"> {
   readonly host: string;
   readonly port: number;
-  readonly memoryBytes: number;
+  readonly memory: VmMemory;
   readonly clock: () => number;
   readonly limits: () => CallerLimits | undefined;
   readonly onHead: HeadHandler;
@@ -61,23 +61,24 @@
 export class CallerServer {
   readonly #options: CallerServerOptions;
   readonly #server: Server;
-  readonly #bodyBudgetBytes: number;
   readonly #connections = new Map<Socket, CallerConnection>();
-  #bodyBytes = 0;
   #openCount = 0;
   #isClosing = false;
   #isRefusing = false;
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
-    this.#bodyBudgetBytes = options.memoryBytes * BODY_SHARE_OF_MEMORY;
+    const exchangeOptions = {
+      writeRefusal: options.writeRefusal,
+      readTimeoutMs: () => this.#limits().idleTimeoutMs,
+    };
     this.#server = createServer({
       maxHeaderSize: MAX_HEAD_BYTES,
       connectionsCheckingInterval: CHECK_PERIOD_MS,
       requestTimeout: 0,
       noDelay: true,
     }, (request, response) => {
-      const exchange = new CallerExchange(request, response, options);
+      const exchange = new CallerExchange(request, response, exchangeOptions);
       this.#receive(request, exchange);
     });
     // Node would end its own side as a caller does, by which a part of an answer
@@ -201,7 +202,7 @@
     }
     const length = Number(request.headers["content-length"] ?? 0);
     if (length > maxBodyBytes) return { status: 413, reason: "body_too_large" };
-    if (this.#bodyBytes + length > this.#bodyBudgetBytes) {
+    if (!this.#options.memory.hasRoom("bodies", length)) {
       return { status: 503, reason: "busy", retryAfterMs: BODY_DRAIN_MS };
     }
     return undefined;
@@ -212,13 +213,14 @@
     exchange: CallerExchange,
     onBody: (body: Buffer) => void,
   ): void {
+    const { memory } = this.#options;
     const chunks: Buffer[] = [];
     let length = 0;
     const { maxBodyBytes, idleTimeoutMs } = this.#limits();
     const stop = (fault: RequestFault): void => {
       clearTimeout(idleTimer);
       request.removeAllListeners("data").removeAllListeners("end");
-      this.#bodyBytes -= length;
+      memory.release("bodies", length);
       length = 0;
       refuseUnread(request, exchange, fault);
     };
@@ -227,22 +229,22 @@
     request.on("data", (chunk: Buffer) => {
       clearTimeout(idleTimer);
       length += chunk.length;
-      this.#bodyBytes += chunk.length;
+      memory.take("bodies", chunk.length);
       if (length > maxBodyBytes) {
         return stop({ status: 413, reason: "body_too_large" });
       }
-      if (this.#bodyBytes > this.#bodyBudgetBytes) {
+      if (!memory.hasRoom("bodies", 0)) {
         const retryAfterMs = BODY_DRAIN_MS;
         return stop({ status: 503, reason: "busy", retryAfterMs });
       }
       chunks.push(chunk);
       idleTimer = setTimeout(onIdle, idleTimeoutMs);
     });
-    exchange.onBodyRelease = () => {
+    exchange.releaseWhenClosed(() => {
       clearTimeout(idleTimer);
-      this.#bodyBytes -= length;
+      memory.release("bodies", length);
       length = 0;
-    };
+    });
     request.on("end", () => {
       clearTimeout(idleTimer);
       if (!exchange.isOver) onBody(Buffer.concat(chunks));
--- a/src/gateway/forwarding/attempt.ts
+++ b/src/gateway/forwarding/attempt.ts
@@ -3,6 +3,7 @@
  * another VM where this one reaches no server.
  */
 import { type HealthEvent } from "../../decision/mod.ts";
+import { type RequestMemory } from "../callers/answer_memory.ts";
 import { type AttemptOutcome } from "./attempt_outcome.ts";
 import { type AnswerHead } from "../protocol.ts";
 
@@ -18,6 +19,8 @@
   readonly head: AnswerHead | undefined;
   /** The median pause of the answer; undefined after too few parts. */
   readonly medianPauseMs: number | undefined;
+  /** Whether the answer waits until the VM has memory for it. */
+  readonly isWaiting: boolean;
   /** Whether no byte of the request can have been sent yet. */
   readonly isUnsent: boolean;
   /** Cancels the attempt; the event, if any, counts for the target's health. */
@@ -27,8 +30,9 @@
   resume(): void;
 }
 
-/** What an attempt reports. */
+/** What an attempt reports, and the memory for its answer. */
 export interface AttemptListeners {
+  readonly memory: RequestMemory;
   /** Decides whether to relay the stream that begins with this head. */
   readonly onHead: (head: AnswerHead) => "relay" | "drop";
   /** Receives the bytes of a relayed stream. */
--- a/src/gateway/forwarding/ended_server_test.ts
+++ b/src/gateway/forwarding/ended_server_test.ts
@@ -175,6 +175,7 @@
   assert.ok(typeof caller !== "string");
   return await new Promise((resolve) => {
     new ServerAttempt({
+      memory: context.answerMemory.open("drafts"),
       context,
       server: backend.server,
       route: "drafts",
--- a/src/gateway/forwarding/failure_answer.ts
+++ b/src/gateway/forwarding/failure_answer.ts
@@ -10,6 +10,9 @@
 /** Statuses that promise callers that their request has not run. */
 const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
 
+/** Delay before a retry of a request for whose answer there is no memory. */
+const BUSY_RETRY_MS = 1000;
+
 export interface RequestFailure {
   readonly exchange: CallerExchange;
   readonly reason: string;
@@ -45,6 +48,16 @@
   exchange.refuse({ ...refusal, retryAfterMs });
 }
 
+/** Refuses a request for whose answer the VM has no memory. */
+export function refuseBusy(
+  { metrics }: ForwardContext,
+  exchange: CallerExchange,
+): void {
+  const refusal = { status: 503, reason: "busy" };
+  metrics.count("refused", refusal);
+  exchange.refuse({ ...refusal, retryAfterMs: BUSY_RETRY_MS });
+}
+
 /** Whether callers take a status for "not run" of a request that may have. */
 export function isFalsePromise(
   { route }: ForwardRequest,
--- a/src/gateway/forwarding/forward_context.ts
+++ b/src/gateway/forwarding/forward_context.ts
@@ -7,7 +7,7 @@
   type ServiceRoute,
   type WorkspaceAccess,
 } from "../../model/mod.ts";
-import { type AnswerMemory } from "../callers/answer_buffer.ts";
+import { type AnswerMemory } from "../callers/answer_memory.ts";
 import { type BackendFleet } from "../servers/backend_fleet.ts";
 import { type Evacuations } from "../servers/evacuations.ts";
 import { type ColdServers } from "../servers/cold_servers.ts";
--- a/src/gateway/forwarding/forward_context_fixture.ts
+++ b/src/gateway/forwarding/forward_context_fixture.ts
@@ -7,7 +7,8 @@
 } from "../../decision/mod.ts";
 import { type BackendServer, silentLogger } from "../../model/mod.ts";
 import { AdmissionGate } from "../admission/admission_gate.ts";
-import { AnswerMemory } from "../callers/answer_buffer.ts";
+import { AnswerMemory } from "../callers/answer_memory.ts";
+import { VmMemory } from "../callers/vm_memory.ts";
 import { BackendFleet } from "../servers/backend_fleet.ts";
 import { Evacuations } from "../servers/evacuations.ts";
 import { ColdServers } from "../servers/cold_servers.ts";
@@ -124,7 +125,9 @@
       recordPace: () => {},
       adjustInFlight: () => {},
     },
-    answerMemory: new AnswerMemory({ memoryBytes: 64 * 1024 * 1024 }),
+    answerMemory: new AnswerMemory(
+      new VmMemory({ memoryBytes: 64 * 1024 * 1024 }),
+    ),
     engineOf: () => undefined,
     prefill: new PrefillRates(),
     promptRates: new PromptRates({ clock: now }),
--- a/src/gateway/forwarding/forwarding.ts
+++ b/src/gateway/forwarding/forwarding.ts
@@ -9,6 +9,7 @@
 import { isRetriable } from "../../model/mod.ts";
 import { type Attempt } from "./attempt.ts";
 import { type AttemptTarget, startAttempt } from "./attempt_start.ts";
+import { type RequestMemory } from "../callers/answer_memory.ts";
 import { AnswerTiming } from "../callers/answer_timing.ts";
 import { AttemptHistory } from "./attempt_history.ts";
 import {
@@ -18,6 +19,7 @@
 import {
   answerFailure,
   isFalsePromise,
+  refuseBusy,
   refuseOverloaded,
   type RequestFailure,
 } from "./failure_answer.ts";
@@ -53,6 +55,7 @@
   readonly #targets: TargetChoice;
   readonly #retries: RequestRetries;
   readonly #silence: SilenceWatch;
+  readonly #memory: RequestMemory;
   #attempt: Attempt | undefined;
   /** An attempt that waits until its caller has read on. */
   #pausedAttempt: Attempt | undefined;
@@ -74,6 +77,8 @@
     this.#exchange = exchange;
     this.#timing = new AnswerTiming(request);
     const { caller, route } = request;
+    this.#memory = context.answerMemory.open(route.name);
+    exchange.releaseWhenClosed(() => this.#memory.release());
     this.#history = new AttemptHistory(route, caller.maxRunCount);
     this.#targets = new TargetChoice(context, request);
     this.#retries = new RequestRetries(context, request, {
@@ -116,7 +121,7 @@
       Math.max(0, this.#timeLeftMs()),
     );
     this.#ticket = this.#context.admission.enter(this.#context, this.#request, {
-      onStart: () => this.#guard(() => this.#startAttempt()),
+      onStart: () => this.#guard(() => this.#startFirst()),
       onRefuse: (retryAfterMs) =>
         this.#guard(() => {
           refuseOverloaded(this.#context, this.#exchange, retryAfterMs);
@@ -145,6 +150,12 @@
     }
   }
 
+  #startFirst(): void {
+    if (this.#memory.begin()) return this.#startAttempt();
+    refuseBusy(this.#context, this.#exchange);
+    this.#finish("busy");
+  }
+
   #startAttempt(): void {
     const target = this.#targets.choose(this.#history.triedIds, this.#model);
     if (target === undefined) {
@@ -164,6 +175,7 @@
       model: keepsModel ? this.#model : undefined,
       lastEventId: this.#relay?.lastId?.toString() ?? caller.lastEventId,
       isStreaming: this.#relay !== undefined,
+      memory: this.#memory,
       onHead: (head) => isRelay ? "relay" : this.#handleHead(head),
       onData: (chunk) => this.#relayData(chunk),
       onOutcome: (outcome) => this.#handleOutcome(outcome),
@@ -249,6 +261,7 @@
         if (this.#exchange.isHeadSent) return this.#retry("no_stream");
         if (outcome.answer.status >= 500 && isRetriable(this.#request.route)) {
           this.#fallback = outcome.answer;
+          this.#memory.keep();
           return this.#retry("backend_error");
         }
         if (isFalsePromise(this.#request, outcome.answer)) {
@@ -317,6 +330,7 @@
   #handleSilence(): void {
     const attempt = this.#attempt;
     if (attempt === undefined || this.#exchange.isOver) return;
+    if (attempt.isWaiting) return this.#silence.startGap();
     if (!this.#canGoOn || !this.#history.mayLeaveServer()) return;
     const next = this.#targets.choose(this.#history.triedIds, this.#model);
     if (next === undefined || targetIdOf(next) === attempt.targetId) return;
--- a/src/gateway/forwarding/unmarked_vm_end_test.ts
+++ b/src/gateway/forwarding/unmarked_vm_end_test.ts
@@ -118,7 +118,10 @@
         target: request.url ?? "",
         rawHeaders: request.rawHeaders,
       }),
-      exchange: new CallerExchange(request, response, testProtocol),
+      exchange: new CallerExchange(request, response, {
+        ...testProtocol,
+        readTimeoutMs: () => 1000,
+      }),
     });
   });
   await new Promise<void>((resolve) => http.listen(0, LOOPBACK_HOST, resolve));
--- a/src/gateway/forwarding/vm_attempt.ts
+++ b/src/gateway/forwarding/vm_attempt.ts
@@ -42,7 +42,10 @@
     this.#options = options;
     const { context, vm, request, body } = options;
     this.targetId = vm.vm;
-    this.#buffer = new AnswerBuffer(context.answerMemory);
+    this.#buffer = new AnswerBuffer(options.memory, {
+      onPause: () => this.#exchange.pause(),
+      onResume: () => this.#exchange.resume(),
+    });
     this.#exchange = new BackendExchange({
       address: vm.address,
       method: request.caller.method,
@@ -52,7 +55,10 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
     }, {
       onConnected: () => {},
-      onHead: (status, rawHeaders) => this.#handleHead(status, rawHeaders),
+      onHead: (status, rawHeaders, { statedBytes }) => {
+        this.#handleHead(status, rawHeaders);
+        if (!this.#isOver && !this.#isRelayed) this.#beginAnswer(statedBytes);
+      },
       onData: (chunk) => this.#handleData(chunk),
       onEnd: () => this.#handleEnd(),
       onFault: (fault) => this.#handleFault(fault),
@@ -68,6 +74,10 @@
     return this.#exchange.isUnsent;
   }
 
+  get isWaiting(): boolean {
+    return this.#buffer.isWaiting;
+  }
+
   cancel(event: HealthEvent | undefined): void {
     if (this.#isOver) return;
     if (event !== undefined) this.#recordFailure();
@@ -112,6 +122,10 @@
     this.#options.onOutcome({ kind: "not_run", cause: "vm_refused" });
   }
 
+  #beginAnswer(statedBytes: number | undefined): void {
+    if (!this.#buffer.begin(statedBytes)) this.#fail("oversize_answer");
+  }
+
   #handleData(chunk: Buffer): void {
     if (this.#isRelayed) return this.#options.onData(chunk);
     if (!this.#buffer.push(chunk)) this.#fail("oversize_answer");
@@ -135,11 +149,10 @@
 
   #complete(head: AnswerHead): void {
     const isRelayed = this.#isRelayed;
-    const body = this.#buffer.concat();
-    this.#buffer.release();
     this.#isOver = true;
     if (isRelayed) return this.#options.onOutcome({ kind: "stream_end", head });
     const { status, passedHeaders, isFramed: isEndMarked } = head;
+    const body = this.#buffer.concat();
     const answer = { status, headers: passedHeaders, body, isEndMarked };
     this.#options.onOutcome({ kind: "answer", answer });
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -12,9 +12,10 @@
 import { type PeerNode } from "../wire/mod.ts";
 import { AdmissionGate } from "./admission/admission_gate.ts";
 import { advertisedAddresses } from "./callers/advertised_addresses.ts";
-import { AnswerMemory } from "./callers/answer_buffer.ts";
+import { AnswerMemory } from "./callers/answer_memory.ts";
 import { BackendFleet } from "./servers/backend_fleet.ts";
 import { CallerServer } from "./callers/caller_server.ts";
+import { VmMemory } from "./callers/vm_memory.ts";
 import { type EntryCaller, EntryRegions } from "./callers/entry_regions.ts";
 import { type ForwardContext } from "./forwarding/forward_context.ts";
 import { GatewayMetrics } from "./telemetry/gateway_metrics.ts";
@@ -63,6 +64,7 @@
   readonly #feed: StoreFeed;
   readonly #leases: LeaseExchange;
   readonly #exchange: PeerExchange;
+  readonly #memory: VmMemory;
   readonly #callers: CallerServer;
   readonly #peers: PeerNode;
   readonly #context: ForwardContext;
@@ -147,6 +149,7 @@
       logger,
     });
     this.#peers = createGatewayPeers(options, this.#exchange);
+    this.#memory = new VmMemory(settings);
     this.#callers = this.#createCallerServer();
     this.#shutdown = new GatewayShutdown({
       ...options,
@@ -166,7 +169,7 @@
         vmCount,
       }),
       versions: this.#rollouts,
-      answerMemory: new AnswerMemory(settings),
+      answerMemory: new AnswerMemory(this.#memory),
       engineOf: (service) => this.#state.engineOf(service),
       prefill: new PrefillRates(),
       promptRates: new PromptRates({ clock }),
@@ -307,7 +310,7 @@
     const { settings, clock, protocol } = this.#options;
     return new CallerServer({
       ...splitAddress(settings.callerAddress),
-      memoryBytes: settings.memoryBytes,
+      memory: this.#memory,
       clock,
       limits: () => this.#state.routes?.manifest.limits,
       writeRefusal: protocol.writeRefusal,
--- a/src/gateway/servers/backend_exchange.ts
+++ b/src/gateway/servers/backend_exchange.ts
@@ -38,7 +38,14 @@
 export interface ExchangeEvents {
   /** Called when the connection is established. */
   readonly onConnected: () => void;
-  readonly onHead: (status: number, rawHeaders: readonly string[]) => void;
+  readonly onHead: (
+    status: number,
+    rawHeaders: readonly string[],
+    body: {
+      /** The length that the head states. */
+      readonly statedBytes: number | undefined;
+    },
+  ) => void;
   readonly onData: (chunk: Buffer) => void;
   /** Called when the answer is complete. */
   readonly onEnd: () => void;
@@ -156,7 +163,11 @@
     if (statusCode < STATUSES.first || statusCode > STATUSES.last) {
       return this.#fail("malformed", `status ${statusCode}`);
     }
-    this.#tell(() => this.#events.onHead(statusCode, response.rawHeaders));
+    const length = response.headers["content-length"];
+    const statedBytes = length === undefined ? undefined : Number(length);
+    this.#tell(() =>
+      this.#events.onHead(statusCode, response.rawHeaders, { statedBytes })
+    );
     if (this.#isOver) return;
     response.on("data", (chunk: Buffer) => {
       this.#bodyBytes += chunk.length;
--- a/src/gateway/servers/server_attempt.ts
+++ b/src/gateway/servers/server_attempt.ts
@@ -63,7 +63,10 @@
     const { context, server, request, body } = options;
     this.targetId = server.id;
     this.version = server.version;
-    this.#buffer = new AnswerBuffer(context.answerMemory);
+    this.#buffer = new AnswerBuffer(options.memory, {
+      onPause: () => this.#exchange.pause(),
+      onResume: () => this.#exchange.resume(),
+    });
     this.#startedAtMs = context.clock();
     const size = requestSize(context, {
       service: server.service,
@@ -97,7 +100,10 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
     }, {
       onConnected: () => context.reach.recordReached(),
-      onHead: (status, rawHeaders) => this.#handleHead(status, rawHeaders),
+      onHead: (status, rawHeaders, { statedBytes }) => {
+        this.#handleHead(status, rawHeaders);
+        if (!this.#isOver && !this.#isRelayed) this.#beginAnswer(statedBytes);
+      },
       onData: (chunk) => this.#handleData(chunk),
       onEnd: () => this.#handleEnd(),
       onFault: (fault) => this.#handleFault(fault),
@@ -117,6 +123,10 @@
     return this.#exchange.isUnsent;
   }
 
+  get isWaiting(): boolean {
+    return this.#buffer.isWaiting;
+  }
+
   cancel(event: HealthEvent | undefined): void {
     if (this.#isOver) return;
     const { context, server } = this.#options;
@@ -194,6 +204,12 @@
     this.#options.onOutcome({ kind: "dropped" });
   }
 
+  #beginAnswer(statedBytes: number | undefined): void {
+    if (!this.#buffer.begin(statedBytes)) {
+      this.#fail("broken", "oversize_answer");
+    }
+  }
+
   #handleData(chunk: Buffer): void {
     this.#inFlight.recordActivity();
     this.#progress.recordData(this.#options.context.clock());
@@ -236,7 +252,6 @@
     );
     const { status, passedHeaders, isFramed: isEndMarked } = head;
     const body = this.#buffer.concat();
-    this.#buffer.release();
     const answer = { status, headers: passedHeaders, body, isEndMarked };
     this.#options.onOutcome({ kind: "answer", answer });
   }
--- a/src/gateway/servers/server_attempt_test.ts
+++ b/src/gateway/servers/server_attempt_test.ts
@@ -26,6 +26,7 @@
   const { context } = forwardContextOf([backend.server]);
   return await new Promise((resolve) => {
     new ServerAttempt({
+      memory: context.answerMemory.open("drafts"),
       context,
       server: backend.server,
       route: "drafts",
--- a/src/gateway/servers/slow_starts_test.ts
+++ b/src/gateway/servers/slow_starts_test.ts
@@ -336,6 +336,7 @@
   assert.ok(typeof caller !== "string");
   await new Promise((resolve) => {
     new ServerAttempt({
+      memory: context.answerMemory.open("drafts"),
       context,
       server,
       route: "drafts",
