Pass an answer on as it comes where no memory is left to hold it

Callers saw: with 120 answers of 7 MB at once, read at 320 KB a second, 28 were whole; 92 requests that may run once had run and ended as 504. Their answers waited for the memory that the first ones kept until they were read, longer than a request's time.

Cause: answers are held so that another server can take over if one breaks off. Of a request that may not run again nothing takes over, so holding its answer, or waiting to hold it, only loses it.

Change: an answer of a stated length that would have to wait, of such a request, is passed on as it comes: its server is read at the pace of the caller. The request's time no longer counts then, a connection that takes nothing for the idle time ends it, and if the server breaks off the caller gets less than the stated length.

--- a/src/gateway/callers/caller_exchange.ts
+++ b/src/gateway/callers/caller_exchange.ts
@@ -211,9 +211,7 @@
       : [];
     this.#response.writeHead(status, [...headers, ...length]);
     if (body.length > SHORT_ANSWER_BYTES) {
-      // Counts from the last byte that the connection has taken.
-      const timeoutMs = this.#options.readTimeoutMs();
-      this.#response.setTimeout(timeoutMs, () => this.#cutUnread());
+      this.#cutIfUnread();
     }
     if (this.isRead || this.#response.shouldKeepAlive) {
       this.#response.end(body);
@@ -268,6 +266,22 @@
     this.#framing = this.#response.chunkedEncoding ? "chunks" : "close";
   }
 
+  /** Sends the head of an answer of a stated length, whose parts follow. */
+  sendStatedHead(
+    { status, headers, statedBytes }: {
+      readonly status: number;
+      readonly headers: readonly string[];
+      readonly statedBytes: number;
+    },
+  ): void {
+    if (this.#isOver) return;
+    this.#status = status;
+    this.#framing = "length";
+    const length = ["Content-Length", String(statedBytes)];
+    this.#response.writeHead(status, [...headers, ...length]);
+    this.#cutIfUnread();
+  }
+
   /** Sends a part of a stream; returns false while the write buffer is full. */
   write(bytes: Buffer): boolean {
     if (this.#isOver) return true;
@@ -291,11 +305,13 @@
     else this.#response.destroy();
   }
 
-  /** Ends an answer whose caller doesn't read it, unless it has all of it. */
-  #cutUnread(): void {
-    if (this.#response.writableFinished || this.#isClosed) return;
-    if (this.#framing === "close") this.#onCut();
-    else this.#response.destroy();
+  /** Ends an answer of which the connection takes nothing for too long. */
+  #cutIfUnread(): void {
+    this.#response.setTimeout(this.#options.readTimeoutMs(), () => {
+      if (this.#response.writableFinished || this.#isClosed) return;
+      if (this.#framing === "close") this.#onCut();
+      else this.#response.destroy();
+    });
   }
 
   #endWithConnection(): void {
--- a/src/gateway/callers/slow_caller_memory_test.ts
+++ b/src/gateway/callers/slow_caller_memory_test.ts
@@ -31,7 +31,8 @@
 const IDLE_MS = 3000;
 /** As many as the memory has room for. */
 const UNREAD_COUNT = 6;
-const ROUTE = { ...REGISTER_ROUTE, timeoutMs: 60_000 };
+const TIMEOUT_MS = 60_000;
+const SHORT_TIMEOUT_MS = 4000;
 const ANSWER = Buffer.alloc(ANSWER_BYTES, "x");
 
 interface Site {
@@ -41,7 +42,11 @@
 
 async function startSite(
   context: TestContext,
-  { isFramed }: { readonly isFramed: boolean },
+  { isFramed = true, timeoutMs = TIMEOUT_MS, idleMs = TIMEOUT_MS }: {
+    readonly isFramed?: boolean;
+    readonly timeoutMs?: number;
+    readonly idleMs?: number;
+  },
 ): Promise<Site> {
   const answer: BackendHandler = (request, response) => {
     if (request.url?.startsWith("/lookups/")) {
@@ -52,14 +57,17 @@
       "test-signature": "signed",
       ...isFramed ? { "content-length": String(ANSWER_BYTES) } : {},
     });
-    response.end(ANSWER);
+    if (request.headers["test-id"] !== "broken") return response.end(ANSWER);
+    response.write(ANSWER.subarray(0, ANSWER_BYTES / 2), () => {
+      response.destroy();
+    });
   };
   const backend = await startBackend("server", answer);
   const vm = await startGateway({
     backends: [backend],
     manifest: {
-      routes: [ROUTE, LOOKUP_ROUTE],
-      limits: { ...manifestOf().limits, idleTimeoutMs: IDLE_MS },
+      routes: [{ ...REGISTER_ROUTE, timeoutMs }, LOOKUP_ROUTE],
+      limits: { ...manifestOf().limits, idleTimeoutMs: idleMs },
     },
     settings: { memoryBytes: MEMORY_BYTES },
   });
@@ -133,7 +141,7 @@
 
 // Guards against requests that run although no memory is left for their answers.
 test("requests whose answers have no room are refused unrun, and no others", async (context) => {
-  const site = await startSite(context, { isFramed: true });
+  const site = await startSite(context, {});
   const heads: IncomingMessage[] = [];
   let refusedCount = 0;
   const sending = Array.from({ length: CALLER_COUNT }, async (_, index) => {
@@ -167,9 +175,40 @@
   assert.deepEqual(await read(after), [200, ANSWER_BYTES]);
 });
 
+// Guards against LOST: requests that ran end as 504, as the answers of others
+// that are read slowly take all memory until their time is up.
+test("answers are whole though others are read later than their time is up", async (context) => {
+  const site = await startSite(context, { timeoutMs: SHORT_TIMEOUT_MS });
+  const answers = await Promise.all(
+    Array.from({ length: CALLER_COUNT }, async (_, index) => {
+      const response = await sendUntilTaken(site, `r-${index}`);
+      await delay(SHORT_TIMEOUT_MS + READ_AFTER_MS);
+      return await read(response);
+    }),
+  );
+  for (const answer of answers) assert.deepEqual(answer, [200, ANSWER_BYTES]);
+  assert.equal(site.backend.requestIds.length, CALLER_COUNT);
+});
+
+// Guards against a part that looks whole, where an answer is passed on as it
+// comes and its server breaks off.
+test("an answer that breaks off is not whole, with or without memory", async (context) => {
+  const site = await startSite(context, {});
+  const responses = await Promise.all(
+    Array.from({ length: CALLER_COUNT }, () => send(site, "broken")),
+  );
+  for (const response of responses) {
+    const [status] = await read(response);
+    assert.equal(status === 200, !response.complete, `${status}`);
+  }
+  const statuses = responses.map(({ statusCode }) => statusCode);
+  assert.ok(statuses.includes(200), "some are passed on");
+  assert.ok(statuses.includes(502), "some are held");
+});
+
 // Guards against callers that never read and keep the memory for good.
 test("a long answer that its caller does not read is cut and gives room", async (context) => {
-  const site = await startSite(context, { isFramed: true });
+  const site = await startSite(context, { idleMs: IDLE_MS });
   const unread: IncomingMessage[] = [];
   for (let count = 0; count < UNREAD_COUNT; count++) {
     unread.push(await send(site, `unread-${count}`));
--- a/src/gateway/forwarding/attempt.ts
+++ b/src/gateway/forwarding/attempt.ts
@@ -30,11 +30,22 @@
   resume(): void;
 }
 
+/** An answer that waits for memory. */
+export interface WaitingAnswer {
+  readonly head: AnswerHead;
+  readonly statedBytes: number | undefined;
+}
+
 /** What an attempt reports, and the memory for its answer. */
 export interface AttemptListeners {
   readonly memory: RequestMemory;
   /** Decides whether to relay the stream that begins with this head. */
   readonly onHead: (head: AnswerHead) => "relay" | "drop";
+  /**
+   * Decides whether an answer that would have to wait for memory is passed on
+   * as it comes, like a stream.
+   */
+  readonly onWait: (waiting: WaitingAnswer) => boolean;
   /** Receives the bytes of a relayed stream. */
   readonly onData: (chunk: Buffer) => void;
   /** Called once, unless the attempt is cancelled. */
--- a/src/gateway/forwarding/ended_server_test.ts
+++ b/src/gateway/forwarding/ended_server_test.ts
@@ -176,6 +176,7 @@
   return await new Promise((resolve) => {
     new ServerAttempt({
       memory: context.answerMemory.open("drafts"),
+      onWait: () => false,
       context,
       server: backend.server,
       route: "drafts",
--- a/src/gateway/forwarding/failure_answer.ts
+++ b/src/gateway/forwarding/failure_answer.ts
@@ -61,7 +61,7 @@
 /** Whether callers take a status for "not run" of a request that may have. */
 export function isFalsePromise(
   { route }: ForwardRequest,
-  { status }: CompleteAnswer,
+  { status }: Pick<CompleteAnswer, "status">,
 ): boolean {
   return NOT_RUN_STATUSES.includes(status) && !isRetriable(route);
 }
--- a/src/gateway/forwarding/forwarding.ts
+++ b/src/gateway/forwarding/forwarding.ts
@@ -7,7 +7,7 @@
  */
 import { firstModel } from "../../decision/mod.ts";
 import { isRetriable } from "../../model/mod.ts";
-import { type Attempt } from "./attempt.ts";
+import { type Attempt, type WaitingAnswer } from "./attempt.ts";
 import { type AttemptTarget, startAttempt } from "./attempt_start.ts";
 import { type RequestMemory } from "../callers/answer_memory.ts";
 import { AnswerTiming } from "../callers/answer_timing.ts";
@@ -62,6 +62,8 @@
   #model: string | undefined;
   #fallback: CompleteAnswer | undefined;
   #serverEnd: ServerEnding | undefined;
+  /** Whether a whole answer is passed on as it comes. */
+  #isPassedOn = false;
   #callerWaitCount = 0;
   #deadlineTimer: NodeJS.Timeout | undefined;
   #ticket: AdmissionTicket | undefined;
@@ -177,6 +179,7 @@
       isStreaming: this.#relay !== undefined,
       memory: this.#memory,
       onHead: (head) => isRelay ? "relay" : this.#handleHead(head),
+      onWait: (waiting) => this.#passOn(waiting),
       onData: (chunk) => this.#relayData(chunk),
       onOutcome: (outcome) => this.#handleOutcome(outcome),
       onException: (error) => this.endWithException(error),
@@ -220,9 +223,33 @@
     return "drop";
   }
 
+  /**
+   * Passes on an answer for which there is no memory, as its caller reads it. One
+   * that may run again rather waits, as another may take its place if it breaks.
+   */
+  #passOn({ head, statedBytes }: WaitingAnswer): boolean {
+    const { status, passedHeaders: headers } = head;
+    if (statedBytes === undefined) return false;
+    if (isRetriable(this.#request.route) || this.#relay !== undefined) {
+      return false;
+    }
+    if (isFalsePromise(this.#request, head)) return false;
+    // It is ready: its caller gets it, also late.
+    clearTimeout(this.#deadlineTimer);
+    this.#silence.stop();
+    this.#isPassedOn = true;
+    this.#exchange.sendStatedHead({ status, headers, statedBytes });
+    return true;
+  }
+
   #relayData(chunk: Buffer): void {
     const relay = this.#relay;
     const attempt = this.#attempt;
+    if (this.#isPassedOn && !this.#exchange.write(chunk)) {
+      this.#callerWaitCount += 1;
+      this.#pausedAttempt = attempt;
+      return attempt?.pause();
+    }
     if (relay === undefined || attempt === undefined) return;
     if (attempt.head !== undefined && !attempt.isAttached) {
       attempt.isAttached = true;
@@ -249,7 +276,7 @@
     if (attempt === undefined || attempt !== this.#attempt) return;
     if (this.#exchange.isOver) return;
     attempt.resume();
-    this.#silence.startGap();
+    if (!this.#isPassedOn) this.#silence.startGap();
   }
 
   #handleOutcome(outcome: AttemptOutcome): void {
@@ -285,6 +312,10 @@
   }
 
   #handleStreamEnd(head: AnswerHead): void {
+    if (this.#isPassedOn) {
+      this.#exchange.end();
+      return this.#finish("answered");
+    }
     this.#serverEnd = head.isFramed ? "marked" : "unmarked";
     const relay = this.#relay;
     const end = relay?.endOf(head);
--- a/src/gateway/forwarding/vm_attempt.ts
+++ b/src/gateway/forwarding/vm_attempt.ts
@@ -37,6 +37,8 @@
   readonly #buffer: AnswerBuffer;
   #head: AnswerHead | undefined;
   #isOver = false;
+  /** Whether the answer is passed on as it comes. */
+  #isPassedOn = false;
 
   constructor(options: VmAttemptOptions) {
     this.#options = options;
@@ -123,11 +125,19 @@
   }
 
   #beginAnswer(statedBytes: number | undefined): void {
-    if (!this.#buffer.begin(statedBytes)) this.#fail("oversize_answer");
+    if (!this.#buffer.begin(statedBytes)) return this.#fail("oversize_answer");
+    const head = this.#head;
+    if (!this.#buffer.isWaiting || head === undefined) return;
+    if (!this.#options.onWait({ head, statedBytes })) return;
+    this.#isPassedOn = true;
+    this.#buffer.release();
+    this.#exchange.resume();
   }
 
   #handleData(chunk: Buffer): void {
-    if (this.#isRelayed) return this.#options.onData(chunk);
+    if (this.#isRelayed || this.#isPassedOn) {
+      return this.#options.onData(chunk);
+    }
     if (!this.#buffer.push(chunk)) this.#fail("oversize_answer");
   }
 
@@ -148,7 +158,7 @@
   }
 
   #complete(head: AnswerHead): void {
-    const isRelayed = this.#isRelayed;
+    const isRelayed = this.#isRelayed || this.#isPassedOn;
     this.#isOver = true;
     if (isRelayed) return this.#options.onOutcome({ kind: "stream_end", head });
     const { status, passedHeaders, isFramed: isEndMarked } = head;
--- a/src/gateway/servers/backend_exchange.ts
+++ b/src/gateway/servers/backend_exchange.ts
@@ -42,7 +42,7 @@
     status: number,
     rawHeaders: readonly string[],
     body: {
-      /** The length that the head states. */
+      /** The length that the head states, if a body follows. */
       readonly statedBytes: number | undefined;
     },
   ) => void;
@@ -56,6 +56,8 @@
 
 /** Statuses of an answer; Node can't send one below 100 on. */
 const STATUSES = { first: 200, last: 599 } as const;
+/** Statuses of answers that end with their head, whatever length it states. */
+const BODILESS_STATUSES: readonly number[] = [204, 304];
 /** Methods of which a server may expect a body. */
 const BODY_METHODS: readonly string[] = ["POST", "PUT", "PATCH"];
 /**
@@ -164,7 +166,11 @@
       return this.#fail("malformed", `status ${statusCode}`);
     }
     const length = response.headers["content-length"];
-    const statedBytes = length === undefined ? undefined : Number(length);
+    const hasBody = this.#request?.method !== "HEAD" &&
+      !BODILESS_STATUSES.includes(statusCode);
+    const statedBytes = length === undefined || !hasBody
+      ? undefined
+      : Number(length);
     this.#tell(() =>
       this.#events.onHead(statusCode, response.rawHeaders, { statedBytes })
     );
--- a/src/gateway/servers/server_attempt.ts
+++ b/src/gateway/servers/server_attempt.ts
@@ -57,6 +57,8 @@
   readonly #buffer: AnswerBuffer;
   #head: AnswerHead | undefined;
   #isOver = false;
+  /** Whether the answer is passed on as it comes. */
+  #isPassedOn = false;
 
   constructor(options: ServerAttemptOptions) {
     this.#options = options;
@@ -206,14 +208,22 @@
 
   #beginAnswer(statedBytes: number | undefined): void {
     if (!this.#buffer.begin(statedBytes)) {
-      this.#fail("broken", "oversize_answer");
+      return this.#fail("broken", "oversize_answer");
     }
+    const head = this.#head;
+    if (!this.#buffer.isWaiting || head === undefined) return;
+    if (!this.#options.onWait({ head, statedBytes })) return;
+    this.#isPassedOn = true;
+    this.#buffer.release();
+    this.#exchange.resume();
   }
 
   #handleData(chunk: Buffer): void {
     this.#inFlight.recordActivity();
     this.#progress.recordData(this.#options.context.clock());
-    if (this.#isRelayed) return this.#options.onData(chunk);
+    if (this.#isRelayed || this.#isPassedOn) {
+      return this.#options.onData(chunk);
+    }
     if (!this.#buffer.push(chunk)) this.#fail("broken", "oversize_answer");
   }
 
@@ -243,7 +253,7 @@
     this.#progress.end();
     if (this.#isBareEnd(head)) this.#recordBreak("ended");
     if (isProof) context.prompts.recordSurvival(this.#promptAttempt.partIds);
-    if (this.#isRelayed) {
+    if (this.#isRelayed || this.#isPassedOn) {
       return this.#options.onOutcome({ kind: "stream_end", head });
     }
     context.fleet.recordServiceTime(
--- a/src/gateway/servers/server_attempt_test.ts
+++ b/src/gateway/servers/server_attempt_test.ts
@@ -27,6 +27,7 @@
   return await new Promise((resolve) => {
     new ServerAttempt({
       memory: context.answerMemory.open("drafts"),
+      onWait: () => false,
       context,
       server: backend.server,
       route: "drafts",
--- a/src/gateway/servers/slow_starts_test.ts
+++ b/src/gateway/servers/slow_starts_test.ts
@@ -337,6 +337,7 @@
   await new Promise((resolve) => {
     new ServerAttempt({
       memory: context.answerMemory.open("drafts"),
+      onWait: () => false,
       context,
       server,
       route: "drafts",
