--- a/src/gateway/forwarding/ended_server_test.ts
+++ b/src/gateway/forwarding/ended_server_test.ts
@@ -175,6 +175,8 @@
   assert.ok(typeof caller !== "string");
   return await new Promise((resolve) => {
     new ServerAttempt({
+      memory: context.answerMemory.open("drafts"),
+      onWait: () => false,
       context,
       server: backend.server,
       route: "drafts",
--- a/src/gateway/forwarding/forwarding.ts
+++ b/src/gateway/forwarding/forwarding.ts
@@ -7,8 +7,9 @@
  */
 import { firstModel } from "../../decision/mod.ts";
 import { isRetriable } from "../../model/mod.ts";
-import { type Attempt } from "./attempt.ts";
+import { type Attempt, type WaitingAnswer } from "./attempt.ts";
 import { type AttemptTarget, startAttempt } from "./attempt_start.ts";
+import { type RequestMemory } from "../callers/answer_memory.ts";
 import { AnswerTiming } from "../callers/answer_timing.ts";
 import { AttemptHistory } from "./attempt_history.ts";
 import {
@@ -18,6 +19,7 @@
 import {
   answerFailure,
   isFalsePromise,
+  refuseBusy,
   refuseOverloaded,
   type RequestFailure,
 } from "./failure_answer.ts";
@@ -54,6 +56,7 @@
   readonly #targets: TargetChoice;
   readonly #retries: RequestRetries;
   readonly #silence: SilenceWatch;
+  readonly #memory: RequestMemory;
   #attempt: Attempt | undefined;
   /** Where the request goes from a silent server, once it is reached. */
   #nextTarget: AttemptTarget | undefined;
@@ -64,6 +67,8 @@
   #model: string | undefined;
   #fallback: CompleteAnswer | undefined;
   #serverEnd: ServerEnding | undefined;
+  /** Whether a whole answer is passed on as it comes. */
+  #isPassedOn = false;
   #callerWaitCount = 0;
   #deadline: ReadTimeout | undefined;
   #ticket: AdmissionTicket | undefined;
@@ -79,6 +84,8 @@
     this.#exchange = exchange;
     this.#timing = new AnswerTiming(request);
     const { caller, route } = request;
+    this.#memory = context.answerMemory.open(route.name);
+    exchange.releaseWhenClosed(() => this.#memory.release());
     this.#history = new AttemptHistory(route, caller.maxRunCount);
     this.#targets = new TargetChoice(context, request);
     this.#retries = new RequestRetries(context, request, {
@@ -121,7 +128,7 @@
       () => this.#guard(() => this.#handleDeadline()),
     );
     this.#ticket = this.#context.admission.enter(this.#context, this.#request, {
-      onStart: () => this.#guard(() => this.#startAttempt()),
+      onStart: () => this.#guard(() => this.#startFirst()),
       onRefuse: (retryAfterMs) =>
         this.#guard(() => {
           refuseOverloaded(this.#context, this.#exchange, retryAfterMs);
@@ -150,6 +157,12 @@
     }
   }
 
+  #startFirst(): void {
+    if (this.#memory.begin()) return this.#startAttempt();
+    refuseBusy(this.#context, this.#exchange);
+    this.#finish("busy");
+  }
+
   #startAttempt(): void {
     const target = this.#targets.choose(this.#history.triedIds, this.#model);
     if (target === undefined) {
@@ -173,7 +186,9 @@
       model: keepsModel ? this.#model : undefined,
       lastEventId: this.#relay?.lastId?.toString() ?? caller.lastEventId,
       isStreaming: this.#relay !== undefined,
+      memory: this.#memory,
       onHead: (head) => isRelay ? "relay" : this.#handleHead(head),
+      onWait: (waiting) => this.#passOn(waiting),
       onData: (chunk) => this.#relayData(chunk),
       onOutcome: (outcome) => this.#handleOutcome(outcome),
       onException: (error) => this.endWithException(error),
@@ -221,9 +236,33 @@
     return "drop";
   }
 
+  /**
+   * Passes on an answer for which there is no memory, as its caller reads it. One
+   * that may run again rather waits, as another may take its place if it breaks.
+   */
+  #passOn({ head, statedBytes }: WaitingAnswer): boolean {
+    const { status, passedHeaders: headers } = head;
+    if (statedBytes === undefined) return false;
+    if (isRetriable(this.#request.route) || this.#relay !== undefined) {
+      return false;
+    }
+    if (isFalsePromise(this.#request, head)) return false;
+    // It is ready: its caller gets it, also late.
+    this.#deadline?.stop();
+    this.#silence.stop();
+    this.#isPassedOn = true;
+    this.#exchange.sendStatedHead({ status, headers, statedBytes });
+    return true;
+  }
+
   #relayData(chunk: Buffer): void {
     const relay = this.#relay;
     const attempt = this.#attempt;
+    if (this.#isPassedOn && !this.#exchange.write(chunk)) {
+      this.#callerWaitCount += 1;
+      this.#pausedAttempt = attempt;
+      return attempt?.pause();
+    }
     if (relay === undefined || attempt === undefined) return;
     this.#nextTarget = undefined;
     if (attempt.head !== undefined && !attempt.isAttached) {
@@ -251,7 +290,7 @@
     if (attempt === undefined || attempt !== this.#attempt) return;
     if (this.#exchange.isOver) return;
     attempt.resume();
-    this.#silence.startGap();
+    if (!this.#isPassedOn) this.#silence.startGap();
   }
 
   #handleOutcome(outcome: AttemptOutcome): void {
@@ -264,6 +303,7 @@
         if (this.#exchange.isHeadSent) return this.#retry("no_stream");
         if (outcome.answer.status >= 500 && isRetriable(this.#request.route)) {
           this.#fallback = outcome.answer;
+          this.#memory.keep();
           return this.#retry("backend_error");
         }
         if (isFalsePromise(this.#request, outcome.answer)) {
@@ -287,6 +327,10 @@
   }
 
   #handleStreamEnd(head: AnswerHead): void {
+    if (this.#isPassedOn) {
+      this.#exchange.end();
+      return this.#finish("answered");
+    }
     this.#serverEnd = head.isFramed ? "marked" : "unmarked";
     const relay = this.#relay;
     const end = relay?.endOf(head);
@@ -335,6 +379,7 @@
   #handleSilence(): void {
     const attempt = this.#attempt;
     if (attempt === undefined || this.#exchange.isOver) return;
+    if (attempt.isWaiting) return this.#silence.startGap();
     if (!this.#canGoOn || !this.#history.mayLeaveServer()) return;
     const { triedIds } = this.#history;
     const avoidedIds = new Set([...triedIds, ...this.#unreachedIds]);
--- a/src/gateway/forwarding/vm_attempt.ts
+++ b/src/gateway/forwarding/vm_attempt.ts
@@ -37,12 +37,17 @@
   readonly #buffer: AnswerBuffer;
   #head: AnswerHead | undefined;
   #isOver = false;
+  /** Whether the answer is passed on as it comes. */
+  #isPassedOn = false;
 
   constructor(options: VmAttemptOptions) {
     this.#options = options;
     const { context, vm, request, body } = options;
     this.targetId = vm.vm;
-    this.#buffer = new AnswerBuffer(context.answerMemory);
+    this.#buffer = new AnswerBuffer(options.memory, {
+      onPause: () => this.#exchange.pause(),
+      onResume: () => this.#exchange.resume(),
+    });
     this.#exchange = new BackendExchange({
       address: vm.address,
       method: request.caller.method,
@@ -52,7 +57,10 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
     }, {
       onConnected: () => {},
-      onHead: (status, rawHeaders) => this.#handleHead(status, rawHeaders),
+      onHead: (status, rawHeaders, { statedBytes }) => {
+        this.#handleHead(status, rawHeaders);
+        if (!this.#isOver && !this.#isRelayed) this.#beginAnswer(statedBytes);
+      },
       onData: (chunk) => this.#handleData(chunk),
       onEnd: () => this.#handleEnd(),
       onFault: (fault) => this.#handleFault(fault),
@@ -68,6 +76,10 @@
     return this.#exchange.isUnsent;
   }
 
+  get isWaiting(): boolean {
+    return this.#buffer.isWaiting;
+  }
+
   cancel(event: HealthEvent | undefined): void {
     if (this.#isOver) return;
     if (event !== undefined) this.#recordFailure();
@@ -112,8 +124,20 @@
     this.#options.onOutcome({ kind: "not_run", cause: "vm_refused" });
   }
 
+  #beginAnswer(statedBytes: number | undefined): void {
+    if (!this.#buffer.begin(statedBytes)) return this.#fail("oversize_answer");
+    const head = this.#head;
+    if (!this.#buffer.isWaiting || head === undefined) return;
+    if (!this.#options.onWait({ head, statedBytes })) return;
+    this.#isPassedOn = true;
+    this.#buffer.release();
+    this.#exchange.resume();
+  }
+
   #handleData(chunk: Buffer): void {
-    if (this.#isRelayed) return this.#options.onData(chunk);
+    if (this.#isRelayed || this.#isPassedOn) {
+      return this.#options.onData(chunk);
+    }
     if (!this.#buffer.push(chunk)) this.#fail("oversize_answer");
   }
 
@@ -134,12 +158,11 @@
   }
 
   #complete(head: AnswerHead): void {
-    const isRelayed = this.#isRelayed;
-    const body = this.#buffer.concat();
-    this.#buffer.release();
+    const isRelayed = this.#isRelayed || this.#isPassedOn;
     this.#isOver = true;
     if (isRelayed) return this.#options.onOutcome({ kind: "stream_end", head });
     const { status, passedHeaders, isFramed: isEndMarked } = head;
+    const body = this.#buffer.concat();
     const answer = { status, headers: passedHeaders, body, isEndMarked };
     this.#options.onOutcome({ kind: "answer", answer });
   }
--- a/src/gateway/servers/backend_exchange.ts
+++ b/src/gateway/servers/backend_exchange.ts
@@ -39,7 +39,14 @@
 export interface ExchangeEvents {
   /** Called when the connection is established. */
   readonly onConnected: () => void;
-  readonly onHead: (status: number, rawHeaders: readonly string[]) => void;
+  readonly onHead: (
+    status: number,
+    rawHeaders: readonly string[],
+    body: {
+      /** The length that the head states, if a body follows. */
+      readonly statedBytes: number | undefined;
+    },
+  ) => void;
   readonly onData: (chunk: Buffer) => void;
   /** Called when the answer is complete. */
   readonly onEnd: () => void;
@@ -50,6 +57,8 @@
 
 /** Statuses of an answer; Node can't send one below 100 on. */
 const STATUSES = { first: 200, last: 599 } as const;
+/** Statuses of answers that end with their head, whatever length it states. */
+const BODILESS_STATUSES: readonly number[] = [204, 304];
 /** Methods of which a server may expect a body. */
 const BODY_METHODS: readonly string[] = ["POST", "PUT", "PATCH"];
 /**
@@ -157,7 +166,15 @@
     if (statusCode < STATUSES.first || statusCode > STATUSES.last) {
       return this.#fail("malformed", `status ${statusCode}`);
     }
-    this.#tell(() => this.#events.onHead(statusCode, response.rawHeaders));
+    const length = response.headers["content-length"];
+    const hasBody = this.#request?.method !== "HEAD" &&
+      !BODILESS_STATUSES.includes(statusCode);
+    const statedBytes = length === undefined || !hasBody
+      ? undefined
+      : Number(length);
+    this.#tell(() =>
+      this.#events.onHead(statusCode, response.rawHeaders, { statedBytes })
+    );
     if (this.#isOver) return;
     response.on("data", (chunk: Buffer) => {
       this.#bodyBytes += chunk.length;
--- a/src/gateway/servers/server_attempt.ts
+++ b/src/gateway/servers/server_attempt.ts
@@ -57,13 +57,18 @@
   readonly #buffer: AnswerBuffer;
   #head: AnswerHead | undefined;
   #isOver = false;
+  /** Whether the answer is passed on as it comes. */
+  #isPassedOn = false;
 
   constructor(options: ServerAttemptOptions) {
     this.#options = options;
     const { context, server, request, body } = options;
     this.targetId = server.id;
     this.version = server.version;
-    this.#buffer = new AnswerBuffer(context.answerMemory);
+    this.#buffer = new AnswerBuffer(options.memory, {
+      onPause: () => this.#exchange.pause(),
+      onResume: () => this.#exchange.resume(),
+    });
     this.#startedAtMs = context.clock();
     const size = requestSize(context, {
       service: server.service,
@@ -97,7 +102,10 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
     }, {
       onConnected: () => context.reach.recordReached(),
-      onHead: (status, rawHeaders) => this.#handleHead(status, rawHeaders),
+      onHead: (status, rawHeaders, { statedBytes }) => {
+        this.#handleHead(status, rawHeaders);
+        if (!this.#isOver && !this.#isRelayed) this.#beginAnswer(statedBytes);
+      },
       onData: (chunk) => this.#handleData(chunk),
       onEnd: () => this.#handleEnd(),
       onFault: (fault) => this.#handleFault(fault),
@@ -117,6 +125,10 @@
     return this.#exchange.isUnsent;
   }
 
+  get isWaiting(): boolean {
+    return this.#buffer.isWaiting;
+  }
+
   cancel(event: HealthEvent | undefined): void {
     if (this.#isOver) return;
     const { context, server } = this.#options;
@@ -194,10 +206,24 @@
     this.#options.onOutcome({ kind: "dropped" });
   }
 
+  #beginAnswer(statedBytes: number | undefined): void {
+    if (!this.#buffer.begin(statedBytes)) {
+      return this.#fail("broken", "oversize_answer");
+    }
+    const head = this.#head;
+    if (!this.#buffer.isWaiting || head === undefined) return;
+    if (!this.#options.onWait({ head, statedBytes })) return;
+    this.#isPassedOn = true;
+    this.#buffer.release();
+    this.#exchange.resume();
+  }
+
   #handleData(chunk: Buffer): void {
     this.#inFlight.recordActivity();
     this.#progress.recordData(this.#options.context.clock());
-    if (this.#isRelayed) return this.#options.onData(chunk);
+    if (this.#isRelayed || this.#isPassedOn) {
+      return this.#options.onData(chunk);
+    }
     if (!this.#buffer.push(chunk)) this.#fail("broken", "oversize_answer");
   }
 
@@ -227,7 +253,7 @@
     this.#progress.end();
     if (this.#isBareEnd(head)) this.#recordBreak("ended");
     if (isProof) context.prompts.recordSurvival(this.#promptAttempt.partIds);
-    if (this.#isRelayed) {
+    if (this.#isRelayed || this.#isPassedOn) {
       return this.#options.onOutcome({ kind: "stream_end", head });
     }
     context.fleet.recordServiceTime(
@@ -236,7 +262,6 @@
     );
     const { status, passedHeaders, isFramed: isEndMarked } = head;
     const body = this.#buffer.concat();
-    this.#buffer.release();
     const answer = { status, headers: passedHeaders, body, isEndMarked };
     this.#options.onOutcome({ kind: "answer", answer });
   }
--- a/src/gateway/servers/server_attempt_test.ts
+++ b/src/gateway/servers/server_attempt_test.ts
@@ -26,6 +26,8 @@
   const { context } = forwardContextOf([backend.server]);
   return await new Promise((resolve) => {
     new ServerAttempt({
+      memory: context.answerMemory.open("drafts"),
+      onWait: () => false,
       context,
       server: backend.server,
       route: "drafts",
--- a/src/gateway/servers/slow_starts_test.ts
+++ b/src/gateway/servers/slow_starts_test.ts
@@ -336,6 +336,8 @@
   assert.ok(typeof caller !== "string");
   await new Promise((resolve) => {
     new ServerAttempt({
+      memory: context.answerMemory.open("drafts"),
+      onWait: () => false,
       context,
       server,
       route: "drafts",
