Keep the line that the check of mechanisms takes out

The check finds 'no share before the others are known' by this line, which choosing the store readers once had folded into another. The check runs and the test fails without it, as before.

--- a/src/decision/limited_vms.ts
+++ b/src/decision/limited_vms.ts
@@ -27,7 +27,8 @@
   if (state.members.size === 0) {
     return hasSeeds && ageMs < ALONE_MS ? undefined : [];
   }
-  return ageMs < SETTLE_MS ? undefined : known(state);
+  if (ageMs < SETTLE_MS) return undefined;
+  return known(state);
 }
 
 /** Returns the other VMs but for those that have left or were replaced. */
