Close no connection as idle while a request on it is open

What callers saw: a request behind a long answer on the same connection lost it after the limit for idle callers, though a server was at work on it; and a long unframed answer that its caller didn't read could end plainly in place of a reset (by reading).

Cause: the limit of a long answer, by which a caller that reads nothing is cut off, is a timeout of its socket, which Node also tells the server of, where it counted as that of an idle connection.

Change: a connection with an open request is never idle.

--- a/src/gateway/callers/caller_server.ts
+++ b/src/gateway/callers/caller_server.ts
@@ -105,7 +105,7 @@
     this.#server.on("clientError", (error, stream) => {
       this.#handleError(stream as Socket, error);
     });
-    this.#server.on("timeout", (socket) => closeIdle(socket));
+    this.#server.on("timeout", (socket) => this.#closeIdle(socket));
     // Node would close the connection at once. Its listeners are gone by now.
     this.#server.on("connect", (_request, stream) => {
       const socket = stream as Socket;
@@ -164,6 +164,20 @@
     this.#server.closeAllConnections();
   }
 
+  /**
+   * Closes a kept connection, unless its next request has arrived. Answers have
+   * limits of their own, which Node tells of here too.
+   */
+  #closeIdle(socket: Socket): void {
+    const isBusy = (): boolean =>
+      this.#connections.get(socket)?.isBusy === true;
+    if (isBusy()) return;
+    const { bytesRead } = socket;
+    afterReading(() => {
+      if (socket.bytesRead === bytesRead && !isBusy()) socket.destroy();
+    });
+  }
+
   #limits(): CallerLimits {
     return this.#options.limits() ?? INITIAL_LIMITS;
   }
@@ -286,14 +300,6 @@
   }
 }
 
-/** Closes a kept connection, unless its next request has arrived. */
-function closeIdle(socket: Socket): void {
-  const { bytesRead } = socket;
-  afterReading(() => {
-    if (socket.bytesRead === bytesRead) socket.destroy();
-  });
-}
-
 function headSizeBytes(request: IncomingMessage): number {
   let bytes = request.url?.length ?? 0;
   for (const text of request.rawHeaders) bytes += text.length;
--- a/src/gateway/callers/held_up_vm_test.ts
+++ b/src/gateway/callers/held_up_vm_test.ts
@@ -16,7 +16,10 @@
   statusesIn,
   writeAndHoldUp,
 } from "./caller_connection_fixture.ts";
-import { sendCompleteAnswer } from "../servers/backend_fixture.ts";
+import {
+  type BackendHandler,
+  sendCompleteAnswer,
+} from "../servers/backend_fixture.ts";
 import { holdUpAfter } from "../hold_up_fixture.ts";
 import { until } from "../until_fixture.ts";
 
@@ -24,6 +27,8 @@
 const IDLE_MS = 400;
 /** The grace period of the VM, but for the end of its stop. */
 const GRACE_MS = 2500;
+/** Longer than answers that need no memory of their own. */
+const LONG_BYTES = 200_000;
 const SHORT_LIMITS = { ...LIMITS, idleTimeoutMs: IDLE_MS };
 
 // Guards against a connection closed as idle although its next request is there.
@@ -74,6 +79,24 @@
   assert.deepEqual(statusesIn(caller), ["200", "200"]);
 });
 
+// Guards against LOST: the time limit of a caller that reads nothing of a long
+// answer closed the connection under its next request.
+test("a request behind a long answer is answered after the limit for idle callers", async (context) => {
+  const answer: BackendHandler = (request, response) => {
+    const isFirst = request.headers["test-id"] === "a";
+    const body = isFirst ? "x".repeat(LONG_BYTES) : "whole";
+    setTimeout(
+      () => sendCompleteAnswer(request, response, body),
+      isFirst ? 0 : 3 * IDLE_MS,
+    );
+  };
+  const site = await setUp(context, answer, { limits: SHORT_LIMITS });
+  const caller = connectCaller(site);
+  caller.socket.write(requestOf("a") + requestOf("b"));
+  await until(() => caller.isClosed || statusesIn(caller).length === 2);
+  assert.deepEqual(statusesIn(caller), ["200", "200"]);
+});
+
 // Guards against a request that a stopping VM closes before it looks at it.
 test("a request that came while a stopping VM was held up is answered", async (context) => {
   const site = await setUp(context, sendCompleteAnswer);
