Let requests that wait or run go to the target once all requests run on it

What callers saw on the large site as a roll-out was completed: requests that had arrived before its last phase went on only to servers of the old version, which were about to stop, when they left a server or an answer was dropped; they reached none and used up attempts and retries.

Cause: the versions a request may run on were decided as it arrived, and renewed only after a failure.

Change: a request that was kept off the target by its share alone may run there, and only there, from the moment at which all requests do, while no fault is known.

Found by a review of the trace.

--- a/src/gateway/rollout/rollout_registry.ts
+++ b/src/gateway/rollout/rollout_registry.ts
@@ -6,6 +6,7 @@
   isLoadTrial,
   type OrderedRollout,
   summarise,
+  targetShare,
 } from "../../decision/mod.ts";
 import {
   type Clock,
@@ -190,14 +191,30 @@
     });
     const { target } = rollout.order;
     const others = this.#versions.acceptorOf(service, { ...session, rollout });
+    // The request may wait or run until all requests run on the target.
+    const isLeftByShare = reason === "session_kept" || reason === "share";
+    const isAllOnTarget = (): boolean =>
+      isLeftByShare && this.#isAllOnTarget(rollout, session);
     const accepts = (version: string): boolean => {
       // Checks the fault per call: it may be found while the request runs.
-      const isTaken = isOnTarget && rollout.fault === undefined;
+      const isTaken = rollout.fault === undefined &&
+        (isOnTarget || isAllOnTarget());
       return version === target ? isTaken : !isTaken && others.accepts(version);
     };
     return { accepts, reason };
   }
 
+  #isAllOnTarget(
+    rollout: RolloutRecord,
+    { allowsPlace, failedVersion, isMultiRequest }: VersionSession,
+  ): boolean {
+    const { fleet, clock } = this.#options;
+    const { service, target } = rollout.order;
+    if (targetShare(rollout, clock()) !== 1) return false;
+    if (failedVersion === target && !isMultiRequest) return false;
+    return fleet.readyVersionsOf(service, allowsPlace).has(target);
+  }
+
   loadTrialOf(service: string): LoadTrial | undefined {
     const rollout = this.#rollouts.get(service);
     if (rollout === undefined) return undefined;
--- a/src/gateway/rollout/rollout_registry_test.ts
+++ b/src/gateway/rollout/rollout_registry_test.ts
@@ -458,3 +458,22 @@
   evacuated.add("khomas-a");
   assert.equal(countOnTarget(), usualCount);
 });
+
+// Guards against LOST: requests that arrived before the last phase went on to the
+// stopping servers of the old version for as long as they ran.
+test("a request that arrived before the last phase may run on the target in it", () => {
+  const setup = setUp();
+  setup.register(BOTH);
+  order(setup.registry);
+  const early = setup.registry.acceptorOf(SERVICE, sessionOf({}));
+  assert.deepEqual(["v1", "v2"].filter(early.accepts), ["v1"]);
+  setup.clock.nowMs = DURATION_MS * 0.99;
+  assert.deepEqual(["v1", "v2"].filter(early.accepts), ["v2"]);
+  setup.registry.applyStatus({
+    service: SERVICE,
+    target: "v2",
+    stage: "reverted",
+    orderOffset: 4,
+  });
+  assert.deepEqual(["v1", "v2"].filter(early.accepts), ["v1"]);
+});
