Look for another server again while a silent one is waited for

What callers saw: a stream whose server died stayed there until its time was up, if no retry or no other server was there at the moment at which it fell silent; a server that resets each connection counted as reached.

Cause: the timer of the silence was not set again after such a moment, servers found unreached were avoided for the rest of the stream, and the connection by which a server is tried accepts a reset.

Change: the silence is looked at again after the same time, with all servers; a reset is no answer there.

The reset has no test.

--- a/src/gateway/forwarding/forwarding.ts
+++ b/src/gateway/forwarding/forwarding.ts
@@ -384,10 +384,10 @@
     const { triedIds } = this.#history;
     const avoidedIds = new Set([...triedIds, ...this.#unreachedIds]);
     const next = this.#targets.choose(avoidedIds, this.#model);
-    if (next === undefined) return;
+    if (next === undefined) return this.#waitOn();
     const nextId = targetIdOf(next);
-    if (nextId === attempt.targetId) return;
-    if (this.#unreachedIds.has(nextId)) return this.#silence.waitOn();
+    const isOther = nextId !== attempt.targetId;
+    if (!isOther || this.#unreachedIds.has(nextId)) return this.#waitOn();
     if (!this.#silence.mayLeave(next)) return;
     this.#nextTarget = next;
     void isReached(next).then((isUp) =>
@@ -402,10 +402,18 @@
     );
   }
 
+  /** Stays at a silent server, and looks for another one later. */
+  #waitOn(): void {
+    this.#unreachedIds.clear();
+    this.#silence.waitOn();
+  }
+
   #leave(attempt: Attempt, next: AttemptTarget): void {
     // The next server may refuse, and the caller has a part of the answer.
     const reason = this.#exchange.isHeadSent ? "begun_answer" : "failure";
-    if (!attempt.isUnsent && !this.#retries.spend(reason)) return;
+    if (!attempt.isUnsent && !this.#retries.spend(reason)) {
+      return this.#waitOn();
+    }
     this.#retries.count("silent");
     attempt.cancel("down");
     this.#history.addOutcome(attempt.targetId, {
--- a/src/gateway/forwarding/target_choice.ts
+++ b/src/gateway/forwarding/target_choice.ts
@@ -12,19 +12,25 @@
 } from "./forward_context.ts";
 import { isWithoutServer } from "./retry_delay.ts";
 import { chooseServer } from "../servers/server_choice.ts";
-import { isListening } from "../servers/unmarked_answers.ts";
+import { connects } from "../servers/connect_probe.ts";
+
+/** Long enough for a connection whose first packet has to be sent again. */
+const CONNECT_TIMEOUT_MS = 400;
 
 /** Returns the id of the server or the name of the VM. */
 export function targetIdOf(target: AttemptTarget): string {
   return target.kind === "vm" ? target.vm.vm : target.candidate.id;
 }
 
-/** Whether a target accepts connections. */
+/** Whether a target accepts connections, and not only to reset them. */
 export function isReached(target: AttemptTarget): Promise<boolean> {
   const { address } = target.kind === "vm"
     ? target.vm
     : target.candidate.server;
-  return isListening(address);
+  return connects(address, {
+    timeoutMs: CONNECT_TIMEOUT_MS,
+    isResetAccepted: false,
+  });
 }
 
 export class TargetChoice {
