--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -1,3 +1,5 @@
+// Plain JavaScript has no return types.
+// deno-lint-ignore-file explicit-function-return-type
 // Streams of a route that may not be resumed, from workers that don't frame
 // their answers, while one VM of three is killed. See claim.txt.
 import { mkdtempSync, rmSync } from "node:fs";
@@ -101,7 +103,8 @@
     vm.start();
   }
   await until(
-    async () => (await Promise.all(vms.map((vm) => vm.isReady()))).every(Boolean),
+    async () =>
+      (await Promise.all(vms.map((vm) => vm.isReady()))).every(Boolean),
     { timeoutMs: 15_000, what: "all VMs are ready" },
   );
   record.add("all VMs are ready");
@@ -135,13 +138,22 @@
   );
   const isBroken = answer.status === 200 && answer.looksComplete &&
     answer.body !== whole;
-  return { id, vm: vm.name, eventCount, isBroken, isWhole: answer.body === whole };
+  return {
+    id,
+    vm: vm.name,
+    eventCount,
+    isBroken,
+    isWhole: answer.body === whole,
+  };
 }
 
 async function main() {
   await start();
   const [victim] = vms;
-  const streams = Array.from({ length: CLIENT_COUNT }, (_, index) => stream(index));
+  const streams = Array.from(
+    { length: CLIENT_COUNT },
+    (_, index) => stream(index),
+  );
   if (isTrouble) {
     await delay(KILL_AFTER_MS);
     record.add(`SIGKILL to ${victim.name}`);
@@ -159,7 +171,8 @@
         `${EVENT_COUNT} events`,
     );
   }
-  const result = `${broken.length} of ${answers.length} answers look complete ` +
+  const result =
+    `${broken.length} of ${answers.length} answers look complete ` +
     `and are not, ${wholeCount} are whole`;
   record.add(result);
   console.log(result);
--- a/review/lib-2/client.mjs
+++ b/review/lib-2/client.mjs
@@ -1,3 +1,5 @@
+// Plain JavaScript has no return types.
+// deno-lint-ignore-file explicit-function-return-type
 // A client on a raw socket: it sends one request of HTTP/1.1 on a new channel and
 // tells how the answer ended, also whether the channel was closed plainly or
 // reset. It closes the channel once the answer is whole by its own framing.
@@ -27,7 +29,10 @@
       // The system shows a reset behind unread bytes as an end.
       end = socket.remoteAddress === undefined ? "reset" : "plain end";
     });
-    socket.on("error", ({ code }) => end = code === "ECONNRESET" ? "reset" : code);
+    socket.on(
+      "error",
+      ({ code }) => end = code === "ECONNRESET" ? "reset" : code,
+    );
     socket.on("close", () => resolve(parse(Buffer.concat(chunks), end)));
   });
 }
@@ -49,7 +54,14 @@
   const rest = bytes.subarray(split + 4);
   if (headers["transfer-encoding"]?.toLowerCase() === "chunked") {
     const { body, isEnded } = unchunk(rest);
-    return { status, headers, body, end, framing: "chunks", looksComplete: isEnded };
+    return {
+      status,
+      headers,
+      body,
+      end,
+      framing: "chunks",
+      looksComplete: isEnded,
+    };
   }
   const body = rest.toString();
   if (headers["content-length"] !== undefined) {
@@ -67,7 +79,9 @@
     const lineEnd = bytes.indexOf("\r\n", at);
     if (lineEnd < 0) break;
     const size = parseInt(bytes.subarray(at, lineEnd).toString(), 16);
-    if (size === 0) return { body: Buffer.concat(parts).toString(), isEnded: true };
+    if (size === 0) {
+      return { body: Buffer.concat(parts).toString(), isEnded: true };
+    }
     const start = lineEnd + 2;
     parts.push(bytes.subarray(start, start + size));
     at = start + size + 2;
--- a/review/lib-2/net.mjs
+++ b/review/lib-2/net.mjs
@@ -1,3 +1,5 @@
+// Plain JavaScript has no return types.
+// deno-lint-ignore-file explicit-function-return-type
 // Free loopback ports, pauses and a record of what was seen.
 import { appendFileSync, writeFileSync } from "node:fs";
 import { createServer } from "node:net";
--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -1,3 +1,5 @@
+// Plain JavaScript has no return types.
+// deno-lint-ignore-file explicit-function-return-type
 // A stand-in of the platform's store: a log with the newest record of each key
 // in the topics `keyed.*`. It answers the calls that PROTOCOL.md names and that
 // the programs make: log-newest, log-read and log-append.
--- a/review/lib-2/vm.mjs
+++ b/review/lib-2/vm.mjs
@@ -1,3 +1,5 @@
+// Plain JavaScript has no return types.
+// deno-lint-ignore-file explicit-function-return-type
 // A VM of the system: the program of the deploy file in a process of its own.
 import { spawn } from "node:child_process";
 import { once } from "node:events";
@@ -59,7 +61,7 @@
       deliveryLagMs: 250,
       reuseWindowS: 8.8,
       sessionS: 5,
-      ttl_max_s: 5,
+      "ttl_max_s": 5,
       ...guarantees,
     };
     const lines = [
--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -1,3 +1,5 @@
+// Plain JavaScript has no return types.
+// deno-lint-ignore-file explicit-function-return-type
 // A stand-in of a worker: registers itself in the store, writes there every
 // heartbeat, and runs requests. `run` answers a request that it accepts.
 import { createServer } from "node:http";
@@ -22,7 +24,9 @@
   #http = this.#createServer();
   state = "ready";
 
-  constructor({ id, service, zone, version = "v1", capacity = 16, store, run }) {
+  constructor(
+    { id, service, zone, version = "v1", capacity = 16, store, run },
+  ) {
     Object.assign(this, { id, service, zone, version, capacity });
     this.#store = store;
     this.#run = run;
