Send every stream in chunks to callers that know them

What callers saw: a VM was killed in the middle of streams that their server had not framed, on a route that may not be resumed.

Cause: StreamRelay sent such streams without chunks, so that only the end of the connection ended them, and the kernel closes the connections of a process that dies as if it had closed them itself. The reason for leaving chunks out, that a last chunk vouches for an end that the server did not mark, does not hold: to a caller of HTTP/1.1 a plain end means the same.

Change: CallerExchange.sendHead sends chunks to every caller that knows them. What is believed of a server's end does not change.

--- a/src/gateway/callers/caller_exchange.ts
+++ b/src/gateway/callers/caller_exchange.ts
@@ -2,10 +2,9 @@
  * The answer to one caller's request. The head is sent once, with the first
  * bytes of the body. An answer that cannot be completed ends by closing the
  * connection, so that the caller can't take it for complete. Therefore streams
- * come in chunks and whole answers state their length, but only where the end is
- * known: an end that the server did not mark, and that no further run may
- * confirm, is passed on as it came, by the end of the connection. So ends a
- * stream to a caller that does not know chunks.
+ * come in chunks and whole answers state their length, but not where the server
+ * did not mark the end: it ends with the connection then. So does a stream to a
+ * caller that does not know chunks.
  */
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Socket } from "node:net";
@@ -260,18 +259,13 @@
   }
 
   /**
-   * Sends the head of a stream. Unless its end can be marked, also to callers
-   * that do not know chunks, it ends with the connection.
+   * Sends the head of a stream, which ends with the connection for callers that
+   * do not know chunks.
    */
-  sendHead(
-    status: number,
-    headers: readonly string[],
-    { marksEnd }: { readonly marksEnd: boolean },
-  ): void {
+  sendHead(status: number, headers: readonly string[]): void {
     if (this.#isOver) return;
     this.#status = status;
-    const knowsChunks = this.#request.httpVersion === CHUNKS_VERSION;
-    if (!marksEnd || !knowsChunks) this.#endWithConnection();
+    if (!this.#knowsChunks) this.#endWithConnection();
     this.#response.writeHead(status, headers as string[]);
     this.#framing = this.#response.chunkedEncoding ? "chunks" : "close";
   }
@@ -324,6 +318,10 @@
     });
   }
 
+  get #knowsChunks(): boolean {
+    return this.#request.httpVersion === CHUNKS_VERSION;
+  }
+
   #endWithConnection(): void {
     this.#response.useChunkedEncodingByDefault = false;
     this.closeAfterAnswer();
--- a/src/gateway/callers/ending_vm_test.ts
+++ b/src/gateway/callers/ending_vm_test.ts
@@ -12,7 +12,6 @@
   beginAtOnce,
   ENDLESS_COUNT,
   ENDLESS_PAUSE_MS,
-  markedRoutesOf,
   PAUSE_MS,
   sendText,
   type ServedStream,
@@ -20,6 +19,7 @@
   startVm,
   STREAM_FRAMINGS,
   streamOf,
+  testRoutesOf,
 } from "./framed_server_fixture.ts";
 import { CALLER_VERSIONS } from "./raw_caller_fixture.ts";
 
@@ -38,13 +38,20 @@
   while ((await call(address, probe)).status !== 200) await delay(PAUSE_MS);
 }
 
-for (const framing of STREAM_FRAMINGS) {
+const CASES = STREAM_FRAMINGS.flatMap((framing) =>
+  [true, false].map((isResumable) => ({ framing, isResumable }))
+);
+
+for (const { framing, isResumable } of CASES) {
+  const routes = testRoutesOf({ isResumable });
+  const title = `${framing}, ${isResumable ? "resumable" : "may run once"}`;
+
   // Guards against ORDER: a stream that its server did not frame was passed on
   // without framing, so that the end of the VM's process looked like its own.
-  test(`a stream through a VM that ends looks cut: ${framing}`, async (context) => {
+  test(`a stream through a VM that ends looks cut: ${title}`, async (context) => {
     const accepted = recordAccepted(context);
     const stream = streamOf(servedStream(framing));
-    const vm = await startVm(context, stream, markedRoutesOf(framing));
+    const vm = await startVm(context, stream, routes);
     const address = vm.callerAddress;
     const call = { address, version: "1.1" } as const;
     const { answers } = await beginAtOnce(CALLER_COUNT, call);
@@ -54,7 +61,7 @@
 
   for (const version of CALLER_VERSIONS) {
     // Guards against ORDER: the same where another VM has sent the request on.
-    test(`a stream relayed through a VM that ends looks cut: HTTP/${version}, ${framing}`, async (context) => {
+    test(`a stream relayed through a VM that ends looks cut: HTTP/${version}, ${title}`, async (context) => {
       const accepted = recordAccepted(context);
       const stream = streamOf(servedStream(framing));
       const servers = await startServers(
@@ -66,7 +73,7 @@
       );
       const { cutOff, others } = await startCutOff(context, {
         servers,
-        manifest: { routes: markedRoutesOf(framing) },
+        manifest: { routes },
         settings: { graceMs: 1500 },
         others: Array(OTHER_COUNT).fill({ graceMs: 1500 }),
       });
--- a/src/gateway/callers/framed_server_fixture.ts
+++ b/src/gateway/callers/framed_server_fixture.ts
@@ -42,21 +42,16 @@
 /** The events of a stream of `EVENT_COUNT` events. */
 export const WHOLE = eventsOf(1, EVENT_COUNT);
 
-/** Routes of streams that can't be resumed and of other answers. */
-export const TEST_ROUTES = [
-  routeOf({ isResumable: false, maxAttempts: 1 }),
-  LOOKUP_ROUTE,
-];
-
-/**
- * The same, with streams that can be resumed where they have no framing: their
- * end is marked only where a further run may confirm it.
- */
-export function markedRoutesOf(framing: StreamFraming): ServiceRoute[] {
-  const isResumable = framing === "none";
+/** Routes of streams and of other answers. */
+export function testRoutesOf(
+  { isResumable }: { readonly isResumable: boolean },
+): ServiceRoute[] {
   return [routeOf({ isResumable, maxAttempts: 1 }), LOOKUP_ROUTE];
 }
 
+/** The same, with streams that can't be resumed. */
+export const TEST_ROUTES = testRoutesOf({ isResumable: false });
+
 /** Returns an answer that sends one event after another. */
 export function streamOf(stream: ServedStream): ServerAnswer {
   const { framing, eventCount, pauseMs } = stream;
--- a/src/gateway/callers/stream_relay.ts
+++ b/src/gateway/callers/stream_relay.ts
@@ -30,14 +30,11 @@
 export interface StreamRelayOptions {
   /** The last event that the caller named. */
   readonly lastEventId: string | undefined;
-  /** Whether a further run may show that an unmarked end is the stream's. */
-  readonly isResumable: boolean;
 }
 
 /** The relay of one caller's stream. */
 export class StreamRelay {
   readonly #exchange: CallerExchange;
-  readonly #isResumable: boolean;
   #splitter = new EventSplitter();
   #head: AnswerHead | undefined;
   /** The head of the server whose bytes the splitter has. */
@@ -50,10 +47,9 @@
 
   constructor(
     exchange: CallerExchange,
-    { lastEventId, isResumable }: StreamRelayOptions,
+    { lastEventId }: StreamRelayOptions,
   ) {
     this.#exchange = exchange;
-    this.#isResumable = isResumable;
     if (lastEventId !== undefined && ID_PATTERN.test(lastEventId)) {
       this.#lastId = Number(lastEventId);
     }
@@ -149,8 +145,7 @@
 
   #sendHead(): void {
     if (this.#exchange.isHeadSent || this.#head === undefined) return;
-    const { status, passedHeaders, isFramed } = this.#head;
-    const marksEnd = isFramed || this.#isResumable;
-    this.#exchange.sendHead(status, passedHeaders, { marksEnd });
+    const { status, passedHeaders } = this.#head;
+    this.#exchange.sendHead(status, passedHeaders);
   }
 }
--- a/src/gateway/forwarding/forwarding.ts
+++ b/src/gateway/forwarding/forwarding.ts
@@ -99,7 +99,6 @@
     if (route.kind === "streaming") {
       this.#relay = new StreamRelay(exchange, {
         lastEventId: caller.lastEventId,
-        isResumable: isRetriable(route),
       });
     }
     if (caller.isAnyModelAllowed) this.#model = firstModel(route.models);
--- a/tools/mechanisms.ts
+++ b/tools/mechanisms.ts
@@ -130,8 +130,8 @@
   {
     name: "every stream in chunks",
     file: "src/gateway/callers/caller_exchange.ts",
-    source: "if (!marksEnd || !knowsChunks) ",
-    replacement: "if (knowsChunks) ",
+    source: "if (!this.#knowsChunks) ",
+    replacement: "",
     tests: ["src/gateway/callers/ending_vm_test.ts"],
   },
   {
