Collect the parts of a body in few buffers

What callers saw: a single body inside the limits, 1,000,000 bytes in chunks of 1 byte, ended the process that took it, and with it all requests there; so did a few clients that sent such bodies without their end, at the callers' port and at the own interface.

Cause: each chunk was kept as a buffer of its own until the body's end. A buffer takes some hundred bytes of the heap beside its content, so that a million chunks of 1 byte are more than the heap, while the bound on bodies counted a million bytes. Each chunk also made a new timer.

Change: ByteCollector copies small parts together, into blocks as long as what came before (1 to 64 KiB), and says what they take; both interfaces use it, and the bound on bodies counts what is taken. A part of 4 KiB or more, and the first one, is kept as it came, so a usual body is not copied. A read timeout is refreshed in place of being made anew.

--- a/src/client/transport.ts
+++ b/src/client/transport.ts
@@ -2,6 +2,7 @@
  * Helpers of the HTTP clients: classification of errors, and reading a body up
  * to a maximum size.
  */
+import { ByteCollector } from "../model/mod.ts";
 
 const UNSENT_CODES: readonly string[] = [
   "ECONNREFUSED",
@@ -30,17 +31,14 @@
   body: AsyncIterable<unknown>,
   maxBytes: number,
 ): Promise<Uint8Array> {
-  const chunks: Uint8Array[] = [];
-  let sizeBytes = 0;
+  const collector = new ByteCollector();
   for await (const chunk of body) {
-    const bytes = chunk as Uint8Array;
-    sizeBytes += bytes.byteLength;
-    if (sizeBytes > maxBytes) {
+    collector.add(chunk as Uint8Array);
+    if (collector.length > maxBytes) {
       throw new BodyTooLongError(`the body exceeds ${maxBytes} bytes`);
     }
-    chunks.push(bytes);
   }
-  return Buffer.concat(chunks);
+  return collector.concat();
 }
 
 /** Reads a complete body as UTF-8; throws if it exceeds `maxBytes`. */
--- a/src/gateway/callers/caller_server.ts
+++ b/src/gateway/callers/caller_server.ts
@@ -5,7 +5,7 @@
  */
 import { createServer, type IncomingMessage, type Server } from "node:http";
 import { type Socket } from "node:net";
-import { type CallerLimits } from "../../model/mod.ts";
+import { ByteCollector, type CallerLimits } from "../../model/mod.ts";
 import { listen } from "../../wire/mod.ts";
 import {
   answerError,
@@ -261,14 +261,17 @@
     onBody: (body: Buffer) => void,
   ): void {
     const { memory } = this.#options;
-    const chunks: Buffer[] = [];
-    let length = 0;
+    const collector = new ByteCollector();
+    let takenBytes = 0;
+    const release = (): void => {
+      memory.release("bodies", takenBytes);
+      takenBytes = 0;
+    };
     const { maxBodyBytes, idleTimeoutMs } = this.#limits();
     const stop = (fault: RequestFault): void => {
       idle.stop();
       request.removeAllListeners("data").removeAllListeners("end");
-      memory.release("bodies", length);
-      length = 0;
+      release();
       refuseUnread(request, exchange, fault);
     };
     const idle = new ReadTimeout(
@@ -277,25 +280,24 @@
     );
     request.on("data", (chunk: Buffer) => {
       idle.restart();
-      length += chunk.length;
-      memory.take("bodies", chunk.length);
-      if (length > maxBodyBytes) {
+      collector.add(chunk);
+      memory.take("bodies", collector.takenBytes - takenBytes);
+      takenBytes = collector.takenBytes;
+      if (collector.length > maxBodyBytes) {
         return stop({ status: 413, reason: "body_too_large" });
       }
       if (!memory.hasRoom("bodies", 0)) {
         const retryAfterMs = BODY_DRAIN_MS;
         return stop({ status: 503, reason: "busy", retryAfterMs });
       }
-      chunks.push(chunk);
     });
     exchange.releaseWhenClosed(() => {
       idle.stop();
-      memory.release("bodies", length);
-      length = 0;
+      release();
     });
     request.on("end", () => {
       idle.stop();
-      if (!exchange.isOver) onBody(Buffer.concat(chunks));
+      if (!exchange.isOver) onBody(collector.concat());
     });
   }
 }
--- a/src/gateway/read_timeout.ts
+++ b/src/gateway/read_timeout.ts
@@ -19,7 +19,8 @@
 
   /** Starts the timeout anew. */
   restart(): void {
-    this.stop();
+    clearImmediate(this.#check);
+    if (this.#timer !== undefined) return void this.#timer.refresh();
     this.#timer = setTimeout(() => {
       this.#check = afterReading(this.#onTimeout);
     }, this.#timeoutMs);
@@ -27,6 +28,7 @@
 
   stop(): void {
     clearTimeout(this.#timer);
+    this.#timer = undefined;
     clearImmediate(this.#check);
   }
 }
--- a/src/model/mod.ts
+++ b/src/model/mod.ts
@@ -1,6 +1,7 @@
 /** The domain model: immutable values and pure functions, without I/O. */
 export * from "./address.ts";
 export * from "./allowance.ts";
+export * from "./byte_collector.ts";
 export * from "./effects.ts";
 export * from "./error.ts";
 export * from "./hash.ts";
