Read fewer bodies in vain while the memory for them is short

What callers saw: a crowd of bodies in chunks of 64 KiB, all stopping short of their end, took a VM over its memory (190 MB of 160), and slow bodies that send a byte now and then kept the memory for bodies for as long as they liked.

Cause: where the memory for bodies was used up, the request whose part came next was refused, however much of it had been read: most bodies were read almost to their end and then dropped, each for the next one, and what is dropped stays until it is collected. The rest of every refused body was read for a second more. And nothing but a pause of the idle time ended a body.

Change: BodyReader refuses the request whose body began last; but first one whose body has been arriving for longer than the idle time (408), also for a request that states its length. At most eight long rests of refused bodies are read at a time; the connections of others close with their answers. ByteCollector fills its open block from large parts too, which had left up to half of the blocks unused.

In calm nothing changes: no body is refused while there is memory.

--- a/src/gateway/callers/caller_server.ts
+++ b/src/gateway/callers/caller_server.ts
@@ -5,8 +5,9 @@
  */
 import { createServer, type IncomingMessage, type Server } from "node:http";
 import { type Socket } from "node:net";
-import { ByteCollector, type CallerLimits } from "../../model/mod.ts";
+import { type CallerLimits } from "../../model/mod.ts";
 import { listen } from "../../wire/mod.ts";
+import { BODY_TOO_LARGE, BodyReader, BUSY } from "./body_reader.ts";
 import {
   answerError,
   CallerConnection,
@@ -18,12 +19,10 @@
   type CallerExchangeOptions,
 } from "./caller_exchange.ts";
 import { type ConnectionLoss } from "./connection_loss.ts";
-import { afterReading, ReadTimeout } from "../read_timeout.ts";
+import { afterReading } from "../read_timeout.ts";
 import {
-  BODY_DRAIN_MS,
-  drain,
-  refuseUnread,
   type RequestFault,
+  UnreadRequests,
   VM_ENDS,
 } from "./unread_request.ts";
 import { type VmMemory } from "./vm_memory.ts";
@@ -79,6 +78,8 @@
   readonly #options: CallerServerOptions;
   readonly #server: Server;
   readonly #connections = new Map<Socket, CallerConnection>();
+  readonly #unread = new UnreadRequests();
+  readonly #bodies: BodyReader;
   #openCount = 0;
   #isClosing = false;
   #isRefusing = false;
@@ -89,6 +90,12 @@
       writeRefusal: options.writeRefusal,
       readTimeoutMs: () => this.#limits().idleTimeoutMs,
     };
+    this.#bodies = new BodyReader({
+      memory: options.memory,
+      limits: () => this.#limits(),
+      unread: this.#unread,
+      clock: options.clock,
+    });
     this.#server = createServer({
       maxHeaderSize: MAX_HEAD_BYTES,
       connectionsCheckingInterval: CHECK_PERIOD_MS,
@@ -193,27 +200,31 @@
       connection.remove(exchange);
     };
     if (this.#isClosing) exchange.closeAfterAnswer();
-    if (!connection.isOpen) return drain(request, exchange);
-    if (this.#isRefusing) return refuseUnread(request, exchange, VM_ENDS);
+    if (!connection.isOpen) return this.#unread.drain(request, exchange);
+    if (this.#isRefusing) {
+      return this.#unread.refuse(request, exchange, VM_ENDS);
+    }
     const fault = this.#findFault(request);
     if (fault !== undefined) {
-      return refuseUnread(request, exchange, fault);
+      return this.#unread.refuse(request, exchange, fault);
     }
     const received = { request, exchange, receivedAtMs };
     if (isWaiting) {
-      return this.#readBody(request, exchange, (body) => {
+      return this.#bodies.read(request, exchange, (body) => {
         connection.awaitTurn(exchange, () => this.#passOn(received, body));
       });
     }
     const onBody = this.#options.onHead(received);
-    if (onBody === undefined) return drain(request, exchange);
-    this.#readBody(request, exchange, onBody);
+    if (onBody === undefined) return this.#unread.drain(request, exchange);
+    this.#bodies.read(request, exchange, onBody);
   }
 
   /** Passes on a request that has waited for earlier ones. */
   #passOn(received: ReceivedRequest, body: Buffer): void {
     const { request, exchange } = received;
-    if (this.#isRefusing) return refuseUnread(request, exchange, VM_ENDS);
+    if (this.#isRefusing) {
+      return this.#unread.refuse(request, exchange, VM_ENDS);
+    }
     if (this.#isClosing) exchange.closeAfterAnswer();
     this.#options.onHead(received)?.(body);
   }
@@ -248,58 +259,10 @@
       return { status: 431, reason: "header_too_large" };
     }
     const length = Number(request.headers["content-length"] ?? 0);
-    if (length > maxBodyBytes) return { status: 413, reason: "body_too_large" };
-    if (!this.#options.memory.hasRoom("bodies", length)) {
-      return { status: 503, reason: "busy", retryAfterMs: BODY_DRAIN_MS };
-    }
+    if (length > maxBodyBytes) return BODY_TOO_LARGE;
+    if (!this.#bodies.hasRoom(length)) return BUSY;
     return undefined;
   }
-
-  #readBody(
-    request: IncomingMessage,
-    exchange: CallerExchange,
-    onBody: (body: Buffer) => void,
-  ): void {
-    const { memory } = this.#options;
-    const collector = new ByteCollector();
-    let takenBytes = 0;
-    const release = (): void => {
-      memory.release("bodies", takenBytes);
-      takenBytes = 0;
-    };
-    const { maxBodyBytes, idleTimeoutMs } = this.#limits();
-    const stop = (fault: RequestFault): void => {
-      idle.stop();
-      request.removeAllListeners("data").removeAllListeners("end");
-      release();
-      refuseUnread(request, exchange, fault);
-    };
-    const idle = new ReadTimeout(
-      idleTimeoutMs,
-      () => stop({ status: 408, reason: "body_timeout" }),
-    );
-    request.on("data", (chunk: Buffer) => {
-      idle.restart();
-      collector.add(chunk);
-      memory.take("bodies", collector.takenBytes - takenBytes);
-      takenBytes = collector.takenBytes;
-      if (collector.length > maxBodyBytes) {
-        return stop({ status: 413, reason: "body_too_large" });
-      }
-      if (!memory.hasRoom("bodies", 0)) {
-        const retryAfterMs = BODY_DRAIN_MS;
-        return stop({ status: 503, reason: "busy", retryAfterMs });
-      }
-    });
-    exchange.releaseWhenClosed(() => {
-      idle.stop();
-      release();
-    });
-    request.on("end", () => {
-      idle.stop();
-      if (!exchange.isOver) onBody(collector.concat());
-    });
-  }
 }
 
 function headSizeBytes(request: IncomingMessage): number {
--- a/src/model/byte_collector.ts
+++ b/src/model/byte_collector.ts
@@ -30,20 +30,15 @@
   add(part: Uint8Array): void {
     const isFirst = this.#length === 0;
     this.#length += part.length;
-    if (isFirst || part.length >= KEPT_PART_BYTES) {
-      this.#close();
-      this.#blocks.push(part);
+    let rest = this.#fill(part);
+    if (isFirst || rest.length >= KEPT_PART_BYTES) {
+      this.#blocks.push(rest);
       this.#takenBytes += part.length;
       return;
     }
-    let rest = part;
     while (rest.length > 0) {
-      const block = this.#open ?? this.#openBlock();
-      const copied = rest.subarray(0, block.length - this.#openBytes);
-      block.set(copied, this.#openBytes);
-      this.#openBytes += copied.length;
-      rest = rest.subarray(copied.length);
-      if (this.#openBytes === block.length) this.#close();
+      this.#openBlock();
+      rest = this.#fill(rest);
     }
   }
 
@@ -58,7 +53,7 @@
   }
 
   /** Begins a block as long as all before, so that little of it is left over. */
-  #openBlock(): Uint8Array {
+  #openBlock(): void {
     const bytes = Math.min(
       Math.max(this.#length, MIN_BLOCK_BYTES),
       MAX_BLOCK_BYTES,
@@ -66,7 +61,17 @@
     this.#open = new Uint8Array(bytes);
     this.#openBytes = 0;
     this.#takenBytes += bytes;
-    return this.#open;
+  }
+
+  /** Copies what fits into the open block; returns the rest. */
+  #fill(part: Uint8Array): Uint8Array {
+    const block = this.#open;
+    if (block === undefined) return part;
+    const copied = part.subarray(0, block.length - this.#openBytes);
+    block.set(copied, this.#openBytes);
+    this.#openBytes += copied.length;
+    if (this.#openBytes === block.length) this.#close();
+    return part.subarray(copied.length);
   }
 
   #close(): void {
