Bound the connections that each server keeps

What callers saw: clients that only open connections took descriptors and memory without bound at every port: 420 and 425 with 400 such clients, and each may also hold a part of a head.

Cause: servers accepted whatever the operating system handed over.

Change: createBoundedServer, for callers, for addresses, readiness and metrics, and for the own interface. Beyond its count the connection that has been without a request for longest closes for a new one, or the new one where all have requests, so that a crowd of idle clients keeps nobody out. Metric: connections_bounded.

--- a/src/bin/http_server.ts
+++ b/src/bin/http_server.ts
@@ -4,15 +4,22 @@
  * progress are complete.
  */
 import { once } from "node:events";
-import { type Server } from "node:http";
+import {
+  type createServer,
+  type RequestListener,
+  type Server,
+  type ServerOptions,
+} from "node:http";
 import { type AddressInfo } from "node:net";
 import { createAdaptorServer } from "@hono/node-server";
+import { createBoundedServer } from "../wire/mod.ts";
 
 const HEADERS_TIMEOUT_MS = 10_000;
 const REQUEST_TIMEOUT_MS = 60_000;
 const KEEP_ALIVE_TIMEOUT_MS = 60_000;
 const CONNECTIONS_CHECK_MS = 2000;
 const MAX_HEADERS = 100;
+const MAX_CONNECTION_COUNT = 2000;
 
 export type FetchHandler = (request: Request) => Response | Promise<Response>;
 
@@ -20,6 +27,7 @@
   readonly host: string;
   /** 0 lets the operating system choose. */
   readonly port: number;
+  readonly maxConnectionCount?: number;
 }
 
 /** A listening server. */
@@ -35,8 +43,14 @@
   fetch: FetchHandler,
   options: HttpListenOptions,
 ): Promise<HttpServer> {
+  const { maxConnectionCount = MAX_CONNECTION_COUNT } = options;
+  const createServerWithin = (
+    (serverOptions: ServerOptions, listener: RequestListener) =>
+      createBoundedServer(serverOptions, { maxConnectionCount }, listener)
+  ) as typeof createServer;
   const server = createAdaptorServer({
     fetch,
+    createServer: createServerWithin,
     serverOptions: {
       headersTimeout: HEADERS_TIMEOUT_MS,
       requestTimeout: REQUEST_TIMEOUT_MS,
--- a/src/gateway/callers/caller_server.ts
+++ b/src/gateway/callers/caller_server.ts
@@ -3,10 +3,14 @@
  * within the manifest's limits, and passes it on. A request that exceeds a
  * limit is refused at once with the matching status.
  */
-import { createServer, type IncomingMessage, type Server } from "node:http";
+import { type IncomingMessage, type Server } from "node:http";
 import { type Socket } from "node:net";
 import { type CallerLimits } from "../../model/mod.ts";
-import { listen } from "../../wire/mod.ts";
+import {
+  type BoundCause,
+  createBoundedServer,
+  listen,
+} from "../../wire/mod.ts";
 import { BODY_TOO_LARGE, BodyReader, BUSY } from "./body_reader.ts";
 import {
   answerError,
@@ -28,7 +32,7 @@
 import { type VmMemory } from "./vm_memory.ts";
 
 /** Limit of Node's parser; the manifest's limit is lower. */
-const MAX_HEAD_BYTES = 64 * 1024;
+export const MAX_HEAD_BYTES = 64 * 1024;
 /** Limits until the first manifest is loaded. */
 const INITIAL_LIMITS: CallerLimits = {
   maxHeaderBytes: 16 * 1024,
@@ -65,11 +69,14 @@
   readonly host: string;
   readonly port: number;
   readonly memory: VmMemory;
+  readonly maxConnectionCount: number;
   readonly clock: () => number;
   readonly limits: () => CallerLimits | undefined;
   readonly onHead: HeadHandler;
   /** Called when a connection could not be accepted. */
   readonly onAcceptError: (error: Error) => void;
+  /** Called for each connection that is closed for a bound. */
+  readonly onBound: (cause: BoundCause) => void;
   /** Called for each connection whose close took requests along. */
   readonly onLoss: (loss: ConnectionLoss) => void;
 }
@@ -96,11 +103,14 @@
       unread: this.#unread,
       clock: options.clock,
     });
-    this.#server = createServer({
+    this.#server = createBoundedServer({
       maxHeaderSize: MAX_HEAD_BYTES,
       connectionsCheckingInterval: CHECK_PERIOD_MS,
       requestTimeout: 0,
       noDelay: true,
+    }, {
+      maxConnectionCount: options.maxConnectionCount,
+      onClose: options.onBound,
     }, (request, response) => {
       const exchange = new CallerExchange(request, response, exchangeOptions);
       this.#receive(request, exchange);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -9,12 +9,16 @@
   type RouteTable,
 } from "../decision/mod.ts";
 import { type ServiceTraits, splitAddress } from "../model/mod.ts";
-import { type PeerNode } from "../wire/mod.ts";
+import { type BoundCause, type PeerNode } from "../wire/mod.ts";
 import { AdmissionGate } from "./admission/admission_gate.ts";
 import { advertisedAddresses } from "./callers/advertised_addresses.ts";
 import { AnswerMemory } from "./callers/answer_memory.ts";
 import { BackendFleet } from "./servers/backend_fleet.ts";
 import { CallerServer } from "./callers/caller_server.ts";
+import {
+  callerConnectionLimit,
+  managementConnectionLimit,
+} from "./callers/connection_limits.ts";
 import { logLoss } from "./callers/connection_loss.ts";
 import { VmMemory } from "./callers/vm_memory.ts";
 import { type EntryCaller, EntryRegions } from "./callers/entry_regions.ts";
@@ -315,6 +319,16 @@
     logger.warn("connection not accepted", { from, reason: message });
   }
 
+  /** Counts a connection that was closed for a bound. */
+  countBound(from: "caller" | "management", cause: BoundCause): void {
+    this.#metrics.count("connections_bounded", { from, cause });
+  }
+
+  /** How many connections each server beside the one for callers may keep. */
+  get managementConnectionCount(): number {
+    return managementConnectionLimit(this.#options.settings);
+  }
+
   async #stop(): Promise<void> {
     const { sleep, logger } = this.#options;
     const shutdownDone = this.#shutdown.run();
@@ -338,11 +352,13 @@
     return new CallerServer({
       ...splitAddress(settings.callerAddress),
       memory: this.#memory,
+      maxConnectionCount: callerConnectionLimit(settings),
       clock,
       limits: () => this.#state.routes?.manifest.limits,
       writeRefusal: protocol.writeRefusal,
       onHead: (received) => this.#intake.receive(received),
       onAcceptError: (error) => this.handleAcceptError("caller", error),
+      onBound: (cause) => this.countBound("caller", cause),
       onLoss: (loss) => logLoss(this.#context, loss),
     });
   }
--- a/src/gateway/gateway_settings.ts
+++ b/src/gateway/gateway_settings.ts
@@ -19,6 +19,8 @@
   /** Peer addresses of a few VMs; some may no longer exist. */
   readonly seeds: readonly string[];
   readonly memoryBytes: number;
+  /** Descriptors that the process may have open. */
+  readonly descriptorCount: number;
   /** Processor cores of this VM; below 1 it is a share of one core. */
   readonly coreShare: number;
   /** A draining server gets no new work after this time. */
--- a/src/gateway/settings_fixture.ts
+++ b/src/gateway/settings_fixture.ts
@@ -15,6 +15,7 @@
     peerAddress: `${LOOPBACK_HOST}:0`,
     seeds: [],
     memoryBytes: 350 * 1024 * 1024,
+    descriptorCount: 4100,
     coreShare: 1,
     drainMs: 2500,
     convergeMs: 2500,
--- /dev/null
+++ b/src/wire/bounded_server.ts
@@ -0,0 +1,87 @@
+/**
+ * An HTTP server that bounds what clients make it keep by connecting. Beyond its
+ * connections, the one that has been without a request for longest is closed for
+ * a new one, or the new one if all have requests.
+ */
+import {
+  createServer,
+  type RequestListener,
+  type Server,
+  type ServerOptions,
+  type ServerResponse,
+} from "node:http";
+import { type Socket } from "node:net";
+
+/** The bounds of a server. */
+export interface ConnectionBounds {
+  readonly maxConnectionCount: number;
+  /** Called for each connection that is closed for a bound. */
+  readonly onClose?: (cause: BoundCause) => void;
+}
+
+/** The bound for which a connection is closed. */
+export type BoundCause = "connections";
+
+/** Creates a server within bounds; requests beyond them aren't listened to. */
+export function createBoundedServer(
+  options: ServerOptions,
+  bounds: ConnectionBounds,
+  listener: RequestListener,
+): Server {
+  const connections = new BoundedConnections(bounds);
+  const server = createServer(options, (request, response) => {
+    if (connections.begin(request.socket, response)) {
+      listener(request, response);
+    }
+  });
+  server.on("connection", (socket: Socket) => connections.add(socket));
+  return server;
+}
+
+/** The connections of a server. */
+class BoundedConnections {
+  readonly #bounds: ConnectionBounds;
+  readonly #openCounts = new Map<Socket, number>();
+  /** Connections without a request, the one idle for longest first. */
+  readonly #idle = new Set<Socket>();
+
+  constructor(bounds: ConnectionBounds) {
+    this.#bounds = bounds;
+  }
+
+  add(socket: Socket): void {
+    this.#openCounts.set(socket, 0);
+    this.#idle.add(socket);
+    socket.once("close", () => {
+      this.#openCounts.delete(socket);
+      this.#idle.delete(socket);
+    });
+    if (this.#openCounts.size <= this.#bounds.maxConnectionCount) return;
+    const [longestIdle = socket] = this.#idle;
+    this.#close(longestIdle, "connections");
+  }
+
+  /** Counts a request; returns false if its connection is closed. */
+  begin(socket: Socket, response: ServerResponse): boolean {
+    if (socket.destroyed) return false;
+    this.#openCounts.set(socket, (this.#openCounts.get(socket) ?? 0) + 1);
+    this.#idle.delete(socket);
+    response.once("close", () => this.#end(socket));
+    return true;
+  }
+
+  #end(socket: Socket): void {
+    const openCount = this.#openCounts.get(socket);
+    if (openCount === undefined) return;
+    this.#openCounts.set(socket, openCount - 1);
+    if (openCount === 1) this.#idle.add(socket);
+  }
+
+  #close(socket: Socket, cause: BoundCause): void {
+    // It takes a place until it is closed, but must not be chosen again.
+    this.#openCounts.delete(socket);
+    this.#idle.delete(socket);
+    socket.destroy();
+    this.#bounds.onClose?.(cause);
+  }
+}
--- /dev/null
+++ b/src/wire/bounded_server_test.ts
@@ -0,0 +1,110 @@
+/** Tests of the bounds on the connections of a server. */
+import assert from "node:assert/strict";
+import { type RequestListener } from "node:http";
+import { type AddressInfo, connect, type Socket } from "node:net";
+import { test, type TestContext } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
+import { LOOPBACK_HOST } from "../model/loopback_fixture.ts";
+import { type BoundCause, createBoundedServer } from "./bounded_server.ts";
+
+const REQUEST = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+const MAX_CONNECTION_COUNT = 3;
+const POLL_MS = 5;
+const TIMEOUT_MS = 5000;
+
+class Client {
+  readonly socket: Socket;
+  text = "";
+  isClosed = false;
+
+  constructor(context: TestContext, port: number) {
+    this.socket = connect(port, LOOPBACK_HOST);
+    this.socket.on("data", (part) => this.text += String(part));
+    this.socket.on("error", () => {});
+    this.socket.on("close", () => this.isClosed = true);
+    context.after(() => this.socket.destroy());
+  }
+
+  get answerCount(): number {
+    return this.text.split("HTTP/1.1 200").length - 1;
+  }
+}
+
+interface Site {
+  readonly causes: BoundCause[];
+  readonly connect: () => Promise<Client>;
+}
+
+async function startSite(
+  context: TestContext,
+  listener: RequestListener,
+): Promise<Site> {
+  const causes: BoundCause[] = [];
+  const server = createBoundedServer({}, {
+    maxConnectionCount: MAX_CONNECTION_COUNT,
+    onClose: (cause) => causes.push(cause),
+  }, listener);
+  let connectionCount = 0;
+  server.on("connection", () => connectionCount += 1);
+  await new Promise<void>((resolve) =>
+    server.listen(0, LOOPBACK_HOST, resolve)
+  );
+  context.after(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+  const { port } = server.address() as AddressInfo;
+  return {
+    causes,
+    connect: async () => {
+      const count = connectionCount + 1;
+      const client = new Client(context, port);
+      await until(() => connectionCount === count);
+      return client;
+    },
+  };
+}
+
+async function until(isDone: () => boolean): Promise<void> {
+  const endMs = performance.now() + TIMEOUT_MS;
+  while (!isDone()) {
+    assert.ok(performance.now() < endMs, "condition not met in time");
+    await delay(POLL_MS);
+  }
+}
+
+const answer: RequestListener = (_request, response) => {
+  response.end("done");
+};
+
+// Guards against connections without requests that take all descriptors.
+test("the connection that has been idle for longest is closed for a new one", async (context) => {
+  const site = await startSite(context, answer);
+  const [first, second, third] = [
+    await site.connect(),
+    await site.connect(),
+    await site.connect(),
+  ];
+  first.socket.write(REQUEST);
+  await until(() => first.answerCount === 1);
+  const fourth = await site.connect();
+  await until(() => second.isClosed);
+  fourth.socket.write(REQUEST);
+  await until(() => fourth.answerCount === 1);
+  assert.ok(!first.isClosed && !third.isClosed);
+  assert.deepEqual(site.causes, ["connections"]);
+});
+
+test("a new connection is closed where all others have requests", async (context) => {
+  const site = await startSite(context, () => {});
+  const clients: Client[] = [];
+  for (let count = 0; count < MAX_CONNECTION_COUNT; count++) {
+    const client = await site.connect();
+    client.socket.write(REQUEST);
+    clients.push(client);
+  }
+  await delay(10 * POLL_MS);
+  const last = await site.connect();
+  await until(() => last.isClosed);
+  assert.ok(clients.every(({ isClosed }) => !isClosed));
+});
--- a/src/wire/mod.ts
+++ b/src/wire/mod.ts
@@ -1,4 +1,5 @@
 /** Communication between the system's own processes, in CBOR frames. */
+export * from "./bounded_server.ts";
 export * from "./error.ts";
 export { encodeFrame, FrameDecoder, MAX_FRAME_BYTES } from "./frame.ts";
 export { type Answer, PROTOCOL_VERSION, type Query } from "./message.ts";
