Close a connection with too many requests sent ahead

What callers saw: clients that send requests ahead and read no answer ended the process, or kept it from answering anybody else.

Cause: every request that has arrived is kept with its answer until those before it are answered and read. A connection that sends 20,000 at once has thousands of them, each of some kilobytes; their bodies, answers and log lines come on top.

Change: a connection with more than 32 open requests closes, at every port that createBoundedServer serves, and what follows on it is not handled. Clients that wait for each answer have one. What ran may then end without an answer, as a close promises nothing.

--- a/src/wire/bounded_server.ts
+++ b/src/wire/bounded_server.ts
@@ -1,7 +1,8 @@
 /**
- * An HTTP server that bounds what clients make it keep by connecting. Beyond its
- * connections, the one that has been without a request for longest is closed for
- * a new one, or the new one if all have requests.
+ * An HTTP server that bounds what clients make it keep by connecting and by
+ * sending requests ahead. Beyond its connections, the one that has been without a
+ * request for longest is closed for a new one, or the new one if all have
+ * requests. A connection with more open requests than allowed is closed.
  */
 import {
   createServer,
@@ -15,12 +16,17 @@
 /** The bounds of a server. */
 export interface ConnectionBounds {
   readonly maxConnectionCount: number;
+  /** Requests of one connection that are not answered yet. */
+  readonly maxOpenRequestCount?: number;
   /** Called for each connection that is closed for a bound. */
   readonly onClose?: (cause: BoundCause) => void;
 }
 
 /** The bound for which a connection is closed. */
-export type BoundCause = "connections";
+export type BoundCause = "connections" | "requests_ahead";
+
+/** Clients that wait for each answer have one. */
+const MAX_OPEN_REQUEST_COUNT = 32;
 
 /** Creates a server within bounds; requests beyond them aren't listened to. */
 export function createBoundedServer(
@@ -64,7 +70,13 @@
   /** Counts a request; returns false if its connection is closed. */
   begin(socket: Socket, response: ServerResponse): boolean {
     if (socket.destroyed) return false;
-    this.#openCounts.set(socket, (this.#openCounts.get(socket) ?? 0) + 1);
+    const { maxOpenRequestCount = MAX_OPEN_REQUEST_COUNT } = this.#bounds;
+    const openCount = (this.#openCounts.get(socket) ?? 0) + 1;
+    if (openCount > maxOpenRequestCount) {
+      this.#close(socket, "requests_ahead");
+      return false;
+    }
+    this.#openCounts.set(socket, openCount);
     this.#idle.delete(socket);
     response.once("close", () => this.#end(socket));
     return true;
--- a/src/wire/bounded_server_test.ts
+++ b/src/wire/bounded_server_test.ts
@@ -9,6 +9,7 @@
 
 const REQUEST = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
 const MAX_CONNECTION_COUNT = 3;
+const MAX_OPEN_REQUEST_COUNT = 4;
 const POLL_MS = 5;
 const TIMEOUT_MS = 5000;
 
@@ -42,6 +43,7 @@
   const causes: BoundCause[] = [];
   const server = createBoundedServer({}, {
     maxConnectionCount: MAX_CONNECTION_COUNT,
+    maxOpenRequestCount: MAX_OPEN_REQUEST_COUNT,
     onClose: (cause) => causes.push(cause),
   }, listener);
   let connectionCount = 0;
@@ -108,3 +110,25 @@
   await until(() => last.isClosed);
   assert.ok(clients.every(({ isClosed }) => !isClosed));
 });
+
+// Guards against requests sent ahead that are all kept until they are answered.
+test("a connection with too many open requests is closed", async (context) => {
+  let requestCount = 0;
+  const site = await startSite(context, () => void (requestCount += 1));
+  const client = await site.connect();
+  client.socket.write(REQUEST.repeat(100 * MAX_OPEN_REQUEST_COUNT));
+  await until(() => client.isClosed);
+  assert.equal(requestCount, MAX_OPEN_REQUEST_COUNT);
+  assert.deepEqual(site.causes, ["requests_ahead"]);
+});
+
+test("requests ahead within the bound are answered, however many follow", async (context) => {
+  const site = await startSite(context, answer);
+  const client = await site.connect();
+  const roundCount = 5;
+  for (let round = 1; round <= roundCount; round++) {
+    client.socket.write(REQUEST.repeat(MAX_OPEN_REQUEST_COUNT));
+    await until(() => client.answerCount === round * MAX_OPEN_REQUEST_COUNT);
+  }
+  assert.ok(!client.isClosed);
+});
