Look for a reset behind the end of an answer to an upload

What callers saw: a server answers a long upload at once with a 200 that has no length, sends a part, ends its side and resets the connection, not having read the upload. The part reached the caller as a complete 200, whether or not the request may run again.

Cause: such an answer ends with its connection. The server's end comes a moment before its reset, and the answer was complete at the end. That the host still accepts connections says nothing of this one. A reset that had come by then was seen already.

Change: behind an unframed answer to a request of more than 16 KiB the connection stays open for 100 ms, and a reset within them makes the answer a part. For that the sockets are half-open, and Node's own handling of the end waits. An exchange that is over by then is left alone.

Cost: 100 ms, only for unframed answers to uploads.

--- a/src/gateway/servers/backend_exchange.ts
+++ b/src/gateway/servers/backend_exchange.ts
@@ -68,12 +68,22 @@
 const MAX_FRAMING_BYTES = 64 * 1024;
 /** Bytes that frame one part of a body; a chunk without extensions takes 20. */
 const MAX_PART_FRAMING_BYTES = 32;
-const connectionAgent = new Agent({ keepAlive: false, maxSockets: Infinity });
+/** A server has read a shorter body with the head, or soon after it. */
+const UPLOAD_BYTES = 16 * 1024;
+/** How long after a server's end its reset may come. */
+const LATE_RESET_MS = 100;
+// A socket that isn't half-open would close at the server's end.
+const connectionAgent = new Agent(
+  Object.assign({ keepAlive: false, maxSockets: Infinity }, {
+    allowHalfOpen: true,
+  }),
+);
 
 /** A running exchange. */
 export class BackendExchange {
   readonly #request: ClientRequest | undefined;
   readonly #events: ExchangeEvents;
+  readonly #bodyLength: number;
   #response: IncomingMessage | undefined;
   #bodyBytes = 0;
   #partCount = 0;
@@ -84,6 +94,7 @@
 
   constructor(call: BackendCall, events: ExchangeEvents) {
     this.#events = events;
+    this.#bodyLength = call.body.length;
     try {
       this.#request = requestOf(call);
     } catch (error) {
@@ -123,9 +134,17 @@
   #addListeners(request: ClientRequest): void {
     request.on("socket", (socket) => {
       socket.setNoDelay(true);
-      // Before Node's own listener, which ends this side of the connection too.
-      socket.prependOnceListener("end", () => {
-        this.#isReset = socket.remoteAddress === undefined;
+      // Node's own listeners complete an unframed answer and close the socket.
+      const listeners = socket.listeners("end");
+      socket.removeAllListeners("end");
+      socket.once("end", () => {
+        const complete = (): void => {
+          if (this.#isOver) return;
+          this.#isReset = socket.remoteAddress === undefined;
+          for (const listener of listeners) listener.call(socket);
+        };
+        if (this.#mayBeResetLate) setTimeout(complete, LATE_RESET_MS);
+        else complete();
       });
       socket.once("connect", () => {
         this.#isConnected = true;
@@ -159,6 +178,16 @@
     return this.#response?.complete === true;
   }
 
+  /**
+   * Whether a reset may follow the end of an unframed answer: a server that
+   * closes without having read the whole request resets the connection.
+   */
+  get #mayBeResetLate(): boolean {
+    const response = this.#response;
+    return response !== undefined && !response.complete &&
+      isUnframed(response) && this.#bodyLength > UPLOAD_BYTES;
+  }
+
   #readResponse(response: IncomingMessage): void {
     if (this.#isOver) return;
     this.#response = response;
