Take an answer of a plain service for broken unless its end is marked

What callers saw at the own interface: a service answered without a length or chunks and broke off, by a reset or as its process ended, and the part was passed on as a whole answer (MIXED).

Cause: undici takes a reset for the end of such an answer, so that the client can't tell a part from the whole.

Change: an answer with neither a length nor chunks is broken (PROTOCOLS.md says so), but for those that have no body. Services on any usual HTTP server mark their ends.

Answers that mark their end, and 204, pass.

--- a/src/client/plain_service.ts
+++ b/src/client/plain_service.ts
@@ -10,6 +10,9 @@
 import { parseLoadReport, type ServerReport } from "./load_report.ts";
 import { isUnsent, readBytes } from "./transport.ts";
 
+/** Answers that end with their head. */
+const BODILESS_STATUSES: readonly number[] = [204, 304];
+
 /** The reason why a service returned no answer. */
 export type ServiceFault = "unreachable" | "silent" | "broken" | "cancelled";
 
@@ -79,6 +82,7 @@
         body: request.body.byteLength === 0 ? null : request.body,
         signal,
       });
+      requireMarkedEnd(response, request.method);
       return ok(await this.#answerOf(response));
     } catch (cause) {
       const error = faultOf(cause, { timeout, caller: options.signal });
@@ -106,6 +110,21 @@
   }
 }
 
+/**
+ * Throws if only the end of its connection ends an answer: undici takes a reset
+ * for such an end, so that the body may be a part.
+ */
+function requireMarkedEnd(
+  { statusCode, headers, body }: Dispatcher.ResponseData,
+  method: string,
+): void {
+  if (method === "HEAD" || BODILESS_STATUSES.includes(statusCode)) return;
+  if (headers["content-length"] !== undefined) return;
+  if (headers["transfer-encoding"] !== undefined) return;
+  body.on("error", () => {}).destroy();
+  throw new Error("the answer has neither a length nor chunks");
+}
+
 function headersOf(request: ServiceRequest): Record<string, string> {
   const headers: Record<string, string> = {
     "x-request-id": request.requestId,
--- a/src/client/plain_service_test.ts
+++ b/src/client/plain_service_test.ts
@@ -7,7 +7,7 @@
   createServer as createSocketServer,
   type Socket,
 } from "node:net";
-import { test } from "node:test";
+import { test, type TestContext } from "node:test";
 import { type ServiceRequest } from "../model/mod.ts";
 import { ServiceClient } from "./plain_service.ts";
 
@@ -77,6 +77,39 @@
   assert.equal(connectionCount(), ROUNDS * CONCURRENCY);
 });
 
+/** Sends raw bytes as the answer to each request, and then breaks off. */
+async function callRaw(
+  context: TestContext,
+  { text, breakOff }: {
+    readonly text: string;
+    readonly breakOff: (socket: Socket) => void;
+  },
+): Promise<Awaited<ReturnType<ServiceClient["call"]>>> {
+  const server = createSocketServer((socket) => {
+    socket.on("error", () => {});
+    socket.once("data", () => {
+      socket.write(text);
+      server.close();
+      setTimeout(() => breakOff(socket), 50);
+    });
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const client = new ServiceClient({
+    connectTimeoutMs: 1000,
+    maxConnectionsPerServer: 4,
+    maxBodyBytes: 1024,
+  });
+  context.after(() => client.close());
+  return await client.call(keyedRequest(0), {
+    address: `127.0.0.1:${port}`,
+    signal: new AbortController().signal,
+    timeoutMs: TIMEOUT_MS,
+    isFresh: true,
+  });
+}
+
 /** How a server breaks off an answer that states no length. */
 const BREAKS = {
   reset: (socket) => void socket.resetAndDestroy(),
@@ -87,29 +120,33 @@
   // Guards against MIXED: part of an answer without a length was passed on as a
   // whole one.
   test(`an answer that breaks off without a length is no answer: ${how}`, async (context) => {
-    const server = createSocketServer((socket) => {
-      socket.on("error", () => {});
-      socket.once("data", () => {
-        socket.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\na part");
-        server.close();
-        setTimeout(() => BREAKS[how](socket), 50);
-      });
-    });
-    server.listen(0, "127.0.0.1");
-    await once(server, "listening");
-    const { port } = server.address() as AddressInfo;
-    const client = new ServiceClient({
-      connectTimeoutMs: 1000,
-      maxConnectionsPerServer: 4,
-      maxBodyBytes: 1024,
+    const called = await callRaw(context, {
+      text: "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\na part",
+      breakOff: BREAKS[how],
     });
-    context.after(() => client.close());
-    const called = await client.call(keyedRequest(0), {
-      address: `127.0.0.1:${port}`,
-      signal: new AbortController().signal,
-      timeoutMs: TIMEOUT_MS,
-      isFresh: true,
+    assert.equal(called.isErr() && called.error.fault, "broken");
+  });
+}
+
+for (const status of ["000", "099", "600", "999", "20", "2x0"]) {
+  // Guards against MIXED: a server in trouble sends a status that is none.
+  test(`an answer with the status ${status} is no answer`, async (context) => {
+    const called = await callRaw(context, {
+      text: `HTTP/1.1 ${status} -\r\nContent-Length: 4\r\n\r\ndone`,
+      breakOff: BREAKS.closed,
     });
     assert.equal(called.isErr() && called.error.fault, "broken");
   });
 }
+
+for (const [status, body] of [["204 No Content", ""], ["200 OK", "done"]]) {
+  test(`an answer that marks its end is whole: ${status}`, async (context) => {
+    const length = body === "" ? "" : "Content-Length: 4\r\n";
+    const called = await callRaw(context, {
+      text: `HTTP/1.1 ${status}\r\n${length}\r\n${body}`,
+      breakOff: BREAKS.closed,
+    });
+    const answer = called._unsafeUnwrap();
+    assert.equal(Buffer.from(answer.body).toString(), body);
+  });
+}
