Take an answer with a status that is none for broken

What callers saw at the own interface: a service that sent the status 600 or 999 had it passed on as an answer. 000, 099, 20 and 2x0 were refused by undici before; the gateway refuses all of these.

Change: the client of plain services takes statuses from 200 to 599.

--- a/src/client/plain_service.ts
+++ b/src/client/plain_service.ts
@@ -10,6 +10,8 @@
 import { parseLoadReport, type ServerReport } from "./load_report.ts";
 import { isUnsent, readBytes } from "./transport.ts";
 
+/** Statuses of answers. */
+const STATUSES = { first: 200, last: 599 } as const;
 /** Answers that end with their head. */
 const BODILESS_STATUSES: readonly number[] = [204, 304];
 
@@ -82,6 +84,7 @@
         body: request.body.byteLength === 0 ? null : request.body,
         signal,
       });
+      requireStatus(response);
       requireMarkedEnd(response, request.method);
       return ok(await this.#answerOf(response));
     } catch (cause) {
@@ -110,6 +113,13 @@
   }
 }
 
+/** Throws if the status is none, as a server in trouble may send. */
+function requireStatus({ statusCode, body }: Dispatcher.ResponseData): void {
+  if (statusCode >= STATUSES.first && statusCode <= STATUSES.last) return;
+  body.on("error", () => {}).destroy();
+  throw new Error(`status ${statusCode}`);
+}
+
 /**
  * Throws if only the end of its connection ends an answer: undici takes a reset
  * for such an end, so that the body may be a part.
