--- a/tools/mechanisms.ts
+++ b/tools/mechanisms.ts
@@ -4,6 +4,7 @@
  */
 
 import { ADMISSION_MECHANISMS } from "./admission_mechanisms.ts";
+import { CLIENT_MECHANISMS } from "./client_mechanisms.ts";
 import { UNMARKED_MECHANISMS } from "./unmarked_mechanisms.ts";
 import { INCIDENT_MECHANISMS } from "./incident_mechanisms.ts";
 import { type Mechanism } from "./mechanism.ts";
@@ -477,4 +478,5 @@
   ...SERVER_START_MECHANISMS,
   ...INCIDENT_MECHANISMS,
   ...UNMARKED_MECHANISMS,
+  ...CLIENT_MECHANISMS,
 ];
--- a/tools/unmarked_mechanisms.ts
+++ b/tools/unmarked_mechanisms.ts
@@ -69,4 +69,11 @@
     replacement: "return true;",
     tests: ["src/gateway/forwarding/broken_stream_test.ts"],
   },
+  {
+    name: "a reset behind an end",
+    file: "src/gateway/servers/backend_exchange.ts",
+    source: "if (this.#mayBeResetLate) setTimeout",
+    replacement: "if (this.#isOver) setTimeout",
+    tests: ["src/gateway/forwarding/upload_reset_test.ts"],
+  },
 ];
