--- a/review/lib-3/rig.mjs
+++ b/review/lib-3/rig.mjs
@@ -382,7 +382,7 @@
 }
 
 /** Starts a store, VMs and workers; `run` gets them and returns the exit code. */
-export async function deploy({ folder, vmCount = 3, manifest, workers, settings, memoryMb, zoneList = ["dub-a", "cork-a", "gal-a"] }, run) {
+export async function deploy({ folder, vmCount = 3, manifest, workers, settings, memoryMb, prepare, isReadyAwaited = true, zoneList = ["dub-a", "cork-a", "gal-a"] }, run) {
   const dir = mkdtempSync(join(tmpdir(), "review-"));
   const record = new Recorder(folder);
   const store = new Store();
@@ -400,6 +400,7 @@
       await worker.start();
       store.put("keyed.servers", worker.id, worker.entry());
     }
+    prepare?.({ store, record });
     beats = setInterval(() => {
       for (const worker of workers) if (!worker.isGone) store.put("keyed.servers", worker.id, worker.entry(worker.isDraining ? "draining" : "ready"));
     }, 1200);
@@ -410,7 +411,7 @@
       vm.start();
     }
     const untilMs = now() + 15_000;
-    for (;;) {
+    while (isReadyAwaited) {
       const ready = await Promise.all(vms.map((vm) => vm.isReady()));
       if (ready.every((isReady) => isReady)) break;
       if (now() > untilMs) throw new Error("not ready");
