Retain of a topic only what can be read, within bounds

Cause: a replica kept the bytes of every key's newest record, whether or not it could be read, and a list was collected whole, page by page, before any of it was looked at. So memory grew with what others write, by the list alone and then once more by the replica and by each update to another VM, which was encoded with all of it before its frame was refused. The same held for the operators' topic, and for the statuses of roll-outs, which the writer listed whole on every change.

Change: a record that can't be read counts as the drop of its key where it is first seen. Topics are read a page at a time by one reader, also the statuses; each page is applied before the next one is asked for, and a failed call goes on where the list stands. Lines on ignored records are bounded.

--- a/src/decision/route_table.ts
+++ b/src/decision/route_table.ts
@@ -66,6 +66,17 @@
     return this.#traits.get(service);
   }
 
+  /** The services that the manifest describes or that its routes lead to. */
+  get services(): ReadonlySet<string> {
+    const { services, routes } = this.manifest;
+    return new Set([
+      ...services.map(({ name }) => name),
+      ...routes.flatMap((route) =>
+        route.services.map(({ service }) => service)
+      ),
+    ]);
+  }
+
   /** Returns the workspace of a key, if any. */
   workspaceOf(key: string | undefined): WorkspaceAccess | undefined {
     return key === undefined ? undefined : this.#workspaces.get(key);
--- a/src/gateway/gateway_options.ts
+++ b/src/gateway/gateway_options.ts
@@ -41,6 +41,8 @@
     record: StoreRecord,
   ) => OperatorRecord | undefined;
   readonly readServer: (record: StoreRecord) => BackendServer | undefined;
+  /** Encodes a server's value with the fields that are read here. */
+  readonly shortenServer?: (value: Buffer) => Buffer | undefined;
   /** Whether a server wrote a value before another one. */
   readonly isOlderServer: IsOlder;
   readonly readStatus: (record: StoreRecord) => RolloutStatus | undefined;
--- a/src/gateway/gateway_state.ts
+++ b/src/gateway/gateway_state.ts
@@ -82,11 +82,18 @@
     this.#onManifest(manifest);
   }
 
-  /** Applies records of servers, the store's return or the passing of time. */
-  applyRosterEvent(event: RosterEvent): void {
+  /**
+   * Applies records of servers, the store's return or the passing of time. While
+   * records are part of a list that is read, an empty roster is not received yet.
+   */
+  applyRosterEvent(
+    event: RosterEvent,
+    { isPart = false }: { readonly isPart?: boolean } = {},
+  ): void {
     const before = this.#roster;
     this.#roster = applyRoster(before, event, this.#clock());
-    if (event.kind === "changed") this.#hasRoster = true;
+    const isReceived = !isPart || this.#roster.entries.size > 0;
+    if (event.kind === "changed" && isReceived) this.#hasRoster = true;
     if (this.#roster.entries === before.entries) return;
     this.#fleet.update(this.#roster);
     this.#logChanges(before);
--- a/src/gateway/peers/peer_exchange.ts
+++ b/src/gateway/peers/peer_exchange.ts
@@ -21,13 +21,14 @@
   type Random,
   type Sleep,
 } from "../../model/mod.ts";
-import { type PeerNode } from "../../wire/mod.ts";
+import { MAX_FRAME_BYTES, type PeerNode } from "../../wire/mod.ts";
 import { type LeaseExchange } from "./lease_exchange.ts";
 import { type AdmissionGate } from "../admission/admission_gate.ts";
 import { type BackendFleet } from "../servers/backend_fleet.ts";
 import { type ColdServers } from "../servers/cold_servers.ts";
 import {
   type BusyNotice,
+  encodedBytesOf,
   encodePeerUpdate,
   parseBusyNotice,
   parsePeerUpdate,
@@ -83,6 +84,8 @@
  */
 const VMS_PER_PERIOD = 16;
 const ANSWER_TIMEOUT_MS = 800;
+/** The rest of an update has the rest of its frame. */
+const MAX_TOPICS_BYTES = 0.9 * MAX_FRAME_BYTES;
 
 /** Whom to query next. */
 type NextPeer = "reader" | "reader_again" | "random_member";
@@ -241,17 +244,23 @@
    * holds this VM's offsets only and no records.
    */
   #updateFor(vm: string, readOffsets: PeerUpdate["have"] | undefined): unknown {
-    const { replicas, registry, fleet, clock } = this.#options;
+    const { replicas, registry, fleet, clock, logger } = this.#options;
     const { limits, cold, brittleness, statements, prompts } = this.#options;
     const readers = this.#storeReaders().map((reader) => reader.vm);
     const isSenderReader = readers.includes(this.#options.vm);
     const isReceiverReader = readers.includes(vm);
     const maxHopCount = maxHopCountFor({ isSenderReader, isReceiverReader });
     const topics: Parameters<typeof encodePeerUpdate>[0]["topics"] = {};
+    let leftBytes = MAX_TOPICS_BYTES;
     for (const name of TOPICS) {
       if (readOffsets === undefined) continue;
       const topic = replicas[name].updateSince(readOffsets[name] ?? undefined);
       if (topic === undefined) continue;
+      leftBytes -= encodedBytesOf(topic);
+      if (leftBytes < 0) {
+        logger.warn("topic too large for an update", { topic: name, to: vm });
+        continue;
+      }
       topics[name] = { ...topic, ageMs: Math.max(0, topic.ageMs) };
     }
     return encodePeerUpdate({
--- a/src/gateway/peers/peer_update.ts
+++ b/src/gateway/peers/peer_update.ts
@@ -44,6 +44,10 @@
 
 const MAX_RECORDS = 10_000;
 const MAX_KEY_LENGTH = 255;
+/** Bytes of a record's encoding beside its key and value. */
+const RECORD_OVERHEAD_BYTES = 48;
+/** Bytes of a character in UTF-8. */
+const MAX_CHARACTER_BYTES = 3;
 const MAX_ROLLOUTS = 64;
 const MAX_TALLIES = 1024;
 /** More raises or setbacks than a slow start may have. */
@@ -308,6 +312,16 @@
   return { ...update, loads };
 }
 
+/** An upper bound of a topic's part of an encoded update. */
+export function encodedBytesOf({ records }: TopicUpdate): number {
+  let bytes = 0;
+  for (const { key, value } of records) {
+    bytes += RECORD_OVERHEAD_BYTES + MAX_CHARACTER_BYTES * key.length +
+      (value?.length ?? 0);
+  }
+  return bytes;
+}
+
 /** Encodes an update for the wire, where a dropped key's value is null. */
 export function encodePeerUpdate(
   update: CrashNews & {
--- a/src/gateway/rollout/rollout_status_writer.ts
+++ b/src/gateway/rollout/rollout_status_writer.ts
@@ -17,6 +17,7 @@
 } from "../../model/mod.ts";
 import { type RolloutRegistry } from "./rollout_registry.ts";
 import { type RolloutRecord } from "./rollout_record.ts";
+import { DecodedValues } from "../store/decoded_values.ts";
 import { eraOf } from "../store/store_position.ts";
 import {
   LONGEST_ANSWER_MS,
@@ -24,6 +25,8 @@
   type StoreRecord,
   type TopicSource,
 } from "../store/store_record.ts";
+import { type ReadProgress, TopicReader } from "../store/topic_reader.ts";
+import { TopicReplica } from "../store/topic_replica.ts";
 
 export interface RolloutStatusWriterOptions {
   readonly registry: RolloutRegistry;
@@ -44,6 +47,8 @@
 const RANK_DELAY_MS = 1200;
 /** Pause after a failed call to the store. */
 const RETRY_DELAY_MS = 400;
+/** The longest status that is read. */
+const LONGEST_STATUS_BYTES = 2048;
 
 interface ListedStatuses {
   readonly statuses: readonly RolloutStatus[];
@@ -54,12 +59,39 @@
 /** Writes the due statuses on one VM. */
 export class RolloutStatusWriter {
   readonly #options: RolloutStatusWriterOptions;
+  readonly #values: DecodedValues<RolloutStatus>;
+  readonly #replica: TopicReplica;
+  readonly #reader: TopicReader;
   readonly #dueSinceMs = new Map<string, number>();
   #pausedUntilMs = 0;
   #isRunning = false;
 
   constructor(options: RolloutStatusWriterOptions) {
     this.#options = options;
+    const { topic, readStatus, registry, clock } = options;
+    const values = new DecodedValues({
+      read: readStatus,
+      longestBytes: LONGEST_STATUS_BYTES,
+      shorten: () => undefined,
+    });
+    this.#values = values;
+    this.#replica = new TopicReplica({
+      clock,
+      isSame: (a, b) => a.equals(b),
+      policy: {
+        valueOf: (record) => values.valueOf(record),
+        isNeeded: (record) =>
+          registry.rollouts.has(values.read(record)?.service ?? ""),
+        // Other programs' records are none of this VM's business.
+        onIgnored: () => {},
+      },
+      onChange: () => {},
+    });
+    this.#reader = new TopicReader({
+      source: topic,
+      replica: this.#replica,
+      clock,
+    });
   }
 
   /** Writes the statuses that are due; does nothing while a call is running. */
@@ -154,20 +186,34 @@
    * offset, or with undefined if the store did not answer.
    */
   async #readStatuses(): Promise<ListedStatuses | undefined> {
-    const { topic, readStatus, registry } = this.#options;
-    const listed = await topic.list(LONGEST_ANSWER_MS);
-    if (listed.isErr()) {
+    const offset = await this.#readToEnd();
+    if (offset === undefined) {
       this.#pause();
       return undefined;
     }
     const statuses: RolloutStatus[] = [];
-    for (const record of listed.value.records) {
-      const status = readStatus(record);
+    for (const record of this.#replica.updateSince(undefined)?.records ?? []) {
+      const status = this.#values.read(record);
       if (status === undefined) continue;
       statuses.push(status);
-      registry.applyStatus(status);
+      this.#options.registry.applyStatus(status);
+    }
+    return { statuses, offset };
+  }
+
+  /** Resolves with the topic's end, or with undefined if a call failed. */
+  async #readToEnd(): Promise<number | undefined> {
+    const limits = { waitMs: 0, answerMs: LONGEST_ANSWER_MS };
+    let progress: ReadProgress = "behind";
+    let wasDeleted = false;
+    while (progress === "behind") {
+      const read = await this.#reader.read(limits);
+      if (read.isOk()) progress = read.value;
+      else if (read.error.kind !== "deleted" || wasDeleted) return undefined;
+      // What was deleted is listed by the next call.
+      else wasDeleted = true;
     }
-    return { statuses, offset: listed.value.nextOffset };
+    return this.#replica.nextOffset;
   }
 
   #pause(): void {
--- a/src/gateway/rollout/rollout_status_writer_test.ts
+++ b/src/gateway/rollout/rollout_status_writer_test.ts
@@ -48,7 +48,11 @@
     logger: silentLogger,
   });
   const records = (): StoreRecord[] =>
-    store.statuses.map((_, offset) => ({ key: "", value: undefined, offset }));
+    store.statuses.map(({ service, stage }, offset) => ({
+      key: service,
+      value: Buffer.from(stage),
+      offset,
+    }));
   const writer = new RolloutStatusWriter({
     registry,
     topic: {
@@ -56,7 +60,11 @@
         Promise.resolve(
           ok({ records: records(), nextOffset: store.statuses.length }),
         ),
-      readAfter: () => Promise.resolve(ok({ records: [], nextOffset: 0 })),
+      readAfter: (offset) =>
+        Promise.resolve(ok({
+          records: records().slice(offset),
+          nextOffset: store.statuses.length,
+        })),
     },
     readStatus: ({ offset }) => store.statuses[offset],
     appendStatus: (status, offset) => store.append(status, offset),
--- a/src/gateway/store/memory_topic_fixture.ts
+++ b/src/gateway/store/memory_topic_fixture.ts
@@ -5,6 +5,8 @@
 import {
   type ReadLimits,
   type StoreFault,
+  type StorePage,
+  type StoreRead,
   type StoreRecord,
   type StoreRecords,
   type TopicSource,
@@ -17,6 +19,8 @@
 export class MemoryTopic implements TopicSource {
   records: StoreRecord[] = [];
   isDown = false;
+  /** The most records of one answer. */
+  maxRecordCount = Infinity;
   #era = 0;
 
   /** Appends a record with a JSON value, as an operator or server does. */
@@ -49,20 +53,26 @@
     this.#era += 1;
   }
 
-  async list(): Promise<Result<StoreRecords, StoreFault>> {
+  async list(
+    _answerMs?: number,
+    after = "",
+  ): Promise<Result<StorePage, StoreFault>> {
     await delay(1);
     if (this.isDown) return down();
     const newest = new Map<string, StoreRecord>();
     for (const record of this.records) newest.set(record.key, record);
-    const records = [...newest.values()]
-      .filter(({ value }) => value !== undefined);
-    return ok(this.#placed(records));
+    const left = [...newest.values()]
+      .filter(({ key, value }) => value !== undefined && key > after)
+      .sort((a, b) => a.key < b.key ? -1 : 1);
+    const page = left.slice(0, this.maxRecordCount);
+    const nextAfter = page.length < left.length ? page.at(-1)?.key : undefined;
+    return ok({ ...this.#placed(page), nextAfter });
   }
 
   async readAfter(
     position: number,
     { waitMs }: ReadLimits,
-  ): Promise<Result<StoreRecords, StoreFault>> {
+  ): Promise<Result<StoreRead, StoreFault>> {
     const offset = offsetOf(position);
     const endMs = performance.now() + waitMs;
     while (this.records.length <= offset && performance.now() < endMs) {
@@ -72,7 +82,12 @@
     if (this.isDown) return down();
     const isRestored = eraOf(position) !== this.#era;
     if (isRestored || offset > this.records.length) return deleted();
-    return ok(this.#placed(this.records.slice(offset)));
+    const end = Math.min(this.records.length, offset + this.maxRecordCount);
+    const { records, nextOffset: endOffset } = this.#placed(
+      this.records.slice(offset, end),
+    );
+    const nextOffset = positionOf({ era: this.#era, offset: end });
+    return ok({ records, nextOffset, endOffset });
   }
 
   #placed(records: readonly StoreRecord[]): StoreRecords {
@@ -87,10 +102,10 @@
   }
 }
 
-function down(): Result<StoreRecords, StoreFault> {
+function down(): Result<never, StoreFault> {
   return err({ kind: "refused", message: "down" });
 }
 
-function deleted(): Result<StoreRecords, StoreFault> {
+function deleted(): Result<never, StoreFault> {
   return err({ kind: "deleted", message: "no such records" });
 }
--- a/src/gateway/store/store_feed.ts
+++ b/src/gateway/store/store_feed.ts
@@ -2,16 +2,25 @@
  * Feeds the store's records to the gateway: a replica and a follower for the
  * operators' records and another pair for the servers' entries. Changed records
  * are decoded and applied to the gateway's state and the roll-out registry.
+ * Records that no manifest refers to are retained for one that will, but within a
+ * small bound.
  */
+import { type BackendServer } from "../../model/mod.ts";
 import { type RosterRecord } from "../../decision/mod.ts";
 import { type GatewayMetrics } from "../telemetry/gateway_metrics.ts";
 import { type Evacuations } from "../servers/evacuations.ts";
-import { type GatewayOptions } from "../gateway_options.ts";
+import {
+  type GatewayOptions,
+  type OperatorRecord,
+} from "../gateway_options.ts";
 import { type GatewayState } from "../gateway_state.ts";
 import { type TopicName } from "../peers/peer_update.ts";
+import { DecodedValues } from "./decoded_values.ts";
+import { IgnoredRecords } from "./ignored_records.ts";
+import { type RecordPolicy } from "./retained_records.ts";
 import { eraOf, offsetOf } from "./store_position.ts";
 import { type RolloutRegistry } from "../rollout/rollout_registry.ts";
-import { LONGEST_ANSWER_MS, type StoreRecord } from "./store_record.ts";
+import { LONGEST_ANSWER_MS } from "./store_record.ts";
 import { type ReplicaChange, TopicReplica } from "./topic_replica.ts";
 import { TopicFollower } from "./topic_follower.ts";
 
@@ -54,15 +63,33 @@
  * that brought it is at most this old.
  */
 const NEW_ORDER_MAX_AGE_MS = 4000;
-const MAX_LOGGED_KEY_LENGTH = 64;
+/** The longest entry of a server that is retained as it is written. */
+const LONGEST_SERVER_BYTES = 2048;
 
 /** The replicas of one VM, and the followers that keep them current. */
 export class StoreFeed {
   readonly replicas: Readonly<Record<TopicName, TopicReplica>>;
   readonly #options: StoreFeedOptions;
+  readonly #ignored: IgnoredRecords;
+  readonly #operatorValues: DecodedValues<OperatorRecord>;
+  readonly #serverValues: DecodedValues<BackendServer>;
+  /** The services of the manifest in force; undefined before the first one. */
+  #services: ReadonlySet<string> | undefined;
 
   constructor(options: StoreFeedOptions) {
     this.#options = options;
+    const { gateway } = options;
+    this.#ignored = new IgnoredRecords({ ...options, ...gateway });
+    this.#operatorValues = new DecodedValues({
+      read: gateway.readOperatorRecord,
+      longestBytes: Infinity,
+      shorten: (value) => value,
+    });
+    this.#serverValues = new DecodedValues({
+      read: gateway.readServer,
+      longestBytes: LONGEST_SERVER_BYTES,
+      shorten: gateway.shortenServer ?? ((): undefined => undefined),
+    });
     this.replicas = this.#createReplicas();
   }
 
@@ -72,29 +99,72 @@
   }
 
   #createReplicas(): Record<TopicName, TopicReplica> {
-    const { clock, readOperatorRecord, readServer, isOlderServer } =
-      this.#options.gateway;
+    const { clock, isOlderServer, settings } = this.#options.gateway;
+    const places = new Set(settings.places.map(({ place }) => place));
     return {
       operators: new TopicReplica({
         clock,
+        policy: this.#policyOf(
+          "operators",
+          this.#operatorValues,
+          (read) =>
+            read.kind === "manifest" ||
+            (read.kind === "order"
+              ? this.#isNamed(read.order.service)
+              : places.has(read.place)),
+        ),
         // Operators write no heartbeats, and an order that is written again
         // after a restoration has to be known at its new position.
         isSame: () => false,
         // A store that lost an order to evacuate has not ended it.
         keepsMissing: (key) =>
-          readOperatorRecord({ key, value: undefined, offset: 0 })?.kind ===
-            "evacuation",
+          this.#operatorValues.read({ key, value: undefined, offset: 0 })
+            ?.kind === "evacuation",
         onChange: (change) => this.#applyOperatorRecords(change),
       }),
       servers: new TopicReplica({
         clock,
-        isSame: (a, b) => isSameServer(readServer, a, b),
+        policy: this.#policyOf(
+          "servers",
+          this.#serverValues,
+          ({ service }) => this.#isNamed(service),
+        ),
+        isSame: (a, b) => this.#isSameServer(a, b),
         isOlder: isOlderServer,
         onChange: (change) => this.#applyServerRecords(change),
       }),
     };
   }
 
+  #policyOf<Decoded>(
+    topic: TopicName,
+    values: DecodedValues<Decoded>,
+    isNeeded: (decoded: Decoded) => boolean,
+  ): RecordPolicy {
+    return {
+      valueOf: (record) => values.valueOf(record),
+      isNeeded: (record) => {
+        const decoded = values.read(record);
+        return decoded !== undefined && isNeeded(decoded);
+      },
+      onIgnored: (record, reason) => this.#ignored.add(topic, record, reason),
+    };
+  }
+
+  /** Whether the manifest names a service; any may be named before the first. */
+  #isNamed(service: string): boolean {
+    return this.#services?.has(service) !== false;
+  }
+
+  /** Compares decoded entries: a heartbeat changes only the encoded bytes. */
+  #isSameServer(a: Buffer, b: Buffer): boolean {
+    if (a.equals(b)) return true;
+    const [first, second] = [a, b].map((value) =>
+      this.#serverValues.decodedOf(value)
+    );
+    return JSON.stringify(first) === JSON.stringify(second);
+  }
+
   #createFollowers(): TopicFollower[] {
     const { isStoreReader } = this.#options;
     const { operatorTopic, serverTopic, settings } = this.#options.gateway;
@@ -139,8 +209,7 @@
       restoredFrom === undefined &&
       this.replicas.operators.ageMs < NEW_ORDER_MAX_AGE_MS;
     for (const record of records) {
-      const read = this.#options.gateway.readOperatorRecord(record);
-      if (read === undefined) this.#logUnreadable("operators", record);
+      const read = this.#operatorValues.read(record);
       if (read?.kind === "manifest") {
         this.#options.state.applyManifest(read.manifest, {
           source,
@@ -161,11 +230,28 @@
         });
       }
     }
+    this.#noteServices();
     this.#options.onApplied();
   }
 
+  /** Applies the bounds of records anew if the manifest names other services. */
+  #noteServices(): void {
+    const services = this.#options.state.routes?.services;
+    if (services === undefined || isSameSet(services, this.#services)) return;
+    this.#services = services;
+    this.replicas.operators.evictUnneeded();
+    const evicted = this.replicas.servers.evictUnneeded();
+    if (evicted.length === 0) return;
+    const records = evicted.map(({ key, offset }): RosterRecord => ({
+      id: key,
+      server: undefined,
+      offset,
+    }));
+    this.#options.state.applyRosterEvent({ kind: "changed", records });
+  }
+
   #applyServerRecords(
-    { records, isAfterOutage, restoredFrom }: ReplicaChange,
+    { records, isAfterOutage, restoredFrom, isPart }: ReplicaChange,
   ): void {
     if (restoredFrom !== undefined) {
       this.#recordRestored("servers", restoredFrom);
@@ -176,8 +262,12 @@
     }
     this.#options.state.applyRosterEvent({
       kind: "changed",
-      records: records.map((record) => this.#readServer(record)),
-    });
+      records: records.map((record): RosterRecord => ({
+        id: record.key,
+        server: this.#serverValues.read(record),
+        offset: record.offset,
+      })),
+    }, { isPart });
     const services = new Set<string>();
     for (const { server } of this.#options.state.roster.entries.values()) {
       services.add(server.service);
@@ -186,24 +276,6 @@
     this.#options.onApplied();
   }
 
-  #readServer(record: StoreRecord): RosterRecord {
-    const server = this.#options.gateway.readServer(record);
-    if (server === undefined) this.#logUnreadable("servers", record);
-    return { id: record.key, server, offset: record.offset };
-  }
-
-  /** A dropped key has no value to read. */
-  #logUnreadable(topic: TopicName, { key, value, offset }: StoreRecord): void {
-    if (value === undefined) return;
-    this.#options.metrics.count("records_unreadable", { topic });
-    this.#options.gateway.logger.warn("record ignored", {
-      topic,
-      key: key.slice(0, MAX_LOGGED_KEY_LENGTH),
-      offset: offsetOf(offset),
-      bytes: value.length,
-    });
-  }
-
   #recordRestored(topic: TopicName, restoredFrom: number): void {
     const end = this.replicas[topic].nextOffset ?? restoredFrom;
     this.#options.metrics.count("store_restored", { topic });
@@ -225,15 +297,9 @@
   return Math.min(MAX_STALE_MARGIN_MS, STALE_MARGIN_SHARE * boundMs);
 }
 
-/** Compares decoded entries: a heartbeat changes only the encoded bytes. */
-function isSameServer(
-  readServer: GatewayOptions["readServer"],
-  a: Buffer,
-  b: Buffer,
+function isSameSet<Value>(
+  a: ReadonlySet<Value>,
+  b: ReadonlySet<Value> | undefined,
 ): boolean {
-  if (a.equals(b)) return true;
-  const [first, second] = [a, b].map((value) =>
-    readServer({ key: "", value, offset: 0 })
-  );
-  return JSON.stringify(first) === JSON.stringify(second);
+  return a.size === b?.size && [...a].every((value) => b.has(value));
 }
--- a/src/gateway/store/store_record.ts
+++ b/src/gateway/store/store_record.ts
@@ -17,6 +17,24 @@
   readonly nextOffset: number;
 }
 
+/** A page of the newest records of all keys, in the order of the keys. */
+export interface StorePage extends StoreRecords {
+  /** The topic's end when the store answered. */
+  readonly nextOffset: number;
+  /** The key after which the next page begins; absent on the last page. */
+  readonly nextAfter?: string | undefined;
+  /** Size of the store's answer. */
+  readonly bytes?: number | undefined;
+}
+
+/** Records that follow an offset. */
+export interface StoreRead extends StoreRecords {
+  /** The topic's end when the store answered; the next offset if absent. */
+  readonly endOffset?: number | undefined;
+  /** Size of the store's answer. */
+  readonly bytes?: number | undefined;
+}
+
 /** Why a call to the store failed. */
 export interface StoreFault {
   /**
@@ -37,20 +55,28 @@
   readonly answerMs: number;
 }
 
-/** Reads a topic of which the store retains each key's newest record. */
+/**
+ * Reads a topic of which the store retains each key's newest record. Any program
+ * may write there: an answer is bounded, a topic as a whole is not. Records
+ * may share the memory of their answer.
+ */
 export interface TopicSource {
-  /** Lists the newest record of each key; each page may take `answerMs`. */
+  /**
+   * Lists the newest records of the keys behind `after`, or of the first ones.
+   * Pages are not a snapshot, and may be of different eras.
+   */
   readonly list: (
     answerMs: number,
-  ) => Promise<Result<StoreRecords, StoreFault>>;
+    after?: string,
+  ) => Promise<Result<StorePage, StoreFault>>;
   /**
-   * Reads the records from an offset on, waiting if there are none. The answer
-   * is of the offset's era; a store of another one gives `deleted`.
+   * Reads records from an offset on, waiting if there are none. The answer is of
+   * the offset's era; a store of another one gives `deleted`.
    */
   readonly readAfter: (
     offset: number,
     limits: ReadLimits,
-  ) => Promise<Result<StoreRecords, StoreFault>>;
+  ) => Promise<Result<StoreRead, StoreFault>>;
 }
 
 /** The longest time that a call of the store may take beyond its wait. */
--- a/src/gateway/store/topic_follower.ts
+++ b/src/gateway/store/topic_follower.ts
@@ -1,9 +1,8 @@
 /**
- * Keeps a replica of one topic up to date with the store: lists the topic once,
- * reads the records that follow, and lists it again if records were deleted
- * before they were read. A VM that is not a store reader calls the store only
- * when the updates of other VMs are late. Failed calls are retried with a
- * bounded backoff, and the loss and return of the store are logged.
+ * Keeps a replica of one topic up to date with the store. A VM that is not a
+ * store reader calls the store only when the updates of other VMs are late. Failed
+ * calls are retried with a bounded backoff, and the loss and return of the store
+ * are logged.
  *
  * An open connection may fall silent for good, which only a call that times out
  * shows. So a call that follows a good one has a short time limit, and a VM that
@@ -17,6 +16,7 @@
   type Random,
   type Sleep,
 } from "../../model/mod.ts";
+import { type ReadProgress, TopicReader } from "./topic_reader.ts";
 import { type TopicReplica } from "./topic_replica.ts";
 import {
   LONGEST_ANSWER_MS,
@@ -54,13 +54,14 @@
 /** Follows one topic of the store. */
 export class TopicFollower {
   readonly #options: TopicFollowerOptions;
-  #isListDue = false;
+  readonly #reader: TopicReader;
   #isLost = false;
   #failureCount = 0;
   #failingSinceMs = 0;
 
   constructor(options: TopicFollowerOptions) {
     this.#options = options;
+    this.#reader = new TopicReader(options);
   }
 
   /** Follows until the signal aborts. */
@@ -71,8 +72,10 @@
         await sleep(CHECK_PAUSE_MS, signal);
         continue;
       }
-      const isRead = await this.#read();
-      await sleep(isRead ? pauseMs : this.#retryPauseMs(), signal);
+      const progress = await this.#read();
+      if (progress === "behind") continue;
+      const isCurrent = progress === "current";
+      await sleep(isCurrent ? pauseMs : this.#retryPauseMs(), signal);
     }
   }
 
@@ -81,24 +84,17 @@
     return isStoreReader() || replica.ageMs > staleMs;
   }
 
-  async #read(): Promise<boolean> {
-    const { source, replica, clock } = this.#options;
+  /** Returns undefined if the call failed. */
+  async #read(): Promise<ReadProgress | undefined> {
+    const { clock } = this.#options;
     const requestedAtMs = clock();
-    const offset = this.#isListDue ? undefined : replica.nextOffset;
-    const limits = this.#limits();
-    const { waitMs } = limits;
-    const read = offset === undefined
-      ? await source.list(limits.answerMs)
-      : await source.readAfter(offset, limits);
+    const read = await this.#reader.read(this.#limits());
     if (read.isErr()) {
       this.#recordFault(read.error, clock() - requestedAtMs);
-      return false;
+      return undefined;
     }
     this.#recordSuccess();
-    this.#isListDue = false;
-    if (offset === undefined) replica.applyList(read.value, requestedAtMs);
-    else replica.applyRecords(read.value, waitMs > 0 ? clock() : requestedAtMs);
-    return true;
+    return read.value;
   }
 
   #limits(): ReadLimits {
@@ -120,7 +116,6 @@
   #recordFault(fault: StoreFault, tookMs: number): void {
     const { name, logger, clock, replica } = this.#options;
     if (fault.kind === "deleted") {
-      this.#isListDue = true;
       logger.info("records deleted, listing topic", { topic: name });
       return;
     }
--- a/src/gateway/store/topic_replica.ts
+++ b/src/gateway/store/topic_replica.ts
@@ -2,7 +2,8 @@
  * A replica of one topic: the newest record of each key, read from the store or
  * received from another VM, and the time at which it was up to date. A record
  * that decodes to the same value as its predecessor keeps the old offset, so
- * that VMs send each other changes and not heartbeats.
+ * that VMs send each other changes and not heartbeats. One that can't be read
+ * counts as the drop of its key, as any program may write to the store.
  *
  * A list says nothing of what was dropped, or changed and changed back, since
  * the offset before it. So an update holds all keys unless its sender has seen
@@ -20,45 +21,24 @@
  * to keep stay where a list lacks them.
  */
 import { type Clock } from "../../model/mod.ts";
+import {
+  type RecordPolicy,
+  RETAIN_ALL,
+  RetainedRecords,
+} from "./retained_records.ts";
 import { eraOf, positionOf } from "./store_position.ts";
 import { type StoreRecord, type StoreRecords } from "./store_record.ts";
+import {
+  type RecordSource,
+  type ReplicaChange,
+  type TopicUpdate,
+} from "./replica_change.ts";
+
+export { type ReplicaChange, type TopicUpdate } from "./replica_change.ts";
 
-/** Number of dropped keys retained, so that updates can contain the drops. */
-const MAX_DROPPED_KEYS = 500;
 /** After this long without an update, entries may have expired unnoticed. */
 export const OUTAGE_MS = 2500;
 
-/** The records of a topic that one VM sends to another. */
-export interface TopicUpdate {
-  readonly records: readonly StoreRecord[];
-  /** Whether the update has all keys; otherwise only the changed ones. */
-  readonly isWhole: boolean;
-  /** The offset from which on it has the changes, unless it is whole. */
-  readonly sinceOffset?: number | undefined;
-  readonly nextOffset: number;
-  /** Records before this offset may be of an older copy of the store. */
-  readonly copiedBefore?: number | undefined;
-  /** Time since the sender's replica was up to date, in milliseconds. */
-  readonly ageMs: number;
-}
-
-/** A change of a replica. */
-export interface ReplicaChange {
-  readonly records: readonly StoreRecord[];
-  /** Whether the replica was older than OUTAGE_MS before this change. */
-  readonly isAfterOutage: boolean;
-  /** The replica's end before, if this change has brought a newer era. */
-  readonly restoredFrom: number | undefined;
-  /** Whether nothing of this era was read before; records may be copies. */
-  readonly isFirstInEra: boolean;
-  readonly source: RecordSource;
-  /** The replica's age before this change, in milliseconds. */
-  readonly ageBeforeMs: number;
-}
-
-/** Where a replica's records came from. */
-export type RecordSource = "store" | "vm";
-
 /** Whether a value was written before another one of the same key. */
 export type IsOlder = (value: Buffer, known: Buffer) => boolean;
 
@@ -76,8 +56,9 @@
   readonly #isSame: (a: Buffer, b: Buffer) => boolean;
   readonly #isOlder: IsOlder | undefined;
   readonly #keepsMissing: (key: string) => boolean;
+  readonly #policy: RecordPolicy;
   readonly #onChange: (change: ReplicaChange) => void;
-  readonly #newest = new Map<string, StoreRecord>();
+  readonly #newest: RetainedRecords;
   #nextOffset: number | undefined;
   #currentAtMs = -Infinity;
   /** From this offset on, all changes are known; drops before may be missing. */
@@ -93,13 +74,17 @@
     readonly isOlder?: IsOlder;
     /** Whether a key that a complete list lacks stays until it is dropped. */
     readonly keepsMissing?: (key: string) => boolean;
+    /** What is retained; by default all that there is room for. */
+    readonly policy?: RecordPolicy;
     readonly onChange: (change: ReplicaChange) => void;
   }) {
     this.#clock = options.clock;
     this.#isSame = options.isSame;
     this.#isOlder = options.isOlder;
     this.#keepsMissing = options.keepsMissing ?? ((): boolean => false);
+    this.#policy = options.policy ?? RETAIN_ALL;
     this.#onChange = options.onChange;
+    this.#newest = new RetainedRecords(this.#policy);
   }
 
   /** The offset after the newest record; undefined before the first list. */
@@ -130,7 +115,7 @@
       ? records.map((record) => this.#notUndone(record, copiedBefore))
       : [...records];
     if (nextOffset > (this.#nextOffset ?? 0)) {
-      for (const [key, { value, offset }] of this.#newest) {
+      for (const { key, value, offset } of this.#newest) {
         const isDropped = value !== undefined && !listed.has(key) &&
           offset < nextOffset;
         if (!isDropped || this.#keepsMissing(key)) continue;
@@ -143,6 +128,36 @@
     if (nextOffset > endBefore) this.#firstCompleteOffset = nextOffset;
   }
 
+  /**
+   * Applies records of a list that is not complete yet: what is known of a long
+   * one is used at once. They are newer than what the replica has of their keys,
+   * or change nothing; those of another era wait for the complete list.
+   */
+  applyPart(records: readonly StoreRecord[]): void {
+    const end = this.#nextOffset;
+    const changes = this.#putAll(
+      end === undefined
+        ? records
+        : records.filter(({ offset }) => eraOf(offset) === eraOf(end)),
+      false,
+    );
+    if (changes.length === 0) return;
+    this.#onChange({
+      records: changes,
+      isAfterOutage: false,
+      restoredFrom: undefined,
+      isFirstInEra: end === undefined,
+      isPart: true,
+      source: "store",
+      ageBeforeMs: this.ageMs,
+    });
+  }
+
+  /** Returns a list to be completed, with what this replica retains. */
+  createList(): RetainedRecords {
+    return new RetainedRecords(this.#policy);
+  }
+
   /**
    * Applies records that follow the replica's offset. Those of another era are
    * ignored: a newer era begins with a complete list.
@@ -167,7 +182,7 @@
     if (this.#nextOffset === undefined) return undefined;
     const isWhole = offset === undefined || offset < this.#firstCompleteOffset;
     const records: StoreRecord[] = [];
-    for (const record of this.#newest.values()) {
+    for (const record of this.#newest) {
       if (isWhole ? record.value !== undefined : record.offset >= offset) {
         records.push(record);
       }
@@ -183,6 +198,14 @@
     };
   }
 
+  /**
+   * Applies the bounds anew after what this VM refers to has changed; returns the
+   * records that are no longer retained.
+   */
+  evictUnneeded(): StoreRecord[] {
+    return this.#newest.evictUnneeded();
+  }
+
   /** Applies another VM's update, unless this replica is further ahead. */
   applyUpdate(update: TopicUpdate): void {
     const currentAtMs = this.#clock() - update.ageMs;
@@ -227,13 +250,9 @@
       ageBeforeMs > OUTAGE_MS;
     const wasEmpty = this.#nextOffset === undefined;
     const restoredFrom = this.#beginEra(eraOf(position.nextOffset));
-    const changes: StoreRecord[] = [];
-    for (const record of records) {
-      if (this.#put(record, isWhole)) changes.push(record);
-    }
+    const changes = this.#putAll(records, isWhole);
     this.#nextOffset = Math.max(this.#nextOffset ?? 0, position.nextOffset);
     this.#currentAtMs = Math.max(this.#currentAtMs, position.currentAtMs);
-    this.#evictDropped();
     const isNews = wasEmpty || isAfterOutage || restoredFrom !== undefined;
     if (changes.length === 0 && !isNews) return;
     const isFirstInEra = wasEmpty || restoredFrom !== undefined;
@@ -242,11 +261,22 @@
       isAfterOutage,
       restoredFrom,
       isFirstInEra,
+      isPart: false,
       source: position.source,
       ageBeforeMs,
     });
   }
 
+  #putAll(records: readonly StoreRecord[], isOfWhole: boolean): StoreRecord[] {
+    const changes: StoreRecord[] = [];
+    for (const record of records) {
+      const change = this.#put(record, isOfWhole);
+      if (change !== undefined) changes.push(change);
+    }
+    this.#evictDropped();
+    return changes;
+  }
+
   /** Returns the end before, if the era is newer than the replica's. */
   #beginEra(era: number): number | undefined {
     const endBefore = this.#nextOffset;
@@ -256,30 +286,35 @@
     return endBefore;
   }
 
-  /** Returns whether the value is another one than before. */
-  #put(record: StoreRecord, isOfWhole: boolean): boolean {
+  /** Returns the record as it is retained, if its value has changed. */
+  #put(record: StoreRecord, isOfWhole: boolean): StoreRecord | undefined {
     const current = this.#newest.get(record.key);
     // All before the replica's end is known, also what was dropped since.
     const knownEnd = Math.max(
       this.#nextOffset ?? 0,
       current === undefined ? 0 : current.offset + 1,
     );
-    if (record.offset < knownEnd) return false;
+    if (record.offset < knownEnd) return undefined;
+    const next = this.#newest.readable(record);
     // The first drop of a kept key is news: it ends what other VMs may have.
     const isFirstOfKept = current === undefined &&
       this.#keepsMissing(record.key);
     const isSame = !isFirstOfKept &&
-      this.#isSameValue(current?.value, record.value);
+      this.#isSameValue(current?.value, next.value);
     // Of a newer era, after one that may be of a copy, or after another value
     // that a list doesn't tell of, even the same value takes the new position.
     const isKept = current === undefined ||
       !isOfWhole && eraOf(current.offset) === eraOf(record.offset) &&
         current.offset >= this.#copiedBefore;
-    if (isSame && isKept) return false;
-    // Deleted first, so that the map stays in the order of changes.
-    this.#newest.delete(record.key);
-    this.#newest.set(record.key, record);
-    return !isSame;
+    if (isSame && isKept) return undefined;
+    if (this.#newest.put(next)) return isSame ? undefined : next;
+    if (current?.value === undefined || this.#keepsMissing(record.key)) {
+      return undefined;
+    }
+    // There is no room: an outdated value is worse than none.
+    const drop = { ...next, value: undefined };
+    this.#newest.put(drop);
+    return drop;
   }
 
   #isSameValue(a: Buffer | undefined, b: Buffer | undefined): boolean {
@@ -288,19 +323,11 @@
   }
 
   #evictDropped(): void {
-    let droppedCount = 0;
-    for (const { value } of this.#newest.values()) {
-      if (value === undefined) droppedCount += 1;
-    }
-    for (const [key, { value, offset }] of this.#newest) {
-      if (droppedCount <= MAX_DROPPED_KEYS) return;
-      if (value !== undefined) continue;
-      this.#newest.delete(key);
-      this.#firstCompleteOffset = Math.max(
-        this.#firstCompleteOffset,
-        offset + 1,
-      );
-      droppedCount -= 1;
-    }
+    const lastOffset = this.#newest.evictDropped();
+    if (lastOffset === undefined) return;
+    this.#firstCompleteOffset = Math.max(
+      this.#firstCompleteOffset,
+      lastOffset + 1,
+    );
   }
 }
