Send no update that other VMs refuse for what a record names

What callers would see: a VM learns nothing of the others any more, so a server that drains or a bad version is known only where it was seen. Found by looking for more of what others write and VMs pass on; not reported.

Cause: a VM takes an update whole or not at all, and refuses one with more than 64 roll-outs, or with an empty name or one of more than 255 characters. The registry keeps the roll-out of each service that was ever ordered, and all of them were sent. Each unknown stage also cost a list of the statuses of its own.

Change: reports name the open roll-outs, then the newest. Beyond 256 roll-outs only those of services that the manifest names are kept, and one list tells all stages.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -116,6 +116,7 @@
       fleet: this.#fleet,
       ...settings,
       vmCount,
+      isNamed: (service) => routes()?.services.has(service) !== false,
       ordersAgeMs: () => this.#feed.replicas.operators.ageMs,
       isEvacuated: (place) => this.#guards.evacuations.isEvacuated(place),
       clock,
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -17,5 +17,6 @@
 export * from "./telemetry/log_sink.ts";
 export * from "./protocol.ts";
 export * from "./forwarding/retry_budget.ts";
+export { MAX_NAME_LENGTH } from "./peers/peer_update.ts";
 export * from "./store/store_position.ts";
 export * from "./store/store_record.ts";
--- a/src/gateway/peers/peer_update.ts
+++ b/src/gateway/peers/peer_update.ts
@@ -43,12 +43,14 @@
 export type TopicName = typeof TOPICS[number];
 
 const MAX_RECORDS = 10_000;
-const MAX_KEY_LENGTH = 255;
+/** Longest key of a record, and longest name. */
+export const MAX_NAME_LENGTH = 255;
 /** Bytes of a record's encoding beside its key and value. */
 const RECORD_OVERHEAD_BYTES = 48;
 /** Bytes of a character in UTF-8. */
 const MAX_CHARACTER_BYTES = 3;
-const MAX_ROLLOUTS = 64;
+/** Roll-outs in one message. */
+export const MAX_ROLLOUTS = 64;
 const MAX_TALLIES = 1024;
 /** More raises or setbacks than a slow start may have. */
 const MAX_STAGE_COUNT = 1000;
@@ -57,11 +59,11 @@
 /** The name of a service and of the regions of its requests. */
 const MAX_USE_KEY_LENGTH = 2048;
 
-const nameSchema = z.string().min(1).max(MAX_KEY_LENGTH);
+const nameSchema = z.string().min(1).max(MAX_NAME_LENGTH);
 const countSchema = z.number().int().nonnegative();
 
 const recordSchema = z.object({
-  key: z.string().max(MAX_KEY_LENGTH),
+  key: z.string().max(MAX_NAME_LENGTH),
   value: z.instanceof(Uint8Array).nullable(),
   offset: countSchema,
 }).transform(({ key, value, offset }) => ({
@@ -241,7 +243,7 @@
 
 const peerUpdateSchema = z.object({
   /** The sender's process instance; empty from VMs of an earlier release. */
-  teller: z.string().max(MAX_KEY_LENGTH).default(""),
+  teller: z.string().max(MAX_NAME_LENGTH).default(""),
   /** The offset up to which the sender has read each topic. */
   have: z.record(z.enum(TOPICS), countSchema.nullable()),
   topics: z.partialRecord(z.enum(TOPICS), topicUpdateSchema),
--- a/src/gateway/rollout/rollout_registry.ts
+++ b/src/gateway/rollout/rollout_registry.ts
@@ -40,6 +40,8 @@
   readonly vmCount: () => number | undefined;
   /** Time since the known orders were up to date; 0 by default. */
   readonly ordersAgeMs?: () => number;
+  /** Whether the manifest names a service; all by default. */
+  readonly isNamed?: (service: string) => boolean;
   /** Whether the servers of a data centre get no more requests. */
   readonly isEvacuated?: (place: string) => boolean;
   readonly clock: Clock;
@@ -48,6 +50,8 @@
 
 /** Pause between two log lines with the tally of an open roll-out. */
 const TALLY_LOG_PERIOD_MS = 2000;
+/** Roll-outs kept; beyond these, only of services that the manifest names. */
+const MAX_ROLLOUTS = 256;
 /** Replaced orders of a service that are known again in an older copy. */
 const MAX_EARLIER_ORDERS = 8;
 
@@ -81,6 +85,7 @@
     const relation = relateOrder(order, { current, earlier });
     if (relation === "old") return;
     if (relation === "again") return current?.moveTo(order.offset);
+    if (current === undefined && !this.#hasRoomFor(order.service)) return;
     const { clock, canaryShare, logger } = this.#options;
     const record = new RolloutRecord(order, {
       canaryShare,
@@ -103,6 +108,18 @@
     });
   }
 
+  /** Whether another service's roll-out is kept, in place of an unnamed one's. */
+  #hasRoomFor(service: string): boolean {
+    if (this.#rollouts.size < MAX_ROLLOUTS) return true;
+    const { isNamed = (): boolean => true } = this.#options;
+    if (!isNamed(service)) return false;
+    const unnamed = [...this.#rollouts.keys()].find((one) => !isNamed(one));
+    if (unnamed === undefined) return false;
+    this.#rollouts.delete(unnamed);
+    this.#earlierOrders.delete(unnamed);
+    return true;
+  }
+
   #retain(
     { order, position }: RolloutRecord,
     earlier: readonly RolloutOrder[],
--- a/src/gateway/rollout/rollout_report.ts
+++ b/src/gateway/rollout/rollout_report.ts
@@ -1,12 +1,14 @@
 /** What a VM tells another of the roll-outs that it knows. */
 import { isEnded } from "../../decision/mod.ts";
-import { type RolloutReport } from "../peers/peer_update.ts";
+import { MAX_ROLLOUTS, type RolloutReport } from "../peers/peer_update.ts";
+import { type RolloutRecord } from "./rollout_record.ts";
 import { type RolloutRegistry } from "./rollout_registry.ts";
 
 const MAX_AGE_MS = 2 ** 31;
 
 /**
- * Returns the reports of all roll-outs. Tallies are sent only to store readers
+ * Returns the reports of as many roll-outs as a message may have, those that are
+ * open first, then the newest. Tallies are sent only to store readers
  * and only until the roll-out ends. Readers also forward the tallies that VMs
  * sent them directly.
  */
@@ -20,7 +22,7 @@
     readonly isReceiverReader: boolean;
   },
 ): RolloutReport[] {
-  return [...registry.rollouts.values()].map((rollout) => {
+  return mostRelevant([...registry.rollouts.values()]).map((rollout) => {
     const ownTally = rollout.createTallyReport(
       instance,
       registry.otherInFlightCount(rollout),
@@ -39,3 +41,11 @@
     };
   });
 }
+
+function mostRelevant(rollouts: readonly RolloutRecord[]): RolloutRecord[] {
+  if (rollouts.length <= MAX_ROLLOUTS) return [...rollouts];
+  const rankOf = ({ stage }: RolloutRecord): number => isEnded(stage) ? 1 : 0;
+  return rollouts.toSorted((a, b) =>
+    rankOf(a) - rankOf(b) || b.position - a.position
+  ).slice(0, MAX_ROLLOUTS);
+}
--- a/src/gateway/rollout/rollout_status_writer.ts
+++ b/src/gateway/rollout/rollout_status_writer.ts
@@ -135,11 +135,15 @@
     return nowMs - sinceMs >= rank * RANK_DELAY_MS;
   }
 
+  /** Reads the stages of all roll-outs at once, of which there may be many. */
   async #loadStage(rollout: RolloutRecord): Promise<void> {
+    const ordered = [...this.#options.registry.rollouts.values()];
     const listed = await this.#readStatuses();
     if (listed === undefined) return;
-    if (eraOf(listed.offset) !== eraOf(rollout.position)) return this.#pause();
-    rollout.isStageKnown = true;
+    const isInEra = ({ position }: RolloutRecord): boolean =>
+      eraOf(listed.offset) === eraOf(position);
+    if (!isInEra(rollout)) return this.#pause();
+    for (const one of ordered) one.isStageKnown ||= isInEra(one);
   }
 
   async #write(
