Believe an unmarked end only of a process that lives on

Cause: where a server or VM was known to leave, its unmarked end was believed without a look at whether it still accepts connections, on the ground that it stops listening before it ends its last answers. But a process that leaves is the one that exits, and its exit closes what runs.

Change: one judge of ends, decision/answer_end. An unmarked end is meant if its framing marks it, or if its sender accepts a connection after it, whatever is known of the sender; the end of a stream is judged there too.

Two tests asked for the opposite: that a server or VM that leaves and no longer listens ends its last stream whole. What they see can't be told from an exit, which the rule on streams forbids to look complete. They are replaced by one each that such a sender still ends a stream while it listens, and one each that it has broken off when it doesn't.

Price: a server that stops listening before it has ended its last unframed streams has them cut, or resumed elsewhere where that is allowed.

--- a/src/decision/mod.ts
+++ b/src/decision/mod.ts
@@ -3,6 +3,7 @@
 export * from "./admission_order.ts";
 export * from "./admission_returns.ts";
 export * from "./allowed_regions.ts";
+export * from "./answer_end.ts";
 export * from "./backend_choice.ts";
 export * from "./backend_health.ts";
 export * from "./backend_roster.ts";
--- a/src/gateway/callers/stream_relay.ts
+++ b/src/gateway/callers/stream_relay.ts
@@ -5,6 +5,7 @@
  * event. Once the caller has a head, only an answer of the same status and media
  * type whose first event has the next number continues the stream.
  */
+import { judgeStreamEnd, type StreamEnd } from "../../decision/mod.ts";
 import { type CallerExchange } from "./caller_exchange.ts";
 import { EventSplitter, MAX_EVENT_BYTES } from "./event_splitter.ts";
 import { type AnswerHead } from "../protocol.ts";
@@ -17,13 +18,6 @@
   | "no_stream"
   | "oversize";
 
-/**
- * The end of a server's answer to a stream: complete by its framing, broken off,
- * or unmarked, after an event and only by closing the connection, as servers
- * that break off or end do too.
- */
-export type StreamEnd = "complete" | "broken" | "unmarked";
-
 /** A number as callers state it; any other text is left to the server. */
 const ID_PATTERN = /^\d{1,15}$/;
 
@@ -103,16 +97,14 @@
     return this.#hasEvent;
   }
 
-  /**
-   * Returns what the end of the attached server's answer means. Inside an event
-   * or, without a mark, before the first one, the stream has been broken off.
-   */
+  /** Judges the end of the attached server's answer. */
   endOf(server: AnswerHead): StreamEnd {
-    const hasNoEvent = this.#lastId === undefined && !this.#hasEvent;
-    if (this.#splitter.isInsideEvent) return "broken";
-    if (hasNoEvent && !server.isFramed) return "broken";
-    if (!this.#continues(server)) return "broken";
-    return server.isFramed ? "complete" : "unmarked";
+    return judgeStreamEnd({
+      isMarked: server.isFramed,
+      isInsideEvent: this.#splitter.isInsideEvent,
+      hasEvent: this.#hasEvent || this.#lastId !== undefined,
+      isContinuation: this.#continues(server),
+    });
   }
 
   /** Ends the caller's answer as complete, with the last server's answer. */
--- a/src/gateway/forwarding/ended_server_test.ts
+++ b/src/gateway/forwarding/ended_server_test.ts
@@ -154,14 +154,17 @@
   return applyRoster(EMPTY_ROSTER, { kind: "changed", records }, 0);
 }
 
-/** The outcome of a stream at a server that stops listening meanwhile. */
+/** The outcome of a stream that its server ends as it leaves. */
 async function leave(
   test: TestContext,
-  how: keyof typeof LEAVES,
+  { how, isListening }: {
+    readonly how: keyof typeof LEAVES;
+    readonly isListening: boolean;
+  },
 ): Promise<AttemptOutcome["kind"]> {
   const backend = await startBackend("one", (request, response) => {
     LEAVES[how](context, backend.server);
-    backend.stopListening();
+    if (!isListening) backend.stopListening();
     beginUnframed(request, response);
     response.end(PART);
   });
@@ -200,14 +203,17 @@
   });
 }
 
-// Guards against LOST: the last streams of a server that leaves were cut.
-for (const how of ["draining", "removed", "stated"] as const) {
-  test(`a server that leaves may end its last stream: ${how}`, async (context) => {
-    assert.equal(await leave(context, how), "stream_end");
+for (const how of ["draining", "removed", "stated", "nothing"] as const) {
+  // Guards against LOST: the last streams of a server that leaves were cut.
+  test(`a server that still listens may end its last stream: ${how}`, async (context) => {
+    const outcome = await leave(context, { how, isListening: true });
+    assert.equal(outcome, "stream_end");
   });
-}
 
-// Guards against ORDER: the end of a process was taken for the end of a stream.
-test("a stream whose server stops unannounced has broken off", async (context) => {
-  assert.equal(await leave(context, "nothing"), "fault");
-});
+  // Guards against ORDER: the exit of a process, planned or not, was taken for
+  // the end of its streams.
+  test(`a stream whose server exits has broken off: ${how}`, async (context) => {
+    const outcome = await leave(context, { how, isListening: false });
+    assert.equal(outcome, "fault");
+  });
+}
--- a/src/gateway/forwarding/forwarding.ts
+++ b/src/gateway/forwarding/forwarding.ts
@@ -334,7 +334,7 @@
     const relay = this.#relay;
     const end = relay?.endOf(head);
     if (end === "broken") return this.#retry("incomplete");
-    if (end === "unmarked" && !this.#isConfirmed()) {
+    if (end === "unconfirmed" && !this.#isConfirmed()) {
       if (this.#takeRetry("unmarked_end")) return this.#startAttempt();
       // Without an event, the caller has resumed here after an earlier end.
       if (relay?.hasEvent) return this.#giveUp("unmarked_end");
--- a/src/gateway/forwarding/unmarked_vm_end_test.ts
+++ b/src/gateway/forwarding/unmarked_vm_end_test.ts
@@ -185,15 +185,26 @@
   assert.deepEqual(result, { ...whole, runs: [undefined] });
 });
 
-// Guards against LOST: the last streams through a VM that leaves were cut.
 for (const status of ["leaving", "left"] as const) {
+  // Guards against LOST: the last streams through a VM that leaves were cut.
   test(`a VM that leaves may end the last stream it sends on: ${status}`, async (context) => {
     const result = await sendThroughVms(context, {
-      runs: [{ lastId: 3, end: "gone" }],
+      runs: [{ lastId: 3, end: "closed" }],
       route: { isResumable: false },
       status,
     });
     const whole = { ...PART, isComplete: true };
     assert.deepEqual(result, { ...whole, runs: [undefined] });
   });
+
+  // Guards against ORDER: the same of a VM whose process ends as it leaves.
+  test(`a stream through a VM that ends as it leaves is cut: ${status}`, async (context) => {
+    const result = await sendThroughVms(context, {
+      runs: [{ lastId: 3, end: "gone" }],
+      route: { isResumable: false },
+      status,
+    });
+    const cut = { ...PART, isComplete: false };
+    assert.deepEqual(result, { ...cut, runs: [undefined] });
+  });
 }
--- a/src/gateway/forwarding/vm_attempt.ts
+++ b/src/gateway/forwarding/vm_attempt.ts
@@ -13,7 +13,10 @@
 } from "../servers/backend_exchange.ts";
 import { type ForwardContext } from "./forward_context.ts";
 import { type AnswerHead, type RelayedRequest } from "../protocol.ts";
-import { isEndUnmarked, isListening } from "../servers/unmarked_answers.ts";
+import {
+  isEndUnmarked,
+  isUnmarkedEndMeant,
+} from "../servers/unmarked_answers.ts";
 import { type RelayVm } from "./vm_relays.ts";
 
 const CONNECT_TIMEOUT_MS = 400;
@@ -144,14 +147,11 @@
   #handleEnd(): void {
     const head = this.#head;
     if (head === undefined) return this.#fail("no_answer");
-    const { context, vm, request, onException } = this.#options;
-    const isUnmarked = isEndUnmarked(head, request.caller);
-    if (!isUnmarked || context.relays.isLeaving(vm.vm)) {
-      return this.#complete(head);
-    }
-    isListening(vm.address).then((isAlive) => {
+    const { vm, request, onException } = this.#options;
+    if (!isEndUnmarked(head, request.caller)) return this.#complete(head);
+    isUnmarkedEndMeant(vm.address).then((isMeant) => {
       if (this.#isOver) return;
-      if (isAlive) return this.#complete(head);
+      if (isMeant) return this.#complete(head);
       this.#recordFailure();
       this.#fail("vm_ended");
     }).catch(onException);
--- a/src/gateway/forwarding/vm_relays.ts
+++ b/src/gateway/forwarding/vm_relays.ts
@@ -61,12 +61,6 @@
     return vms[Math.floor(random() * vms.length)];
   }
 
-  /** Whether a VM has announced its end, so that it may accept no connection. */
-  isLeaving(vm: string): boolean {
-    const status = this.#options.membership().members.get(vm)?.update.status;
-    return status === "leaving" || status === "left";
-  }
-
   /** Records that a VM refused a request or did not answer it. */
   recordFailure(vm: string): void {
     this.#avoidedUntilMs.set(vm, this.#options.clock() + AVOIDED_MS);
--- a/src/gateway/servers/server_attempt.ts
+++ b/src/gateway/servers/server_attempt.ts
@@ -18,11 +18,7 @@
 import { type PromptAttempt } from "../prompts/prompt_quarantine.ts";
 import { type AnswerHead, type BackendRequest } from "../protocol.ts";
 import { crashPartIds } from "../callers/request_digest.ts";
-import {
-  isEndUnmarked,
-  isKnownToLeave,
-  isListening,
-} from "./unmarked_answers.ts";
+import { isEndUnmarked, isUnmarkedEndMeant } from "./unmarked_answers.ts";
 
 /** Long enough for a connection whose first packet has to be sent again. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -231,13 +227,10 @@
     const head = this.#head;
     if (head === undefined) return this.#fail("broken", "no_answer");
     const { context, server, request, onException } = this.#options;
-    const isUnmarked = isEndUnmarked(head, request.caller);
-    if (!isUnmarked || isKnownToLeave(context, server)) {
-      return this.#complete(head);
-    }
-    isListening(server.address).then((isAlive) => {
+    if (!isEndUnmarked(head, request.caller)) return this.#complete(head);
+    isUnmarkedEndMeant(server.address).then((isMeant) => {
       if (this.#isOver) return;
-      if (isAlive) return this.#complete(head);
+      if (isMeant) return this.#complete(head);
       this.#recordBreak("server_ended");
       context.cold.recordBreak(server);
       this.#fail("broken", "server_ended");
--- a/src/gateway/servers/unmarked_answers.ts
+++ b/src/gateway/servers/unmarked_answers.ts
@@ -1,11 +1,9 @@
 /**
- * Answers whose end only the close of their connection shows. The end of a
- * process closes its connections too, so such an end is believed of a server or
- * VM that still accepts connections, or that was known to leave.
+ * Answers whose end only the close of their connection shows, which the end of a
+ * process closes as well.
  */
-import { type BackendServer } from "../../model/mod.ts";
+import { isMeantEnd } from "../../decision/mod.ts";
 import { connects } from "./connect_probe.ts";
-import { type ForwardContext } from "../forwarding/forward_context.ts";
 import { type AnswerHead } from "../protocol.ts";
 
 /** Long enough for a connection whose first packet has to be sent again. */
@@ -24,16 +22,9 @@
   return status !== NO_CONTENT_STATUS && method !== "HEAD";
 }
 
-/** Whether a server or VM at an address still accepts connections. */
-export function isListening(address: string): Promise<boolean> {
-  return connects(address, { timeoutMs: PROBE_TIMEOUT_MS });
-}
-
-/** Whether a server may refuse connections while it ends its last answers. */
-export function isKnownToLeave(
-  { fleet, statements }: ForwardContext,
-  server: BackendServer,
-): boolean {
-  return fleet.serverOf(server.id)?.status !== "ready" ||
-    statements.isLeaving(server);
+/** Whether the server or VM at an address meant an end that it didn't mark. */
+export async function isUnmarkedEndMeant(address: string): Promise<boolean> {
+  const timeoutMs = PROBE_TIMEOUT_MS;
+  const isSenderAlive = await connects(address, { timeoutMs });
+  return isMeantEnd({ isMarked: false, isSenderAlive });
 }
--- a/tools/unmarked_mechanisms.ts
+++ b/tools/unmarked_mechanisms.ts
@@ -37,31 +37,17 @@
   {
     name: "a process that ended ended no unmarked answer",
     file: "src/gateway/servers/server_attempt.ts",
-    source: "if (isAlive) return this.#complete(head);",
+    source: "if (isMeant) return this.#complete(head);",
     replacement: "return this.#complete(head);",
     tests: [SERVER_TEST],
   },
-  {
-    name: "a server known to leave may end unmarked",
-    file: "src/gateway/servers/server_attempt.ts",
-    source: "if (!isUnmarked || isKnownToLeave(context, server)) {",
-    replacement: "if (!isUnmarked) {",
-    tests: [SERVER_TEST],
-  },
   {
     name: "a VM that ended ended no unmarked answer",
     file: "src/gateway/forwarding/vm_attempt.ts",
-    source: "if (isAlive) return this.#complete(head);",
+    source: "if (isMeant) return this.#complete(head);",
     replacement: "return this.#complete(head);",
     tests: [VM_TEST],
   },
-  {
-    name: "a VM known to leave may end unmarked",
-    file: "src/gateway/forwarding/vm_attempt.ts",
-    source: "if (!isUnmarked || context.relays.isLeaving(vm.vm)) {",
-    replacement: "if (!isUnmarked) {",
-    tests: [VM_TEST],
-  },
   {
     name: "no repeat of a stream without numbers",
     file: "src/gateway/callers/stream_relay.ts",
