Believe no unmarked end that is read late or of a process since replaced

Cause: any process that accepts a connection at the server's address vouched for the end. But a VM that was held up reads the end seconds after it was sent, and by then another process may listen there.

Change: the judge of ends also takes when an end is read, and who has the server's place. A VM knows that it was held up for half a second by the turns of its event loop (LateReading); within a second after it an unmarked end is unproved, so the answer is asked for again where that is allowed, and else cut. It counts neither as a failure nor as a crash of the server. Where the server's entry is of another process by then, the process that took the request has ended.

Evidence: two tests in ended_server_test failed before.

Price: an unframed answer that ended while its VM was held up is asked for again, or lost to its caller if it may run once.

--- a/src/decision/answer_end.ts
+++ b/src/decision/answer_end.ts
@@ -4,18 +4,32 @@
  * closes as well, whether or not it was planned: a server that leaves may exit in
  * the middle of its last answers. So an unmarked end is believed only of a process
  * that lives on, and of a stream that may run again only once a second run agrees.
+ * That a process accepts connections proves nothing of an end that may be seconds
+ * old by then, as it may have been started since.
  */
 
-/** What is known of the end of an answer. */
-export interface AnswerEnd {
-  readonly isMarked: boolean;
-  /** Whether the sender accepted a connection after the end. */
-  readonly isSenderAlive: boolean;
+/** What is known of an end that the answer's framing doesn't mark. */
+export interface UnmarkedEnd {
+  /** Whether it was read about when it was sent. */
+  readonly isReadInTime: boolean;
+  /** Whether a connection to the sender was accepted after it was read. */
+  readonly isSenderListening: boolean;
+  /** Whether another process is known to have taken the sender's place. */
+  readonly isSenderReplaced: boolean;
 }
 
-/** Whether the sender of an answer has ended it, and not just gone. */
-export function isMeantEnd({ isMarked, isSenderAlive }: AnswerEnd): boolean {
-  return isMarked || isSenderAlive;
+/**
+ * `meant`: by the sender, as the end of its answer. `sender_ended`: the sender's
+ * process has ended. `unproved`: it may have.
+ */
+export type UnmarkedEndVerdict = "meant" | "sender_ended" | "unproved";
+
+/** Judges the unmarked end of an answer. */
+export function judgeUnmarkedEnd(
+  { isReadInTime, isSenderListening, isSenderReplaced }: UnmarkedEnd,
+): UnmarkedEndVerdict {
+  if (!isSenderListening || isSenderReplaced) return "sender_ended";
+  return isReadInTime ? "meant" : "unproved";
 }
 
 /** What is known of a stream when its sender has ended the answer. */
--- a/src/gateway/forwarding/ended_server_test.ts
+++ b/src/gateway/forwarding/ended_server_test.ts
@@ -4,6 +4,7 @@
  */
 import assert from "node:assert/strict";
 import { test, type TestContext } from "node:test";
+import { routeOf } from "../../decision/manifest_fixture.ts";
 import { applyRoster, EMPTY_ROSTER, type Roster } from "../../decision/mod.ts";
 import { type BackendServer } from "../../model/mod.ts";
 import { type AttemptOutcome } from "./attempt_outcome.ts";
@@ -23,6 +24,7 @@
   testProtocol,
   untilReady,
 } from "../gateway_fixture.ts";
+import { holdUpAfter } from "../hold_up_fixture.ts";
 import { answerHeadOf, startRawServer } from "../servers/raw_server_fixture.ts";
 import { ServerAttempt } from "../servers/server_attempt.ts";
 import {
@@ -33,6 +35,7 @@
 
 const ONCE = { isResumable: false } as const;
 const PART = eventsOf(1, 3);
+const HELD_UP_MS = 800;
 
 // Guards against ORDER: the part of a stream that a server had sent as its
 // process ended was given to the caller as the whole.
@@ -54,6 +57,29 @@
   assert.deepEqual(result, { ...whole, runs: [undefined] });
 });
 
+// Guards against ORDER: a server crashed and was started again while a VM was
+// paused, and the VM took the crash for the end of its streams.
+test("an end that a VM reads late, as it was held up, is not believed", async (context) => {
+  const backend = await startBackend("one", (request, response) => {
+    beginUnframed(request, response);
+    response.write(PART);
+    setTimeout(() => {
+      void holdUpAfter(() => response.end(), HELD_UP_MS);
+    }, 200);
+  });
+  const vm = await startGateway({
+    backends: [backend],
+    manifest: { routes: [routeOf(ONCE)] },
+  });
+  context.after(async () => {
+    await vm.gateway.stop();
+    await backend.close();
+  });
+  await untilReady(vm);
+  const { status, body, isComplete } = await call(vm.callerAddress, {});
+  assert.deepEqual([status, body, isComplete], [200, PART, false]);
+});
+
 interface PlainResult {
   readonly status: number;
   readonly body: string;
@@ -143,6 +169,8 @@
     fleet.update(rosterOf({ ...server, status: "draining" })),
   removed: ({ fleet }) => fleet.update(EMPTY_ROSTER),
   stated: ({ statements }, server) => statements.recordLeaving(server),
+  restarted: ({ fleet }, server) =>
+    fleet.update(rosterOf({ ...server, processStartedAtMs: 99 })),
   nothing: () => {},
 } satisfies Record<
   string,
@@ -217,3 +245,10 @@
     assert.equal(outcome, "fault");
   });
 }
+
+// Guards against ORDER: the process that had taken the place of one that crashed
+// vouched for the streams of that one.
+test("a stream has broken off whose server another process has replaced", async (context) => {
+  const outcome = await leave(context, { how: "restarted", isListening: true });
+  assert.equal(outcome, "fault");
+});
--- a/src/gateway/forwarding/forward_context.ts
+++ b/src/gateway/forwarding/forward_context.ts
@@ -159,6 +159,8 @@
   readonly versions: VersionSelector;
   readonly answerMemory: AnswerMemory;
   /** Network distance to a place, as a cost in milliseconds. */
+  /** Whether what is read now may have arrived long ago; never by default. */
+  readonly isReadingLate?: () => boolean;
   readonly distanceMs: (place: string) => number;
   /** The engine of a service, if the manifest describes one. */
   readonly engineOf: (service: string) => EngineTraits | undefined;
--- a/src/gateway/forwarding/vm_attempt.ts
+++ b/src/gateway/forwarding/vm_attempt.ts
@@ -13,10 +13,7 @@
 } from "../servers/backend_exchange.ts";
 import { type ForwardContext } from "./forward_context.ts";
 import { type AnswerHead, type RelayedRequest } from "../protocol.ts";
-import {
-  isEndUnmarked,
-  isUnmarkedEndMeant,
-} from "../servers/unmarked_answers.ts";
+import { isEndUnmarked, judgeEndOf } from "../servers/unmarked_answers.ts";
 import { type RelayVm } from "./vm_relays.ts";
 
 const CONNECT_TIMEOUT_MS = 400;
@@ -147,11 +144,12 @@
   #handleEnd(): void {
     const head = this.#head;
     if (head === undefined) return this.#fail("no_answer");
-    const { vm, request, onException } = this.#options;
+    const { context, vm, request, onException } = this.#options;
     if (!isEndUnmarked(head, request.caller)) return this.#complete(head);
-    isUnmarkedEndMeant(vm.address).then((isMeant) => {
+    judgeEndOf(context, vm).then((verdict) => {
       if (this.#isOver) return;
-      if (isMeant) return this.#complete(head);
+      if (verdict === "meant") return this.#complete(head);
+      if (verdict === "unproved") return this.#fail("late_end");
       this.#recordFailure();
       this.#fail("vm_ended");
     }).catch(onException);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -42,6 +42,7 @@
 import { PeerExchange } from "./peers/peer_exchange.ts";
 import { PrefillRates } from "./servers/prefill_rates.ts";
 import { PromptRates } from "./servers/prompt_rates.ts";
+import { LateReading } from "./late_reading.ts";
 import { processorMs, watchDelays } from "./telemetry/process_delays.ts";
 import { watchLoad } from "./telemetry/process_load.ts";
 import { RequestIntake } from "./callers/request_intake.ts";
@@ -79,6 +80,7 @@
   readonly #peers: PeerNode;
   readonly #context: ForwardContext;
   readonly #openRequests = new OpenRequests();
+  readonly #lateReading: LateReading;
   readonly #intake: RequestIntake;
   readonly #shutdown: GatewayShutdown;
   readonly #stopController = new AbortController();
@@ -91,6 +93,7 @@
     const { clock, random, logger, protocol, settings } = options;
     this.#callerAddress = settings.callerAddress;
     this.#peerAddress = settings.peerAddress;
+    this.#lateReading = new LateReading({ clock });
     this.#fleet = new BackendFleet({ clock });
     this.#admission = new AdmissionGate({ clock, random });
     const membership = (): MembershipState => this.#peers.membership();
@@ -184,6 +187,7 @@
       promptRates: new PromptRates({ clock }),
       vmCount,
       reportBusy: (id, forMs) => this.#exchange.reportBusy(id, forMs),
+      isReadingLate: () => this.#lateReading.isLate,
       distanceMs: createDistanceLookup(settings),
       clock,
       random,
@@ -249,6 +253,7 @@
       ...this.#options,
       silenceMs: ALLOWED_SILENCE_MS,
       processorMs,
+      onTurn: () => this.#lateReading.recordTurn(),
       metrics: this.#metrics,
     }, signal);
     void this.#loadMetrics(signal);
--- a/src/gateway/servers/server_attempt.ts
+++ b/src/gateway/servers/server_attempt.ts
@@ -18,7 +18,7 @@
 import { type PromptAttempt } from "../prompts/prompt_quarantine.ts";
 import { type AnswerHead, type BackendRequest } from "../protocol.ts";
 import { crashPartIds } from "../callers/request_digest.ts";
-import { isEndUnmarked, isUnmarkedEndMeant } from "./unmarked_answers.ts";
+import { isEndUnmarked, judgeEndOf } from "./unmarked_answers.ts";
 
 /** Long enough for a connection whose first packet has to be sent again. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -228,9 +228,16 @@
     if (head === undefined) return this.#fail("broken", "no_answer");
     const { context, server, request, onException } = this.#options;
     if (!isEndUnmarked(head, request.caller)) return this.#complete(head);
-    isUnmarkedEndMeant(server.address).then((isMeant) => {
+    const { address, processStartedAtMs } = server;
+    const isReplaced = (): boolean => {
+      const known = context.fleet.serverOf(server.id);
+      return known !== undefined &&
+        known.processStartedAtMs !== processStartedAtMs;
+    };
+    judgeEndOf(context, { address, isReplaced }).then((verdict) => {
       if (this.#isOver) return;
-      if (isMeant) return this.#complete(head);
+      if (verdict === "meant") return this.#complete(head);
+      if (verdict === "unproved") return this.#fail(undefined, "late_end");
       this.#recordBreak("server_ended");
       context.cold.recordBreak(server);
       this.#fail("broken", "server_ended");
@@ -312,7 +319,7 @@
     });
   }
 
-  #fail(event: HealthEvent, cause: string): void {
+  #fail(event: HealthEvent | undefined, cause: string): void {
     this.#end(event);
     this.#exchange.cancel();
     this.#options.onOutcome({ kind: "fault", isUnsent: false, cause });
--- a/src/gateway/servers/unmarked_answers.ts
+++ b/src/gateway/servers/unmarked_answers.ts
@@ -2,8 +2,12 @@
  * Answers whose end only the close of their connection shows, which the end of a
  * process closes as well.
  */
-import { isMeantEnd } from "../../decision/mod.ts";
+import {
+  judgeUnmarkedEnd,
+  type UnmarkedEndVerdict,
+} from "../../decision/mod.ts";
 import { connects } from "./connect_probe.ts";
+import { type ForwardContext } from "../forwarding/forward_context.ts";
 import { type AnswerHead } from "../protocol.ts";
 
 /** Long enough for a connection whose first packet has to be sent again. */
@@ -22,9 +26,21 @@
   return status !== NO_CONTENT_STATUS && method !== "HEAD";
 }
 
-/** Whether the server or VM at an address meant an end that it didn't mark. */
-export async function isUnmarkedEndMeant(address: string): Promise<boolean> {
+/** Judges an unmarked end, just read, of the server or VM at an address. */
+export async function judgeEndOf(
+  { isReadingLate = (): boolean => false }: ForwardContext,
+  { address, isReplaced = (): boolean => false }: {
+    readonly address: string;
+    readonly isReplaced?: () => boolean;
+  },
+): Promise<UnmarkedEndVerdict> {
+  const isReadInTime = !isReadingLate();
   const timeoutMs = PROBE_TIMEOUT_MS;
-  const isSenderAlive = await connects(address, { timeoutMs });
-  return isMeantEnd({ isMarked: false, isSenderAlive });
+  const isSenderListening = await connects(address, { timeoutMs });
+  const isSenderReplaced = isReplaced();
+  return judgeUnmarkedEnd({
+    isReadInTime,
+    isSenderListening,
+    isSenderReplaced,
+  });
 }
--- a/src/gateway/telemetry/process_delays.ts
+++ b/src/gateway/telemetry/process_delays.ts
@@ -17,6 +17,8 @@
   readonly silenceMs: number;
   /** Processor time that this process has used so far. */
   readonly processorMs: () => number;
+  /** Called whenever the process gets to its timers. */
+  readonly onTurn?: () => void;
   readonly metrics: Pick<GatewayMetrics, "count" | "time">;
   readonly clock: Clock;
   readonly sleep: Sleep;
@@ -49,6 +51,7 @@
     const usedBeforeMs = options.processorMs();
     await sleep(PERIOD_MS, signal);
     if (signal.aborted) return;
+    options.onTurn?.();
     const nowMs = clock();
     const lateMs = Math.max(0, nowMs - dueAtMs);
     metrics.time("event_loop_late_ms", { durationMs: lateMs });
--- a/tools/server_mechanisms.ts
+++ b/tools/server_mechanisms.ts
@@ -266,9 +266,9 @@
   },
   {
     name: "a stream that ends inside an event",
-    file: "src/gateway/callers/stream_relay.ts",
-    source: 'if (this.#splitter.isInsideEvent) return "broken";',
-    replacement: "",
+    file: "src/decision/answer_end.ts",
+    source: 'if (isInsideEvent || !isContinuation) return "broken";',
+    replacement: 'if (!isContinuation) return "broken";',
     tests: ["src/gateway/callers/unframed_stream_test.ts"],
   },
   {
