Complete no stream by a close alone where servers mark their ends

Cause: an unmarked end that no further run could confirm completed the stream if this VM had sent no event, as the caller may have resumed after the last one. Where servers never mark an end it would never finish otherwise. But nothing looked at whether they do.

Change: the judge of ends completes such a stream only where the servers of the service and version have begun streams before, and none with framing. Else it is a failure, and the caller asks again.

Both directions of the rule are noticed when they are changed.

--- a/src/decision/answer_end.ts
+++ b/src/decision/answer_end.ts
@@ -54,3 +54,17 @@
   if (isMarked) return "complete";
   return hasEvent ? "unconfirmed" : "broken";
 }
+
+/**
+ * Whether a stream is complete whose unconfirmed end no further run can confirm.
+ * If nothing has been sent to the caller, it has resumed after an event that may
+ * be the last one, and where servers never mark an end it would never finish.
+ */
+export function isLastEnd(
+  { isBegun, neverMarksEnds }: {
+    readonly isBegun: boolean;
+    readonly neverMarksEnds: boolean;
+  },
+): boolean {
+  return !isBegun && neverMarksEnds;
+}
--- a/src/gateway/forwarding/forwarding.ts
+++ b/src/gateway/forwarding/forwarding.ts
@@ -5,7 +5,7 @@
  * interrupted stream resumes at another server after the last event sent to the
  * caller.
  */
-import { firstModel } from "../../decision/mod.ts";
+import { firstModel, isLastEnd } from "../../decision/mod.ts";
 import { isRetriable } from "../../model/mod.ts";
 import { type Attempt, type WaitingAnswer } from "./attempt.ts";
 import { type AttemptTarget, startAttempt } from "./attempt_start.ts";
@@ -336,8 +336,7 @@
     if (end === "broken") return this.#retry("incomplete");
     if (end === "unconfirmed" && !this.#isConfirmed()) {
       if (this.#takeRetry("unmarked_end")) return this.#startAttempt();
-      // Without an event, the caller has resumed here after an earlier end.
-      if (relay?.hasEvent) return this.#giveUp("unmarked_end");
+      if (!this.#isLastEnd()) return this.#giveUp("unmarked_end");
     }
     relay?.complete(head);
     this.#finish("answered");
@@ -351,6 +350,15 @@
     return this.#history.recordUnmarkedEnd(lastId);
   }
 
+  /** Whether an end that can't be confirmed completes the stream. */
+  #isLastEnd(): boolean {
+    const { targetId = "" } = this.#attempt ?? {};
+    return isLastEnd({
+      isBegun: this.#relay?.hasEvent === true,
+      neverMarksEnds: this.#context.fleet.neverMarksEnds(targetId),
+    });
+  }
+
   /** Sends the request again, if that is allowed and enough time is left. */
   #retry(cause: string): void {
     if (this.#takeRetry(cause)) this.#startAttempt();
--- a/src/gateway/forwarding/unmarked_end_test.ts
+++ b/src/gateway/forwarding/unmarked_end_test.ts
@@ -143,3 +143,33 @@
   assert.deepEqual([status, body, isComplete], [200, "", true]);
   assert.deepEqual(runs, ["6", "6"]);
 });
+
+// Guards against ORDER: a server broke an answer off before its first event, and a
+// caller that had resumed after the end of a VM took the stream for whole.
+for (const [name, limits] of Object.entries(LIMITS)) {
+  test(`a resumed stream without an event has failed where servers mark ends: ${name}`, async (context) => {
+    const { send, runsOf } = await startUnmarked(context, {
+      ...limits,
+      runOf: (requestId) =>
+        requestId === "other"
+          ? { lastId: 6, end: "marked" }
+          : { lastId: 3, end: "closed" },
+    });
+    for (let count = 0; count < 4; count++) {
+      await send({ headers: { "test-id": "other" } });
+    }
+    const headers = { "test-id": "one", "test-last": "3" };
+    const { status } = await send({ headers });
+    assert.equal(status, 502);
+    assert.equal(runsOf("one").length, 1);
+  });
+}
+
+test("a server that has just started completes no stream by a close alone", async (context) => {
+  const { status } = await sendUnmarked(context, {
+    runs: [{ lastId: 3, end: "closed" }],
+    route: { maxAttempts: 1 },
+    lastEventId: 3,
+  });
+  assert.equal(status, 502);
+});
--- a/src/gateway/servers/backend_fleet.ts
+++ b/src/gateway/servers/backend_fleet.ts
@@ -207,6 +207,22 @@
     return state !== undefined && isProbeNeeded(state.health);
   }
 
+  /**
+   * Whether the servers of a server's service and version have begun streams,
+   * other than the last one, and none with framing.
+   */
+  neverMarksEnds(id: string): boolean {
+    const server = this.serverOf(id);
+    if (server === undefined) return false;
+    let unmarkedCount = 0;
+    for (const state of this.#byService.get(server.service) ?? []) {
+      if (state.server.version !== server.version) continue;
+      if (state.markedCount > 0) return false;
+      unmarkedCount += state.unmarkedCount;
+    }
+    return unmarkedCount > 1;
+  }
+
   /** Counts a request that is now sent to a server. */
   trackRequest(
     server: BackendServer,
--- a/src/gateway/servers/backend_state.ts
+++ b/src/gateway/servers/backend_state.ts
@@ -47,6 +47,9 @@
   load: LoadObservation | undefined;
   /** Until when the long prompts of other VMs occupy the server. */
   busyUntilMs: number;
+  /** Streams that it has begun with framing, which marks their ends. */
+  markedCount: number;
+  unmarkedCount: number;
 }
 
 export interface TrackedRequest extends RequestSize {
@@ -69,6 +72,8 @@
     lastSignAtMs: 0,
     load: undefined,
     busyUntilMs: 0,
+    markedCount: 0,
+    unmarkedCount: 0,
   };
 }
 
@@ -141,6 +146,12 @@
     this.#state.pending.delete(this.#request);
   }
 
+  /** Records whether the server marks the end of the stream that it begins. */
+  recordStream({ isMarked }: { readonly isMarked: boolean }): void {
+    if (isMarked) this.#state.markedCount += 1;
+    else this.#state.unmarkedCount += 1;
+  }
+
   /** Records the load that the server reported. */
   recordLoad(load: BackendLoad): void {
     const state = this.#state;
--- a/src/gateway/servers/server_attempt.ts
+++ b/src/gateway/servers/server_attempt.ts
@@ -195,6 +195,7 @@
     this.#recordSample({ isError: status >= 500 });
     this.#recordSlowStart({ isError: status >= 500 });
     if (!this.#isRelayed) return;
+    this.#inFlight.recordStream({ isMarked: head.isFramed });
     if (this.#options.onHead(head) === "relay") return;
     this.#end("success");
     this.#exchange.cancel();
--- a/tools/unmarked_mechanisms.ts
+++ b/tools/unmarked_mechanisms.ts
@@ -22,9 +22,16 @@
   },
   {
     name: "a caller that resumes can finish unmarked",
-    file: "src/gateway/forwarding/forwarding.ts",
-    source: "if (relay?.hasEvent) return",
-    replacement: "return",
+    file: "src/decision/answer_end.ts",
+    source: "return !isBegun && neverMarksEnds;",
+    replacement: "return isBegun && neverMarksEnds;",
+    tests: [END_TEST],
+  },
+  {
+    name: "an empty end where servers mark ends is none",
+    file: "src/decision/answer_end.ts",
+    source: "return !isBegun && neverMarksEnds;",
+    replacement: "return !isBegun || neverMarksEnds;",
     tests: [END_TEST],
   },
   {
