Let VMs whose seeds are gone meet in the store

Cause: seeds were the only way to meet. The VM never met the others, so it counted the roll-out from its own start and was in the first half of it.

Evidence: rendezvous_test fails where the addresses from the store are not tried (and there was no way to try them before).

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,6 +6,7 @@
 import {
   aliveCheck,
   type MembershipState,
+  presentMembers,
   type RouteTable,
 } from "../decision/mod.ts";
 import { type ServiceTraits, splitAddress } from "../model/mod.ts";
@@ -40,6 +41,7 @@
 import { OpenRequests } from "./callers/open_requests.ts";
 import { LeaseExchange } from "./peers/lease_exchange.ts";
 import { PeerExchange } from "./peers/peer_exchange.ts";
+import { StoreRendezvous } from "./peers/store_rendezvous.ts";
 import { PrefillRates } from "./servers/prefill_rates.ts";
 import { PromptRates } from "./servers/prompt_rates.ts";
 import { LateReading } from "./late_reading.ts";
@@ -77,6 +79,7 @@
   readonly #exchange: PeerExchange;
   readonly #memory: VmMemory;
   readonly #callers: CallerServer;
+  readonly #rendezvous: StoreRendezvous | undefined;
   readonly #peers: PeerNode;
   readonly #context: ForwardContext;
   readonly #openRequests = new OpenRequests();
@@ -160,7 +163,18 @@
       topic: options.statusTopic,
       rank: () => this.#exchange.rank(),
     });
-    this.#peers = createGatewayPeers(options, this.#exchange);
+    const { rendezvous } = options;
+    this.#rendezvous = rendezvous && new StoreRendezvous({
+      ...options,
+      vm: settings.vm,
+      topic: rendezvous,
+      peerAddress: () => this.#peerAddress,
+      isAlone: () => presentMembers(membership()).length === 0,
+    });
+    this.#peers = createGatewayPeers(options, {
+      exchange: this.#exchange,
+      moreSeeds: () => this.#rendezvous?.addresses ?? [],
+    });
     this.#memory = new VmMemory(settings);
     this.#callers = this.#createCallerServer();
     this.#shutdown = new GatewayShutdown({
@@ -240,6 +254,7 @@
     const { signal } = this.#stopController;
     this.#feed.run(signal);
     void this.#exchange.run(signal);
+    void this.#rendezvous?.run(signal);
     void this.#leases.run(signal);
     void this.#reach.reach.run(signal);
     void this.#tick(signal);
--- a/src/gateway/gateway_options.ts
+++ b/src/gateway/gateway_options.ts
@@ -17,6 +17,7 @@
   type StoreRecord,
   type TopicSource,
 } from "./store/store_record.ts";
+import { type RendezvousTopic } from "./peers/store_rendezvous.ts";
 import { type IsOlder } from "./store/topic_replica.ts";
 
 /** A record that operators write into the store. */
@@ -51,6 +52,8 @@
     status: RolloutStatus,
     offset: number,
   ) => Promise<Result<number, StoreFault>>;
+  /** Where VMs find each other whose seeds are gone, if anywhere. */
+  readonly rendezvous?: RendezvousTopic;
   readonly clock: Clock;
   readonly random: Random;
   readonly sleep: Sleep;
--- a/src/gateway/peers/gateway_peers.ts
+++ b/src/gateway/peers/gateway_peers.ts
@@ -47,7 +47,10 @@
 /** Creates the peer node of a VM; it is idle until started. */
 export function createGatewayPeers(
   options: GatewayOptions,
-  exchange: PeerExchange,
+  { exchange, moreSeeds }: {
+    readonly exchange: PeerExchange;
+    readonly moreSeeds: () => readonly string[];
+  },
 ): PeerNode {
   const { settings, clock, random, sleep, logger } = options;
   const { host, port } = splitAddress(settings.peerAddress);
@@ -60,6 +63,7 @@
     deployment: "gateway",
     sharedKey: "gateway",
     seeds: settings.seeds,
+    moreSeeds,
     membership: { periodMs: PROBE_PERIOD_MS, directTimeoutMs: 200 },
     records: NO_RECORDS,
     bills: NO_BILLS,
--- a/src/gateway/rollout/rollout_status_writer.ts
+++ b/src/gateway/rollout/rollout_status_writer.ts
@@ -26,7 +26,7 @@
   type StoreRecord,
   type TopicSource,
 } from "../store/store_record.ts";
-import { type ReadProgress, TopicReader } from "../store/topic_reader.ts";
+import { TopicReader } from "../store/topic_reader.ts";
 import { TopicReplica } from "../store/topic_replica.ts";
 
 export interface RolloutStatusWriterOptions {
@@ -194,8 +194,9 @@
    * offset, or with undefined if the store did not answer.
    */
   async #readStatuses(): Promise<ListedStatuses | undefined> {
-    const offset = await this.#readToEnd();
-    if (offset === undefined) {
+    const read = await this.#reader.readToEnd(LONGEST_ANSWER_MS);
+    const offset = this.#replica.nextOffset;
+    if (read.isErr() || offset === undefined) {
       this.#pause();
       return undefined;
     }
@@ -209,21 +210,6 @@
     return { statuses, offset };
   }
 
-  /** Resolves with the topic's end, or with undefined if a call failed. */
-  async #readToEnd(): Promise<number | undefined> {
-    const limits = { waitMs: 0, answerMs: LONGEST_ANSWER_MS };
-    let progress: ReadProgress = "behind";
-    let wasDeleted = false;
-    while (progress !== "current") {
-      const read = await this.#reader.read(limits);
-      if (read.isOk()) progress = read.value;
-      else if (read.error.kind !== "deleted" || wasDeleted) return undefined;
-      // What was deleted is listed by the next call.
-      else wasDeleted = true;
-    }
-    return this.#replica.nextOffset;
-  }
-
   #pause(): void {
     this.#pausedUntilMs = this.#options.clock() + RETRY_DELAY_MS;
   }
--- a/src/gateway/store/topic_reader.ts
+++ b/src/gateway/store/topic_reader.ts
@@ -95,6 +95,21 @@
       : await this.#readOn(nextOffset, limits);
   }
 
+  /** Makes calls until the replica has what the store had meanwhile. */
+  async readToEnd(answerMs: number): Promise<Result<void, StoreFault>> {
+    let wasDeleted = false;
+    for (;;) {
+      const read = await this.read({ waitMs: 0, answerMs });
+      if (read.isOk()) {
+        if (read.value === "current") return ok();
+        continue;
+      }
+      // What was deleted is listed by the next call.
+      if (read.error.kind !== "deleted" || wasDeleted) return err(read.error);
+      wasDeleted = true;
+    }
+  }
+
   #isTailDue({ end, tail, isTailNext }: OpenList): boolean {
     const { replica: { nextOffset = end }, clock, pauseMs } = this.#options;
     // A newer era begins with its complete list.
--- a/src/wire/peer_node.ts
+++ b/src/wire/peer_node.ts
@@ -197,7 +197,8 @@
 
   #connectToSeeds(): void {
     if (presentMembers(this.#state).length > 0) return;
-    for (const seed of this.#options.seeds) {
+    const { seeds, moreSeeds = (): readonly string[] => [] } = this.#options;
+    for (const seed of new Set([...seeds, ...moreSeeds()])) {
       if (seed === this.#state.self.peerAddress) continue;
       void this.#transport.connectionTo({ vm: "", peerAddress: seed });
     }
--- a/src/wire/peer_node_options.ts
+++ b/src/wire/peer_node_options.ts
@@ -25,6 +25,8 @@
   readonly sharedKey: string;
   /** Peer addresses to connect to while there is no other member. */
   readonly seeds: readonly string[];
+  /** Further such addresses, as known by then. */
+  readonly moreSeeds?: () => readonly string[];
   readonly membership?: Partial<MembershipOptions>;
   readonly bounds?: Partial<TransportBounds>;
   readonly records: RecordSource;
--- a/tools/store_mechanisms.ts
+++ b/tools/store_mechanisms.ts
@@ -79,6 +79,13 @@
     replacement: "if (leftBytes < -1e9) {",
     tests: [EXCHANGE_TEST],
   },
+  {
+    name: "VMs meet in the store",
+    file: "src/gateway/gateway.ts",
+    source: "moreSeeds: () => this.#rendezvous?.addresses ?? [],",
+    replacement: "moreSeeds: () => [],",
+    tests: ["platform/rendezvous_test.ts"],
+  },
   {
     name: "roll-outs of one message",
     file: "src/gateway/rollout/rollout_report.ts",
