Hold no connection's place for a body that never ends

Callers saw: beside clients that hold all connections with bodies of which a byte comes now and then, no other request was answered.

Cause: at the bound of connections the one without a request closes for a new one; where all had requests, the new one was closed, however long the others' requests had been arriving.

Change: the connection whose request has been arriving for longest, and for more than a second, gives way. Such a request hasn't run. One whose request has arrived is never chosen.

Evidence: "the connection whose request has been arriving for longest is closed for a new one" and "no connection whose request has arrived is closed for a new one" failed before; the other tests of the bounds pass on both.

--- a/src/wire/bounded_server.ts
+++ b/src/wire/bounded_server.ts
@@ -1,11 +1,14 @@
 /**
  * An HTTP server that bounds what clients make it keep by connecting and by
  * sending requests ahead. Beyond its connections, the one that has been without a
- * request for longest is closed for a new one, or the new one if all have
- * requests. A connection with more open requests than allowed is closed.
+ * request for longest is closed for a new one. If all have requests, the one whose
+ * request has been arriving for longest gives way, so that places aren't held by
+ * bodies that never end, or the new one if none takes long. A connection with more
+ * open requests than allowed is closed.
  */
 import {
   createServer,
+  type IncomingMessage,
   type RequestListener,
   type Server,
   type ServerOptions,
@@ -27,6 +30,8 @@
 
 /** Clients that wait for each answer have one. */
 const MAX_OPEN_REQUEST_COUNT = 32;
+/** A request that has been arriving for longer may give its place away. */
+const LONG_ARRIVAL_MS = 1000;
 
 /** Creates a server within bounds; requests beyond them aren't listened to. */
 export function createBoundedServer(
@@ -44,12 +49,19 @@
   return server;
 }
 
+interface BegunRequest {
+  readonly request: IncomingMessage;
+  readonly sinceMs: number;
+}
+
 /** The connections of a server. */
 class BoundedConnections {
   readonly #bounds: ConnectionBounds;
   readonly #openCounts = new Map<Socket, number>();
   /** Connections without a request, the one idle for longest first. */
   readonly #idle = new Set<Socket>();
+  /** The last request of each connection that has one, and when it began. */
+  readonly #begun = new Map<Socket, BegunRequest>();
 
   constructor(bounds: ConnectionBounds) {
     this.#bounds = bounds;
@@ -58,13 +70,22 @@
   add(socket: Socket): void {
     this.#openCounts.set(socket, 0);
     this.#idle.add(socket);
-    socket.once("close", () => {
-      this.#openCounts.delete(socket);
-      this.#idle.delete(socket);
-    });
+    socket.once("close", () => this.#forget(socket));
     if (this.#openCounts.size <= this.#bounds.maxConnectionCount) return;
     const [longestIdle = socket] = this.#idle;
-    this.#close(longestIdle, "connections");
+    // The new one is idle too.
+    const closed = longestIdle === socket
+      ? this.#longestArriving() ?? socket
+      : longestIdle;
+    this.#close(closed, "connections");
+  }
+
+  #longestArriving(): Socket | undefined {
+    for (const [socket, { request, sinceMs }] of this.#begun) {
+      if (performance.now() - sinceMs <= LONG_ARRIVAL_MS) return undefined;
+      if (!request.complete) return socket;
+    }
+    return undefined;
   }
 
   /** Counts a request; returns false if its connection is closed. */
@@ -78,6 +99,9 @@
     }
     this.#openCounts.set(socket, openCount);
     this.#idle.delete(socket);
+    this.#begun.delete(socket);
+    const sinceMs = performance.now();
+    this.#begun.set(socket, { request: response.req, sinceMs });
     response.once("close", () => this.#end(socket));
     return true;
   }
@@ -86,13 +110,20 @@
     const openCount = this.#openCounts.get(socket);
     if (openCount === undefined) return;
     this.#openCounts.set(socket, openCount - 1);
-    if (openCount === 1) this.#idle.add(socket);
+    if (openCount > 1) return;
+    this.#idle.add(socket);
+    this.#begun.delete(socket);
   }
 
-  #close(socket: Socket, cause: BoundCause): void {
-    // It takes a place until it is closed, but must not be chosen again.
+  #forget(socket: Socket): void {
     this.#openCounts.delete(socket);
     this.#idle.delete(socket);
+    this.#begun.delete(socket);
+  }
+
+  #close(socket: Socket, cause: BoundCause): void {
+    // It takes a place until it is closed, but must not be chosen again.
+    this.#forget(socket);
     socket.destroy();
     this.#bounds.onClose?.(cause);
   }
--- a/src/wire/bounded_server_test.ts
+++ b/src/wire/bounded_server_test.ts
@@ -8,8 +8,13 @@
 import { type BoundCause, createBoundedServer } from "./bounded_server.ts";
 
 const REQUEST = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+/** A request with a part of its body. */
+const BEGUN_REQUEST =
+  "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\npart";
 const MAX_CONNECTION_COUNT = 3;
 const MAX_OPEN_REQUEST_COUNT = 4;
+/** A little longer than after which a request may give its place away. */
+const LONG_ARRIVAL_MS = 1100;
 const POLL_MS = 5;
 const TIMEOUT_MS = 5000;
 
@@ -111,6 +116,53 @@
   assert.ok(clients.every(({ isClosed }) => !isClosed));
 });
 
+// Guards against bodies without end that hold all connections, so that no other
+// client is served.
+test("the connection whose request has been arriving for longest is closed for a new one", async (context) => {
+  const site = await startSite(context, (request, response) => {
+    if (request.complete) response.end("done");
+    else request.resume().once("end", () => response.end("done"));
+  });
+  const clients: Client[] = [];
+  for (let count = 0; count < MAX_CONNECTION_COUNT; count++) {
+    const client = await site.connect();
+    client.socket.write(BEGUN_REQUEST);
+    clients.push(client);
+  }
+  await delay(10 * POLL_MS);
+  const early = await site.connect();
+  await until(() => early.isClosed);
+  assert.ok(clients.every(({ isClosed }) => !isClosed));
+  await delay(LONG_ARRIVAL_MS);
+  const late = await site.connect();
+  late.socket.write(REQUEST);
+  await until(() => late.answerCount === 1);
+  assert.deepEqual(clients.map(({ isClosed }) => isClosed), [
+    true,
+    false,
+    false,
+  ]);
+  assert.deepEqual(site.causes, ["connections", "connections"]);
+});
+
+// Guards against a request that is cut while it runs, after it has arrived.
+test("no connection whose request has arrived is closed for a new one", async (context) => {
+  const site = await startSite(context, () => {});
+  const waiting = await site.connect();
+  waiting.socket.write(REQUEST);
+  const arriving = [await site.connect(), await site.connect()];
+  for (const { socket } of arriving) socket.write(BEGUN_REQUEST);
+  await delay(LONG_ARRIVAL_MS + 10 * POLL_MS);
+  for (const client of arriving) {
+    const next = await site.connect();
+    next.socket.write(REQUEST);
+    await until(() => client.isClosed);
+  }
+  const last = await site.connect();
+  await until(() => last.isClosed);
+  assert.ok(!waiting.isClosed);
+});
+
 // Guards against requests sent ahead that are all kept until they are answered.
 test("a connection with too many open requests is closed", async (context) => {
   let requestCount = 0;
--- a/tools/client_mechanisms.ts
+++ b/tools/client_mechanisms.ts
@@ -33,6 +33,13 @@
     replacement: "const longestIdle = socket;",
     tests: [SERVER_TEST],
   },
+  {
+    name: "places are not held by bodies without end",
+    file: "src/wire/bounded_server.ts",
+    source: "? this.#longestArriving() ?? socket",
+    replacement: "? socket",
+    tests: [SERVER_TEST],
+  },
   {
     name: "bound of requests ahead",
     file: "src/wire/bounded_server.ts",
