Take out six mechanisms again whose sources had changed

The tool that takes mechanisms out found no source for six of them, so that nothing showed that their tests count.

--- a/tools/incident_mechanisms.ts
+++ b/tools/incident_mechanisms.ts
@@ -168,10 +168,9 @@
   },
   {
     name: "resets before a VM ends",
-    file: "src/gateway/callers/caller_server.ts",
-    source:
-      "[...this.#connections.values()].map((one) => one.resetUnfinished()),",
-    replacement: "[],",
+    file: "src/gateway/callers/caller_connection.ts",
+    source: "if (isCut || this.#resetTimer !== undefined) {",
+    replacement: "if (isCut && this.#closeCause === undefined) {",
     tests: [ANSWER_END_TEST],
   },
   {
--- a/tools/mechanisms.ts
+++ b/tools/mechanisms.ts
@@ -370,8 +370,8 @@
   {
     name: "an order that is written again goes on",
     file: "src/gateway/rollout/rollout_order.ts",
-    source: 'return isOtherEra || isCopied ? "again" : "old";',
-    replacement: 'return isOtherEra || isCopied ? "new" : "old";',
+    source: 'return isOtherEra || isCopied ? "again" : "new";',
+    replacement: 'return "new";',
     tests: [
       "src/gateway/rollout/rollout_order_test.ts",
       "src/gateway/rollout/rollout_restored_test.ts",
@@ -454,16 +454,16 @@
   },
   {
     name: "body bound as it arrives",
-    file: "src/gateway/callers/caller_server.ts",
-    source: "if (length > maxBodyBytes) {",
-    replacement: "if (length < 0) {",
+    file: "src/gateway/callers/body_reader.ts",
+    source: "if (collector.length > maxBodyBytes)",
+    replacement: "if (collector.length < 0)",
     tests: ["src/gateway/callers/caller_server_test.ts"],
   },
   {
     name: "body bound by its length",
     file: "src/gateway/callers/caller_server.ts",
-    source: "if (length > maxBodyBytes) return {",
-    replacement: "if (length < 0) return {",
+    source: "if (length > maxBodyBytes) return",
+    replacement: "if (length < 0) return",
     tests: ["src/gateway/callers/caller_server_test.ts"],
   },
   {
--- a/tools/server_mechanisms.ts
+++ b/tools/server_mechanisms.ts
@@ -246,14 +246,14 @@
   {
     name: "memory of long answers",
     file: "src/gateway/callers/answer_buffer.ts",
-    source: "if (!this.#memory.take(chunk.length)) return false;",
-    replacement: "",
+    source: "if (isReserved) return finish();",
+    replacement: "return finish();",
     tests: ["src/gateway/callers/answer_buffer_test.ts"],
   },
   {
     name: "many small parts",
     file: "src/gateway/callers/answer_buffer.ts",
-    source: "if (this.#chunks.length > MAX_PARTS) return false;",
+    source: "if (this.#partCount > MAX_PARTS) return false;",
     replacement: "",
     tests: ["src/gateway/callers/endless_answer_test.ts"],
   },
